--- /dev/null
+++ b/Makefile
@@ -0,0 +1,43 @@
+# Tool versions are pinned here and nowhere else.
+GOLANGCI_VERSION := v2.5.0
+BUF_VERSION := v1.57.2
+PROTOC_GEN_GO_VERSION := v1.36.10
+PROTOC_GEN_CONNECT_VERSION := v1.19.1
+
+GOBIN := $(shell go env GOPATH)/bin
+MODULES := . ./standin ./wasabi ./wasabid
+PACKAGES := ./... ./standin/... ./wasabi/... ./wasabid/...
+
+export PATH := $(GOBIN):$(PATH)
+
+.PHONY: all build demo test lint vet gen gen-check tools soak slopes bench links red
+
+all: build
+
+build:
+	go build -o bin/ ./standin ./wasabi ./wasabid
+
+tools:
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
+
+test:
+	go test -race $(PACKAGES)
+
+vet:
+	go vet $(PACKAGES)
+
+lint:
+	@for m in $(MODULES); do (cd $$m && golangci-lint run ./...) || exit 1; done
+
+gen:
+	cd peerpb && buf generate
+
+gen-check: gen
+	git diff --exit-code -- peerpb
+
+# red runs the tests that KNOWN-RED.txt names, prints them and never fails.
+red:
+	@sh .ci/red
--- /dev/null
+++ b/fail/fail.go
@@ -0,0 +1,64 @@
+// Package fail carries the step, the peer and the outcome with an error.
+//
+// # Usage
+//
+//	return fail.New("engine: prefill", "sierra-a-p1", ident.Unknown, err)
+//
+//	if fail.Outcome(err) == ident.NotRun {
+//		// safe to try elsewhere
+//	}
+package fail
+
+import (
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/ident"
+)
+
+// Error is an error with the step and the peer at which it arose.
+type Error struct {
+	step    string
+	peer    string
+	outcome ident.Outcome
+	err     error
+}
+
+// New returns an error that arose in step while talking to peer. Peer is
+// empty for a local step.
+func New(step, peer string, o ident.Outcome, err error) *Error {
+	return &Error{step: step, peer: peer, outcome: o, err: err}
+}
+
+// Error returns "step: peer: cause (outcome)".
+func (e *Error) Error() string {
+	s := e.step
+	if e.peer != "" {
+		s += ": " + e.peer
+	}
+	return s + ": " + e.err.Error() + " (" + e.outcome.String() + ")"
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// Step returns the step that failed.
+func (e *Error) Step() string { return e.step }
+
+// Peer returns the peer, or the empty string for a local step.
+func (e *Error) Peer() string { return e.peer }
+
+// Outcome returns what is known of the call.
+func (e *Error) Outcome() ident.Outcome { return e.outcome }
+
+// Outcome returns the outcome that the outermost Error in err carries, Done
+// for a nil err, and Unknown where no Error is found.
+func Outcome(err error) ident.Outcome {
+	if err == nil {
+		return ident.Done
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.outcome
+	}
+	return ident.Unknown
+}
--- /dev/null
+++ b/ident/ident.go
@@ -0,0 +1,95 @@
+// Package ident holds the names by which the parts of the router speak of
+// customers, machines and requests, and the outcome of a call.
+//
+// # Usage
+//
+//	n := ident.Node{Instance: "sierra-a-1", Incarnation: 7}
+//	a := ident.Attempt{Node: n, Serial: 42}
+//	s := a.String() // "sierra-a-1.7.42"
+//
+// An Attempt is never reused: a process draws a fresh incarnation when it
+// starts and counts its attempts from one.
+package ident
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+type (
+	// Customer is the name of a customer in the table.
+	Customer string
+	// Instance is the name of a seat of the table, held by one process at a time.
+	Instance string
+	// Server is the name of a backend server.
+	Server string
+	// Centre is the name of a data centre.
+	Centre string
+	// Region is the name of a region.
+	Region string
+	// Model is the name of a model.
+	Model string
+	// Class is the name of a latency class.
+	Class string
+	// Route is the name of a route to a plain service.
+	Route string
+	// Request is the identifier that a caller sees.
+	Request string
+)
+
+// Node is one process in a seat.
+type Node struct {
+	Instance    Instance
+	Incarnation uint64
+}
+
+// String returns "instance.incarnation".
+func (n Node) String() string {
+	return string(n.Instance) + "." + strconv.FormatUint(n.Incarnation, 10)
+}
+
+// Attempt identifies one try of one request at a backend server.
+type Attempt struct {
+	Node   Node
+	Serial uint64
+}
+
+// String returns "instance.incarnation.serial".
+func (a Attempt) String() string {
+	return a.Node.String() + "." + strconv.FormatUint(a.Serial, 10)
+}
+
+// ErrAttempt reports a string that is not an attempt.
+var ErrAttempt = errors.New("not an attempt")
+
+// ParseAttempt is the inverse of Attempt.String. It returns ErrAttempt for
+// anything else.
+func ParseAttempt(s string) (Attempt, error) {
+	rest, serial, ok := cutLast(s)
+	if !ok {
+		return Attempt{}, errors.Wrapf(ErrAttempt, "%q", s)
+	}
+	name, inc, ok := cutLast(rest)
+	if !ok || name == "" {
+		return Attempt{}, errors.Wrapf(ErrAttempt, "%q", s)
+	}
+	n, err := strconv.ParseUint(serial, 10, 64)
+	if err != nil {
+		return Attempt{}, errors.Wrapf(ErrAttempt, "%q", s)
+	}
+	i, err := strconv.ParseUint(inc, 10, 64)
+	if err != nil {
+		return Attempt{}, errors.Wrapf(ErrAttempt, "%q", s)
+	}
+	return Attempt{Node: Node{Instance: Instance(name), Incarnation: i}, Serial: n}, nil
+}
+
+func cutLast(s string) (before, after string, found bool) {
+	i := strings.LastIndexByte(s, '.')
+	if i < 0 {
+		return "", "", false
+	}
+	return s[:i], s[i+1:], true
+}
--- /dev/null
+++ b/ident/ident_test.go
@@ -0,0 +1,43 @@
+package ident_test
+
+import (
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/ident"
+)
+
+func TestParseAttempt(t *testing.T) {
+	tests := []struct {
+		name string
+		in   string
+		want ident.Attempt
+		err  error
+	}{
+		{"plain", "a-1.7.42", ident.Attempt{Node: ident.Node{Instance: "a-1", Incarnation: 7}, Serial: 42}, nil},
+		{"dots in the name", "a.b.7.42", ident.Attempt{Node: ident.Node{Instance: "a.b", Incarnation: 7}, Serial: 42}, nil},
+		{"empty", "", ident.Attempt{}, ident.ErrAttempt},
+		{"no name", ".7.42", ident.Attempt{}, ident.ErrAttempt},
+		{"serial is no number", "a.7.x", ident.Attempt{}, ident.ErrAttempt},
+		{"incarnation is no number", "a.x.7", ident.Attempt{}, ident.ErrAttempt},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := ident.ParseAttempt(tt.in)
+			is.Equal(got, tt.want)
+			is.True(errors.Is(err, tt.err))
+			if err == nil {
+				is.Equal(got.String(), tt.in)
+			}
+		})
+	}
+}
+
+func TestOutcomeZeroClaimsNothing(t *testing.T) {
+	is := is.New(t)
+	var o ident.Outcome
+	is.Equal(o.String(), "unknown")
+}
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer connects the instances of one deployment.
+package peer
