--- a/fail/fail.go
+++ b/fail/fail.go
@@ -51,7 +51,7 @@
 func (e *Error) Outcome() ident.Outcome { return e.outcome }
 
 // Outcome returns the outcome that the outermost Error in err carries, Done
-// for a nil err, and Unknown where no Error is found.
+// for a nil err, NotRun for a bare Refusal, and Unknown for any other error.
 func Outcome(err error) ident.Outcome {
 	if err == nil {
 		return ident.Done
@@ -60,5 +60,8 @@
 	if errors.As(err, &e) {
 		return e.outcome
 	}
+	if _, ok := AsRefusal(err); ok {
+		return ident.NotRun
+	}
 	return ident.Unknown
 }
