--- /dev/null
+++ b/roster/list.go
@@ -0,0 +1,213 @@
+package roster
+
+import (
+	"sort"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+// Listed is one instance of the platform's list, which lags.
+type Listed struct {
+	Instance  ident.Instance
+	Address   string
+	Centre    ident.Centre
+	Departing bool
+}
+
+// List takes the platform's list of instances. It gives addresses of nodes
+// that have not been heard; an instance that it calls departing drains, unless
+// the process in the seat has another address by now.
+func (r *Roster) List(items []Listed, now tick.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.seats {
+		s.listed = false
+	}
+	for _, item := range items {
+		if item.Instance == r.cfg.Self.Instance {
+			continue
+		}
+		if s := r.open(item.Instance); s != nil {
+			r.listed(s, item)
+		}
+	}
+	r.forget(now)
+}
+
+func (r *Roster) listed(s *seat, item Listed) {
+	s.listed = true
+	if !s.met {
+		s.entry.Address = item.Address
+		s.entry.Centre = item.Centre
+	}
+	departing := item.Departing && s.entry.Address == item.Address
+	if departing && s.met && s.entry.State < Draining {
+		s.entry.State = Draining
+		r.announce(s)
+	}
+}
+
+// forget drops the processes of seats that have been silent for long. The
+// superseded incarnations of a seat stay known.
+func (r *Roster) forget(now tick.Instant) {
+	for i := 0; i < len(r.order); i++ {
+		name := r.order[i]
+		s := r.seats[name]
+		gone := !s.met || s.entry.State == Lost && now-s.heard > forgetAge
+		if s.listed || !gone {
+			continue
+		}
+		if len(s.old) > 0 {
+			continue
+		}
+		delete(r.seats, name)
+		r.order = append(r.order[:i], r.order[i+1:]...)
+		i--
+	}
+}
+
+// Seed takes the address of an instance from the settings, for a start without
+// the platform.
+func (r *Roster) Seed(name ident.Instance, address string, c ident.Centre) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name == r.cfg.Self.Instance {
+		return
+	}
+	s := r.open(name)
+	if s == nil || s.met {
+		return
+	}
+	s.listed = true
+	s.entry.Address = address
+	s.entry.Centre = c
+}
+
+const (
+	// outsidePeriod is the number of rounds for one exchange with another data
+	// centre.
+	outsidePeriod = 4
+	// lostPeriod is the number of rounds for one exchange with a lost node.
+	lostPeriod = 5
+)
+
+// Next returns the instances to talk to in this round: one of the own data
+// centre, each in turn, and now and then one of another or a lost one.
+func (r *Roster) Next() []ident.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rounds++
+	var targets []ident.Instance
+	if name, ok := r.turn(); ok {
+		targets = append(targets, name)
+	}
+	if r.rounds%outsidePeriod == 0 || len(targets) == 0 {
+		targets = append(targets, r.pick(1, func(s *seat) bool { return s.entry.Centre != r.cfg.Centre && !s.lost() })...)
+	}
+	if r.rounds%lostPeriod == 0 || len(targets) == 0 {
+		targets = append(targets, r.pick(1, func(s *seat) bool { return s.lost() })...)
+	}
+	return targets
+}
+
+// Spread returns instances to tell of a change at once: near ones of the own
+// data centre and far ones of others.
+func (r *Roster) Spread(near, far int) []ident.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	targets := r.pick(near, func(s *seat) bool { return s.entry.Centre == r.cfg.Centre && !s.lost() })
+	return append(targets, r.pick(far, func(s *seat) bool { return s.entry.Centre != r.cfg.Centre && !s.lost() })...)
+}
+
+func (s *seat) lost() bool {
+	return s.entry.State == Lost || s.failures >= lossFailures
+}
+
+// turn returns the next instance of the own data centre in a shuffled order
+// in which each comes once.
+func (r *Roster) turn() (ident.Instance, bool) {
+	for fresh := false; ; {
+		for len(r.ring) > 0 {
+			name := r.ring[len(r.ring)-1]
+			r.ring = r.ring[:len(r.ring)-1]
+			if s, ok := r.seats[name]; ok && s.near(r.cfg.Centre) {
+				return name, true
+			}
+		}
+		if fresh {
+			return "", false
+		}
+		fresh = true
+		for _, name := range r.order {
+			if r.seats[name].near(r.cfg.Centre) {
+				r.ring = append(r.ring, name)
+			}
+		}
+		r.cfg.Random.Shuffle(len(r.ring), func(i, j int) { r.ring[i], r.ring[j] = r.ring[j], r.ring[i] })
+	}
+}
+
+func (s *seat) near(c ident.Centre) bool {
+	return s.entry.Centre == c && s.entry.Address != "" && !s.lost()
+}
+
+// pick returns up to n random instances that have an address and are wanted.
+func (r *Roster) pick(n int, wanted func(*seat) bool) []ident.Instance {
+	var names []ident.Instance
+	for _, name := range r.order {
+		if s := r.seats[name]; s.entry.Address != "" && wanted(s) {
+			names = append(names, name)
+		}
+	}
+	r.cfg.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	if len(names) > n {
+		names = names[:n]
+	}
+	return names
+}
+
+const (
+	// newsEntries bounds the changes in one message.
+	newsEntries = 4
+	// randomEntries is the number of random nodes in one message.
+	randomEntries = 1
+	// joinEntries bounds the nodes in an answer to a starting node.
+	joinEntries = 64
+)
+
+// News returns what to tell a node of the given data centre: changes that were
+// passed on least often and a random node. A starting node is told more.
+func (r *Roster) News(c ident.Centre, starting bool, now tick.Instant) []Entry {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes, others := newsEntries, randomEntries
+	if starting {
+		others = joinEntries
+	}
+	names := r.pick(len(r.order), func(s *seat) bool { return s.met })
+	sort.SliceStable(names, func(i, j int) bool {
+		a, b := r.seats[names[i]], r.seats[names[j]]
+		if near := a.entry.Centre == c; a.told > 0 && b.told > 0 && near != (b.entry.Centre == c) {
+			return near
+		}
+		return a.told > b.told
+	})
+	var out []Entry
+	for _, name := range names {
+		s := r.seats[name]
+		switch {
+		case s.told > 0 && changes > 0:
+			changes--
+			s.told--
+		case s.told == 0 && others > 0:
+			others--
+		case others > 0 && starting:
+			others--
+		default:
+			continue
+		}
+		out = append(out, s.report(now))
+	}
+	return out
+}
