--- a/roster/list.go
+++ b/roster/list.go
@@ -21,6 +21,7 @@
 func (r *Roster) List(items []Listed, now tick.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.hasList = true
 	for _, s := range r.seats {
 		s.listed = false
 	}
@@ -67,6 +68,33 @@
 	}
 }
 
+// Listed reports whether the platform's list has been taken.
+func (r *Roster) Listed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasList
+}
+
+// Candidates returns the instances of a data centre that may be there, sorted
+// by name: those that are up, and those that have not been heard and whose
+// address is known.
+func (r *Roster) Candidates(c ident.Centre) []ident.Instance {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []ident.Instance
+	if c == r.cfg.Centre {
+		names = append(names, r.cfg.Self.Instance)
+	}
+	for _, name := range r.order {
+		s := r.seats[name]
+		if s.near(c) && (!s.met || s.entry.State < Draining) {
+			names = append(names, name)
+		}
+	}
+	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
+	return names
+}
+
 // Seed takes the address of an instance from the settings, for a start without
 // the platform.
 func (r *Roster) Seed(name ident.Instance, address string, c ident.Centre) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -71,6 +71,7 @@
 	ring    []ident.Instance // instances of the own centre still to be asked in this turn
 	rounds  int
 	servers departures
+	hasList bool // the platform's list has been taken
 }
 
 // seat is what is known of a seat and of the process in it.
--- a/table/parts.go
+++ b/table/parts.go
@@ -20,7 +20,7 @@
 	// splitBytes is the size above which rows are spread over two parts.
 	splitBytes = 16 << 10
 	// maxParts bounds the parts of one table.
-	maxParts = 4096
+	maxParts = 1024
 	partName = "table/part/"
 )
 
