spread: read for itself when nobody known reads the head

Cause: an instance that read only the lists of the platform counted as proof that the head was read too, so a fleet whose watchers of the head were cut off from the platform never took a new table; and an instance that started in an outage waited for a chance contact by another data centre. Change: only reads of the head count; instances that the list names and that have not been heard yet are contacted first.

--- a/roster/list.go
+++ b/roster/list.go
@@ -53,8 +53,7 @@
 // superseded incarnations of a seat stay known.
 func (r *Roster) forget(now tick.Instant) {
 	for i := 0; i < len(r.order); i++ {
-		name := r.order[i]
-		s := r.seats[name]
+		s := r.order[i]
 		gone := !s.met || s.entry.State == Lost && now-s.heard > forgetAge
 		if s.listed || !gone {
 			continue
@@ -62,7 +61,7 @@
 		if len(s.old) > 0 {
 			continue
 		}
-		delete(r.seats, name)
+		delete(r.seats, s.name())
 		r.order = append(r.order[:i], r.order[i+1:]...)
 		i--
 	}
@@ -85,10 +84,9 @@
 	if c == r.cfg.Centre {
 		names = append(names, r.cfg.Self.Instance)
 	}
-	for _, name := range r.order {
-		s := r.seats[name]
+	for _, s := range r.order {
 		if s.near(c) && (!s.met || s.entry.State < Draining) {
-			names = append(names, name)
+			names = append(names, s.name())
 		}
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
@@ -121,7 +119,8 @@
 )
 
 // Next returns the instances to talk to in this round: one of the own data
-// centre, each in turn, and now and then one of another or a lost one.
+// centre, each in turn, one that has not been heard yet, and now and then one
+// of another data centre or a lost one.
 func (r *Roster) Next() []ident.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -130,6 +129,7 @@
 	if name, ok := r.turn(); ok {
 		targets = append(targets, name)
 	}
+	targets = append(targets, r.pick(1, func(s *seat) bool { return !s.met && !s.lost() })...)
 	if r.rounds%outsidePeriod == 0 || len(targets) == 0 {
 		targets = append(targets, r.pick(1, func(s *seat) bool { return s.entry.Centre != r.cfg.Centre && !s.lost() })...)
 	}
@@ -167,9 +167,9 @@
 			return "", false
 		}
 		fresh = true
-		for _, name := range r.order {
-			if r.seats[name].near(r.cfg.Centre) {
-				r.ring = append(r.ring, name)
+		for _, s := range r.order {
+			if s.near(r.cfg.Centre) {
+				r.ring = append(r.ring, s.name())
 			}
 		}
 		r.cfg.Random.Shuffle(len(r.ring), func(i, j int) { r.ring[i], r.ring[j] = r.ring[j], r.ring[i] })
@@ -180,21 +180,31 @@
 	return s.entry.Centre == c && s.entry.Address != "" && !s.lost()
 }
 
-// pick returns up to n random instances that have an address and are wanted.
+// pick returns the names of up to n random instances that are wanted.
 func (r *Roster) pick(n int, wanted func(*seat) bool) []ident.Instance {
-	var names []ident.Instance
-	for _, name := range r.order {
-		if s := r.seats[name]; s.entry.Address != "" && wanted(s) {
-			names = append(names, name)
-		}
+	seats := r.shuffled(wanted)
+	if len(seats) > n {
+		seats = seats[:n]
 	}
-	r.cfg.Random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	if len(names) > n {
-		names = names[:n]
+	names := make([]ident.Instance, len(seats))
+	for i, s := range seats {
+		names[i] = s.name()
 	}
 	return names
 }
 
+// shuffled returns the wanted seats that have an address in random order.
+func (r *Roster) shuffled(wanted func(*seat) bool) []*seat {
+	var seats []*seat
+	for _, s := range r.order {
+		if s.entry.Address != "" && wanted(s) {
+			seats = append(seats, s)
+		}
+	}
+	r.cfg.Random.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
+	return seats
+}
+
 const (
 	// newsEntries bounds the changes in one message.
 	newsEntries = 4
@@ -205,7 +215,8 @@
 )
 
 // News returns what to tell a node of the given data centre: changes that were
-// passed on least often and a random node. A starting node is told more.
+// passed on least often, those of its own data centre first, and a random
+// node. A starting node is told more.
 func (r *Roster) News(c ident.Centre, starting bool, now tick.Instant) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -213,24 +224,15 @@
 	if starting {
 		others = joinEntries
 	}
-	names := r.pick(len(r.order), func(s *seat) bool { return s.met })
-	sort.SliceStable(names, func(i, j int) bool {
-		a, b := r.seats[names[i]], r.seats[names[j]]
-		if near := a.entry.Centre == c; a.told > 0 && b.told > 0 && near != (b.entry.Centre == c) {
-			return near
-		}
-		return a.told > b.told
-	})
+	seats := r.shuffled(func(s *seat) bool { return s.met })
+	sort.SliceStable(seats, func(i, j int) bool { return seats[i].urgency(c) > seats[j].urgency(c) })
 	var out []Entry
-	for _, name := range names {
-		s := r.seats[name]
+	for _, s := range seats {
 		switch {
 		case s.told > 0 && changes > 0:
 			changes--
 			s.told--
-		case s.told == 0 && others > 0:
-			others--
-		case others > 0 && starting:
+		case others > 0 && (s.told == 0 || starting):
 			others--
 		default:
 			continue
@@ -239,3 +241,13 @@
 	}
 	return out
 }
+
+// nearUrgency puts changes of the receiver's data centre before all others.
+const nearUrgency = 1000
+
+func (s *seat) urgency(c ident.Centre) int {
+	if s.told > 0 && s.entry.Centre == c {
+		return s.told + nearUrgency
+	}
+	return s.told
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -67,7 +67,7 @@
 	mu      sync.Mutex
 	state   State
 	seats   map[ident.Instance]*seat
-	order   []ident.Instance // names of seats, sorted
+	order   []*seat          // sorted by name
 	ring    []ident.Instance // instances of the own centre still to be asked in this turn
 	rounds  int
 	servers departures
@@ -134,10 +134,9 @@
 	if c == r.cfg.Centre && wanted(r.state) {
 		names = append(names, r.cfg.Self.Instance)
 	}
-	for _, name := range r.order {
-		s := r.seats[name]
+	for _, s := range r.order {
 		if s.met && s.entry.Centre == c && s.failures < lossFailures && wanted(s.entry.State) {
-			names = append(names, name)
+			names = append(names, s.name())
 		}
 	}
 	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
@@ -178,6 +177,8 @@
 	return ok && s.superseded(n.Incarnation)
 }
 
+func (s *seat) name() ident.Instance { return s.entry.Node.Instance }
+
 func (s *seat) superseded(incarnation uint64) bool {
 	for _, o := range s.old {
 		if o == incarnation {
@@ -192,8 +193,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	all := []Entry{r.self()}
-	for _, name := range r.order {
-		if s := r.seats[name]; s.met {
+	for _, s := range r.order {
+		if s.met {
 			all = append(all, s.report(now))
 		}
 	}
@@ -217,10 +218,10 @@
 	}
 	s := &seat{entry: Entry{Node: ident.Node{Instance: name}}}
 	r.seats[name] = s
-	i := sort.Search(len(r.order), func(i int) bool { return r.order[i] >= name })
-	r.order = append(r.order, "")
+	i := sort.Search(len(r.order), func(i int) bool { return r.order[i].name() >= name })
+	r.order = append(r.order, nil)
 	copy(r.order[i+1:], r.order[i:])
-	r.order[i] = name
+	r.order[i] = s
 	return s
 }
 
--- a/spread/fleet.go
+++ b/spread/fleet.go
@@ -64,7 +64,7 @@
 	mu       sync.Mutex
 	pending  offer
 	retry    retry
-	seen     tick.Instant // last time that anyone known read from the platform
+	seen     tick.Instant // last time that anyone known read the head
 	everSeen bool
 	busy     map[ident.Instance]bool // exchanges in flight
 	join     joining
@@ -108,8 +108,8 @@
 // seat.
 func (f *Fleet) Superseded() <-chan struct{} { return f.superseded }
 
-// PlatformAge returns the time since any known instance read from the
-// platform, and false if none has since the start.
+// PlatformAge returns the time since any known instance read the head of the
+// table from the platform, and false if none has since the start.
 func (f *Fleet) PlatformAge() (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -186,7 +186,7 @@
 	notify(f.pushes)
 }
 
-// heardPlatform takes note that the platform was read age ago.
+// heardPlatform takes note that the head was read age ago.
 func (f *Fleet) heardPlatform(age time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/spread/fleet_test.go
+++ b/spread/fleet_test.go
@@ -11,6 +11,12 @@
 
 // simTable returns a small table whose content changes with the edit.
 func simTable(t testing.TB, revision uint64, customers, edit int) *table.Table {
+	t.Helper()
+	return simTableFrom(t, revision, customers, edit, 0)
+}
+
+// simTableFrom is a simTable in which the first customers have no key.
+func simTableFrom(t testing.TB, revision uint64, customers, edit, firstKey int) *table.Table {
 	t.Helper()
 	var b strings.Builder
 	b.WriteString("centre,name,region\ncentre,c0,r0\nseat,name,centre,share\nseat,c0-0,c0,1000000\n")
@@ -19,7 +25,7 @@
 		fmt.Fprintf(&b, "customer,customer-%d,1,%d,100000\n", i, 1000+edit*(1-min(i, 1)))
 	}
 	b.WriteString("key,hash,customer\n")
-	for i := range customers {
+	for i := firstKey; i < customers; i++ {
 		fmt.Fprintf(&b, "key,%s,customer-%d\n", table.FormatSum(table.KeySum(fmt.Sprint("wk_TEST-ONLY-", i))), i)
 	}
 	tab, faults := table.Parse(revision, []table.File{{Name: "sim.csv", Data: []byte(b.String())}})
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -134,11 +133,15 @@
 		}
 	}
 	s.put(table.HeadName, head.Encode())
-	sum := sha256.Sum256(head.Encode())
-	v, _ := versionFromWire(head.Revision, sum[:])
+	v, _ := versionFromWire(head.Revision, sumOf(head))
 	return v
 }
 
+func sumOf(h table.Head) []byte {
+	sum := table.PartSum(h.Encode())
+	return sum[:]
+}
+
 // run advances the fleet until d has passed or stop says so, and returns the
 // time that passed.
 func (s *simFleet) run(d time.Duration, stop func() bool) time.Duration {
--- a/spread/watch.go
+++ b/spread/watch.go
@@ -20,18 +20,18 @@
 const (
 	// watchers is the number of instances of a data centre that watch.
 	watchers  = 2
-	watchWait = 3 * time.Second
+	watchWait = 2 * time.Second
 	// idleCheck is the period at which an instance that does not watch looks
 	// whether it should.
 	idleCheck = time.Second
 	// starvedAge is the age of the platform's last known answer after which an
 	// instance reads for itself, up to starvedSpread later.
-	starvedAge    = 8 * time.Second
-	starvedSpread = 4 * time.Second
+	starvedAge    = 6 * time.Second
+	starvedSpread = 3 * time.Second
 	// listPeriod is the period at which all instances read the lists.
 	listPeriod   = 5 * time.Minute
 	backoffFirst = 500 * time.Millisecond
-	backoffMax   = 15 * time.Second
+	backoffMax   = 8 * time.Second
 	// firstRead spreads the first reads of a list.
 	firstRead = 500 * time.Millisecond
 )
@@ -94,7 +94,9 @@
 	}
 	w.backoff.Reset()
 	w.due = f.cfg.Timer.Now() + listPeriod/2 + w.jitter(listPeriod)
-	f.heardPlatform(0)
+	if w.head {
+		f.heardPlatform(0)
+	}
 	if errors.Is(err, plat.ErrMissing) {
 		return idleCheck + w.jitter(idleCheck)
 	}
--- a/table/parts.go
+++ b/table/parts.go
@@ -39,6 +39,9 @@
 // Name returns the name of the value that holds the part.
 func (p Part) Name() string { return partName + hex.EncodeToString(p.Sum[:]) }
 
+// PartSum returns the sum by which a part or a head is known.
+func PartSum(data []byte) [32]byte { return sha256.Sum256(data) }
+
 // Encode returns the published form of the head.
 func (h Head) Encode() []byte {
 	var b bytes.Buffer
