roster: bound the contacts with instances that nobody has heard

Cause: had every instance contact one unheard instance in each round. Change: all instances together have about four such contacts in a round.

--- a/roster/list.go
+++ b/roster/list.go
@@ -114,6 +114,9 @@
 	// outsidePeriod is the number of rounds for one exchange with another data
 	// centre.
 	outsidePeriod = 4
+	// newcomerContacts is the number of exchanges that all instances together
+	// have in a round with those that nobody has heard.
+	newcomerContacts = 4
 	// lostPeriod is the number of rounds for one exchange with a lost node.
 	lostPeriod = 5
 )
@@ -129,7 +132,9 @@
 	if name, ok := r.turn(); ok {
 		targets = append(targets, name)
 	}
-	targets = append(targets, r.pick(1, func(s *seat) bool { return !s.met && !s.lost() })...)
+	if r.cfg.Random.IntN(len(r.order)+1) < newcomerContacts {
+		targets = append(targets, r.pick(1, func(s *seat) bool { return !s.met && !s.lost() })...)
+	}
 	if r.rounds%outsidePeriod == 0 || len(targets) == 0 {
 		targets = append(targets, r.pick(1, func(s *seat) bool { return s.entry.Centre != r.cfg.Centre && !s.lost() })...)
 	}
