spread: skip the join check once joined

Cause: each round shuffled all seats for a check that was over. Change: the check returns early. Conclusion: less work in a round.

--- a/spread/join.go
+++ b/spread/join.go
@@ -52,6 +52,9 @@
 // checkJoined ends the join if there is a table, enough peers have answered or
 // none can, and none of them has a newer table that can be had.
 func (f *Fleet) checkJoined() {
+	if f.isJoined() {
+		return
+	}
 	alone := f.cfg.Roster.Listed() && len(f.cfg.Roster.Spread(1, 1)) == 0
 	f.mu.Lock()
 	defer f.mu.Unlock()
