--- a/roster/list.go
+++ b/roster/list.go
@@ -122,8 +122,8 @@
 )
 
 // Next returns the instances to talk to in this round: one of the own data
-// centre, each in turn, one that has not been heard yet, and now and then one
-// of another data centre or a lost one.
+// centre, each in turn, one that failed to answer once, and now and then one
+// that has not been heard yet, one of another data centre or a lost one.
 func (r *Roster) Next() []ident.Instance {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -132,6 +132,7 @@
 	if name, ok := r.turn(); ok {
 		targets = append(targets, name)
 	}
+	targets = append(targets, r.pick(1, func(s *seat) bool { return s.failures > 0 && !s.lost() })...)
 	if r.cfg.Random.IntN(len(r.order)+1) < newcomerContacts {
 		targets = append(targets, r.pick(1, func(s *seat) bool { return !s.met && !s.lost() })...)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"math/bits"
 	"math/rand/v2"
 	"sort"
 	"sync"
@@ -225,8 +224,9 @@
 	return s
 }
 
-// announce has the last change of a seat passed on a few times, which grows
-// with the logarithm of the number of instances.
-func (r *Roster) announce(s *seat) {
-	s.told = 3 + 2*bits.Len(uint(len(r.seats)))
-}
+// announceTimes is the number of messages in which one instance passes on a
+// change.
+const announceTimes = 4
+
+// announce has the last change of a seat passed on.
+func (r *Roster) announce(s *seat) { s.told = announceTimes }
