peer: connect the instances over HTTP/2 with probed connections

Cause: instances need clients by name and must not wait on connections that have gone silent. Change: a pool of connect clients, a server, and Undialled, which proves that a call did not run.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -1,2 +1,22 @@
-// Package peer connects the instances of one deployment.
+// Package peer connects the instances of one deployment: a pool of clients by
+// instance name and the server that answers them.
+//
+// # Usage
+//
+//	pool := peer.NewPool(peer.Config{Address: members.Address})
+//	defer pool.Close()
+//	c, err := pool.Limit("sierra-a-2")
+//	resp, err := c.Charge(ctx, &peerpb.ChargeRequest{Customer: "norte", Tokens: 900})
+//
+// # Connections
+//
+// Calls to one instance share one HTTP/2 connection. A connection on which
+// nothing arrives for PingAfter is probed, and closed if the probe is not
+// answered within PingTimeout, so that a connection that has gone silent fails
+// its calls within seconds and the next call dials anew. Idle connections are
+// closed, which bounds their number to the peers that an instance talks to.
+//
+// # Outcomes
+//
+// Undialled tells whether an error proves that no byte reached the peer.
 package peer
--- /dev/null
+++ b/peer/pool.go
@@ -0,0 +1,193 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peerpb/peerpbconnect"
+)
+
+const (
+	// PingAfter is the silence after which a connection is probed.
+	PingAfter = time.Second
+	// PingTimeout is the time that a probe may stay unanswered.
+	PingTimeout = time.Second
+
+	dialTimeout     = 500 * time.Millisecond
+	idleTimeout     = 30 * time.Second
+	maxMessageBytes = 8 << 20
+
+	// maxPeers bounds the clients that are kept; addresses of replaced
+	// instances are forgotten with the others when it is reached.
+	maxPeers = 1024
+)
+
+// ErrNoAddress reports an instance whose address is not known.
+var ErrNoAddress = errors.New("address is not known")
+
+// Config sets up a Pool.
+type Config struct {
+	// Address returns the host:port of an instance.
+	Address func(ident.Instance) (string, bool)
+	// TLS is the client side of mutual TLS; nil means plain HTTP/2.
+	TLS *tls.Config
+}
+
+// Pool hands out clients by instance name. It is safe for concurrent use.
+type Pool struct {
+	address func(ident.Instance) (string, bool)
+	scheme  string
+	hc      *http.Client
+	tr      *http.Transport
+
+	mu    sync.Mutex
+	peers map[string]*clients // by address
+}
+
+// clients are the service clients of one address.
+type clients struct {
+	fleet peerpbconnect.FleetServiceClient
+	limit peerpbconnect.LimitServiceClient
+	place peerpbconnect.PlaceServiceClient
+	once  peerpbconnect.OnceServiceClient
+}
+
+// NewPool returns a pool without connections.
+func NewPool(cfg Config) *Pool {
+	tr := newTransport(cfg.TLS)
+	scheme := "http://"
+	if cfg.TLS != nil {
+		scheme = "https://"
+	}
+	return &Pool{
+		address: cfg.Address,
+		scheme:  scheme,
+		hc:      &http.Client{Transport: tr},
+		tr:      tr,
+		peers:   make(map[string]*clients),
+	}
+}
+
+// Fleet returns the client for membership and the table.
+func (p *Pool) Fleet(i ident.Instance) (peerpbconnect.FleetServiceClient, error) {
+	c, err := p.get(i)
+	if err != nil {
+		return nil, err
+	}
+	return c.fleet, nil
+}
+
+// Limit returns the client for leases and charges.
+func (p *Pool) Limit(i ident.Instance) (peerpbconnect.LimitServiceClient, error) {
+	c, err := p.get(i)
+	if err != nil {
+		return nil, err
+	}
+	return c.limit, nil
+}
+
+// Place returns the client for placements.
+func (p *Pool) Place(i ident.Instance) (peerpbconnect.PlaceServiceClient, error) {
+	c, err := p.get(i)
+	if err != nil {
+		return nil, err
+	}
+	return c.place, nil
+}
+
+// Once returns the client for calls with idempotency keys.
+func (p *Pool) Once(i ident.Instance) (peerpbconnect.OnceServiceClient, error) {
+	c, err := p.get(i)
+	if err != nil {
+		return nil, err
+	}
+	return c.once, nil
+}
+
+// Close drops the idle connections.
+func (p *Pool) Close() { p.tr.CloseIdleConnections() }
+
+func (p *Pool) get(i ident.Instance) (*clients, error) {
+	addr, ok := p.address(i)
+	if !ok {
+		return nil, errors.Wrapf(ErrNoAddress, "peer: dial %s", i)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.peers[addr]; ok {
+		return c, nil
+	}
+	if len(p.peers) >= maxPeers {
+		clear(p.peers)
+	}
+	c := newClients(p.hc, p.scheme+addr)
+	p.peers[addr] = c
+	return c, nil
+}
+
+func newClients(hc *http.Client, base string) *clients {
+	opts := []connect.ClientOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithSendMaxBytes(maxMessageBytes),
+	}
+	return &clients{
+		fleet: peerpbconnect.NewFleetServiceClient(hc, base, opts...),
+		limit: peerpbconnect.NewLimitServiceClient(hc, base, opts...),
+		place: peerpbconnect.NewPlaceServiceClient(hc, base, opts...),
+		once:  peerpbconnect.NewOnceServiceClient(hc, base, opts...),
+	}
+}
+
+// NewFleetClient returns a client for one address, for operators' commands
+// that know no instance names. A nil cfg means plain HTTP/2.
+func NewFleetClient(addr string, cfg *tls.Config) peerpbconnect.FleetServiceClient {
+	scheme := "http://"
+	if cfg != nil {
+		scheme = "https://"
+	}
+	return newClients(&http.Client{Transport: newTransport(cfg)}, scheme+addr).fleet
+}
+
+func newTransport(cfg *tls.Config) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(cfg != nil)
+	protocols.SetUnencryptedHTTP2(cfg == nil)
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, &dialError{err: err}
+			}
+			return c, nil
+		},
+		TLSClientConfig:     cfg,
+		TLSHandshakeTimeout: 2 * dialTimeout,
+		IdleConnTimeout:     idleTimeout,
+		Protocols:           protocols,
+		DisableCompression:  true,
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout},
+	}
+}
+
+// dialError marks an error that arose before any byte was written.
+type dialError struct{ err error }
+
+func (e *dialError) Error() string { return "dial: " + e.err.Error() }
+
+func (e *dialError) Unwrap() error { return e.err }
+
+// Undialled reports whether err proves that no byte of the call reached the
+// peer: its address is not known or no connection could be made.
+func Undialled(err error) bool {
+	var d *dialError
+	return errors.Is(err, ErrNoAddress) || errors.As(err, &d)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/peerpb/peerpbconnect"
+)
+
+const (
+	headerTimeout  = 2 * time.Second
+	maxHeaderBytes = 16 << 10
+)
+
+// Handlers answer the peers' calls. Each must be set.
+type Handlers struct {
+	Fleet peerpbconnect.FleetServiceHandler
+	Limit peerpbconnect.LimitServiceHandler
+	Place peerpbconnect.PlaceServiceHandler
+	Once  peerpbconnect.OnceServiceHandler
+}
+
+// Server answers the peers of one instance.
+type Server struct {
+	srv  *http.Server
+	done chan error
+}
+
+// NewServer returns a server that answers with h. A nil cfg means plain
+// HTTP/2.
+func NewServer(h Handlers, cfg *tls.Config) *Server {
+	mux := http.NewServeMux()
+	opts := []connect.HandlerOption{
+		connect.WithReadMaxBytes(maxMessageBytes),
+		connect.WithSendMaxBytes(maxMessageBytes),
+	}
+	mux.Handle(peerpbconnect.NewFleetServiceHandler(h.Fleet, opts...))
+	mux.Handle(peerpbconnect.NewLimitServiceHandler(h.Limit, opts...))
+	mux.Handle(peerpbconnect.NewPlaceServiceHandler(h.Place, opts...))
+	mux.Handle(peerpbconnect.NewOnceServiceHandler(h.Once, opts...))
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(cfg != nil)
+	protocols.SetUnencryptedHTTP2(cfg == nil)
+	return &Server{
+		srv: &http.Server{
+			Handler:           mux,
+			TLSConfig:         cfg,
+			Protocols:         protocols,
+			ReadHeaderTimeout: headerTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			HTTP2:             &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout},
+		},
+		done: make(chan error, 1),
+	}
+}
+
+// Serve answers connections of l in a goroutine, whose end Done reports.
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
+	s.srv.BaseContext = func(net.Listener) context.Context { return context.WithoutCancel(ctx) }
+	go func() { s.done <- s.serve(l) }()
+}
+
+// Done delivers the reason for which serving ended: nil after Shutdown.
+func (s *Server) Done() <-chan error { return s.done }
+
+// Shutdown stops listening and waits for the open calls to end or ctx to be
+// over.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.srv.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "peer: shut down")
+	}
+	return nil
+}
+
+func (s *Server) serve(l net.Listener) error {
+	var err error
+	if s.srv.TLSConfig != nil {
+		err = s.srv.ServeTLS(l, "", "")
+	} else {
+		err = s.srv.Serve(l)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "peer: serve %s", l.Addr())
+}
