fair, place, pool: decide placements behind a weighted fair queue

Cause: the daemon needs a pure decision layer for admission by deadline, fairness between customers and the choice of servers.

--- /dev/null
+++ b/fair/predict.go
@@ -0,0 +1,145 @@
+package fair
+
+import (
+	"sort"
+	"time"
+
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// meterWindow is the time over which the rate of service is measured.
+	meterWindow = time.Second
+	// meterGain is the part of a new measurement in the rate.
+	meterGain = 0.3
+	// meterFloor is the least part of the expected rate that a measurement
+	// may leave.
+	meterFloor = 0.3
+)
+
+// meter measures the cost served per second while there is a backlog.
+type meter struct {
+	rate    float64
+	nominal float64
+	since   tick.Instant
+	sum     int64
+}
+
+func (m *meter) setNominal(rate float64) {
+	if rate == m.nominal {
+		return
+	}
+	m.nominal = rate
+	m.rate = rate
+}
+
+// begin starts a window when a backlog arises.
+func (m *meter) begin(now tick.Instant) {
+	m.since = now
+	m.sum = 0
+}
+
+func (m *meter) served(cost int64, now tick.Instant) {
+	m.sum += cost
+	d := now - m.since
+	if d < meterWindow {
+		return
+	}
+	seen := max(float64(m.sum)/d.Seconds(), m.nominal*meterFloor)
+	m.rate += meterGain * (seen - m.rate)
+	m.begin(now)
+}
+
+func (m *meter) correct(cost int64) { m.sum += cost }
+
+// wait predicts how long the next item of c will stay in the queue, from the
+// service that the customer has had.
+func (q *Queue) wait(c *customer, r Rank) time.Duration {
+	if q.meter.rate <= 0 || q.Len() == 0 {
+		return 0
+	}
+	tag := c.tag + float64(c.backlog)/c.weight
+	if r == Interactive {
+		waiting := c.backlog - c.lists[Interactive].cost()
+		tag -= float64(waiting)/c.weight + q.lag(q.cfg.Lead)
+	}
+	return q.span(max(0, tag-q.vtime) * max(q.weight, c.weight))
+}
+
+// span converts a cost to the time in which the pool serves it.
+func (q *Queue) span(cost float64) time.Duration {
+	return time.Duration(cost / q.meter.rate * float64(time.Second))
+}
+
+func (l *list) cost() int64 {
+	var sum int64
+	for _, e := range l.set[l.first:] {
+		if !e.gone {
+			sum += e.item.Cost
+		}
+	}
+	return sum
+}
+
+// forecast is an item with the tag at which it will be due.
+type forecast struct {
+	key  float64
+	seq  int
+	item Item
+}
+
+// Sweep takes out the items that cannot start in time if the queue is served
+// in its order at the measured rate, and appends them to out.
+func (q *Queue) Sweep(now tick.Instant, out []Refused) []Refused {
+	if q.Len() == 0 || q.meter.rate <= 0 {
+		return out
+	}
+	q.forecast = q.forecast[:0]
+	for _, h := range q.heaps {
+		for _, c := range h.set {
+			q.predict(c, h.rank)
+		}
+	}
+	f := q.forecast
+	sort.Slice(f, func(i, j int) bool { return f[i].before(f[j]) })
+	var ahead float64
+	for i := range f {
+		late := now + q.span(ahead) - f[i].item.StartBy
+		if late > 0 {
+			q.Remove(f[i].item.ID)
+			out = append(out, Refused{Item: f[i].item, Retry: max(late, minRetry)})
+			continue
+		}
+		ahead += float64(f[i].item.Cost)
+	}
+	return out
+}
+
+// predict appends the items of rank r of c with the tags at which they will
+// be due.
+func (q *Queue) predict(c *customer, r Rank) {
+	tag := c.tag
+	if r == Interactive {
+		tag -= q.lag(q.cfg.Lead)
+	} else {
+		tag += float64(c.lists[Interactive].cost()) / c.weight
+	}
+	l := &c.lists[r]
+	for _, e := range l.set[l.first:] {
+		if e.gone {
+			continue
+		}
+		q.forecast = append(q.forecast, forecast{key: tag, seq: len(q.forecast), item: e.item})
+		tag += float64(e.item.Cost) / c.weight
+	}
+}
+
+func (f *forecast) before(o forecast) bool {
+	if f.key != o.key {
+		return f.key < o.key
+	}
+	if f.item.Customer != o.item.Customer {
+		return f.item.Customer < o.item.Customer
+	}
+	return f.seq < o.seq
+}
--- a/place/ask.go
+++ b/place/ask.go
@@ -1,4 +1,32 @@
 // Package place decides which backend servers a request runs on.
+//
+// A Pool holds what one scheduler knows of the backend servers of one model in
+// one data centre: their roles and rates, their lagging load reports, its own
+// placements that no report covers yet, and hints on what their prefix caches
+// hold. Choose picks a prefill server and a decode server; Commit reserves a
+// decode place and time on the link before the prefill starts.
+//
+// # Usage
+//
+//	p := place.NewPool(place.Config{Rand: rand.NewPCG(1, 2)})
+//	p.Configure(spec)
+//	c, v := p.Choose(&query, now)
+//	if v == place.Chosen {
+//		h := p.Commit(&query, c, now)
+//		...
+//		p.Prefilled(h, now)
+//		p.Release(h, now)
+//	}
+//
+// # Invariants
+//
+// A server that departs, that the query avoids or that is set aside is never
+// chosen; at most half of the servers of a role are set aside at once. Reports
+// are applied in the order of their sequence numbers. The prefix view of a
+// server starts afresh at a gap in its events and its memory is bounded.
+//
+// A Pool is not safe for concurrent use, reads no clock, and takes its
+// randomness from Config.Rand.
 package place
 
 import (
@@ -19,6 +47,7 @@
 	Waited    time.Duration  // since the request arrived at the entry instance
 	Avoid     []ident.Server // servers that failed this request
 	Resumed   bool           // the request has been prefilled before
+	Held      ident.Server   // prefill server that still holds the KV cache
 }
 
 // Placement is a scheduler's answer to an Ask.
@@ -49,3 +78,9 @@
 	StageFailedTransfer
 	StageFailedDecode
 )
+
+// Ended reports whether no stage follows s.
+func (s Stage) Ended() bool { return s >= StageDone }
+
+// Failed reports whether a backend server failed the placement.
+func (s Stage) Failed() bool { return s >= StageFailedPrefill }
--- /dev/null
+++ b/place/pieces.go
@@ -0,0 +1,42 @@
+package place
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bytesPerToken is the length of a token in the estimate of prompt lengths.
+const bytesPerToken = 4
+
+// PieceTokens is the number of prompt tokens in a piece of the prefix cache.
+const PieceTokens = 1000
+
+// Tokens estimates the number of tokens of a text.
+func Tokens(text string) int64 {
+	return (int64(len(text)) + bytesPerToken - 1) / bytesPerToken
+}
+
+// Pieces returns the hashes of the whole pieces of the prompt. Each hash
+// covers its piece and the hash before it, so that equal hashes stand for
+// equal prefixes.
+func Pieces(prompt string, pieceTokens int) []uint64 {
+	size := pieceTokens * bytesPerToken
+	if size <= 0 {
+		return nil
+	}
+	n := len(prompt) / size
+	out := make([]uint64, 0, n)
+	var d xxhash.Digest
+	var prev uint64
+	for i := range n {
+		d.Reset()
+		var b [8]byte
+		binary.LittleEndian.PutUint64(b[:], prev)
+		_, _ = d.Write(b[:])
+		_, _ = d.WriteString(prompt[i*size : (i+1)*size])
+		prev = d.Sum64()
+		out = append(out, prev)
+	}
+	return out
+}
--- /dev/null
+++ b/place/prefix.go
@@ -0,0 +1,141 @@
+package place
+
+const (
+	// maxHinted is the most servers of a pool that prefix hints cover.
+	maxHinted = 256
+	// maxPieces is the most pieces that a server's view holds.
+	maxPieces = 4096
+)
+
+// servers is a set of server indices.
+type servers [maxHinted / 64]uint64
+
+func (s *servers) has(i int) bool { return s[i/64]&(1<<(i%64)) != 0 }
+func (s *servers) add(i int)      { s[i/64] |= 1 << (i % 64) }
+func (s *servers) drop(i int)     { s[i/64] &^= 1 << (i % 64) }
+func (s *servers) empty() bool    { return s[0]|s[1]|s[2]|s[3] == 0 }
+
+// prefixes holds hints on which servers have which pieces in their caches.
+type prefixes struct {
+	at    map[uint64]servers
+	views []view
+}
+
+// view is the part of the hints on one server: its pieces in the order in
+// which they were learnt, and the last event applied.
+type view struct {
+	ring []uint64
+	next int
+	seq  uint64
+}
+
+func newPrefixes(n int) *prefixes {
+	return &prefixes{at: make(map[uint64]servers), views: make([]view, n)}
+}
+
+// apply takes an event of server i in. After a gap the view starts afresh.
+func (x *prefixes) apply(i int, e *Events) {
+	if i >= maxHinted {
+		return
+	}
+	v := &x.views[i]
+	switch {
+	case e.Seq == v.seq && e.Seq != 0:
+		return
+	case e.Seq != v.seq+1:
+		x.forget(i)
+	}
+	v.seq = e.Seq
+	for _, h := range e.Drop {
+		x.drop(h, i)
+	}
+	x.learn(i, e.Add)
+}
+
+// learn notes that server i has the pieces.
+func (x *prefixes) learn(i int, pieces []uint64) {
+	if i >= maxHinted {
+		return
+	}
+	for _, h := range pieces {
+		s := x.at[h]
+		if s.has(i) {
+			continue
+		}
+		s.add(i)
+		x.at[h] = s
+		x.remember(i, h)
+	}
+}
+
+// remember puts h in the ring of server i and drops the piece whose room it
+// takes.
+func (x *prefixes) remember(i int, h uint64) {
+	v := &x.views[i]
+	if len(v.ring) < maxPieces {
+		v.ring = append(v.ring, h)
+		return
+	}
+	x.drop(v.ring[v.next], i)
+	v.ring[v.next] = h
+	v.next = (v.next + 1) % maxPieces
+}
+
+func (x *prefixes) drop(h uint64, i int) {
+	s, ok := x.at[h]
+	if !ok {
+		return
+	}
+	s.drop(i)
+	if s.empty() {
+		delete(x.at, h)
+		return
+	}
+	x.at[h] = s
+}
+
+// forget drops all that is known of server i.
+func (x *prefixes) forget(i int) {
+	v := &x.views[i]
+	for _, h := range v.ring {
+		x.drop(h, i)
+	}
+	v.ring = v.ring[:0]
+	v.next = 0
+}
+
+// match writes for each server the number of leading pieces that it has into
+// depth.
+func (x *prefixes) match(pieces []uint64, depth []uint16) {
+	clear(depth)
+	var live servers
+	for n, h := range pieces {
+		s, ok := x.at[h]
+		if !ok {
+			return
+		}
+		if n == 0 {
+			live = s
+		}
+		any := false
+		for w := range live {
+			live[w] &= s[w]
+			any = any || live[w] != 0
+		}
+		if !any {
+			return
+		}
+		live.each(depth, uint16(n+1))
+	}
+}
+
+func (s *servers) each(depth []uint16, n uint16) {
+	for i := range depth {
+		if i >= maxHinted {
+			return
+		}
+		if s.has(i) {
+			depth[i] = n
+		}
+	}
+}
