--- /dev/null
+++ b/wasabid/app/listen.go
@@ -0,0 +1,92 @@
+package app
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	adminHeaderTimeout = 2 * time.Second
+	adminWriteTimeout  = 10 * time.Second
+)
+
+// admin answers probes and scrapers on a listener of its own.
+type admin struct {
+	l   net.Listener
+	srv *http.Server
+	log zerolog.Logger
+}
+
+// newAdmin listens on addr. Live answers 200 while the process runs, ready
+// 200 while it wants new callers.
+func newAdmin(addr string, ready func() (bool, string), metrics http.Handler, log zerolog.Logger) (*admin, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "admin: listen %s", addr)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeLine(w, http.StatusOK, "alive") })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		ok, reason := ready()
+		if !ok {
+			writeLine(w, http.StatusServiceUnavailable, reason)
+			return
+		}
+		writeLine(w, http.StatusOK, "ready")
+	})
+	mux.Handle("GET /metrics", metrics)
+	return &admin{l: l, srv: quietServer(mux), log: log}, nil
+}
+
+func (a *admin) run(ctx context.Context) error { return serveUntil(ctx, a.srv, a.l) }
+
+// newDebug listens on addr for the profiler.
+func newDebug(addr string, log zerolog.Logger) (*admin, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "debug: listen %s", addr)
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/cmdline", pprof.Cmdline)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/symbol", pprof.Symbol)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	srv := quietServer(mux)
+	srv.WriteTimeout = 0
+	return &admin{l: l, srv: srv, log: log}, nil
+}
+
+func quietServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: adminHeaderTimeout,
+		WriteTimeout:      adminWriteTimeout,
+	}
+}
+
+// serveUntil serves l until ctx is over.
+func serveUntil(ctx context.Context, srv *http.Server, l net.Listener) error {
+	done := make(chan error, 1)
+	go func() { done <- srv.Serve(l) }()
+	select {
+	case err := <-done:
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	case <-ctx.Done():
+	}
+	_ = srv.Close()
+	<-done
+	return nil
+}
+
+func writeLine(w http.ResponseWriter, status int, line string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(line + "\n"))
+}
