--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,171 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/flow"
+	"wasabidock.dev/dock/ident"
+)
+
+// maxEventBytes is the longest line of an event stream.
+const maxEventBytes = 64 << 10
+
+// Stream opens the decode stream of an attempt at the token offset.
+func (c *Client) Stream(ctx context.Context, s ident.Server, a ident.Attempt, offset int64) (flow.Stream, error) {
+	q := url.Values{"attempt": {a.String()}, "offset": {strconv.FormatInt(offset, 10)}}
+	ans, err := c.open(ctx, "engine: stream", s, PathStream+"?"+q.Encode())
+	if err != nil {
+		return nil, err
+	}
+	return &stream{server: s, events: newEvents(ans)}, nil
+}
+
+// Events opens the feed of an engine's cache events that follow the sequence
+// number after.
+func (c *Client) Events(ctx context.Context, s ident.Server, after uint64) (*Events, error) {
+	ans, err := c.open(ctx, "engine: events", s, PathEvents+"?after="+strconv.FormatUint(after, 10))
+	if err != nil {
+		return nil, err
+	}
+	return &Events{server: s, events: newEvents(ans)}, nil
+}
+
+func (c *Client) open(ctx context.Context, step string, s ident.Server, path string) (*answer, error) {
+	return c.send(ctx, c.fresh, call{step: step, server: s, method: http.MethodGet, path: path}, nil)
+}
+
+type stream struct {
+	server ident.Server
+	events *events
+}
+
+func (s *stream) Next() (flow.Event, error) {
+	ev, err := s.next()
+	if err != nil {
+		return flow.Event{}, fail.New("engine: stream", string(s.server), ident.Unknown, err)
+	}
+	return ev, nil
+}
+
+func (s *stream) next() (flow.Event, error) {
+	name, data, err := s.events.next()
+	if err != nil {
+		return flow.Event{}, err
+	}
+	switch name {
+	case "end":
+		return parseEnd(data)
+	case "error":
+		var r Refusal
+		if err := json.Unmarshal(data, &r); err != nil {
+			return flow.Event{}, errors.Wrap(err, "decode error event")
+		}
+		return flow.Event{}, cause(r)
+	default:
+		return parseToken(data)
+	}
+}
+
+// Close ends the connection.
+func (s *stream) Close() { s.events.ans.close() }
+
+func parseToken(data []byte) (flow.Event, error) {
+	var t TokenEvent
+	if err := json.Unmarshal(data, &t); err != nil {
+		return flow.Event{}, errors.Wrap(err, "decode token")
+	}
+	a, err := ident.ParseAttempt(t.Attempt)
+	if err != nil {
+		return flow.Event{}, err
+	}
+	return flow.Event{Attempt: a, Offset: t.Offset, Text: t.Text}, nil
+}
+
+func parseEnd(data []byte) (flow.Event, error) {
+	var e EndEvent
+	if err := json.Unmarshal(data, &e); err != nil {
+		return flow.Event{}, errors.Wrap(err, "decode end")
+	}
+	a, err := ident.ParseAttempt(e.Attempt)
+	if err != nil {
+		return flow.Event{}, err
+	}
+	return flow.Event{Attempt: a, End: true, Total: e.Total, Reason: e.Reason}, nil
+}
+
+// Events is an open feed of cache events. It belongs to one goroutine.
+type Events struct {
+	server ident.Server
+	events *events
+}
+
+// Next returns the next cache event. It fails once the feed is silent or
+// broken, or its context has ended.
+func (e *Events) Next() (CacheEvent, error) {
+	_, data, err := e.events.next()
+	if err != nil {
+		return CacheEvent{}, fail.New("engine: events", string(e.server), ident.Unknown, err)
+	}
+	var ev CacheEvent
+	if err := json.Unmarshal(data, &ev); err != nil {
+		return CacheEvent{}, fail.New("engine: events", string(e.server), ident.Unknown, err)
+	}
+	return ev, nil
+}
+
+// Close ends the connection.
+func (e *Events) Close() { e.events.ans.close() }
+
+// events reads server-sent events.
+type events struct {
+	ans *answer
+	sc  *bufio.Scanner
+}
+
+func newEvents(ans *answer) *events {
+	sc := bufio.NewScanner(ans.body)
+	sc.Buffer(nil, maxEventBytes)
+	return &events{ans: ans, sc: sc}
+}
+
+// next returns the name and the data of the next event. Comments are skipped;
+// they count as progress where the bytes are read. An event that the end of
+// the connection cuts short is dropped.
+func (e *events) next() (name string, data []byte, err error) {
+	for e.sc.Scan() {
+		line := e.sc.Bytes()
+		field, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch {
+		case len(line) == 0 && data != nil:
+			return name, data, nil
+		case len(line) == 0:
+			name = ""
+		case string(field) == "event":
+			name = string(value)
+		case string(field) == "data":
+			if len(data)+len(value) > maxEventBytes {
+				return "", nil, errTooLarge
+			}
+			data = append(data, value...)
+		}
+	}
+	err = e.sc.Err()
+	if errors.Is(err, bufio.ErrTooLong) {
+		return "", nil, errTooLarge
+	}
+	if err == nil {
+		err = io.ErrUnexpectedEOF
+	}
+	return "", nil, e.ans.reason(err)
+}
--- /dev/null
+++ b/engine/watchdog.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/flow"
+	"wasabidock.dev/dock/tick"
+)
+
+// checksPerSilence is how often within the allowed silence a connection is
+// checked for progress.
+const checksPerSilence = 4
+
+// watchdog ends a context when a wait for bytes has lasted too long. Time in
+// which nobody waits does not count, so that a slow reader is not taken for a
+// silent engine.
+type watchdog struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timer  tick.Service
+	since  atomic.Int64 // instant at which the present wait began, or idle
+	done   chan struct{}
+}
+
+// idle stands for no wait.
+const idle = -1
+
+// watch starts a watchdog with a wait under way. The caller must stop it.
+func watch(ctx context.Context, timer tick.Service, silence time.Duration) *watchdog {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &watchdog{ctx: ctx, cancel: cancel, timer: timer, done: make(chan struct{})}
+	w.wait()
+	sub := timer.Every(max(silence/checksPerSilence, time.Millisecond))
+	go func() {
+		defer close(w.done)
+		defer sub.Stop()
+		w.run(sub, silence)
+	}()
+	return w
+}
+
+func (w *watchdog) run(sub tick.Timer, silence time.Duration) {
+	for {
+		select {
+		case <-w.ctx.Done():
+			return
+		case <-sub.C():
+			if since := w.since.Load(); since != idle && w.timer.Now()-time.Duration(since) >= silence {
+				w.cancel(flow.ErrSilent)
+				return
+			}
+		}
+	}
+}
+
+func (w *watchdog) wait() { w.since.Store(int64(w.timer.Now())) }
+
+func (w *watchdog) rest() { w.since.Store(idle) }
+
+// reason returns why a read or a call failed: the cause of the context if that
+// has ended, or a broken connection.
+func (w *watchdog) reason(err error) error {
+	if cause := context.Cause(w.ctx); cause != nil {
+		return cause
+	}
+	return errors.Wrap(flow.ErrBroken, err.Error())
+}
+
+// stop ends the watchdog and its context, and waits for the end.
+func (w *watchdog) stop() {
+	w.cancel(context.Canceled)
+	<-w.done
+}
--- /dev/null
+++ b/engine/wire.go
@@ -0,0 +1,184 @@
+package engine
+
+import "wasabidock.dev/dock/ident"
+
+// The paths of the engine's interface.
+const (
+	PathReserve = "/v1/reserve"
+	PathPrefill = "/v1/prefill"
+	PathImport  = "/v1/import"
+	PathStream  = "/v1/stream"
+	PathCancel  = "/v1/cancel"
+	PathTouch   = "/v1/touch"
+	PathHolds   = "/v1/holds"
+	PathLoad    = "/v1/load"
+	PathEvents  = "/v1/events"
+	PathOrders  = "/v1/orders"
+	PathKV      = "/v1/kv/"
+)
+
+// The codes of refused calls.
+const (
+	CodeFull      = "full"
+	CodeModel     = "model"
+	CodeDraining  = "draining"
+	CodeNoKV      = "kv"
+	CodeNoAttempt = "attempt"
+	CodeFence     = "fence"
+	CodeFailed    = "failed"
+)
+
+// The kinds of holds.
+const (
+	HoldPlace   = "place"
+	HoldKV      = "kv"
+	HoldPrefill = "prefill"
+	HoldStream  = "stream"
+)
+
+// ReserveRequest is the body of PathReserve.
+type ReserveRequest struct {
+	Attempt   string      `json:"attempt"`
+	Model     ident.Model `json:"model"`
+	HoldMS    int64       `json:"hold_ms"`
+	Priority  int         `json:"priority"`
+	MaxOutput int64       `json:"max_output"`
+	Seed      int64       `json:"seed"`
+	Exact     bool        `json:"exact"`
+}
+
+// ReserveResponse answers PathReserve.
+type ReserveResponse struct {
+	Place string `json:"place"`
+	Build string `json:"build"`
+}
+
+// PrefillRequest is the body of PathPrefill.
+type PrefillRequest struct {
+	Attempt  string       `json:"attempt"`
+	Model    ident.Model  `json:"model"`
+	Prompt   string       `json:"prompt"`
+	Priority int          `json:"priority"`
+	HoldMS   int64        `json:"hold_ms"`
+	Decode   ident.Server `json:"decode"`
+}
+
+// PrefillResponse answers PathPrefill. Newlines may precede it as heartbeats.
+type PrefillResponse struct {
+	Refusal
+	Attempt      string `json:"attempt"`
+	KV           string `json:"kv"`
+	Tokens       int64  `json:"tokens"`
+	CachedTokens int64  `json:"cached_tokens"`
+	TookMS       int64  `json:"took_ms"`
+	LifeMS       int64  `json:"life_ms"`
+}
+
+// ImportRequest is the body of PathImport. Source is the base address of the
+// engine that exports the KV cache.
+type ImportRequest struct {
+	Attempt string `json:"attempt"`
+	Place   string `json:"place"`
+	KV      string `json:"kv"`
+	Source  string `json:"source"`
+}
+
+// ImportResponse answers PathImport. Newlines may precede it as heartbeats.
+type ImportResponse struct {
+	Refusal
+	Attempt string `json:"attempt"`
+	TookMS  int64  `json:"took_ms"`
+	Bytes   int64  `json:"bytes"`
+}
+
+// TokenEvent is the data of a token on PathStream.
+type TokenEvent struct {
+	Attempt string `json:"attempt"`
+	Offset  int64  `json:"offset"`
+	Text    string `json:"text"`
+	Token   int64  `json:"token"`
+}
+
+// EndEvent is the data of the event "end" on PathStream.
+type EndEvent struct {
+	Attempt string `json:"attempt"`
+	Total   int64  `json:"total"`
+	Reason  string `json:"reason"`
+}
+
+// CancelRequest is the body of PathCancel. IdleOverMS, if positive, spares
+// holds that had contact within that time.
+type CancelRequest struct {
+	Attempt    string `json:"attempt"`
+	IdleOverMS int64  `json:"idle_over_ms,omitempty"`
+}
+
+// CancelResponse answers PathCancel.
+type CancelResponse struct {
+	Released int `json:"released"`
+}
+
+// TouchRequest is the body of PathTouch.
+type TouchRequest struct {
+	Attempts []string `json:"attempts"`
+}
+
+// TouchResponse answers PathTouch with the attempts that hold nothing.
+type TouchResponse struct {
+	Gone []string `json:"gone"`
+}
+
+// HoldEntry is one hold in the answer of PathHolds.
+type HoldEntry struct {
+	Attempt string `json:"attempt"`
+	Kind    string `json:"kind"`
+	IdleMS  int64  `json:"idle_ms"`
+	LifeMS  int64  `json:"life_ms"`
+}
+
+// Load is an engine's report on itself, the answer of PathLoad.
+type Load struct {
+	Server      ident.Server `json:"server"`
+	Seq         uint64       `json:"seq"`
+	Role        string       `json:"role"`
+	Models      []Loaded     `json:"models"`
+	Loading     []Loaded     `json:"loading"`
+	QueueTokens int64        `json:"queue_tokens"`
+	Places      int          `json:"places"`
+	Busy        int          `json:"busy"`
+	TokenMS     float64      `json:"token_ms"`
+	AgeMS       int64        `json:"age_ms"`
+	Draining    bool         `json:"draining"`
+	Fence       uint64       `json:"fence"` // highest fencing number seen, 0 if ignored
+}
+
+// Loaded is a model in an engine's memory.
+type Loaded struct {
+	Model   ident.Model `json:"model"`
+	Adapter string      `json:"adapter,omitempty"`
+	Version string      `json:"version,omitempty"`
+}
+
+// CacheEvent is a change of an engine's prefix cache. A gap in Seq means that
+// events were lost.
+type CacheEvent struct {
+	Seq  uint64   `json:"seq"`
+	Add  []uint64 `json:"add,omitempty"`
+	Drop []uint64 `json:"drop,omitempty"`
+}
+
+// OrderRequest is the body of PathOrders. Kind is "load", "unload" or "role".
+type OrderRequest struct {
+	Kind    string      `json:"kind"`
+	Model   ident.Model `json:"model,omitempty"`
+	Adapter string      `json:"adapter,omitempty"`
+	Version string      `json:"version,omitempty"`
+	Role    string      `json:"role,omitempty"`
+	Fence   uint64      `json:"fence"`
+}
+
+// Refusal is the body of a call that the engine turned away.
+type Refusal struct {
+	Code    string `json:"code,omitempty"`
+	Message string `json:"message,omitempty"`
+}
--- /dev/null
+++ b/flow/relay.go
@@ -0,0 +1,211 @@
+package flow
+
+import (
+	"context"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/tick"
+)
+
+// progressEvery is the number of tokens between reports of progress.
+const progressEvery = 32
+
+// transfer moves the KV cache into the place. While the cache lives, a
+// transfer that stalls or breaks is begun again.
+func (n *run) transfer(ctx context.Context, p place.Placement, st seat) *setback {
+	n.cfg.Placer.Progress(p, place.StageTransfer, n.sent)
+	in := Transfer{Attempt: st.attempt, Place: st.Place, KV: n.kv.Name, Source: n.kv.server}
+	var err error
+	for range n.cfg.Transfers {
+		n.res.Transfers++
+		if err = n.importOnce(ctx, p, in); err == nil {
+			n.release(n.kv.hold)
+			return nil
+		}
+		if ctx.Err() != nil || errors.Is(err, ErrNoAttempt) || errors.Is(err, ErrNoKV) {
+			break
+		}
+		if n.cfg.Timer.Now() >= n.kv.until {
+			break
+		}
+	}
+	if errors.Is(err, ErrNoKV) {
+		n.dropKV()
+	} else {
+		n.avoid = append(n.avoid, p.Decode)
+	}
+	return &setback{step: "flow: transfer", server: p.Decode, err: err}
+}
+
+func (n *run) importOnce(ctx context.Context, p place.Placement, in Transfer) error {
+	ctx, stop := tick.WithTimeout(ctx, n.cfg.Timer, n.transferLimit(p), ErrStalled)
+	defer stop()
+	return n.cfg.Engines.Import(ctx, p.Decode, in)
+}
+
+// relay gives the output to the sink. The stream is opened again, at the
+// offset where it broke, as long as the engine knows the attempt.
+func (n *run) relay(ctx context.Context, p place.Placement, st seat) *setback {
+	n.cfg.Placer.Progress(p, place.StageDecode, n.sent)
+	r := &reader{run: n, p: p, st: st, sum: xxhash.New()}
+	if n.sent > 0 {
+		n.res.Restarts++
+	}
+	for opened := 1; ; opened++ {
+		before := r.offset
+		err := r.read(ctx)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil || isFinal(err) {
+			return &setback{step: "flow: stream", server: p.Decode, err: err, final: true}
+		}
+		if r.offset > before {
+			opened = 1
+		}
+		if errors.Is(err, ErrNoAttempt) || opened > n.cfg.Resumes {
+			return n.lost(p, st, err)
+		}
+		n.res.Resumes++
+		if tick.Sleep(ctx, n.cfg.Timer, n.cfg.Backoff*tick.Instant(opened)) != nil {
+			return &setback{step: "flow: stream", server: p.Decode, err: context.Cause(ctx), final: true}
+		}
+	}
+}
+
+// lost decides what follows when the engine no longer has the output.
+func (n *run) lost(p place.Placement, st seat, err error) *setback {
+	n.avoid = append(n.avoid, p.Decode)
+	if !n.kv.used {
+		n.dropKV()
+	} else {
+		n.kv = nil
+	}
+	back := &setback{step: "flow: stream", server: p.Decode, err: err}
+	if n.sent > 0 && (!n.req.Exact || st.Build == "") {
+		back.final = true
+		back.err = errors.Wrap(ErrCut, err.Error())
+	}
+	return back
+}
+
+// isFinal reports whether no further reading can help.
+func isFinal(err error) bool {
+	return errors.Is(err, ErrCaller) || errors.Is(err, ErrTotal) || errors.Is(err, ErrDiffers)
+}
+
+// reader follows the output of one attempt.
+type reader struct {
+	*run
+	p      place.Placement
+	st     seat
+	offset int64          // of the next token of this attempt
+	sum    *xxhash.Digest // over the tokens that were sent by an earlier attempt
+}
+
+// read opens the stream at the offset and reads to the end of the output.
+func (r *reader) read(ctx context.Context) error {
+	s, err := r.cfg.Engines.Stream(ctx, r.p.Decode, r.st.attempt, r.offset)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for {
+		ev, err := s.Next()
+		if err != nil {
+			return err
+		}
+		if !r.belongs(ev) {
+			continue
+		}
+		if ev.End {
+			return r.end(ev)
+		}
+		if ev.Offset > r.offset {
+			return ErrGap
+		}
+		if err := r.token(ev); err != nil {
+			return err
+		}
+	}
+}
+
+// belongs reports whether the event is of the live attempt and not doubled,
+// and counts it otherwise.
+func (r *reader) belongs(ev Event) bool {
+	switch {
+	case ev.Attempt == r.st.attempt && (ev.End || ev.Offset >= r.offset):
+		return true
+	case ev.Attempt == r.st.attempt:
+		r.res.Dropped.Doubled++
+	case r.past[ev.Attempt]:
+		r.res.Dropped.Late++
+	default:
+		r.res.Dropped.Crossed++
+	}
+	return false
+}
+
+// end checks the end of the output against what was read.
+func (r *reader) end(ev Event) error {
+	if ev.Total > r.offset {
+		return ErrGap
+	}
+	if ev.Total < r.offset || r.offset < r.sent {
+		return errors.Wrapf(ErrTotal, "total %d after %d tokens", ev.Total, max(r.offset, r.sent))
+	}
+	r.res.Reason = ev.Reason
+	return nil
+}
+
+// token takes the token that comes next. One that an earlier attempt has sent
+// is compared instead of sent.
+func (r *reader) token(ev Event) error {
+	if r.offset < r.sent {
+		addToken(r.sum, ev.Text)
+		r.offset++
+		if r.offset == r.sent && r.sum.Sum64() != r.run.sum.Sum64() {
+			return errors.Wrapf(ErrDiffers, "within %d tokens", r.sent)
+		}
+		return nil
+	}
+	if err := r.sink.Token(ev.Offset, ev.Text); err != nil {
+		return errors.Wrap(ErrCaller, err.Error())
+	}
+	r.note(ev)
+	r.offset++
+	return nil
+}
+
+// note records a token that was sent.
+func (r *reader) note(ev Event) {
+	now := r.cfg.Timer.Now()
+	if r.sent == 0 {
+		r.res.FirstToken = now - r.req.Arrived
+	} else {
+		gap := now - r.lastSent
+		r.res.Gaps++
+		r.res.MaxGap = max(r.res.MaxGap, gap)
+		if r.req.Gap > 0 && gap > r.req.Gap {
+			r.res.LateGaps++
+		}
+	}
+	r.lastSent = now
+	r.sent++
+	r.res.Total = r.sent
+	r.build = r.st.Build
+	r.kv.used = true
+	addToken(r.run.sum, ev.Text)
+	if r.sent%progressEvery == 0 {
+		r.cfg.Placer.Progress(r.p, place.StageDecode, r.sent)
+	}
+}
+
+// addToken adds a token and its boundary to a checksum.
+func addToken(d *xxhash.Digest, text string) {
+	_, _ = d.WriteString(text)
+	_, _ = d.Write([]byte{0})
+}
--- /dev/null
+++ b/stand/engine.go
@@ -0,0 +1,283 @@
+// Package stand holds small stand-ins of the systems that the router meets:
+// engines, the platform and plain services. They serve tests and the demo.
+//
+// # Usage
+//
+//	e := stand.NewEngine(stand.EngineConfig{Server: "sierra-a-d1", Role: stand.RoleDecode, Timer: timer})
+//	defer e.Close()
+//	srv := httptest.NewServer(e)
+//	e.Inject(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/cancel", N: 2})
+//
+// All time comes from the timer service and nothing is drawn at random, so
+// that a run repeats. Faults are injected by method or through the paths
+// below /control/.
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+// The roles of an engine.
+const (
+	RolePrefill = "prefill"
+	RoleDecode  = "decode"
+	RoleBoth    = "both"
+)
+
+// EngineConfig holds the settings of an Engine. The zero durations and counts
+// stand for the defaults.
+type EngineConfig struct {
+	Server  ident.Server
+	Role    string
+	Models  []engine.Loaded
+	Build   string // engines of one build give equal outputs; empty if they differ
+	Timer   tick.Service
+	Places  int
+	Fencing bool   // refuse orders with an older fencing number
+	Store   *Store // where models are loaded from; nil loads at once
+
+	PrefillToken time.Duration // per prompt token that is not cached
+	TokenTime    time.Duration // between output tokens of an empty engine
+	TokenSlope   time.Duration // more per busy place
+	KVLife       time.Duration // life of an exported KV cache
+	KVTokenBytes int64         // size of the KV cache of one token
+	Link         *Link         // carries exports; nil is unlimited
+	HoldLife     time.Duration // longest life of a hold without contact
+	IgnoreHold   bool          // give every hold the longest life
+	Heartbeat    time.Duration // period of signs of life on open answers
+	TouchOnly    bool          // an open stream is no contact, only calls are
+
+	Pieces      func(prompt string) []uint64 // chained hashes; nil caches nothing
+	CachePieces int                          // memory of the prefix cache
+	ReportEvery time.Duration                // age at which the load report is renewed
+	EventDelay  time.Duration                // lag of cache events
+	EventGap    int                          // every so many events one is lost; 0 loses none
+}
+
+const (
+	defaultPlaces      = 20
+	defaultPrefill     = 30 * time.Microsecond
+	defaultTokenTime   = 20 * time.Millisecond
+	defaultKVLife      = 900 * time.Millisecond
+	defaultKVBytes     = 160 << 10
+	defaultHoldLife    = 10 * time.Second
+	defaultHeartbeat   = 500 * time.Millisecond
+	defaultCachePieces = 1000
+	defaultReport      = 200 * time.Millisecond
+	defaultEventDelay  = 100 * time.Millisecond
+	tombstoneLife      = time.Minute
+)
+
+// Engine is a stand-in of an inference engine. It computes nothing: prefill
+// and decode take time, and the output follows from the prompt (see Answer).
+type Engine struct {
+	cfg    EngineConfig
+	mux    *http.ServeMux
+	client *http.Client // pulls exports
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup // goroutines that the engine started
+
+	mu       sync.Mutex // guards everything below
+	life     *lifetime
+	serial   uint64
+	attempts map[string]*attempt
+	gone     map[string]tick.Instant // cancelled attempts, until when they are known
+	exports  map[string]*export
+	queue    []*job
+	running  *job
+	cache    *pieceCache
+	feed     *eventFeed
+	report   reports
+	role     string
+	models   []engine.Loaded
+	loading  []loading
+	fence    uint64
+	draining bool
+	faults   []Fault
+	counts   EngineCounts
+	runs     map[string]int // prefills and decodes begun, by attempt
+}
+
+// lifetime is one life of the engine's process, ended by Kill.
+type lifetime struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	muted  context.Context // ended when open connections go silent
+	mute   context.CancelFunc
+}
+
+// NewEngine returns a running engine. The caller must close it.
+func NewEngine(cfg EngineConfig) *Engine {
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Engine{
+		cfg:    cfg,
+		ctx:    ctx,
+		cancel: cancel,
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		runs:   make(map[string]int),
+	}
+	e.routes()
+	e.reset()
+	return e
+}
+
+func (cfg EngineConfig) withDefaults() EngineConfig {
+	setDefault(&cfg.PrefillToken, defaultPrefill)
+	setDefault(&cfg.TokenTime, defaultTokenTime)
+	setDefault(&cfg.KVLife, defaultKVLife)
+	setDefault(&cfg.HoldLife, defaultHoldLife)
+	setDefault(&cfg.Heartbeat, defaultHeartbeat)
+	setDefault(&cfg.ReportEvery, defaultReport)
+	setDefault(&cfg.EventDelay, defaultEventDelay)
+	if cfg.Places == 0 {
+		cfg.Places = defaultPlaces
+	}
+	if cfg.KVTokenBytes == 0 {
+		cfg.KVTokenBytes = defaultKVBytes
+	}
+	if cfg.CachePieces == 0 {
+		cfg.CachePieces = defaultCachePieces
+	}
+	if cfg.Role == "" {
+		cfg.Role = RoleBoth
+	}
+	if cfg.Link == nil {
+		cfg.Link = NewLink(0)
+	}
+	return cfg
+}
+
+func setDefault(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
+
+func (e *Engine) routes() {
+	e.mux = http.NewServeMux()
+	e.mux.HandleFunc("POST "+engine.PathReserve, e.reserve)
+	e.mux.HandleFunc("POST "+engine.PathPrefill, e.prefill)
+	e.mux.HandleFunc("POST "+engine.PathImport, e.importKV)
+	e.mux.HandleFunc("GET "+engine.PathKV+"{kv}", e.exportKV)
+	e.mux.HandleFunc("GET "+engine.PathStream, e.stream)
+	e.mux.HandleFunc("POST "+engine.PathCancel, e.cancelAttempt)
+	e.mux.HandleFunc("POST "+engine.PathTouch, e.touch)
+	e.mux.HandleFunc("GET "+engine.PathHolds, e.holds)
+	e.mux.HandleFunc("GET "+engine.PathLoad, e.load)
+	e.mux.HandleFunc("GET "+engine.PathEvents, e.events)
+	e.mux.HandleFunc("POST "+engine.PathOrders, e.orders)
+	e.mux.HandleFunc("POST /control/fault", e.controlFault)
+	e.mux.HandleFunc("GET /control/counts", e.controlCounts)
+}
+
+// reset empties the engine's memory and begins a lifetime.
+func (e *Engine) reset() {
+	l := &lifetime{}
+	l.ctx, l.cancel = context.WithCancel(e.ctx)
+	l.muted, l.mute = context.WithCancel(l.ctx)
+	e.life = l
+	e.attempts = make(map[string]*attempt)
+	e.gone = make(map[string]tick.Instant)
+	e.exports = make(map[string]*export)
+	e.queue, e.running = nil, nil
+	e.cache = newPieceCache(e.cfg.CachePieces)
+	e.feed = newEventFeed(e.cfg.EventDelay, e.cfg.EventGap)
+	e.report = reports{}
+	e.role, e.models, e.loading = e.cfg.Role, e.cfg.Models, nil
+	e.fence, e.draining = 0, false
+}
+
+// ServeHTTP answers one call.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if e.applyFault(w, r) {
+		return
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// Kill ends the engine's process: open connections break, memory is lost, and
+// calls fail until Restart.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life.cancel()
+	e.attempts = make(map[string]*attempt)
+	e.exports = make(map[string]*export)
+	e.queue, e.running = nil, nil
+}
+
+// Restart begins a new process with empty memory.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.life.cancel()
+	e.reset()
+}
+
+// Close ends the engine for good and waits for its goroutines.
+func (e *Engine) Close() {
+	e.cancel()
+	e.wg.Wait()
+	e.client.CloseIdleConnections()
+}
+
+// alive returns the current lifetime, or nil if the engine is dead.
+func (e *Engine) alive() *lifetime {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.life.ctx.Err() != nil {
+		return nil
+	}
+	return e.life
+}
+
+func (e *Engine) nextName(kind string) string {
+	e.serial++
+	return string(e.cfg.Server) + "-" + kind + "-" + strconv.FormatUint(e.serial, 10)
+}
+
+// serves reports whether a model is loaded.
+func (e *Engine) serves(m ident.Model) bool {
+	e.finishLoads()
+	for _, l := range e.models {
+		if l.Model == m {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) plays(role string) bool { return e.role == role || e.role == RoleBoth }
+
+const maxRequestBytes = 8 << 20
+
+// readJSON reads the body of a call, and answers the call if that fails.
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body", err.Error())
+	}
+	return err == nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func refuse(w http.ResponseWriter, status int, code, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(engine.Refusal{Code: code, Message: message})
+}
--- /dev/null
+++ b/stand/enginefault.go
@@ -0,0 +1,197 @@
+package stand
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/tick"
+)
+
+// The kinds of faults.
+const (
+	FaultStall   = "stall"   // the next exports hang
+	FaultCross   = "cross"   // the next tokens come with a stray and a doubled one
+	FaultStatus  = "status"  // the next calls get status 500
+	FaultBefore  = "before"  // the next calls are cut before they act
+	FaultAfter   = "after"   // the next calls act and are cut before their answer
+	FaultLate    = "late"    // the next calls are cut and act after a delay
+	FaultRefuse  = "refuse"  // the next calls get status 503 with a code
+	FaultDrain   = "drain"   // takes nothing new
+	FaultUndrain = "undrain" // takes new work again
+	FaultSilence = "silence" // open connections go silent for good
+	FaultCut     = "cut"     // open streams break
+	FaultKill    = "kill"    // the process dies
+	FaultRestart = "restart" // the process starts with empty memory
+)
+
+// Fault is a fault to inject, the body of POST /control/fault.
+type Fault struct {
+	Kind    string `json:"kind"`
+	Path    string `json:"path,omitempty"` // prefix of the calls concerned
+	N       int    `json:"n,omitempty"`    // number of calls concerned
+	DelayMS int64  `json:"delay_ms,omitempty"`
+}
+
+// EngineCounts tells what an engine did, the answer of GET /control/counts.
+type EngineCounts struct {
+	Holds         int   `json:"holds"` // now
+	Busy          int   `json:"busy"`  // now
+	Prefills      int64 `json:"prefills"`
+	PrefillTokens int64 `json:"prefill_tokens"` // computed, not cached
+	Imports       int64 `json:"imports"`
+	Decodes       int64 `json:"decodes"`
+	Streams       int64 `json:"streams"`
+	Tokens        int64 `json:"tokens"`
+	Cancels       int64 `json:"cancels"`
+	Expired       int64 `json:"expired"` // attempts whose hold life ran out
+	Full          int64 `json:"full"`
+	Orders        int64 `json:"orders"`
+	Loads         int64 `json:"loads"`
+	Repeated      int   `json:"repeated"` // attempts that ran more than once
+}
+
+// Inject causes a fault.
+func (e *Engine) Inject(f Fault) {
+	switch f.Kind {
+	case FaultKill:
+		e.Kill()
+		return
+	case FaultRestart:
+		e.Restart()
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch f.Kind {
+	case FaultDrain:
+		e.draining = true
+	case FaultUndrain:
+		e.draining = false
+	case FaultSilence:
+		e.life.mute()
+		e.life = &lifetime{ctx: e.life.ctx, cancel: e.life.cancel}
+		e.life.muted, e.life.mute = context.WithCancel(e.life.ctx)
+	case FaultCut:
+		for _, a := range e.attempts {
+			if a.decode != nil {
+				a.decode.closeStream()
+			}
+		}
+	default:
+		e.faults = append(e.faults, f)
+	}
+}
+
+// Counts returns what the engine did so far and holds now.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	c := e.counts
+	c.Holds = len(e.account())
+	c.Busy = e.busy()
+	for _, n := range e.runs {
+		if n > 1 {
+			c.Repeated++
+		}
+	}
+	return c
+}
+
+func (e *Engine) controlFault(w http.ResponseWriter, r *http.Request) {
+	var f Fault
+	if !readJSON(w, r, &f) {
+		return
+	}
+	e.Inject(f)
+	writeJSON(w, struct{}{})
+}
+
+func (e *Engine) controlCounts(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, e.Counts())
+}
+
+// takeFault uses up one fault of a kind, if there is one for the path.
+func (e *Engine) takeFault(kind, path string) bool {
+	for i := range e.faults {
+		f := &e.faults[i]
+		if f.Kind != kind || f.N <= 0 || !strings.HasPrefix(path, f.Path) {
+			continue
+		}
+		f.N--
+		return true
+	}
+	return false
+}
+
+// nextFault uses up the first fault that concerns calls to a path.
+func (e *Engine) nextFault(path string) (Fault, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, f := range e.faults {
+		switch f.Kind {
+		case FaultStall, FaultCross:
+			continue
+		}
+		if f.N > 0 && strings.HasPrefix(path, f.Path) && e.takeFault(f.Kind, path) {
+			return f, true
+		}
+	}
+	return Fault{}, false
+}
+
+// applyFault answers a call that a fault concerns and reports whether it did.
+func (e *Engine) applyFault(w http.ResponseWriter, r *http.Request) bool {
+	if strings.HasPrefix(r.URL.Path, "/control/") {
+		return false
+	}
+	if e.alive() == nil {
+		panic(http.ErrAbortHandler)
+	}
+	f, ok := e.nextFault(r.URL.Path)
+	if !ok {
+		return false
+	}
+	switch f.Kind {
+	case FaultStatus:
+		http.Error(w, "injected", http.StatusInternalServerError)
+		return true
+	case FaultRefuse:
+		refuse(w, http.StatusServiceUnavailable, engine.CodeFull, "injected")
+		return true
+	case FaultAfter:
+		e.mux.ServeHTTP(&discard{header: make(http.Header)}, r)
+	case FaultLate:
+		e.actLate(r, time.Duration(f.DelayMS)*time.Millisecond)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// actLate lets a call act after a delay, when its connection is gone.
+func (e *Engine) actLate(r *http.Request, d time.Duration) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
+	if err != nil {
+		return
+	}
+	late := r.Clone(e.ctx)
+	late.Body = io.NopCloser(bytes.NewReader(body))
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		defer func() { _ = recover() }() // the handler aborts if the engine is killed meanwhile
+		if tick.Sleep(e.ctx, e.cfg.Timer, d) == nil && e.alive() != nil {
+			e.mux.ServeHTTP(&discard{header: make(http.Header)}, late)
+		}
+	}()
+}
+
+// discard is an answer that nobody reads.
+type discard struct{ header http.Header }
+
+func (d *discard) Header() http.Header         { return d.header }
+func (d *discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d *discard) WriteHeader(int)             {}
--- /dev/null
+++ b/stand/enginekv.go
@@ -0,0 +1,250 @@
+package stand
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/tick"
+)
+
+// Link is a network link of a limited rate. Transfers in flight share it
+// evenly.
+type Link struct {
+	rate int64 // bytes a second, 0 for no limit
+
+	mu     sync.Mutex
+	flight int
+}
+
+// NewLink returns a link that carries rate bytes a second, or any number if
+// rate is zero.
+func NewLink(rate int64) *Link { return &Link{rate: rate} }
+
+func (l *Link) begin() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flight++
+}
+
+func (l *Link) end() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.flight--
+}
+
+// time returns how long n bytes take at the present share of a transfer.
+func (l *Link) time(n int64) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(n*int64(l.flight)) / float64(l.rate) * float64(time.Second))
+}
+
+// export is a KV cache that waits to be pulled. Engine.mu guards it.
+type export struct {
+	name    string
+	attempt string
+	prompt  string
+	bytes   int64
+	until   tick.Instant
+	readers int // transfers in flight keep it
+}
+
+// kvPayload ends the answer of an export. The bytes of the cache are not sent,
+// only the time that they take is spent.
+type kvPayload struct {
+	Prompt string `json:"prompt"`
+	Bytes  int64  `json:"bytes"`
+}
+
+// transferSlices is the number of parts in which an export is sent.
+const transferSlices = 20
+
+func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("kv")
+	x, stalled, life := e.openExport(name)
+	if x == nil {
+		refuse(w, http.StatusNotFound, engine.CodeNoKV, "no such export")
+		return
+	}
+	defer e.closeExport(x)
+	e.cfg.Link.begin()
+	defer e.cfg.Link.end()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer context.AfterFunc(life.ctx, cancel)()
+	if stalled {
+		heartbeat(w, "\n")
+		<-ctx.Done()
+		return
+	}
+	for range transferSlices {
+		if tick.Sleep(ctx, e.cfg.Timer, e.cfg.Link.time(x.bytes/transferSlices)) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if !speak(r, life) {
+			return
+		}
+		heartbeat(w, "\n")
+	}
+	writeJSON(w, kvPayload{Prompt: x.prompt, Bytes: x.bytes})
+}
+
+func (e *Engine) openExport(name string) (x *export, stalled bool, l *lifetime) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire()
+	x = e.exports[name]
+	if x == nil {
+		return nil, false, e.life
+	}
+	x.readers++
+	return x, e.takeFault(FaultStall, ""), e.life
+}
+
+func (e *Engine) closeExport(x *export) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	x.readers--
+}
+
+// transfer is an import in flight or finished. Engine.mu guards it, except
+// for done and moved.
+type transfer struct {
+	cancel context.CancelFunc
+	moved  chan struct{} // receives after bytes have come in
+	done   chan struct{} // closed at the end
+	ok     bool
+	answer engine.ImportResponse
+}
+
+func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
+	var in engine.ImportRequest
+	if !readJSON(w, r, &in) {
+		return
+	}
+	t, life := e.startImport(w, in)
+	if t == nil {
+		return
+	}
+	for {
+		select {
+		case <-t.done:
+			if speak(r, life) {
+				writeJSON(w, t.answer)
+			}
+			return
+		case <-t.moved:
+			if !speak(r, life) {
+				return
+			}
+			heartbeat(w, "\n")
+		case <-r.Context().Done():
+			return
+		case <-life.ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// startImport begins a transfer. A finished one of the same attempt is
+// answered again, one in flight is replaced.
+func (e *Engine) startImport(w http.ResponseWriter, in engine.ImportRequest) (*transfer, *lifetime) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire()
+	a := e.attempts[in.Attempt]
+	if a == nil || a.place == "" || a.place != in.Place {
+		refuse(w, http.StatusNotFound, engine.CodeNoAttempt, "no such place")
+		return nil, nil
+	}
+	a.contact = e.cfg.Timer.Now()
+	if a.transfer != nil && a.transfer.ok {
+		return a.transfer, e.life
+	}
+	old := a.transfer
+	ctx, cancel := context.WithCancel(e.life.ctx)
+	t := &transfer{cancel: cancel, moved: make(chan struct{}, 1), done: make(chan struct{})}
+	a.transfer = t
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		defer cancel()
+		e.runImport(ctx, a, t, in, old)
+	}()
+	return t, e.life
+}
+
+func (e *Engine) runImport(ctx context.Context, a *attempt, t *transfer, in engine.ImportRequest, old *transfer) {
+	begin := e.cfg.Timer.Now()
+	p, refused, err := e.pull(ctx, in, t, old)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	defer close(t.done)
+	t.answer = engine.ImportResponse{Attempt: in.Attempt}
+	switch {
+	case err != nil:
+		t.answer.Refusal = engine.Refusal{Code: engine.CodeFailed, Message: err.Error()}
+	case refused.Code != "":
+		t.answer.Refusal = refused
+	case a.transfer != t || e.attempts[in.Attempt] != a:
+		t.answer.Refusal = engine.Refusal{Code: engine.CodeNoAttempt, Message: "released or replaced"}
+	default:
+		t.ok = true
+		t.answer.Bytes = p.Bytes
+		t.answer.TookMS = (e.cfg.Timer.Now() - begin).Milliseconds()
+		a.decode = newDecode(a, p.Prompt)
+		e.counts.Imports++
+	}
+}
+
+// pull reads an export of another engine. The older transfer is ended once
+// the new one is open, so that the export is in use throughout.
+func (e *Engine) pull(ctx context.Context, in engine.ImportRequest, t, old *transfer) (p kvPayload, refused engine.Refusal, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, in.Source+engine.PathKV+in.KV, nil)
+	if err != nil {
+		return p, refused, err
+	}
+	resp, err := e.client.Do(req)
+	if old != nil {
+		old.cancel()
+	}
+	if err != nil {
+		return p, refused, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(movedReader{r: resp.Body, moved: t.moved})
+	if err != nil {
+		return p, refused, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		err = json.Unmarshal(body, &refused)
+		return p, refused, err
+	}
+	err = json.Unmarshal(body, &p)
+	return p, refused, err
+}
+
+// movedReader tells moved about every byte that comes in.
+type movedReader struct {
+	r     io.Reader
+	moved chan<- struct{}
+}
+
+func (m movedReader) Read(b []byte) (int, error) {
+	n, err := m.r.Read(b)
+	if n > 0 {
+		select {
+		case m.moved <- struct{}{}:
+		default:
+		}
+	}
+	return n, err
+}
--- /dev/null
+++ b/stand/engineload.go
@@ -0,0 +1,201 @@
+package stand
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/tick"
+)
+
+// pieceTokens is the number of prompt tokens in a piece of the prefix cache.
+const pieceTokens = 1000
+
+// reports holds the load report that is given out and the one that follows it.
+type reports struct {
+	seq  uint64
+	told engine.Load
+	at   tick.Instant
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.expire()
+	now := e.cfg.Timer.Now()
+	if e.report.seq == 0 || now-e.report.at >= e.cfg.ReportEvery {
+		e.report.seq++
+		e.report.told = e.measure()
+		e.report.at = now
+	}
+	out := e.report.told
+	out.AgeMS = (now - e.report.at).Milliseconds()
+	writeJSON(w, out)
+}
+
+func (e *Engine) measure() engine.Load {
+	e.finishLoads()
+	busy := e.busy()
+	l := engine.Load{
+		Server:   e.cfg.Server,
+		Seq:      e.report.seq,
+		Role:     e.role,
+		Models:   append([]engine.Loaded{}, e.models...),
+		Loading:  []engine.Loaded{},
+		Places:   e.cfg.Places,
+		Busy:     busy,
+		TokenMS:  float64(e.cfg.TokenTime+time.Duration(busy)*e.cfg.TokenSlope) / float64(time.Millisecond),
+		Draining: e.draining,
+		Fence:    e.fence,
+	}
+	for _, m := range e.loading {
+		l.Loading = append(l.Loading, m.model)
+	}
+	for _, j := range e.queue {
+		if j.ctx.Err() == nil {
+			l.QueueTokens += promptTokens(j.prompt)
+		}
+	}
+	if e.running != nil {
+		l.QueueTokens += promptTokens(e.running.prompt)
+	}
+	return l
+}
+
+// pieceCache holds the prompt pieces that were used last.
+type pieceCache struct {
+	size  int
+	clock uint64
+	used  map[uint64]uint64 // piece to the time of its last use
+}
+
+func newPieceCache(size int) *pieceCache {
+	return &pieceCache{size: size, used: make(map[uint64]uint64)}
+}
+
+// match returns how many leading pieces are cached.
+func (c *pieceCache) match(pieces []uint64) int64 {
+	for i, p := range pieces {
+		if _, ok := c.used[p]; !ok {
+			return int64(i)
+		}
+	}
+	return int64(len(pieces))
+}
+
+// add caches the pieces and returns what changed.
+func (c *pieceCache) add(pieces []uint64) (added, dropped []uint64) {
+	for _, p := range pieces {
+		c.clock++
+		if _, ok := c.used[p]; !ok {
+			added = append(added, p)
+		}
+		c.used[p] = c.clock
+	}
+	for len(c.used) > c.size {
+		dropped = append(dropped, c.dropOldest())
+	}
+	return added, dropped
+}
+
+func (c *pieceCache) dropOldest() uint64 {
+	oldest, at := uint64(0), uint64(0)
+	for p, t := range c.used {
+		if at == 0 || t < at {
+			oldest, at = p, t
+		}
+	}
+	delete(c.used, oldest)
+	return oldest
+}
+
+// maxFeedEvents is how many cache events a feed keeps for late readers.
+const maxFeedEvents = 1024
+
+// eventFeed holds the latest cache events.
+type eventFeed struct {
+	delay  time.Duration
+	gap    int
+	seq    uint64
+	events []feedEvent
+}
+
+type feedEvent struct {
+	due tick.Instant
+	ev  engine.CacheEvent
+}
+
+func newEventFeed(delay time.Duration, gap int) *eventFeed {
+	return &eventFeed{delay: delay, gap: gap}
+}
+
+func (e *Engine) publish(added, dropped []uint64) {
+	if len(added)+len(dropped) == 0 {
+		return
+	}
+	f := e.feed
+	f.seq++
+	if f.gap > 0 && f.seq%uint64(f.gap) == 0 {
+		return
+	}
+	f.events = append(f.events, feedEvent{
+		due: e.cfg.Timer.Now() + f.delay,
+		ev:  engine.CacheEvent{Seq: f.seq, Add: added, Drop: dropped},
+	})
+	if len(f.events) > maxFeedEvents {
+		f.events = f.events[1:]
+	}
+}
+
+// due returns the events after a sequence number that have become visible.
+func (f *eventFeed) due(now tick.Instant, after uint64) []engine.CacheEvent {
+	var out []engine.CacheEvent
+	for _, ev := range f.events {
+		if ev.ev.Seq > after && ev.due <= now {
+			out = append(out, ev.ev)
+		}
+	}
+	return out
+}
+
+// events sends the cache events as they fall due, and a heartbeat otherwise.
+func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, "body", "after is not a whole number")
+		return
+	}
+	life := e.alive()
+	if life == nil {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	heartbeat(w, ": open\n\n")
+	ticks := e.cfg.Timer.Every(max(min(e.cfg.EventDelay, e.cfg.Heartbeat), time.Millisecond))
+	defer ticks.Stop()
+	beat := e.cfg.Timer.Now()
+	for {
+		e.mu.Lock()
+		evs := e.feed.due(e.cfg.Timer.Now(), after)
+		e.mu.Unlock()
+		if !speak(r, life) {
+			return
+		}
+		for _, ev := range evs {
+			heartbeat(w, "data: "+encode(ev)+"\n\n")
+			after = ev.Seq
+		}
+		if now := e.cfg.Timer.Now(); now-beat >= e.cfg.Heartbeat {
+			heartbeat(w, ": alive\n\n")
+			beat = now
+		}
+		select {
+		case <-ticks.C():
+		case <-r.Context().Done():
+			return
+		case <-life.ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
--- /dev/null
+++ b/sweep/keeper.go
@@ -0,0 +1,334 @@
+package sweep
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+// KeeperConfig holds the settings of a Keeper. Zero values stand for the
+// defaults.
+type KeeperConfig struct {
+	Engines Engines
+	Timer   tick.Service
+	Life    time.Duration // of holds without contact: releases are repeated for so long
+	Touch   time.Duration // period in which live holds are renewed
+	Retry   time.Duration // pause after a call to an engine has failed
+	Workers int           // calls at a time
+	Queue   int           // releases that wait
+}
+
+const (
+	defaultLife    = 10 * time.Second
+	defaultTouch   = 2500 * time.Millisecond
+	defaultRetry   = 100 * time.Millisecond
+	defaultWorkers = 16
+	defaultQueue   = 4096
+	maxTouch       = 256 // attempts in one call
+)
+
+// Keeper keeps live holds alive and releases the others. It may be used by
+// many goroutines.
+type Keeper struct {
+	cfg     KeeperConfig
+	wake    chan struct{}
+	work    chan ident.Server
+	done    chan struct{}
+	drained chan struct{} // receives when the last release is through
+
+	mu      sync.Mutex // guards everything below
+	servers map[ident.Server]*account
+	counts  KeeperCounts
+}
+
+// KeeperCounts tells what a Keeper did and has to do.
+type KeeperCounts struct {
+	Live      int   // holds kept alive
+	Pending   int   // releases not yet acknowledged
+	Released  int64 // acknowledged
+	Failed    int64 // calls that failed
+	Abandoned int64 // not acknowledged within the life of the hold
+	Overflow  int64 // not queued; the life of the hold ends them
+}
+
+// account is what this process holds at one engine.
+type account struct {
+	live    map[ident.Attempt]bool
+	pending []release
+	busy    bool // a worker is on it
+	touch   tick.Instant
+	retry   tick.Instant
+}
+
+type release struct {
+	attempt ident.Attempt
+	until   tick.Instant
+}
+
+// NewKeeper returns a Keeper that has not started.
+func NewKeeper(cfg KeeperConfig) *Keeper {
+	setDefault(&cfg.Life, defaultLife)
+	setDefault(&cfg.Touch, defaultTouch)
+	setDefault(&cfg.Retry, defaultRetry)
+	if cfg.Workers == 0 {
+		cfg.Workers = defaultWorkers
+	}
+	if cfg.Queue == 0 {
+		cfg.Queue = defaultQueue
+	}
+	return &Keeper{
+		cfg:     cfg,
+		wake:    make(chan struct{}, 1),
+		work:    make(chan ident.Server),
+		done:    make(chan struct{}),
+		drained: make(chan struct{}, 1),
+		servers: make(map[ident.Server]*account),
+	}
+}
+
+func setDefault(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
+
+// Start runs the Keeper until ctx ends.
+func (k *Keeper) Start(ctx context.Context) {
+	var wg sync.WaitGroup
+	for range k.cfg.Workers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k.serve(ctx)
+		}()
+	}
+	sub := k.cfg.Timer.Every(k.cfg.Retry)
+	go func() {
+		defer close(k.done)
+		defer sub.Stop()
+		k.dispatch(ctx, sub)
+		wg.Wait()
+	}()
+}
+
+// Done is closed when the Keeper has ended.
+func (k *Keeper) Done() <-chan struct{} { return k.done }
+
+// Keep renews what the engine s holds for the attempt until Release.
+func (k *Keeper) Keep(s ident.Server, a ident.Attempt) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.account(s).live[a] = true
+}
+
+// Release lets the engine s drop what it holds for the attempt.
+func (k *Keeper) Release(s ident.Server, a ident.Attempt) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ac := k.account(s)
+	delete(ac.live, a)
+	if k.counts.Pending >= k.cfg.Queue {
+		k.counts.Overflow++
+		return
+	}
+	k.counts.Pending++
+	ac.pending = append(ac.pending, release{attempt: a, until: k.cfg.Timer.Now() + k.cfg.Life})
+	notify(k.wake)
+}
+
+// Drain waits until every release is acknowledged or abandoned, or ctx ends.
+func (k *Keeper) Drain(ctx context.Context) error {
+	for k.Counts().Pending > 0 {
+		select {
+		case <-k.drained:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// Counts returns what the Keeper did and has to do.
+func (k *Keeper) Counts() KeeperCounts {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	c := k.counts
+	for _, ac := range k.servers {
+		c.Live += len(ac.live)
+	}
+	return c
+}
+
+// account returns the entry of an engine. The caller holds mu.
+func (k *Keeper) account(s ident.Server) *account {
+	ac := k.servers[s]
+	if ac == nil {
+		ac = &account{live: make(map[ident.Attempt]bool), touch: k.cfg.Timer.Now() + k.cfg.Touch}
+		k.servers[s] = ac
+	}
+	return ac
+}
+
+// dispatch hands engines with something to do to the workers.
+func (k *Keeper) dispatch(ctx context.Context, sub tick.Timer) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-k.wake:
+		case <-sub.C():
+		}
+		for _, s := range k.due() {
+			select {
+			case k.work <- s:
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+// due marks and returns the engines with something to do. An engine is given
+// to one worker at a time, so that one that hangs ties up no other.
+func (k *Keeper) due() []ident.Server {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.cfg.Timer.Now()
+	var out []ident.Server
+	for s, ac := range k.servers {
+		if ac.busy || now < ac.retry {
+			continue
+		}
+		switch {
+		case len(ac.pending) > 0 || (len(ac.live) > 0 && now >= ac.touch):
+			ac.busy = true
+			out = append(out, s)
+		case len(ac.live) == 0:
+			delete(k.servers, s)
+		}
+	}
+	return out
+}
+
+// serve is the loop of one worker.
+func (k *Keeper) serve(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-k.work:
+			err := k.renew(ctx, s)
+			if err == nil {
+				err = k.releaseAll(ctx, s)
+			}
+			k.finish(s, err)
+		}
+	}
+}
+
+// finish frees an engine for the next round.
+func (k *Keeper) finish(s ident.Server, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ac := k.servers[s]
+	ac.busy = false
+	if err != nil {
+		k.counts.Failed++
+		ac.retry = k.cfg.Timer.Now() + k.cfg.Retry
+	}
+	notify(k.wake)
+}
+
+// renew touches the live holds at an engine if that is due.
+func (k *Keeper) renew(ctx context.Context, s ident.Server) error {
+	as := k.touchable(s)
+	for len(as) > 0 {
+		n := min(len(as), maxTouch)
+		if _, err := k.cfg.Engines.Touch(ctx, s, as[:n]); err != nil {
+			return err
+		}
+		as = as[n:]
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ac := k.servers[s]
+	if now := k.cfg.Timer.Now(); now >= ac.touch {
+		ac.touch = now + k.cfg.Touch
+	}
+	return nil
+}
+
+func (k *Keeper) touchable(s ident.Server) []ident.Attempt {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ac := k.servers[s]
+	if k.cfg.Timer.Now() < ac.touch {
+		return nil
+	}
+	as := make([]ident.Attempt, 0, len(ac.live))
+	for a := range ac.live {
+		as = append(as, a)
+	}
+	return as
+}
+
+// releaseAll cancels until nothing is pending at the engine or a call fails.
+func (k *Keeper) releaseAll(ctx context.Context, s ident.Server) error {
+	for {
+		r, ok := k.first(s)
+		if !ok {
+			return nil
+		}
+		if _, err := k.cfg.Engines.Cancel(ctx, s, r.attempt, 0); err != nil {
+			return err
+		}
+		k.settle(s, true)
+	}
+}
+
+// first returns the oldest pending release, without those whose hold has
+// ended by itself.
+func (k *Keeper) first(s ident.Server) (release, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ac := k.servers[s]
+	for len(ac.pending) > 0 {
+		if r := ac.pending[0]; k.cfg.Timer.Now() < r.until {
+			return r, true
+		}
+		k.pop(ac, false)
+	}
+	return release{}, false
+}
+
+func (k *Keeper) settle(s ident.Server, acknowledged bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.pop(k.servers[s], acknowledged)
+}
+
+// pop takes the oldest pending release off. Only the worker that has the
+// engine does so.
+func (k *Keeper) pop(ac *account, acknowledged bool) {
+	ac.pending = ac.pending[1:]
+	k.counts.Pending--
+	if acknowledged {
+		k.counts.Released++
+	} else {
+		k.counts.Abandoned++
+	}
+	if k.counts.Pending == 0 {
+		notify(k.drained)
+	}
+}
+
+// notify wakes the reader of c, which holds at most one signal.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/sweep/sweeper.go
@@ -0,0 +1,129 @@
+package sweep
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+// View tells who is there.
+type View interface {
+	// Servers returns the engines of this data centre.
+	Servers() []ident.Server
+	// Instances returns the live instances of this data centre.
+	Instances() []ident.Instance
+}
+
+// SweeperConfig holds the settings of a Sweeper. Zero values stand for the
+// defaults.
+type SweeperConfig struct {
+	Self    ident.Node
+	Engines Engines
+	View    View
+	Timer   tick.Service
+	Every   time.Duration // period of the sweeps
+	Idle    time.Duration // holds without contact for longer are cancelled
+	Owners  int           // instances that sweep an engine
+}
+
+const (
+	defaultEvery  = 2 * time.Second
+	defaultIdle   = defaultLife
+	defaultOwners = 2
+)
+
+// Sweeper cancels what dead processes have left at engines.
+type Sweeper struct {
+	cfg   SweeperConfig
+	done  chan struct{}
+	swept atomic.Int64
+}
+
+// NewSweeper returns a Sweeper that has not started.
+func NewSweeper(cfg SweeperConfig) *Sweeper {
+	setDefault(&cfg.Every, defaultEvery)
+	setDefault(&cfg.Idle, defaultIdle)
+	if cfg.Owners == 0 {
+		cfg.Owners = defaultOwners
+	}
+	return &Sweeper{cfg: cfg, done: make(chan struct{})}
+}
+
+// Start sweeps until ctx ends.
+func (s *Sweeper) Start(ctx context.Context) {
+	sub := s.cfg.Timer.Every(s.cfg.Every)
+	go func() {
+		defer close(s.done)
+		defer sub.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-sub.C():
+				s.Sweep(ctx)
+			}
+		}
+	}()
+}
+
+// Done is closed when the Sweeper has ended.
+func (s *Sweeper) Done() <-chan struct{} { return s.done }
+
+// Swept returns the number of holds cancelled so far.
+func (s *Sweeper) Swept() int64 { return s.swept.Load() }
+
+// Sweep looks once through the engines that this instance is responsible for.
+// An engine that does not answer is left for the next time.
+func (s *Sweeper) Sweep(ctx context.Context) {
+	instances := s.cfg.View.Instances()
+	for _, server := range s.cfg.View.Servers() {
+		if ctx.Err() != nil {
+			return
+		}
+		if Owns(s.cfg.Self.Instance, server, instances, s.cfg.Owners) {
+			s.sweepServer(ctx, server)
+		}
+	}
+}
+
+func (s *Sweeper) sweepServer(ctx context.Context, server ident.Server) {
+	holds, err := s.cfg.Engines.Holds(ctx, server)
+	if err != nil {
+		return
+	}
+	cancelled := make(map[ident.Attempt]bool)
+	for _, h := range holds {
+		if h.Attempt.Node == s.cfg.Self || h.Idle <= s.cfg.Idle || cancelled[h.Attempt] {
+			continue
+		}
+		cancelled[h.Attempt] = true
+		n, err := s.cfg.Engines.Cancel(ctx, server, h.Attempt, s.cfg.Idle)
+		if err != nil {
+			return
+		}
+		s.swept.Add(int64(n))
+	}
+}
+
+// Owns reports whether self is among the n instances that are responsible for
+// an engine. The choice is by rendezvous: it moves only when one of the n
+// joins or leaves.
+func Owns(self ident.Instance, server ident.Server, instances []ident.Instance, n int) bool {
+	mine := weight(self, server)
+	ahead := 0
+	for _, i := range instances {
+		if w := weight(i, server); i != self && (w > mine || (w == mine && i < self)) {
+			ahead++
+		}
+	}
+	return ahead < n
+}
+
+func weight(i ident.Instance, s ident.Server) uint64 {
+	return xxhash.Sum64String(string(i) + "\x00" + string(s))
+}
