sched: serve and ask the schedulers of the pools

Cause: entry instances need one scheduler for each pool and a way to it. Change: PlaceService handler around one lock per pool, client with rendezvous choice, re-ask, spill-over, batched progress and heartbeats, one decision line for each placement or refusal. No measurement.

--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -320,3 +320,6 @@
 	*w = waiter{}
 	s.spare = append(s.spare, w)
 }
+
+// Target returns the first-token target of a class.
+func (s *Scheduler) Target(c ident.Class) time.Duration { return s.class(c).First }
--- /dev/null
+++ b/sched/client.go
@@ -0,0 +1,272 @@
+package sched
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/peerpb/peerpbconnect"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// maxTries is the most schedulers of one data centre that are asked.
+	maxTries = 3
+	// bytesPerOutput is the traffic of one output token that crosses between
+	// regions, in bytes.
+	bytesPerOutput = 96
+	// bytesPerPrompt is the traffic of one prompt token.
+	bytesPerPrompt = 4
+)
+
+// Fleet tells which instances live.
+type Fleet interface {
+	// Live returns the instances of the data centre that accept calls.
+	Live(c ident.Centre) []ident.Instance
+}
+
+// Dialer gives connections to other instances.
+type Dialer interface {
+	Place(i ident.Instance) (peerpbconnect.PlaceServiceClient, error)
+}
+
+// Toll pays for traffic between regions.
+type Toll interface {
+	// Pay takes bytes from the allowance of the link, or returns false if
+	// there are too few.
+	Pay(ctx context.Context, from, to ident.Region, bytes int64) bool
+}
+
+// Centre is a data centre and its region.
+type Centre struct {
+	Name   ident.Centre
+	Region ident.Region
+}
+
+// Layout is what the table says of the data centres.
+type Layout struct {
+	Own     Centre
+	Centres []Centre
+	// Abroad names the classes whose requests may cross to another region.
+	Abroad []ident.Class
+}
+
+// ClientConfig holds what a Client needs. Local may be nil; without Toll no
+// request crosses between regions.
+type ClientConfig struct {
+	Self   ident.Node
+	Local  *Service
+	Fleet  Fleet
+	Dialer Dialer
+	Toll   Toll
+	Clock  tick.Service
+}
+
+// Client asks the schedulers of all data centres for placements and tells them
+// what becomes of these.
+type Client struct {
+	cfg   ClientConfig
+	lives [trackShards]tracks
+	boxes outboxes
+
+	mu     sync.RWMutex // guards layout
+	layout Layout
+}
+
+// NewClient returns a client. Run starts its messages.
+func NewClient(cfg ClientConfig) *Client {
+	c := &Client{cfg: cfg}
+	for i := range c.lives {
+		c.lives[i].set = make(map[string]*track)
+	}
+	c.boxes.set = make(map[ident.Instance]*outbox)
+	return c
+}
+
+// Configure takes the layout of a table revision.
+func (c *Client) Configure(l Layout) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.layout = l
+}
+
+// Place asks for servers: in the data centre of this instance first, then in
+// the others of its region, then in another region if the class allows it and
+// the link is paid. A KV cache that is held never leaves its data centre.
+func (c *Client) Place(ctx context.Context, a place.Ask) (place.Placement, error) {
+	c.mu.RLock()
+	l := c.layout
+	c.mu.RUnlock()
+	start := c.cfg.Clock.Now()
+	waited := a.Waited
+	var last error
+	for _, to := range l.order(&a) {
+		if to.Region != l.Own.Region && !c.pay(ctx, &l, to, &a) {
+			continue
+		}
+		a.Waited = waited + c.cfg.Clock.Now() - start
+		p, err := c.placeAt(ctx, to.Name, &a)
+		if err == nil {
+			return p, nil
+		}
+		last = better(last, err)
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	if last == nil {
+		last = fail.Refuse(fail.CodeNoServer, time.Second, "no data centre serves this model")
+	}
+	return place.Placement{}, last
+}
+
+// order returns the data centres that the ask may go to, the nearest first.
+func (l *Layout) order(a *place.Ask) []Centre {
+	out := []Centre{l.Own}
+	if a.Held != "" {
+		return out
+	}
+	for _, c := range l.Centres {
+		if c.Name != l.Own.Name && c.Region == l.Own.Region {
+			out = append(out, c)
+		}
+	}
+	for _, n := range l.Abroad {
+		if n != a.Class {
+			continue
+		}
+		for _, c := range l.Centres {
+			if c.Region != l.Own.Region {
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+func (c *Client) pay(ctx context.Context, l *Layout, to Centre, a *place.Ask) bool {
+	n := a.Prompt*bytesPerPrompt + a.MaxOutput*bytesPerOutput
+	return c.cfg.Toll != nil && c.cfg.Toll.Pay(ctx, l.Own.Region, to.Region, n)
+}
+
+// better keeps the error that tells a caller more: a refusal before a failure,
+// a refusal that ends sooner before one that ends later.
+func better(a, b error) error {
+	ra, oka := fail.AsRefusal(a)
+	rb, okb := fail.AsRefusal(b)
+	switch {
+	case a == nil || !oka && okb:
+		return b
+	case !okb || rb.Retry() == fail.Never:
+		return a
+	case ra.Retry() == fail.Never || rb.Retry() < ra.Retry():
+		return b
+	}
+	return a
+}
+
+// placeAt asks the scheduler of the pool in the data centre, and another one
+// if it is lost.
+func (c *Client) placeAt(ctx context.Context, to ident.Centre, a *place.Ask) (place.Placement, error) {
+	ranked := rank(c.cfg.Fleet.Live(to), to, a.Model)
+	if len(ranked) > maxTries {
+		ranked = ranked[:maxTries]
+	}
+	var last error
+	for _, i := range ranked {
+		p, err := c.ask(ctx, i, a)
+		if err == nil {
+			c.follow(&p, a, to)
+			return p, nil
+		}
+		if _, ok := fail.AsRefusal(err); ok || ctx.Err() != nil {
+			return p, err
+		}
+		last = err
+	}
+	if last == nil {
+		last = fail.Refuse(fail.CodeNoServer, time.Second, "no scheduler lives in data centre "+string(to))
+	}
+	return place.Placement{}, last
+}
+
+// ask puts the question to one scheduler. Nothing of the request has run when
+// it fails.
+func (c *Client) ask(ctx context.Context, i ident.Instance, a *place.Ask) (place.Placement, error) {
+	if i == c.cfg.Self.Instance && c.cfg.Local != nil {
+		return c.cfg.Local.Place(ctx, a, c.cfg.Self)
+	}
+	cl, err := c.cfg.Dialer.Place(i)
+	if err != nil {
+		return place.Placement{}, fail.New("sched: dial", string(i), ident.NotRun, err)
+	}
+	r, err := c.call(ctx, cl, a)
+	if err != nil {
+		return place.Placement{}, fail.New("sched: place", string(i), ident.NotRun, err)
+	}
+	if r.GetRefusal() != "" {
+		return place.Placement{}, refusalOf(r)
+	}
+	return placementOf(r, i), nil
+}
+
+// errSilent reports a scheduler that did not answer in time.
+var errSilent = errors.New("no answer")
+
+// call bounds the wait for a scheduler by the time in which it must have
+// decided, so that a silent connection does not hold the request.
+func (c *Client) call(ctx context.Context, cl peerpbconnect.PlaceServiceClient, a *place.Ask) (*peerpb.PlaceResponse, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	t := c.cfg.Clock.After(c.patience(a))
+	defer t.Stop()
+	done := make(chan struct{})
+	watch := make(chan struct{})
+	go func() {
+		defer close(watch)
+		select {
+		case <-t.C():
+			cancel(errSilent)
+		case <-done:
+		}
+	}()
+	r, err := cl.Place(ctx, askMessage(a, c.cfg.Self))
+	close(done)
+	<-watch
+	if err != nil && errors.Is(context.Cause(ctx), errSilent) {
+		return nil, errSilent
+	}
+	return r, err
+}
+
+// patience returns the time in which a scheduler decides on a request.
+func (c *Client) patience(a *place.Ask) time.Duration {
+	if c.cfg.Local == nil {
+		return maxPatience
+	}
+	return c.cfg.Local.patience(a)
+}
+
+// rank orders instances for a pool by rendezvous hashing.
+func rank(live []ident.Instance, centre ident.Centre, m ident.Model) []ident.Instance {
+	out := append([]ident.Instance(nil), live...)
+	weight := func(i ident.Instance) uint64 {
+		return xxhash.Sum64String(string(i) + "\x00" + string(centre) + "\x00" + string(m))
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := weight(out[i]), weight(out[j])
+		if a != b {
+			return a > b
+		}
+		return out[i] < out[j]
+	})
+	return out
+}
--- /dev/null
+++ b/sched/convert.go
@@ -0,0 +1,154 @@
+package sched
+
+import (
+	"time"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+)
+
+func nodeOf(n *peerpb.Node) ident.Node {
+	return ident.Node{Instance: ident.Instance(n.GetInstance()), Incarnation: n.GetIncarnation()}
+}
+
+func nodeMessage(n ident.Node) *peerpb.Node {
+	return &peerpb.Node{Instance: string(n.Instance), Incarnation: n.Incarnation}
+}
+
+func askOf(r *peerpb.PlaceRequest) *place.Ask {
+	a := &place.Ask{
+		Request:   ident.Request(r.GetRequest()),
+		Customer:  ident.Customer(r.GetCustomer()),
+		Model:     ident.Model(r.GetModel()),
+		Class:     ident.Class(r.GetClass()),
+		Prompt:    r.GetPromptTokens(),
+		MaxOutput: r.GetMaxOutputTokens(),
+		Pieces:    r.GetPrefix(),
+		Waited:    time.Duration(r.GetWaitedMs()) * time.Millisecond,
+		Resumed:   r.GetResumed(),
+		Held:      ident.Server(r.GetHeld()),
+	}
+	for _, s := range r.GetAvoid() {
+		a.Avoid = append(a.Avoid, ident.Server(s))
+	}
+	return a
+}
+
+func askMessage(a *place.Ask, asker ident.Node) *peerpb.PlaceRequest {
+	r := &peerpb.PlaceRequest{
+		Asker:           nodeMessage(asker),
+		Request:         string(a.Request),
+		Customer:        string(a.Customer),
+		Model:           string(a.Model),
+		Class:           string(a.Class),
+		PromptTokens:    a.Prompt,
+		MaxOutputTokens: a.MaxOutput,
+		Prefix:          a.Pieces,
+		WaitedMs:        a.Waited.Milliseconds(),
+		Resumed:         a.Resumed,
+		Held:            string(a.Held),
+	}
+	for _, s := range a.Avoid {
+		r.Avoid = append(r.Avoid, string(s))
+	}
+	return r
+}
+
+func placementMessage(p *place.Placement) *peerpb.PlaceResponse {
+	return &peerpb.PlaceResponse{
+		Placement:     p.ID,
+		Prefill:       string(p.Prefill),
+		Decode:        string(p.Decode),
+		TransferMs:    p.Transfer.Milliseconds(),
+		CachedTokens:  p.Cached,
+		RunnerUp:      string(p.RunnerUp),
+		Score:         p.Score,
+		RunnerUpScore: p.RunnerUpScore,
+		Revision:      p.Revision,
+	}
+}
+
+func placementOf(r *peerpb.PlaceResponse, scheduler ident.Instance) place.Placement {
+	return place.Placement{
+		ID:            r.GetPlacement(),
+		Scheduler:     scheduler,
+		Prefill:       ident.Server(r.GetPrefill()),
+		Decode:        ident.Server(r.GetDecode()),
+		Transfer:      time.Duration(r.GetTransferMs()) * time.Millisecond,
+		Cached:        r.GetCachedTokens(),
+		RunnerUp:      ident.Server(r.GetRunnerUp()),
+		Score:         r.GetScore(),
+		RunnerUpScore: r.GetRunnerUpScore(),
+		Revision:      r.GetRevision(),
+	}
+}
+
+func refusalMessage(f *fail.Refusal) *peerpb.PlaceResponse {
+	m := &peerpb.PlaceResponse{Refusal: f.Reason(), Code: string(f.Code()), RetryMs: -1}
+	if f.Retry() != fail.Never {
+		m.RetryMs = int64((f.Retry() + time.Millisecond - 1) / time.Millisecond)
+	}
+	return m
+}
+
+func refusalOf(r *peerpb.PlaceResponse) *fail.Refusal {
+	retry := fail.Never
+	if r.GetRetryMs() >= 0 {
+		retry = time.Duration(r.GetRetryMs()) * time.Millisecond
+	}
+	code := fail.Code(r.GetCode())
+	if code == "" {
+		code = fail.CodeOverload
+	}
+	return fail.Refuse(code, retry, r.GetRefusal())
+}
+
+// stageMessages maps stages to their messages; StagePlaced has none.
+var stageMessages = [...]peerpb.Stage{
+	place.StagePlaced:         peerpb.Stage_STAGE_UNSPECIFIED,
+	place.StagePrefill:        peerpb.Stage_STAGE_PREFILL,
+	place.StageTransfer:       peerpb.Stage_STAGE_TRANSFER,
+	place.StageDecode:         peerpb.Stage_STAGE_DECODE,
+	place.StageDone:           peerpb.Stage_STAGE_DONE,
+	place.StageFailedPrefill:  peerpb.Stage_STAGE_FAILED_PREFILL,
+	place.StageFailedTransfer: peerpb.Stage_STAGE_FAILED_TRANSFER,
+	place.StageFailedDecode:   peerpb.Stage_STAGE_FAILED_DECODE,
+}
+
+// stageOf returns StagePlaced for a stage that this revision does not know.
+func stageOf(m peerpb.Stage) place.Stage {
+	for s, o := range stageMessages {
+		if o == m {
+			return place.Stage(s)
+		}
+	}
+	return place.StagePlaced
+}
+
+func progressOf(m *peerpb.Progress) pool.Progress {
+	return pool.Progress{
+		ID:       m.GetPlacement(),
+		Stage:    stageOf(m.GetStage()),
+		Output:   m.GetOutputTokens(),
+		Prefill:  ident.Server(m.GetPrefill()),
+		Decode:   ident.Server(m.GetDecode()),
+		Customer: ident.Customer(m.GetCustomer()),
+		Prompt:   m.GetPromptTokens(),
+	}
+}
+
+func progressMessage(p *pool.Progress, m ident.Model) *peerpb.Progress {
+	return &peerpb.Progress{
+		Placement:    p.ID,
+		Stage:        stageMessages[p.Stage],
+		OutputTokens: p.Output,
+		Prefill:      string(p.Prefill),
+		Decode:       string(p.Decode),
+		Customer:     string(p.Customer),
+		Model:        string(m),
+		PromptTokens: p.Prompt,
+	}
+}
--- /dev/null
+++ b/sched/line.go
@@ -0,0 +1,55 @@
+package sched
+
+import (
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/pool"
+)
+
+// line writes the decision line of a placement or refusal. Times are in
+// milliseconds and scores in seconds.
+func (s *Service) line(d *pool.Decision) {
+	e := logs.Decision(s.cfg.Log).
+		Str("request", string(d.Request)).
+		Str("customer", string(d.Customer)).
+		Str("model", string(d.Model)).
+		Str("class", string(d.Class)).
+		Int64("prompt", d.Prompt).
+		Int64("output_estimate", d.Output).
+		Dur("waited_ms", d.Waited).
+		Int("queued", d.Queued).
+		Int64("backlog", d.Backlog).
+		Float64("rate", d.Rate)
+	if !d.Placed() {
+		s.refused.Inc(1)
+		e.Str("code", string(d.Code)).Str("reason", d.Reason.String()).Dur("retry_ms", d.Retry).
+			Msg("sched: request refused")
+		return
+	}
+	s.placed.Inc(1)
+	chosen(e, d).Msg("sched: request placed")
+}
+
+func chosen(e *zerolog.Event, d *pool.Decision) *zerolog.Event {
+	c := &d.Choice
+	return e.
+		Uint64("revision", d.Placement.Revision).
+		Str("placement", d.Placement.ID).
+		Str("prefill", string(c.Prefill)).
+		Str("decode", string(c.Decode)).
+		Str("runner_up", string(c.RunnerUp)).
+		Str("decode_runner_up", string(c.DecodeRunnerUp)).
+		Float64("score", c.Score).
+		Float64("runner_up_score", c.RunnerUpScore).
+		Float64("decode_score", c.DecodeScore).
+		Float64("decode_runner_up_score", c.DecodeRunnerUpS).
+		Int64("cached", c.Cached).
+		Dur("prefill_wait_ms", c.Wait).
+		Dur("prefill_ms", c.Run).
+		Dur("link_wait_ms", c.LinkWait).
+		Dur("transfer_ms", c.Transfer).
+		Dur("first_token_ms", c.First).
+		Int("taken", c.Taken).
+		Int("places", c.Places)
+}
--- /dev/null
+++ b/sched/service.go
@@ -0,0 +1,194 @@
+package sched
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/tick"
+)
+
+// stepEvery is the time between two steps of a scheduler that nothing else
+// wakes.
+const stepEvery = 10 * time.Millisecond
+
+// Weight is the share of a customer in the table.
+type Weight struct {
+	Customer ident.Customer
+	Weight   float64
+}
+
+// PoolSpec is what the table says of the pool of one model in the data centre
+// of this instance.
+type PoolSpec struct {
+	Spec    place.Spec
+	Classes []pool.Class
+	Weights []Weight
+}
+
+// ServiceConfig holds what a Service needs.
+type ServiceConfig struct {
+	Self    ident.Node
+	Clock   tick.Service
+	Log     zerolog.Logger
+	Metrics metrics.Registry // optional
+	Pool    pool.Config      // parameters of the schedulers
+}
+
+// Service holds the schedulers of this instance.
+type Service struct {
+	cfg     ServiceConfig
+	placed  metrics.Counter
+	refused metrics.Counter
+
+	mu     sync.RWMutex // guards the fields below
+	shards map[ident.Model]*shard
+	gone   map[ident.Server]bool
+}
+
+// NewService returns a service without pools.
+func NewService(cfg ServiceConfig) *Service {
+	if cfg.Metrics == nil {
+		cfg.Metrics = metrics.NewRegistry()
+	}
+	return &Service{
+		cfg:     cfg,
+		placed:  metrics.NewRegisteredCounter("sched.placed", cfg.Metrics),
+		refused: metrics.NewRegisteredCounter("sched.refused", cfg.Metrics),
+		shards:  make(map[ident.Model]*shard),
+		gone:    make(map[ident.Server]bool),
+	}
+}
+
+// Configure takes the pools of a table revision. Requests in the queue of a
+// pool that is gone are refused.
+func (s *Service) Configure(revision uint64, pools []PoolSpec) {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.shards
+	s.shards = make(map[ident.Model]*shard, len(pools))
+	for _, p := range pools {
+		p.Spec.Revision = revision
+		sh, ok := old[p.Spec.Model]
+		if !ok {
+			sh = s.newShard()
+		}
+		sh.configure(p, s.gone)
+		s.shards[p.Spec.Model] = sh
+		delete(old, p.Spec.Model)
+	}
+	for _, sh := range old {
+		sh.close(now)
+	}
+}
+
+func (s *Service) newShard() *shard {
+	cfg := s.cfg.Pool
+	cfg.Instance = s.cfg.Self.Instance
+	cfg.Incarnation = s.cfg.Self.Incarnation
+	cfg.Rand = rand.NewPCG(s.cfg.Self.Incarnation, uint64(len(s.shards))+1)
+	return &shard{svc: s, sch: pool.New(cfg), calls: make(map[pool.Ticket]chan pool.Decision)}
+}
+
+// Report takes in a load report of a backend server.
+func (s *Service) Report(r place.Report) {
+	now := s.cfg.Clock.Now()
+	s.each(func(sh *shard) { sh.report(r, now) })
+}
+
+// Events takes in changes of a backend server's prefix cache.
+func (s *Service) Events(e place.Events) {
+	s.each(func(sh *shard) { sh.events(e) })
+}
+
+// Depart marks a backend server as departing or as live again.
+func (s *Service) Depart(name ident.Server, departing bool) {
+	s.mu.Lock()
+	if departing {
+		s.gone[name] = true
+	} else {
+		delete(s.gone, name)
+	}
+	s.mu.Unlock()
+	s.each(func(sh *shard) { sh.depart(name, departing) })
+}
+
+// Place waits until the request is placed or refused or ctx ends. The error
+// of a refusal is a *fail.Refusal.
+func (s *Service) Place(ctx context.Context, a *place.Ask, owner ident.Node) (place.Placement, error) {
+	sh := s.shard(a.Model)
+	if sh == nil {
+		return place.Placement{}, fail.Refuse(fail.CodeModel, fail.Never, "no pool serves this model in this data centre")
+	}
+	return sh.place(ctx, a, owner)
+}
+
+// Progress takes in the progress of an instance's placements of one model. If
+// whole is set, items are all of them.
+func (s *Service) Progress(owner ident.Node, m ident.Model, items []pool.Progress, whole bool) {
+	if sh := s.shard(m); sh != nil {
+		sh.progress(owner, items, whole)
+	}
+}
+
+// Models returns the models that have a pool.
+func (s *Service) Models() []ident.Model {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]ident.Model, 0, len(s.shards))
+	for m := range s.shards {
+		out = append(out, m)
+	}
+	return out
+}
+
+// Run steps the schedulers until ctx ends. The channel that it returns is
+// closed when it has stopped.
+func (s *Service) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	step := s.cfg.Clock.Every(stepEvery)
+	expire := s.cfg.Clock.Every(time.Second)
+	go func() {
+		defer close(done)
+		defer step.Stop()
+		defer expire.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-step.C():
+				s.each(func(sh *shard) { sh.tick() })
+			case <-expire.C():
+				s.each(func(sh *shard) { sh.expire() })
+			}
+		}
+	}()
+	return done
+}
+
+func (s *Service) shard(m ident.Model) *shard {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.shards[m]
+}
+
+func (s *Service) each(f func(*shard)) {
+	s.mu.RLock()
+	set := make([]*shard, 0, len(s.shards))
+	for _, sh := range s.shards {
+		set = append(set, sh)
+	}
+	s.mu.RUnlock()
+	for _, sh := range set {
+		f(sh)
+	}
+}
--- /dev/null
+++ b/sched/shard.go
@@ -0,0 +1,191 @@
+package sched
+
+import (
+	"context"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/tick"
+)
+
+// shard is the scheduler of one pool and the calls that wait in its queue.
+type shard struct {
+	svc *Service
+
+	mu     sync.Mutex // guards the fields below
+	sch    *pool.Scheduler
+	calls  map[pool.Ticket]chan pool.Decision
+	closed bool
+}
+
+func (sh *shard) configure(p PoolSpec, gone map[ident.Server]bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.sch.Configure(p.Spec, p.Classes)
+	for _, w := range p.Weights {
+		sh.sch.SetWeight(w.Customer, w.Weight)
+	}
+	for name := range gone {
+		sh.sch.Depart(name, true)
+	}
+}
+
+// place queues the request and waits for the decision.
+func (sh *shard) place(ctx context.Context, a *place.Ask, owner ident.Node) (place.Placement, error) {
+	c := make(chan pool.Decision, 1)
+	now := sh.svc.cfg.Clock.Now()
+	sh.mu.Lock()
+	if sh.closed {
+		sh.mu.Unlock()
+		return place.Placement{}, errPoolGone()
+	}
+	t := sh.sch.Submit(a, owner.Instance, now)
+	sh.calls[t] = c
+	out := sh.step(now)
+	sh.mu.Unlock()
+	sh.deliver(out)
+	select {
+	case d, ok := <-c:
+		if !ok {
+			return place.Placement{}, errPoolGone()
+		}
+		return answer(&d)
+	case <-ctx.Done():
+		sh.abandon(t, c, owner)
+		return place.Placement{}, fail.New("sched: place", "", ident.NotRun, errors.Wrap(ctx.Err(), "wait for a placement"))
+	}
+}
+
+func answer(d *pool.Decision) (place.Placement, error) {
+	if !d.Placed() {
+		return place.Placement{}, d.Refusal()
+	}
+	return d.Placement, nil
+}
+
+func errPoolGone() error {
+	return fail.Refuse(fail.CodeModel, fail.Never, "the pool of this model has left the table")
+}
+
+// abandon ends the call of a caller that is gone. A decision that crosses it
+// is given back.
+func (sh *shard) abandon(t pool.Ticket, c chan pool.Decision, owner ident.Node) {
+	now := sh.svc.cfg.Clock.Now()
+	sh.mu.Lock()
+	_, waits := sh.calls[t]
+	delete(sh.calls, t)
+	if waits {
+		sh.sch.Cancel(t)
+	}
+	sh.mu.Unlock()
+	if waits {
+		return
+	}
+	// The decision has been taken and its delivery does not block.
+	d, ok := <-c
+	if !ok || !d.Placed() {
+		return
+	}
+	sh.mu.Lock()
+	sh.sch.Progress(owner.Instance, &pool.Progress{ID: d.Placement.ID, Stage: place.StageDone}, now)
+	out := sh.step(now)
+	sh.mu.Unlock()
+	sh.deliver(out)
+}
+
+func (sh *shard) progress(owner ident.Node, items []pool.Progress, whole bool) {
+	now := sh.svc.cfg.Clock.Now()
+	sh.mu.Lock()
+	if whole {
+		sh.sch.Heartbeat(owner.Instance, owner.Incarnation, items, now)
+	} else {
+		for i := range items {
+			sh.sch.Progress(owner.Instance, &items[i], now)
+		}
+	}
+	out := sh.step(now)
+	sh.mu.Unlock()
+	sh.deliver(out)
+}
+
+func (sh *shard) tick() {
+	now := sh.svc.cfg.Clock.Now()
+	sh.mu.Lock()
+	out := sh.step(now)
+	sh.mu.Unlock()
+	sh.deliver(out)
+}
+
+func (sh *shard) expire() {
+	now := sh.svc.cfg.Clock.Now()
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.sch.Expire(now)
+}
+
+func (sh *shard) report(r place.Report, now tick.Instant) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.sch.Report(r, now)
+}
+
+func (sh *shard) events(e place.Events) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.sch.Events(e)
+}
+
+func (sh *shard) depart(name ident.Server, departing bool) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.sch.Depart(name, departing)
+}
+
+// close refuses all calls that wait.
+func (sh *shard) close(tick.Instant) {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	sh.closed = true
+	for t, c := range sh.calls {
+		sh.sch.Cancel(t)
+		delete(sh.calls, t)
+		close(c)
+	}
+}
+
+// decided is a decision and the call that waits for it.
+type decided struct {
+	decision pool.Decision
+	call     chan pool.Decision
+}
+
+// step runs the scheduler. The caller holds sh.mu.
+func (sh *shard) step(now tick.Instant) []decided {
+	set := sh.sch.Step(now, nil)
+	if len(set) == 0 {
+		return nil
+	}
+	out := make([]decided, 0, len(set))
+	for i := range set {
+		t := set[i].Ticket
+		out = append(out, decided{decision: set[i], call: sh.calls[t]})
+		delete(sh.calls, t)
+	}
+	return out
+}
+
+// deliver writes the decision lines and answers the calls.
+func (sh *shard) deliver(set []decided) {
+	for i := range set {
+		d := &set[i]
+		sh.svc.line(&d.decision)
+		if d.call != nil {
+			d.call <- d.decision
+		}
+	}
+}
--- /dev/null
+++ b/sched/track.go
@@ -0,0 +1,116 @@
+package sched
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+)
+
+const (
+	// trackShards is the number of locks over the live placements.
+	trackShards = 16
+	// maxPatience bounds the wait for a scheduler whose classes are unknown.
+	maxPatience = 90 * time.Second
+	// answerTime is the time that an answer may take beside the decision.
+	answerTime = 500 * time.Millisecond
+)
+
+// patience returns the time in which a scheduler decides on a request of the
+// class: by its first-token target the request is placed or refused.
+func (s *Service) patience(a *place.Ask) time.Duration {
+	sh := s.shard(a.Model)
+	if sh == nil {
+		return maxPatience
+	}
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return max(sh.sch.Target(a.Class)-a.Waited, 0) + answerTime
+}
+
+// track is a live placement of this instance.
+type track struct {
+	progress  pool.Progress
+	model     ident.Model
+	centre    ident.Centre
+	scheduler ident.Instance
+}
+
+type tracks struct {
+	mu  sync.Mutex // guards set
+	set map[string]*track
+}
+
+func (c *Client) tracks(id string) *tracks {
+	return &c.lives[xxhash.Sum64String(id)%trackShards]
+}
+
+// follow starts to report on a placement.
+func (c *Client) follow(p *place.Placement, a *place.Ask, centre ident.Centre) {
+	t := &track{
+		progress: pool.Progress{
+			ID:       p.ID,
+			Prefill:  p.Prefill,
+			Decode:   p.Decode,
+			Customer: a.Customer,
+			Prompt:   a.Prompt,
+		},
+		model:     a.Model,
+		centre:    centre,
+		scheduler: p.Scheduler,
+	}
+	if a.Held != "" {
+		t.progress.Stage = place.StageTransfer
+	}
+	ts := c.tracks(p.ID)
+	ts.mu.Lock()
+	defer ts.mu.Unlock()
+	ts.set[p.ID] = t
+}
+
+// Progress reports how far a placement has come. It does not block.
+func (c *Client) Progress(p place.Placement, stage place.Stage, output int64) {
+	ts := c.tracks(p.ID)
+	ts.mu.Lock()
+	t, ok := ts.set[p.ID]
+	if !ok || stage < t.progress.Stage {
+		ts.mu.Unlock()
+		return
+	}
+	moved := stage != t.progress.Stage
+	t.progress.Stage = stage
+	t.progress.Output = output
+	if stage.Ended() {
+		delete(ts.set, p.ID)
+	}
+	now := *t
+	ts.mu.Unlock()
+	if moved {
+		c.send(now.scheduler, &now)
+	}
+}
+
+// Live returns the number of placements that have not ended.
+func (c *Client) Live() int {
+	n := 0
+	for i := range c.lives {
+		ts := &c.lives[i]
+		ts.mu.Lock()
+		n += len(ts.set)
+		ts.mu.Unlock()
+	}
+	return n
+}
+
+// send reports a change to one scheduler.
+func (c *Client) send(to ident.Instance, t *track) {
+	if to == c.cfg.Self.Instance && c.cfg.Local != nil {
+		c.cfg.Local.Progress(c.cfg.Self, t.model, []pool.Progress{t.progress}, false)
+		return
+	}
+	c.boxes.get(to).put(*t)
+}
