--- /dev/null
+++ b/intent/copies.go
@@ -0,0 +1,205 @@
+package intent
+
+import (
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+// maxMet bounds the incarnations that are remembered of one seat.
+const maxMet = 256
+
+// Standing is what a buddy thinks of a process in a seat.
+type Standing uint8
+
+// The standings of a process.
+const (
+	Unmet      Standing = iota // not known here
+	Current                    // holds the seat
+	Superseded                 // a later process holds the seat
+)
+
+// Copies holds the copies of other seats' journals at a buddy and keeps the
+// earlier processes of those seats from adding to them.
+type Copies struct {
+	cfg Config
+
+	mu    sync.Mutex // guards seats
+	seats map[ident.Instance]*held
+}
+
+// held is the copy of one seat's journal.
+type held struct {
+	mu       sync.Mutex
+	current  uint64
+	met      map[uint64]bool
+	complete bool
+	since    tick.Instant // every call from then on is held, if complete
+	bytes    int64
+	entries  map[ID]*Entry
+}
+
+// NewCopies returns an empty store. The bounds hold for each seat.
+func NewCopies(cfg Config) *Copies {
+	return &Copies{cfg: cfg, seats: make(map[ident.Instance]*held)}
+}
+
+func (c *Copies) held(seat ident.Instance) *held {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h, ok := c.seats[seat]
+	if !ok {
+		h = &held{met: make(map[uint64]bool), entries: make(map[ID]*Entry)}
+		c.seats[seat] = h
+	}
+	return h
+}
+
+// Meet notes that the process n takes its seat. The process that was met last
+// for the first time holds the seat; known tells whether it held it before.
+func (c *Copies) Meet(n ident.Node) (s Standing, known bool) {
+	h := c.held(n.Instance)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.current == n.Incarnation && h.met[n.Incarnation]:
+		return Current, true
+	case h.met[n.Incarnation]:
+		return Superseded, false
+	}
+	if len(h.met) >= maxMet {
+		h.met = map[uint64]bool{h.current: true}
+	}
+	h.met[n.Incarnation] = true
+	h.current = n.Incarnation
+	for _, e := range h.entries {
+		e.Serial = 0
+	}
+	return Current, false
+}
+
+// Standing returns the standing of n without taking note of it.
+func (c *Copies) Standing(n ident.Node) Standing {
+	h := c.held(n.Instance)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.standing(n)
+}
+
+func (h *held) standing(n ident.Node) Standing {
+	switch {
+	case !h.met[n.Incarnation]:
+		return Unmet
+	case h.current != n.Incarnation:
+		return Superseded
+	default:
+		return Current
+	}
+}
+
+// Apply stores the entries of n's journal. It reports whether there was room
+// for all of them; nothing is stored unless n holds its seat.
+func (c *Copies) Apply(now tick.Instant, n ident.Node, entries []Entry) (s Standing, room bool) {
+	h := c.held(n.Instance)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s := h.standing(n); s != Current {
+		return s, false
+	}
+	room = true
+	for i := range entries {
+		room = h.apply(now, c.cfg, entries[i]) && room
+	}
+	return Current, room
+}
+
+func (h *held) apply(now tick.Instant, cfg Config, e Entry) bool {
+	old, ok := h.entries[e.ID]
+	if ok && old.Serial >= e.Serial {
+		return true
+	}
+	if e.Dropped {
+		h.remove(e.ID)
+		return true
+	}
+	if !ok && (int64(len(h.entries)) >= cfg.MaxEntries || h.bytes+e.size() > cfg.MaxBytes) {
+		h.expire(now)
+	}
+	if !ok && (int64(len(h.entries)) >= cfg.MaxEntries || h.bytes+e.size() > cfg.MaxBytes) {
+		return false
+	}
+	h.remove(e.ID)
+	e.Live = false
+	h.entries[e.ID] = &e
+	h.bytes += e.size()
+	return true
+}
+
+func (h *held) remove(id ID) {
+	if e, ok := h.entries[id]; ok {
+		h.bytes -= e.size()
+		delete(h.entries, id)
+	}
+}
+
+func (h *held) expire(now tick.Instant) {
+	for id, e := range h.entries {
+		if e.over(now) {
+			h.remove(id)
+		}
+	}
+}
+
+// Complete notes that the copy holds every call that n's seat took from since
+// on. It does nothing unless n holds its seat.
+func (c *Copies) Complete(n ident.Node, since tick.Instant) {
+	h := c.held(n.Instance)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.standing(n) != Current {
+		return
+	}
+	h.complete, h.since = true, since
+}
+
+// Since returns for how long the copy holds every call of the seat, and false
+// if nothing is known for sure.
+func (c *Copies) Since(now tick.Instant, seat ident.Instance) (time.Duration, bool) {
+	h := c.held(seat)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now - h.since, h.complete
+}
+
+// Page returns copies of the entries of a seat that lie in journal shard n.
+func (c *Copies) Page(now tick.Instant, seat ident.Instance, n int) []Entry {
+	h := c.held(seat)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expire(now)
+	var out []Entry
+	for id, e := range h.entries {
+		if int(id[0]%Shards) == n {
+			out = append(out, *e)
+		}
+	}
+	return out
+}
+
+// Expire forgets the entries whose age is over. What is known of the processes
+// in the seats stays.
+func (c *Copies) Expire(now tick.Instant) {
+	c.mu.Lock()
+	all := make([]*held, 0, len(c.seats))
+	for _, h := range c.seats {
+		all = append(all, h)
+	}
+	c.mu.Unlock()
+	for _, h := range all {
+		h.mu.Lock()
+		h.expire(now)
+		h.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/once/dispatch.go
@@ -0,0 +1,155 @@
+package once
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/intent"
+	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/tick"
+)
+
+// errStale reports that the copy of an intent is too old to rely on.
+var errStale = errors.New("once: the copy of the intent is too old")
+
+// dispatch copies the intent of a fresh call, makes the call and records how
+// it ended.
+func (s *Service) dispatch(ctx context.Context, cur *run, e intent.Entry, r Route, c Call) {
+	a, err := s.attempt(ctx, e, r, c)
+	s.conclude(ctx, cur, e.ID, r, a, err)
+}
+
+// attempt makes the call. A call that its gate held back is copied and tried
+// again, for no byte of it was written.
+func (s *Service) attempt(ctx context.Context, e intent.Entry, r Route, c Call) (plain.Answer, error) {
+	var last error
+	for range maxTries {
+		at := s.cfg.Clock.Now()
+		if at-e.At >= r.keep()/2 {
+			return plain.Answer{}, fail.Refuse(fail.CodeDeadline, 0, "the call waited too long at its home")
+		}
+		if err := s.copyIntent(ctx, e); err != nil {
+			return plain.Answer{}, err
+		}
+		call := c.Call
+		call.Idempotent = false
+		call.Limit, call.MaxAnswer = r.Limit, r.MaxAnswer
+		call.Gate = func() error { return s.gate(at) }
+		a, err := s.cfg.Caller.Call(ctx, call)
+		if err == nil || fail.Outcome(err) != ident.NotRun || s.gate(at) == nil || s.superseded() {
+			return a, err
+		}
+		last = err
+	}
+	return plain.Answer{}, last
+}
+
+// gate checks the right to run of a call whose intent was copied from at on.
+func (s *Service) gate(at tick.Instant) error {
+	if s.superseded() {
+		return fail.Refuse(fail.CodeHomeAway, retryHome, "the call's home has been replaced")
+	}
+	if s.cfg.Clock.Now()-at > maxCopyAge {
+		return errStale
+	}
+	return nil
+}
+
+// conclude records the end of a call and wakes those who wait for it.
+func (s *Service) conclude(ctx context.Context, cur *run, id intent.ID, r Route, a plain.Answer, err error) {
+	var (
+		e    intent.Entry
+		copy bool
+	)
+	s.mu.Lock()
+	switch {
+	case err == nil:
+		e, copy = s.journal.Finish(id, record(a))
+	case fail.Outcome(err) == ident.NotRun:
+		e, copy = s.journal.Drop(id)
+	case fail.Outcome(err) == ident.Done:
+		e, copy = s.journal.Finish(id, intent.Answer{Partial: true})
+	default:
+		s.journal.Lose(id)
+		err = lostCall(r, err)
+	}
+	cur.answer, cur.err = a, err
+	delete(s.runs, id)
+	s.mu.Unlock()
+	close(cur.done)
+
+	if copy {
+		s.copyEnd(ctx, e)
+	}
+	s.exit()
+}
+
+// lostCall adds to err what the caller can do about a call that may have run.
+func lostCall(r Route, err error) error {
+	var f *fail.Error
+	peer := ""
+	if errors.As(err, &f) {
+		peer = f.Peer()
+	}
+	refusal := fail.Refuse(fail.CodeBackend, fail.Never, "the service did not answer; "+advice(r))
+	return fail.New("once: call", peer, ident.Unknown, errors.Wrap(refusal, err.Error()))
+}
+
+// unknown is the error for a key of which it is not known whether a call with
+// it has run.
+func unknown(r Route, retry time.Duration, reason string) error {
+	return fail.New("once: decide", "", ident.Unknown,
+		fail.Refuse(fail.CodeKeyUnknown, retry, reason+"; "+advice(r)))
+}
+
+// advice tells the caller what to read before repeating a call.
+func advice(r Route) string {
+	if r.Status == "" {
+		return "check with the service whether it took effect before repeating it"
+	}
+	return "read " + r.Status + " to see whether it took effect before repeating it"
+}
+
+// record converts an answer for the journal.
+func record(a plain.Answer) intent.Answer {
+	out := intent.Answer{Status: a.Status, Body: a.Body}
+	for name, values := range a.Header {
+		for _, v := range values {
+			out.Headers = append(out.Headers, intent.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// replay returns the recorded answer of e.
+func replay(e intent.Entry, r Route) (plain.Answer, error) {
+	if e.Answer.Partial {
+		return plain.Answer{}, fail.New("once: replay", "", ident.Done,
+			fail.Refuse(fail.CodeBackend, fail.Never, "the call ran, but its answer was not kept; "+advice(r)))
+	}
+	a := plain.Answer{Status: e.Answer.Status, Body: e.Answer.Body, Replayed: true}
+	a.Header = header(e.Answer.Headers)
+	return a, nil
+}
+
+// line writes the decision about one keyed call.
+func (s *Service) line(c Call, home ident.Instance, what string, a plain.Answer, err error) {
+	ev := logs.Decision(s.cfg.Log).
+		Str("request", string(c.Request)).
+		Str("customer", string(c.Customer)).
+		Str("route", string(c.Route)).
+		Str("home", string(home)).
+		Str("server", string(a.Server)).
+		Str("runner_up", string(a.RunnerUp)).
+		Bool("replayed", a.Replayed).
+		Str("outcome", fail.Outcome(err).String())
+	if err != nil {
+		ev = ev.Str("reason", err.Error())
+	}
+	ev.Msg("once: " + what)
+}
--- /dev/null
+++ b/once/forward.go
@@ -0,0 +1,68 @@
+package once
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/plain"
+)
+
+// forward passes the call on to its home. The reply's loss makes the outcome
+// unknown; a failed dial proves that the call has not run.
+func (s *Service) forward(ctx context.Context, home ident.Instance, r Route, c Call, revision uint64) (plain.Answer, error) {
+	const step = "once: forward"
+	peer, err := s.cfg.Dialer.Once(home)
+	if err != nil {
+		return plain.Answer{}, away(home, err)
+	}
+	req := callToProto(s.node(), c, revision)
+	if t, ok := ctx.Deadline(); ok {
+		req.DeadlineMs = max(1, time.Until(t).Milliseconds())
+	}
+	res, err := peer.Run(ctx, req)
+	switch {
+	case err == nil:
+		return runResult(home, res)
+	case dialFailed(err):
+		return plain.Answer{}, away(home, err)
+	}
+	return plain.Answer{}, fail.New(step, string(home), ident.Unknown, errors.Wrap(
+		fail.Refuse(fail.CodeKeyUnknown, retryHome, "the answer of the call's home was lost; "+advice(r)), err.Error()))
+}
+
+// away is the error for a home that can't be reached.
+func away(home ident.Instance, err error) error {
+	return fail.New("once: forward", string(home), ident.NotRun, errors.Wrap(
+		fail.Refuse(fail.CodeHomeAway, retryHome, "the call's home can't be reached"), err.Error()))
+}
+
+// dialFailed reports whether err proves that no connection was there to write
+// the call to.
+func dialFailed(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// runResult converts the reply of a call's home.
+func runResult(home ident.Instance, res *peerpb.RunResponse) (plain.Answer, error) {
+	if res.GetCode() == "" && res.GetOutcome() == peerpb.Outcome_OUTCOME_DONE {
+		return plain.Answer{
+			Status:   int(res.GetStatus()),
+			Header:   headerFromProto(res.GetHeaders()),
+			Body:     res.GetBody(),
+			Replayed: res.GetReplayed(),
+		}, nil
+	}
+	code := fail.Code(res.GetCode())
+	if code == "" {
+		code = fail.CodeInternal
+	}
+	refusal := fail.Refuse(code, retryFromProto(res.GetRetryMs()), res.GetReason())
+	return plain.Answer{}, fail.New("once: forward", string(home), outcomeFromProto(res.GetOutcome()), refusal)
+}
--- /dev/null
+++ b/once/layout.go
@@ -0,0 +1,108 @@
+package once
+
+import (
+	"time"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/intent"
+	"wasabidock.dev/dock/tick"
+)
+
+// maxLayouts bounds the earlier layouts that are remembered.
+const maxLayouts = 16
+
+// layout is the part of the table that decides about homes.
+type layout struct {
+	seats []intent.Seat
+	homes map[ident.Route]home
+	until tick.Instant // when the next one was seen
+}
+
+// home is what decides about the keyed calls of one route.
+type home struct {
+	centre ident.Centre
+	keep   time.Duration
+}
+
+// observe notes a change of what decides about homes. If there are too many
+// changes to remember, the journal counts as complete from now on only.
+func (s *Service) observe(v View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.seen && v.Revision() == s.revision {
+		return
+	}
+	next := newLayout(v)
+	if s.seen && !s.current.same(next) {
+		now := s.cfg.Clock.Now()
+		s.current.until = now
+		s.earlier = append(s.earlier, s.current)
+		if len(s.earlier) > maxLayouts {
+			s.earlier = nil
+			s.since = now
+		}
+	}
+	s.seen, s.revision, s.current = true, v.Revision(), next
+}
+
+func newLayout(v View) layout {
+	l := layout{seats: v.Seats(), homes: make(map[ident.Route]home)}
+	for _, r := range v.Routes() {
+		l.homes[r.Name] = home{centre: r.Centre, keep: r.keep()}
+	}
+	return l
+}
+
+func (l layout) same(o layout) bool {
+	if len(l.seats) != len(o.seats) || len(l.homes) != len(o.homes) {
+		return false
+	}
+	for i := range l.seats {
+		if l.seats[i] != o.seats[i] {
+			return false
+		}
+	}
+	for r, h := range l.homes {
+		if other, ok := o.homes[r]; !ok || other != h {
+			return false
+		}
+	}
+	return true
+}
+
+// known returns an error unless every call with the identifier within the
+// age of the route's keys would be in this process's journal.
+func (s *Service) known(v View, r Route, id intent.ID) error {
+	s.observe(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.joined {
+		return unknown(r, retryHome, "the call's home has not read its journal yet")
+	}
+	now := s.cfg.Clock.Now()
+	if wait := s.since + r.keep() - now; wait > 0 {
+		return unknown(r, wait, "the call's home has lost its journal and can't tell whether the key is fresh")
+	}
+	if wait := s.moved(now, r, id); wait > 0 {
+		return unknown(r, wait, "the call's home has changed and can't tell whether the key is fresh")
+	}
+	return nil
+}
+
+// moved returns for how long yet a call with the identifier may be missing
+// here because its home was another seat or because the age of its keys was
+// shorter. The caller holds mu.
+func (s *Service) moved(now tick.Instant, r Route, id intent.ID) time.Duration {
+	var wait time.Duration
+	for _, l := range s.earlier {
+		was, ok := l.homes[r.Name]
+		if !ok {
+			continue
+		}
+		seat, ok := intent.Home(l.seats, was.centre, id)
+		if ok && (seat != s.cfg.Self.Instance || was.keep < r.keep()) {
+			wait = max(wait, l.until+r.keep()+settleTime-now)
+		}
+	}
+	return wait
+}
--- /dev/null
+++ b/once/service.go
@@ -0,0 +1,196 @@
+package once
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/intent"
+	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/tick"
+)
+
+// Service runs the keyed calls whose home is the seat of this process, passes
+// on the others, and holds copies of other seats' journals.
+type Service struct {
+	cfg     Config
+	journal *intent.Journal
+	copies  *intent.Copies
+	lost    atomic.Bool // a buddy said that a later process holds the seat
+
+	mu       sync.Mutex // guards the fields below
+	joined   bool
+	since    tick.Instant // the journal holds every call from then on, if joined
+	buddies  map[ident.Instance]*buddy
+	seen     bool // a table has been in force
+	revision uint64
+	current  layout
+	earlier  []layout
+	leaving  bool
+	active   int
+	idle     chan struct{} // closed when leaving and active is 0
+	runs     map[intent.ID]*run
+
+	tasks sync.WaitGroup // copies on their way
+}
+
+// run is a call on its way. Its fields are set before done is closed.
+type run struct {
+	done   chan struct{}
+	answer plain.Answer
+	err    error
+}
+
+// New returns a Service. It joins its buddies only after Start, or by Join.
+func New(cfg Config) *Service {
+	cfg.setDefaults()
+	return &Service{
+		cfg:     cfg,
+		journal: intent.NewJournal(cfg.Journal),
+		copies:  intent.NewCopies(cfg.Copies),
+		buddies: make(map[ident.Instance]*buddy),
+		idle:    make(chan struct{}),
+		runs:    make(map[intent.ID]*run),
+	}
+}
+
+// Run makes the call at its home and returns the service's answer, or the
+// recorded answer of an earlier call with the same key.
+func (s *Service) Run(ctx context.Context, c Call) (plain.Answer, error) {
+	v, ok := s.cfg.Table.View()
+	if !ok {
+		return plain.Answer{}, fail.Refuse(fail.CodeNoTable, retryHome, "no table is in force yet")
+	}
+	r, ok := v.Route(c.Route)
+	if !ok {
+		return plain.Answer{}, fail.Refuse(fail.CodeRoute, fail.Never, "the table has no such route")
+	}
+	home, ok := intent.Home(v.Seats(), r.Centre, intent.NewID(c.Customer, c.Route, c.Key))
+	if !ok {
+		return plain.Answer{}, fail.Refuse(fail.CodeNoServer, fail.Never, "the route's home data centre has no seat")
+	}
+	if home != s.cfg.Self.Instance {
+		a, err := s.forward(ctx, home, r, c, v.Revision())
+		s.line(c, home, "call passed on to its home", a, err)
+		return a, err
+	}
+	a, err := s.runHome(ctx, v, r, c)
+	s.line(c, home, "call decided at its home", a, err)
+	return a, err
+}
+
+// runHome makes the call in this process, which is its home.
+func (s *Service) runHome(ctx context.Context, v View, r Route, c Call) (plain.Answer, error) {
+	if !s.enter() {
+		return plain.Answer{}, fail.Refuse(fail.CodeDraining, retryHome, "the call's home is being replaced")
+	}
+	defer s.exit()
+	if s.superseded() {
+		return plain.Answer{}, fail.Refuse(fail.CodeHomeAway, retryHome, "the call's home has been replaced")
+	}
+	if err := s.known(v, r, intent.NewID(c.Customer, c.Route, c.Key)); err != nil {
+		return plain.Answer{}, err
+	}
+	return s.decide(ctx, r, c)
+}
+
+// decide acts on the journal's verdict about the call.
+func (s *Service) decide(ctx context.Context, r Route, c Call) (plain.Answer, error) {
+	id := intent.NewID(c.Customer, c.Route, c.Key)
+	verdict, e, cur := s.begin(ctx, id, r, c)
+	switch verdict {
+	case intent.Run:
+		return await(ctx, cur, r)
+	case intent.Join:
+		a, err := await(ctx, cur, r)
+		a.Replayed = err == nil
+		return a, err
+	case intent.Replay:
+		return replay(e, r)
+	case intent.Clash:
+		return plain.Answer{}, fail.Refuse(fail.CodeKeyReused, fail.Never,
+			"the idempotency key was used for another call before")
+	case intent.Full:
+		return plain.Answer{}, fail.Refuse(fail.CodeOverload, retryHome, "the journal of keyed calls is full")
+	default:
+		return plain.Answer{}, unknown(r, 0, "an earlier call with this key may have run")
+	}
+}
+
+// begin asks the journal about the call and starts it if it is fresh. A call
+// that has started goes on when its caller leaves.
+func (s *Service) begin(ctx context.Context, id intent.ID, r Route, c Call) (intent.Verdict, intent.Entry, *run) {
+	sum := intent.NewSum(c.Method, c.Path, c.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v, e := s.journal.Begin(s.cfg.Clock.Now(), id, sum, r.keep())
+	switch v {
+	case intent.Run:
+		cur := &run{done: make(chan struct{})}
+		s.runs[id] = cur
+		s.active++
+		go s.dispatch(context.WithoutCancel(ctx), cur, e, r, c)
+		return v, e, cur
+	case intent.Join:
+		return v, e, s.runs[id]
+	default:
+		return v, e, nil
+	}
+}
+
+// await waits for the end of a call, or until its caller leaves.
+func await(ctx context.Context, cur *run, r Route) (plain.Answer, error) {
+	select {
+	case <-cur.done:
+		return cur.answer, cur.err
+	case <-ctx.Done():
+		err := fail.Refuse(fail.CodeKeyOpen, retryHome, "the call is still on its way: "+advice(r))
+		return plain.Answer{}, fail.New("once: wait", "", ident.Unknown, err)
+	}
+}
+
+// enter counts a caller in, unless the service is leaving.
+func (s *Service) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving {
+		return false
+	}
+	s.active++
+	return true
+}
+
+func (s *Service) exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.active--
+	s.noteIdle()
+}
+
+// noteIdle closes idle if the service is leaving and nothing is on its way.
+// The caller holds mu.
+func (s *Service) noteIdle() {
+	if !s.leaving || s.active > 0 {
+		return
+	}
+	select {
+	case <-s.idle:
+	default:
+		close(s.idle)
+	}
+}
+
+// superseded reports whether a later process holds the seat.
+func (s *Service) superseded() bool {
+	return s.lost.Load() || s.cfg.Superseded()
+}
+
+// supersede notes that a later process holds the seat.
+func (s *Service) supersede() {
+	if s.lost.CompareAndSwap(false, true) {
+		s.cfg.Log.Warn().Str("seat", string(s.cfg.Self.Instance)).Msg("once: a later process holds the seat")
+		s.cfg.Lost()
+	}
+}
--- /dev/null
+++ b/plain/call.go
@@ -0,0 +1,75 @@
+package plain
+
+import (
+	"net/http"
+	"time"
+
+	"wasabidock.dev/dock/ident"
+)
+
+// Call is one call to a plain service. Path and Header carry no customer's key.
+type Call struct {
+	Request    ident.Request
+	Customer   ident.Customer
+	Route      ident.Route
+	Method     string
+	Path       string // with the query
+	Header     http.Header
+	Body       []byte
+	Idempotent bool          // may be repeated
+	Limit      time.Duration // for the whole call, zero for the default
+	MaxAnswer  int64         // bytes of the answer's body, zero for the default
+	Gate       func() error  // called directly before the first byte is written
+}
+
+// Answer is the whole answer of a service.
+type Answer struct {
+	Status   int
+	Header   http.Header
+	Body     []byte
+	Server   ident.Server // empty in a replayed answer
+	RunnerUp ident.Server
+	Attempts int
+	Replayed bool // recorded answer of an earlier call with the same key
+}
+
+// Server is a backend server of a plain service.
+type Server struct {
+	Name ident.Server
+	URL  string // scheme, host and port
+}
+
+// Servers tells which servers serve a route. Departing servers are left out.
+type Servers interface {
+	Servers(r ident.Route) []Server
+}
+
+// hopHeaders are the headers that concern one connection only.
+var hopHeaders = []string{
+	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// keyHeaders may carry a customer's key.
+var keyHeaders = []string{"Authorization", "X-Api-Key", "Proxy-Authorization"}
+
+// StripHeaders returns a copy of h without the headers of one connection and
+// without those that may carry a customer's key.
+func StripHeaders(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		return http.Header{}
+	}
+	for _, v := range h.Values("Connection") {
+		for _, name := range splitList(v) {
+			out.Del(name)
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	for _, name := range keyHeaders {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/plain/client.go
@@ -0,0 +1,221 @@
+package plain
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	defaultLimit       = 30 * time.Second
+	defaultProgress    = 10 * time.Second
+	defaultDial        = 2 * time.Second
+	defaultMaxAnswer   = 4 << 20 // bytes
+	defaultMaxAttempts = 3
+	maxHeaderBytes     = 64 << 10
+	asideAfterFailure  = 5 * time.Second
+)
+
+// errNoEnd reports an answer that ends with its connection, so that a cut one
+// looks like a whole one.
+var errNoEnd = errors.New("the answer has neither a length nor chunks")
+
+// Config holds what a Client needs.
+type Config struct {
+	Servers     Servers
+	Clock       tick.Service
+	TLS         *tls.Config   // for servers with an https URL, may be nil
+	Progress    time.Duration // limit of silence on a connection
+	Dial        time.Duration // limit of a dial and its TLS handshake
+	MaxAttempts int           // of a call that may be repeated
+	Rand        *rand.Rand    // used under the client's lock, nil for a fresh one
+}
+
+// Client calls plain services.
+type Client struct {
+	cfg Config
+
+	mu    sync.Mutex // guards rand and the maps
+	rand  *rand.Rand
+	open  map[ident.Server]int
+	aside map[ident.Server]tick.Instant // until when a failed server is avoided
+}
+
+// New returns a Client.
+func New(cfg Config) *Client {
+	if cfg.Progress == 0 {
+		cfg.Progress = defaultProgress
+	}
+	if cfg.Dial == 0 {
+		cfg.Dial = defaultDial
+	}
+	if cfg.MaxAttempts == 0 {
+		cfg.MaxAttempts = defaultMaxAttempts
+	}
+	if cfg.TLS == nil {
+		cfg.TLS = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return &Client{
+		cfg:   cfg,
+		rand:  cfg.Rand,
+		open:  make(map[ident.Server]int),
+		aside: make(map[ident.Server]tick.Instant),
+	}
+}
+
+// Call makes the call and returns the whole answer. A call that may be
+// repeated is tried on several servers; any other is tried again only while no
+// byte of it has left the process.
+func (c *Client) Call(ctx context.Context, call Call) (Answer, error) {
+	limit := call.Limit
+	if limit == 0 {
+		limit = defaultLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+
+	var (
+		failed []ident.Server
+		last   error
+	)
+	for n := 1; n <= c.cfg.MaxAttempts; n++ {
+		s, next, ok := c.pick(call.Route, failed)
+		if !ok {
+			break
+		}
+		a, err := c.try(ctx, s, call)
+		a.Attempts = n
+		a.Server, a.RunnerUp = s.Name, next
+		if err == nil {
+			return a, nil
+		}
+		last = worse(last, err)
+		failed = append(failed, s.Name)
+		if !again(ctx, call, err) {
+			break
+		}
+	}
+	if last == nil {
+		return Answer{}, fail.Refuse(fail.CodeNoServer, time.Second, "no server of the service is available")
+	}
+	return Answer{}, last
+}
+
+// again reports whether the call may be tried once more after err.
+func again(ctx context.Context, call Call, err error) bool {
+	if ctx.Err() != nil || errors.Is(err, errGate) {
+		return false
+	}
+	if fail.Outcome(err) == ident.NotRun {
+		return true
+	}
+	return call.Idempotent && fail.Outcome(err) == ident.Unknown
+}
+
+// worse returns the error that claims less of the two attempts of one call.
+func worse(a, b error) error {
+	if a != nil && fail.Outcome(a) != ident.NotRun {
+		return a
+	}
+	return b
+}
+
+// try makes one attempt on a connection of its own.
+func (c *Client) try(ctx context.Context, s Server, call Call) (Answer, error) {
+	c.begin(s.Name)
+	a, err := c.exchange(ctx, s, call)
+	c.end(s.Name, err != nil && ctx.Err() == nil && !errors.Is(err, errGate))
+	return a, err
+}
+
+func (c *Client) exchange(ctx context.Context, s Server, call Call) (Answer, error) {
+	const step = "plain: call"
+	req, err := request(ctx, s, call)
+	if err != nil {
+		return Answer{}, fail.New(step, string(s.Name), ident.NotRun, err)
+	}
+	t := &trace{gate: call.Gate}
+	tr := c.transport(t)
+	defer tr.CloseIdleConnections()
+
+	resp, err := tr.RoundTrip(req)
+	if err != nil {
+		return Answer{}, fail.New(step, string(s.Name), outcome(t), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		return Answer{}, fail.New("plain: read answer", string(s.Name), ident.Unknown, errNoEnd)
+	}
+	limit := call.MaxAnswer
+	if limit == 0 {
+		limit = defaultMaxAnswer
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return Answer{}, fail.New("plain: read answer", string(s.Name), ident.Unknown, err)
+	}
+	if int64(len(body)) > limit {
+		err := errors.Errorf("the answer is larger than %d bytes", limit)
+		return Answer{}, fail.New("plain: read answer", string(s.Name), ident.Done, err)
+	}
+	return Answer{Status: resp.StatusCode, Header: StripHeaders(resp.Header), Body: body}, nil
+}
+
+// outcome tells what a failed exchange proves.
+func outcome(t *trace) ident.Outcome {
+	if t.wrote.Load() {
+		return ident.Unknown
+	}
+	return ident.NotRun
+}
+
+// transport returns a transport for one attempt. It keeps no connection, and
+// speaks HTTP/1.1 only because HTTP/2 may send a refused request again.
+func (c *Client) transport(t *trace) *http.Transport {
+	d := &dialer{net: net.Dialer{Timeout: c.cfg.Dial}, tls: c.cfg.TLS, progress: c.cfg.Progress, t: t}
+	return &http.Transport{
+		DialContext:            d.dial,
+		DialTLSContext:         d.dialTLS,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		TLSNextProto:           map[string]func(string, *tls.Conn) http.RoundTripper{},
+	}
+}
+
+// request builds the request of one attempt. The body can't be rewound, so
+// that the transport never sends it twice.
+func request(ctx context.Context, s Server, call Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, s.URL+call.Path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	if len(call.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(call.Body))
+		req.ContentLength = int64(len(call.Body))
+	}
+	req.GetBody = nil
+	req.Header = StripHeaders(call.Header)
+	req.Header.Set("X-Request-Id", string(call.Request))
+	if call.Customer != "" {
+		req.Header.Set("X-Customer", string(call.Customer))
+	} else {
+		req.Header.Del("X-Customer")
+	}
+	return req, nil
+}
