table, probe: add what schedulers need of models and engines, and follow engines' reports

Cause: a scheduler needs the size of a KV cache and the token time before the first load report; a caller with an unknown outcome needs to know where to read it; nobody reads the engines' reports yet. Change: optional columns kv_bytes, token_gap and status; package probe polls load reports and follows cache events of the pools that the instance schedules. No measurement was made. Conclusion: tables without the columns stay good.

--- /dev/null
+++ b/probe/probe.go
@@ -0,0 +1,186 @@
+package probe
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	defaultPoll  = 500 * time.Millisecond
+	defaultRetry = time.Second
+)
+
+// Engines are the calls by which engines tell of themselves.
+type Engines interface {
+	Load(ctx context.Context, s ident.Server) (engine.Load, error)
+	Events(ctx context.Context, s ident.Server, after uint64) (*engine.Events, error)
+}
+
+// Sink takes in what engines tell.
+type Sink interface {
+	Report(r place.Report)
+	Events(e place.Events)
+}
+
+// Config holds what a Prober needs. Zero durations stand for the defaults.
+type Config struct {
+	Engines Engines
+	// Targets returns the engines to follow.
+	Targets func() []ident.Server
+	Sink    Sink
+	Timer   tick.Service
+	Log     zerolog.Logger
+	Poll    time.Duration // between two polls of one engine
+	Retry   time.Duration // before a broken feed is opened anew
+}
+
+// Prober follows engines.
+type Prober struct {
+	cfg Config
+}
+
+// worker follows one engine until its context is over.
+type worker struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a Prober that follows nothing yet.
+func New(cfg Config) *Prober {
+	if cfg.Poll <= 0 {
+		cfg.Poll = defaultPoll
+	}
+	if cfg.Retry <= 0 {
+		cfg.Retry = defaultRetry
+	}
+	return &Prober{cfg: cfg}
+}
+
+// Run follows the targets, whose set it reads again at each poll, until ctx is
+// over.
+func (p *Prober) Run(ctx context.Context) error {
+	t := p.cfg.Timer.Every(p.cfg.Poll)
+	defer t.Stop()
+	workers := make(map[ident.Server]*worker)
+	defer stopAll(workers)
+	for {
+		p.adjust(ctx, workers)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C():
+		}
+	}
+}
+
+// adjust starts workers for new targets and ends those of former ones.
+func (p *Prober) adjust(ctx context.Context, workers map[ident.Server]*worker) {
+	wanted := make(map[ident.Server]bool)
+	for _, s := range p.cfg.Targets() {
+		wanted[s] = true
+		if workers[s] == nil {
+			workers[s] = p.start(ctx, s)
+		}
+	}
+	for s, w := range workers {
+		if !wanted[s] {
+			w.cancel()
+			<-w.done
+			delete(workers, s)
+		}
+	}
+}
+
+func stopAll(workers map[ident.Server]*worker) {
+	for _, w := range workers {
+		w.cancel()
+	}
+	for _, w := range workers {
+		<-w.done
+	}
+}
+
+func (p *Prober) start(ctx context.Context, s ident.Server) *worker {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &worker{cancel: cancel, done: make(chan struct{})}
+	feed := make(chan struct{})
+	go func() {
+		defer close(feed)
+		p.follow(ctx, s)
+	}()
+	go func() {
+		defer close(w.done)
+		p.poll(ctx, s)
+		<-feed
+	}()
+	return w
+}
+
+// poll passes on the load reports of s.
+func (p *Prober) poll(ctx context.Context, s ident.Server) {
+	t := p.cfg.Timer.Every(p.cfg.Poll)
+	defer t.Stop()
+	for {
+		l, err := p.cfg.Engines.Load(ctx, s)
+		if err == nil {
+			p.cfg.Sink.Report(report(s, l))
+		} else if ctx.Err() == nil {
+			p.cfg.Log.Debug().Str("server", string(s)).Err(err).Msg("probe: load report failed")
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C():
+		}
+	}
+}
+
+// follow passes on the cache events of s and opens the feed anew when it ends.
+func (p *Prober) follow(ctx context.Context, s ident.Server) {
+	var after uint64
+	for ctx.Err() == nil {
+		err := p.feed(ctx, s, &after)
+		if ctx.Err() != nil {
+			return
+		}
+		p.cfg.Log.Debug().Str("server", string(s)).Err(err).Msg("probe: event feed ended")
+		if tick.Sleep(ctx, p.cfg.Timer, p.cfg.Retry) != nil {
+			return
+		}
+	}
+}
+
+func (p *Prober) feed(ctx context.Context, s ident.Server, after *uint64) error {
+	f, err := p.cfg.Engines.Events(ctx, s, *after)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for {
+		e, err := f.Next()
+		if err != nil {
+			return err
+		}
+		*after = e.Seq
+		p.cfg.Sink.Events(place.Events{Server: s, Seq: e.Seq, Add: e.Add, Drop: e.Drop})
+	}
+}
+
+func report(s ident.Server, l engine.Load) place.Report {
+	return place.Report{
+		Server:      s,
+		Seq:         l.Seq,
+		QueueTokens: l.QueueTokens,
+		Busy:        l.Busy,
+		TokenTime:   time.Duration(l.TokenMS * float64(time.Millisecond)),
+		Age:         time.Duration(l.AgeMS) * time.Millisecond,
+		Draining:    l.Draining,
+	}
+}
--- a/table/cell.go
+++ b/table/cell.go
@@ -85,6 +85,22 @@
 	return v
 }
 
+// maybeCount decodes a whole number; an empty cell stands for missing.
+func (d cells) maybeCount(column string, low, high, missing int64) int64 {
+	if d.text(column) == "" {
+		return missing
+	}
+	return d.count(column, low, high)
+}
+
+// maybeSpan decodes a duration; an empty cell stands for missing.
+func (d cells) maybeSpan(column string, low, high, missing time.Duration) time.Duration {
+	if d.text(column) == "" {
+		return missing
+	}
+	return d.span(column, low, high)
+}
+
 // flag decodes yes or no.
 func (d cells) flag(column string) bool {
 	s := strings.ToLower(d.text(column))
--- a/table/kind.go
+++ b/table/kind.go
@@ -17,18 +17,22 @@
 
 // The bounds of numbers in a table.
 const (
-	maxWeight    = 1_000_000
-	maxTokens    = 1_000_000_000_000
-	maxPlaces    = 10_000
-	maxPrompt    = 10_000_000
-	maxBytes     = 1_000_000_000_000
-	maxBody      = 64 << 20
-	maxPriority  = 100
-	maxTarget    = 10 * time.Minute
-	maxQueue     = 10 * time.Minute
-	maxTimeout   = time.Hour
-	maxKeyAge    = 24 * time.Hour
-	minTarget    = time.Millisecond
+	maxWeight   = 1_000_000
+	maxTokens   = 1_000_000_000_000
+	maxPlaces   = 10_000
+	maxPrompt   = 10_000_000
+	maxBytes    = 1_000_000_000_000
+	maxBody     = 64 << 20
+	maxPriority = 100
+	maxTarget   = 10 * time.Minute
+	maxQueue    = 10 * time.Minute
+	maxTimeout  = time.Hour
+	maxKeyAge   = 24 * time.Hour
+	minTarget   = time.Millisecond
+
+	defaultKVBytes  = 64 << 10
+	defaultTokenGap = 50 * time.Millisecond
+
 	maxRowBytes  = 8 << 10
 	maxFileBytes = 1 << 20
 )
@@ -39,19 +43,24 @@
 	{name: "seat", ids: 1, columns: []string{"name", "centre", "share"}, add: addSeat},
 	{name: "link", ids: 2, columns: []string{"from", "to", "rate", "burst"}, add: addLink},
 	{name: "class", ids: 1, columns: []string{"name", "first_token", "token_gap", "queue", "cross", "priority"}, add: addClass},
-	{name: "model", ids: 1, columns: []string{"name", "class", "piece_tokens", "max_prompt", "max_output"}, add: addModel},
+	{
+		name: "model", ids: 1,
+		columns:  []string{"name", "class", "piece_tokens", "max_prompt", "max_output", "kv_bytes"},
+		optional: []string{"kv_bytes"},
+		add:      addModel,
+	},
 	{name: "customer", ids: 1, columns: []string{"name", "weight", "rate", "burst"}, add: addCustomer},
 	{name: "key", ids: 1, columns: []string{"hash", "customer"}, add: addKey},
 	{
 		name: "server", ids: 1,
-		columns:  []string{"name", "centre", "kind", "role", "model", "service", "address", "places", "rate", "link", "fenced", "orders"},
-		optional: []string{"role", "model", "service", "places", "rate", "link", "fenced", "orders"},
+		columns:  []string{"name", "centre", "kind", "role", "model", "service", "address", "places", "rate", "link", "fenced", "orders", "token_gap"},
+		optional: []string{"role", "model", "service", "places", "rate", "link", "fenced", "orders", "token_gap"},
 		add:      addServer,
 	},
 	{
 		name: "route", ids: 1,
-		columns:  []string{"name", "prefix", "service", "open", "idempotent", "timeout", "body_limit", "key_age", "home"},
-		optional: []string{"key_age", "home"},
+		columns:  []string{"name", "prefix", "service", "open", "idempotent", "timeout", "body_limit", "key_age", "home", "status"},
+		optional: []string{"key_age", "home", "status"},
 		add:      addRoute,
 	},
 	{
@@ -131,6 +140,7 @@
 		PieceTokens:  d.count("piece_tokens", 1, maxPrompt),
 		MaxPrompt:    d.count("max_prompt", 1, maxPrompt),
 		MaxOutput:    d.count("max_output", 1, maxPrompt),
+		KVBytes:      d.maybeCount("kv_bytes", 1, maxBytes, defaultKVBytes),
 	})
 }
 
--- a/table/rows.go
+++ b/table/rows.go
@@ -48,6 +48,7 @@
 	PieceTokens  int64 // tokens in one piece of the prefix cache
 	MaxPrompt    int64 // tokens
 	MaxOutput    int64 // tokens
+	KVBytes      int64 // bytes of KV cache per prompt token
 }
 
 // Kind tells engines and plain services apart.
@@ -82,6 +83,9 @@
 	Link    int64       // bytes per second for KV transfers
 	Fenced  bool        // refuses orders with an old fencing number
 	Orders  bool        // may be given orders
+	// TokenGap is the time between two output tokens of a decode engine whose
+	// places are all taken.
+	TokenGap time.Duration
 }
 
 // Route leads a path prefix to a set of plain services.
@@ -95,6 +99,7 @@
 	BodyLimit  int64         // bytes
 	KeyAge     time.Duration // how long an idempotency key is remembered
 	Home       ident.Centre  // data centre where keyed calls run, empty for a hash
+	Status     string        // path under which callers read whether a call took effect
 }
 
 // Link is the paid link from one region to another.
--- a/table/server.go
+++ b/table/server.go
@@ -38,12 +38,13 @@
 	if s.Role == Prefill || s.Orders {
 		s.Rate = d.count("rate", 1, maxTokens)
 	}
+	s.TokenGap = d.maybeSpan("token_gap", minTarget, maxTarget, defaultTokenGap)
 	d.empty("service", "an engine belongs to no service")
 }
 
 func (d cells) service(s *Server) {
 	s.Service = d.name("service")
-	for _, column := range []string{"role", "model", "rate", "link"} {
+	for _, column := range []string{"role", "model", "rate", "link", "token_gap"} {
 		d.empty(column, "a plain service has none")
 	}
 	if d.maybeFlag("orders") {
@@ -86,8 +87,12 @@
 		Timeout:    d.span("timeout", minTarget, maxTimeout),
 		BodyLimit:  d.count("body_limit", 0, maxBody),
 		Home:       ident.Centre(d.maybe("home")),
+		Status:     d.text("status"),
 	}
 	d.prefix(r.Prefix)
+	if r.Status != "" && !prefixPattern.MatchString(r.Status) {
+		d.fault("status", quote(r.Status)+" must be a plain path that starts with /")
+	}
 	if !r.Idempotent || d.text("key_age") != "" {
 		r.KeyAge = d.span("key_age", time.Second, maxKeyAge)
 	}
