--- /dev/null
+++ b/limit/group.go
@@ -0,0 +1,82 @@
+package limit
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabidock.dev/dock/ident"
+)
+
+const (
+	// Groups is the number of groups of customers. A seat leases its share
+	// group by group.
+	Groups = 16
+	// Whole is the sum of the shares of all seats, in parts per million.
+	Whole = 1_000_000
+	// GrantLife is the time from before the ask within which a grant must be
+	// used.
+	GrantLife = time.Second
+
+	linkPrefix = "link:"
+)
+
+// Terms are the rate and the burst of a customer.
+type Terms struct {
+	Rate  int64 // tokens per second
+	Burst int64 // tokens
+}
+
+// Customer is a customer with its terms.
+type Customer struct {
+	Name ident.Customer
+	Terms
+}
+
+// Link returns the name under which the traffic over the paid link from one
+// region to another is limited, in bytes in place of tokens.
+func Link(from, to ident.Region) ident.Customer {
+	return ident.Customer(linkPrefix + string(from) + ":" + string(to))
+}
+
+// GroupOf returns the group of a customer.
+func GroupOf(c ident.Customer) uint32 {
+	return uint32(xxhash.Sum64String(string(c)) % Groups)
+}
+
+// Rank returns the instances in the order in which they are to hold a group:
+// the first is its home, the others stand in when those before them fail.
+func Rank(group uint32, live []ident.Instance) []ident.Instance {
+	type scored struct {
+		score uint64
+		name  ident.Instance
+	}
+	set := make([]scored, len(live))
+	prefix := strconv.FormatUint(uint64(group), 10) + "/"
+	for i, n := range live {
+		set[i] = scored{xxhash.Sum64String(prefix + string(n)), n}
+	}
+	sort.Slice(set, func(i, j int) bool {
+		if set[i].score != set[j].score {
+			return set[i].score > set[j].score
+		}
+		return set[i].name < set[j].name
+	})
+	ranked := make([]ident.Instance, len(set))
+	for i, s := range set {
+		ranked[i] = s.name
+	}
+	return ranked
+}
+
+// driftShare is the largest difference in speed between two clocks, as a
+// fraction 1/driftShare of the time measured.
+const driftShare = 100
+
+// longer returns a time that is at least d on any other clock.
+func longer(d time.Duration) time.Duration { return d + d/driftShare }
+
+// shorter returns a time that is at most d on any other clock.
+func shorter(d time.Duration) time.Duration { return d - d/driftShare }
--- /dev/null
+++ b/limit/seat.go
@@ -0,0 +1,159 @@
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// DefaultMaxLife is the longest life of a lease.
+	DefaultMaxLife = 6 * time.Second
+	// DefaultRaiseAfter is the time within which a table is in force
+	// everywhere.
+	DefaultRaiseAfter = 15 * time.Second
+
+	minLife     = 2400 * time.Millisecond
+	lifePerSeat = 100 * time.Millisecond
+)
+
+// SeatConfig configures a Seat.
+type SeatConfig struct {
+	// Start is the instant at which the process started.
+	Start tick.Instant
+	// MaxLife is the longest life of a lease, the same in the whole fleet.
+	MaxLife time.Duration
+	// RaiseAfter is the time after which a larger share takes effect. It
+	// covers the time for a table to be in force everywhere.
+	RaiseAfter time.Duration
+}
+
+// Seat leases one seat's share of all buckets to holders, group by group.
+type Seat struct {
+	maxLife time.Duration
+	raise   time.Duration
+	opens   tick.Instant // nothing is leased before
+
+	mu     sync.Mutex // guards the fields below
+	share  int64
+	target int64
+	due    tick.Instant // target takes effect, if it is larger
+	leased [Groups]tenancy
+}
+
+type tenancy struct {
+	holder ident.Node
+	until  tick.Instant
+}
+
+// NewSeat returns a seat that waits out the leases of its predecessor.
+func NewSeat(cfg SeatConfig) *Seat {
+	if cfg.MaxLife <= 0 {
+		cfg.MaxLife = DefaultMaxLife
+	}
+	if cfg.RaiseAfter <= 0 {
+		cfg.RaiseAfter = DefaultRaiseAfter
+	}
+	return &Seat{
+		maxLife: cfg.MaxLife,
+		raise:   cfg.RaiseAfter,
+		opens:   cfg.Start + outlast(cfg.MaxLife),
+	}
+}
+
+// SetShare tells the share that the table in force gives to the seat. A
+// smaller share takes effect at once. A larger one takes effect once the
+// revision is in force everywhere and leases of larger shares of others are
+// over.
+func (s *Seat) SetShare(now tick.Instant, share int64) {
+	share = min(max(share, 0), Whole)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(now)
+	if share == s.target {
+		return
+	}
+	s.target = share
+	s.share = min(s.share, share)
+	s.due = now + s.raise + outlast(s.maxLife)
+}
+
+// Confirm tells that the revision of the last SetShare is in force at every
+// seat, so that a larger share need only wait for leases to run out.
+func (s *Seat) Confirm(now tick.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.due = min(s.due, now+outlast(s.maxLife))
+}
+
+// Grant leases the groups that no other holder has, and returns them and the
+// seat's share. The lease runs until life from now.
+func (s *Seat) Grant(now tick.Instant, holder ident.Node, groups []uint32, life time.Duration) (granted []uint32, share int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(now)
+	if now < s.opens || s.share == 0 || life <= 0 || life > s.maxLife {
+		return nil, 0
+	}
+	for _, g := range groups {
+		if g >= Groups {
+			continue
+		}
+		t := &s.leased[g]
+		if t.holder != holder && now < t.until {
+			continue
+		}
+		t.holder = holder
+		t.until = max(t.until, now+outlast(life))
+		granted = append(granted, g)
+	}
+	return granted, s.share
+}
+
+// Release ends the holder's leases of the groups.
+func (s *Seat) Release(now tick.Instant, holder ident.Node, groups []uint32) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range groups {
+		if g < Groups && s.leased[g].holder == holder {
+			s.leased[g].until = min(s.leased[g].until, now)
+		}
+	}
+}
+
+// Share returns the share that takes effect now.
+func (s *Seat) Share(now tick.Instant) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(now)
+	if now < s.opens {
+		return 0
+	}
+	return s.share
+}
+
+func (s *Seat) apply(now tick.Instant) {
+	if s.share != s.target && now >= s.due {
+		s.share = s.target
+	}
+}
+
+// outlast returns how long a lease of this life counts at the seat.
+func outlast(life time.Duration) time.Duration { return longer(life) }
+
+// usable returns how long a lease of this life counts at the holder, from
+// before it asked: whatever it grants is used before the lease ends.
+func usable(life time.Duration) time.Duration {
+	return shorter(life) - longer(longer(GrantLife))
+}
+
+// Life returns the life of the leases in a data centre with this many seats. It
+// grows with them, so that the messages of a holder stay few.
+func Life(seats int, maxLife time.Duration) time.Duration {
+	return min(max(minLife, time.Duration(seats)*lifePerSeat), maxLife)
+}
+
+// RenewEvery returns the period at which leases of this life are renewed.
+func RenewEvery(life time.Duration) time.Duration { return usable(life) / 3 }
