--- /dev/null
+++ b/quota/renew.go
@@ -0,0 +1,152 @@
+package quota
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/limit"
+	"wasabidock.dev/dock/peerpb"
+)
+
+const (
+	// fadeSteps is the number of renewals over which an instance that is no
+	// longer home of a group lets its leases run out. Meanwhile its level
+	// drains instead of being lost.
+	fadeSteps = 4
+	// releaseWait outlasts every grant.
+	releaseWait = limit.GrantLife + limit.GrantLife/20
+)
+
+// Run renews the leases and delivers settlements until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	done := make(chan struct{}, settleWorkers)
+	for range settleWorkers {
+		go func() {
+			s.settleAll(ctx)
+			done <- struct{}{}
+		}()
+	}
+	for s.sleep(ctx, s.renew(ctx)) == nil {
+		s.requeue()
+		s.lenders.forget(s.time.Now())
+	}
+	for range settleWorkers {
+		<-done
+	}
+	return nil
+}
+
+// Release ends all leases of this instance as a holder: it grants nothing
+// more, waits until its grants are used, and tells the seats. The tokens left
+// are lost. Requests are still admitted through other instances.
+func (s *Service) Release(ctx context.Context) error {
+	s.draining.Store(true)
+	groups := s.holder.Stop(s.time.Now())
+	if err := s.sleep(ctx, releaseWait); err != nil {
+		return err
+	}
+	for _, seat := range s.view.Live(s.centre) {
+		s.renewAt(ctx, seat, &peerpb.LeaseRequest{Holder: s.self(), Released: groups})
+	}
+	s.renewAt(ctx, s.node.Instance, &peerpb.LeaseRequest{Holder: s.self(), Released: groups})
+	return nil
+}
+
+// renew asks all live seats of the data centre for the groups that this
+// instance is to hold, and returns the time until the next renewal.
+func (s *Service) renew(ctx context.Context) time.Duration {
+	s.confirm()
+	seats := slices.Clone(s.view.Live(s.centre))
+	slices.Sort(seats)
+	life := limit.Life(len(seats), s.maxLife)
+	if s.draining.Load() {
+		return limit.RenewEvery(life)
+	}
+	wanted := s.wanted(seats)
+	done := make(chan struct{}, len(seats))
+	asked := 0
+	for i, seat := range seats {
+		groups := wanted.at(i, len(seats))
+		if len(groups) == 0 {
+			continue
+		}
+		asked++
+		go func() {
+			s.renewAt(ctx, seat, &peerpb.LeaseRequest{Holder: s.self(), Groups: groups, LifeMs: life.Milliseconds()})
+			done <- struct{}{}
+		}()
+	}
+	for range asked {
+		<-done
+	}
+	return limit.RenewEvery(life)
+}
+
+// want lists the groups to renew, and for each how many steps it has faded.
+type want struct {
+	groups []uint32
+	faded  []int
+}
+
+// at returns the groups to renew at the seat with index i of n.
+func (w want) at(i, n int) []uint32 {
+	var groups []uint32
+	for j, g := range w.groups {
+		if i*fadeSteps >= w.faded[j]*n {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
+func (s *Service) wanted(seats []ident.Instance) want {
+	now := s.time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var w want
+	for g := range uint32(limit.Groups) {
+		ranked := limit.Rank(g, seats)
+		if now < s.stood[g] || len(ranked) > 0 && ranked[0] == s.node.Instance {
+			s.fading[g] = 0
+		} else {
+			s.fading[g]++
+		}
+		if s.fading[g] < fadeSteps {
+			w.groups = append(w.groups, g)
+			w.faded = append(w.faded, s.fading[g])
+		}
+	}
+	return w
+}
+
+// renewAt asks one seat and takes what it leases.
+func (s *Service) renewAt(ctx context.Context, seat ident.Instance, req *peerpb.LeaseRequest) {
+	asked := s.time.Now()
+	resp, err := s.leaseAt(ctx, seat, req)
+	if err != nil {
+		s.log.Debug().Str("peer", string(seat)).Err(err).Msg("quota: lease failed")
+		return
+	}
+	from := fromNode(resp.GetSeat())
+	if from.Instance != seat || !s.view.Current(from) {
+		return
+	}
+	life := time.Duration(resp.GetLifeMs()) * time.Millisecond
+	s.holder.Lease(s.time.Now(), asked, seat, resp.GetGranted(), resp.GetSharePpm(), life)
+}
+
+func (s *Service) leaseAt(ctx context.Context, seat ident.Instance, req *peerpb.LeaseRequest) (*peerpb.LeaseResponse, error) {
+	if seat == s.node.Instance {
+		return s.lease(s.node, req), nil
+	}
+	client, err := s.dialer.Limit(seat)
+	if err != nil {
+		return nil, err
+	}
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	s.counts.leases.Add(1)
+	return client.Lease(call, req)
+}
