front: serve chat completions, models and plain routes

Cause: callers need one place that knows their keys and ends every request with a whole answer or an explicit error.

--- /dev/null
+++ b/front/config.go
@@ -0,0 +1,173 @@
+package front
+
+import (
+	"context"
+	"crypto/tls"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/once"
+	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	maxChatBody     = 8 << 20 // bytes
+	maxPlainBody    = 1 << 20 // bytes, for routes without a limit
+	maxHeaderBytes  = 32 << 10
+	headerLimit     = 5 * time.Second  // for a request's headers to arrive
+	bodyProgress    = 10 * time.Second // of silence while a body arrives
+	bodyLimit       = 60 * time.Second // for a whole body to arrive
+	idleLimit       = 2 * time.Minute  // of a kept-alive connection
+	defaultStall    = 10 * time.Second // for a caller to take what was written
+	defaultSettle   = 5 * time.Second  // for the balancer to notice a drain
+	defaultWhole    = 10 * time.Minute // for a whole answer of a model
+	defaultOutput   = 512              // tokens
+	bytesPerToken   = 4
+	maxIdempotency  = 255 // bytes of an idempotency key
+	maxRequestID    = 64  // bytes
+	sendBufferBytes = 64 << 10
+	pieceBytes      = 32 << 10 // of a whole answer written at a time
+)
+
+// Model is what the table says of a model.
+type Model struct {
+	Name      ident.Model
+	Class     ident.Class // default latency class
+	MaxPrompt int64       // tokens
+	MaxOutput int64       // tokens
+}
+
+// Class is a latency class.
+type Class struct {
+	Name       ident.Class
+	FirstToken time.Duration // target
+	Gap        time.Duration // target between tokens
+	Whole      time.Duration // for the whole answer, zero for the default
+}
+
+// Route leads a path prefix to a plain service.
+type Route struct {
+	Name       ident.Route
+	Open       bool // needs no key
+	Idempotent bool
+	Limit      time.Duration
+	MaxBody    int64 // bytes, zero for the default
+	MaxAnswer  int64 // bytes, zero for the default
+	Tokens     int64 // charged for each call
+}
+
+// View is one revision of the table.
+type View interface {
+	Revision() uint64
+	KeyOwner(sum [32]byte) (ident.Customer, bool)
+	Model(ident.Model) (Model, bool)
+	Models() []ident.Model
+	Class(ident.Class) (Class, bool)
+	RouteFor(path string) (Route, bool)
+}
+
+// Table gives the revision in force, and false before there is one.
+type Table interface {
+	View() (View, bool)
+}
+
+// Limiter admits requests within their customers' rates. Settle is told once
+// what was used; fresh reports whether the tokens may still be spent.
+type Limiter interface {
+	Admit(ctx context.Context, r ident.Request, c ident.Customer, tokens int64) (settle func(used int64), fresh func() bool, err error)
+}
+
+// Generation is a request to a model.
+type Generation struct {
+	Request      ident.Request
+	Customer     ident.Customer
+	Model        ident.Model
+	Class        Class
+	Prompt       string
+	PromptTokens int64
+	MaxOutput    int64
+	Seed         int64
+	Exact        bool // temperature zero and a seed
+	Arrived      tick.Instant
+	Deadline     tick.Instant
+	Fresh        func() bool // the charged tokens may still be spent
+}
+
+// Result tells what became of a Generation, whole or not.
+type Result struct {
+	Total      int64  // tokens given to the sink
+	Reason     string // finish reason if the answer is whole
+	FirstToken time.Duration
+	MaxGap     time.Duration
+	OnTime     bool  // whole and within both latency targets
+	Wasted     int64 // prompt tokens computed in vain
+	Attempts   int
+	Prefill    ident.Server
+	Decode     ident.Server
+}
+
+// Sink takes the output of a model, token by token.
+type Sink interface {
+	Token(offset int64, text string) error
+}
+
+// Generator runs requests to models. A nil error means that the sink got the
+// whole answer.
+type Generator interface {
+	Run(ctx context.Context, g Generation, s Sink) (Result, error)
+}
+
+// PlainCaller calls plain services.
+type PlainCaller interface {
+	Call(ctx context.Context, c plain.Call) (plain.Answer, error)
+}
+
+// KeyedCaller runs calls with an idempotency key at most once.
+type KeyedCaller interface {
+	Run(ctx context.Context, c once.Call) (plain.Answer, error)
+}
+
+// Meter takes the measures.
+type Meter interface {
+	Ended(Ended)
+	Refused(c ident.Customer, code fail.Code, within bool)
+}
+
+// Ended is what the meter learns of a request to a model that was admitted.
+type Ended struct {
+	Customer ident.Customer
+	Model    ident.Model
+	Outcome  ident.Outcome
+	Result   Result
+	Prompt   int64
+}
+
+// Config holds what a Server needs.
+type Config struct {
+	Table     Table
+	Limiter   Limiter
+	Generator Generator
+	Plain     PlainCaller
+	Keyed     KeyedCaller
+	Meter     Meter
+	Clock     tick.Service
+	Log       zerolog.Logger
+
+	// Explain gives the code and the time to come back for errors of the
+	// generator that are no refusals. It may be nil.
+	Explain func(error) (fail.Code, time.Duration)
+	// NewID makes the identifiers of requests that come without one.
+	NewID func() ident.Request
+	// Wall tells the time that answers carry; nil for the machine's clock.
+	Wall func() time.Time
+	// TLS is nil for plain text.
+	TLS *tls.Config
+	// Stall is how long a caller may take nothing of what was written.
+	Stall time.Duration
+	// Settle is how long Drain keeps accepting before it waits for the end.
+	Settle time.Duration
+}
--- /dev/null
+++ b/front/output.go
@@ -0,0 +1,148 @@
+package front
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+)
+
+var (
+	errOffset = errors.New("front: a token came at the wrong offset")
+	errCaller = errors.New("front: the caller does not take the answer")
+)
+
+// output relays the output of a model to its caller, token by token or as a
+// whole. It is the Sink of one request.
+type output struct {
+	x       *exchange
+	id      string
+	model   ident.Model
+	created int64
+	stream  bool
+	next    int64 // offset of the token that comes next
+	text    strings.Builder
+	begun   bool // the head of a stream was written
+}
+
+func newOutput(x *exchange, m ident.Model, stream bool) *output {
+	return &output{x: x, id: "chatcmpl-" + string(x.id), model: m, created: x.s.created(), stream: stream}
+}
+
+// Token takes the token at an offset, which must be the next one.
+func (o *output) Token(offset int64, text string) error {
+	if offset != o.next {
+		return errOffset
+	}
+	if !o.stream {
+		o.text.WriteString(text)
+		o.next++
+		return nil
+	}
+	if err := o.begin(); err != nil {
+		return err
+	}
+	if err := o.chunk(chatDelta{Content: text}, nil, nil); err != nil {
+		return err
+	}
+	o.next++
+	return nil
+}
+
+// complete reports whether exactly total tokens came.
+func (o *output) complete(total int64) bool { return o.next == total }
+
+// begin writes the head of a stream once.
+func (o *output) begin() error {
+	if o.begun {
+		return nil
+	}
+	o.begun = true
+	h := o.x.c.Writer.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	h.Set("X-Accel-Buffering", "no")
+	o.x.note.status = 200
+	o.x.c.Writer.WriteHeader(200)
+	return o.chunk(chatDelta{Role: "assistant"}, nil, nil)
+}
+
+// finish ends a whole answer.
+func (o *output) finish(res Result, prompt int64) {
+	usage := chatUsage{PromptTokens: prompt, CompletionTokens: res.Total, TotalTokens: prompt + res.Total}
+	if !o.stream {
+		o.x.json(200, chatAnswer{
+			ID: o.id, Object: "chat.completion", Created: o.created, Model: o.model,
+			Choices: []chatChoice{{
+				Message:      chatMessage{Role: "assistant", Content: chatContent(o.text.String())},
+				FinishReason: res.Reason,
+			}},
+			Usage: usage,
+		})
+		return
+	}
+	if o.begin() != nil || o.chunk(chatDelta{}, &res.Reason, &usage) != nil {
+		return
+	}
+	_ = o.write("data: [DONE]\n\n")
+}
+
+// abort ends an answer that is not whole: with an error status if nothing was
+// written yet, and with an error event otherwise.
+func (o *output) abort(f fault) {
+	if !o.begun {
+		o.x.refuse(f)
+		return
+	}
+	if o.x.withdrawnKey() {
+		f = o.x.withdrawn(f)
+	}
+	f.outcome = worst(f.outcome)
+	o.x.fail(f)
+	b, err := json.Marshal(f.body(o.x.id))
+	if err != nil {
+		return
+	}
+	_ = o.write("event: error\ndata: " + string(b) + "\n\n")
+}
+
+// worst returns the outcome of an answer of which a part was sent.
+func worst(o ident.Outcome) ident.Outcome {
+	if o == ident.NotRun {
+		return ident.Unknown
+	}
+	return o
+}
+
+func (o *output) chunk(d chatDelta, reason *string, usage *chatUsage) error {
+	b, err := json.Marshal(chatChunk{
+		ID: o.id, Object: "chat.completion.chunk", Created: o.created, Model: o.model,
+		Choices: []chunkPiece{{Delta: d, FinishReason: reason}},
+		Usage:   usage,
+	})
+	if err != nil {
+		return err
+	}
+	return o.write("data: " + string(b) + "\n\n")
+}
+
+// write gives the caller the stall limit to take s.
+func (o *output) write(s string) error {
+	o.x.progress()
+	if _, err := o.x.c.Writer.WriteString(s); err != nil {
+		return o.gone()
+	}
+	if err := o.x.rc.Flush(); err != nil {
+		return o.gone()
+	}
+	return nil
+}
+
+// gone ends the work for a caller that is not there any more.
+func (o *output) gone() error {
+	o.x.cancel(errCaller)
+	return fail.New("front: write", "caller", ident.Unknown, errCaller)
+}
--- /dev/null
+++ b/front/server.go
@@ -0,0 +1,205 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+)
+
+// Server serves the callers.
+type Server struct {
+	cfg      Config
+	http     *http.Server
+	active   active
+	draining atomic.Bool
+	ended    chan struct{} // holds a token after an exchange has ended
+}
+
+// New returns a Server.
+func New(cfg Config) (*Server, error) {
+	if cfg.Table == nil || cfg.Limiter == nil || cfg.Generator == nil || cfg.Plain == nil ||
+		cfg.Keyed == nil || cfg.Meter == nil || cfg.Clock == nil || cfg.NewID == nil {
+		return nil, errors.New("front: a part is missing in the configuration")
+	}
+	if cfg.Wall == nil {
+		cfg.Wall = time.Now
+	}
+	if cfg.Stall == 0 {
+		cfg.Stall = defaultStall
+	}
+	if cfg.Settle == 0 {
+		cfg.Settle = defaultSettle
+	}
+	s := &Server{cfg: cfg, ended: make(chan struct{}, 1)}
+	s.http = &http.Server{
+		Handler:           s.routes(),
+		TLSConfig:         cfg.TLS,
+		ReadHeaderTimeout: headerLimit,
+		IdleTimeout:       idleLimit,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       limitSendBuffer,
+	}
+	return s, nil
+}
+
+// routes builds the handler of all paths.
+func (s *Server) routes() http.Handler {
+	gin.SetMode(gin.ReleaseMode)
+	e := gin.New()
+	e.RedirectTrailingSlash = false
+	e.RedirectFixedPath = false
+	e.HandleMethodNotAllowed = true
+	e.UseRawPath = true
+	e.ForwardedByClientIP = false
+	e.Use(s.recover)
+	e.POST("/v1/chat/completions", s.chat)
+	e.GET("/v1/models", s.models)
+	e.NoMethod(s.noMethod)
+	e.NoRoute(s.plain)
+	return e
+}
+
+// Handler returns the handler of all paths, for tests and embedding.
+func (s *Server) Handler() http.Handler { return s.http.Handler }
+
+// recover turns a panic into an explicit error. The value of the panic is not
+// logged, for it may hold parts of the request.
+func (s *Server) recover(c *gin.Context) {
+	defer func() {
+		v := recover()
+		if v == nil {
+			return
+		}
+		s.cfg.Log.Error().Str("panic", fmt.Sprintf("%T", v)).Msg("front: handler failed")
+		if c.Writer.Written() {
+			panic(http.ErrAbortHandler)
+		}
+		f := fault{code: fail.CodeInternal, message: "the request failed inside the router", outcome: ident.Unknown}
+		c.JSON(f.status(), f.body(""))
+	}()
+	c.Next()
+}
+
+func (s *Server) noMethod(c *gin.Context) {
+	x := s.open(c, "method")
+	defer x.close()
+	x.refuse(refused(fail.CodeMethod, "the path does not take this method"))
+}
+
+// Listen opens a listener whose connections are given up when the other side
+// does not acknowledge what was sent, or does not answer keep-alive probes.
+func Listen(ctx context.Context, addr string) (net.Listener, error) {
+	lc := net.ListenConfig{
+		Control:         limitUnacknowledged,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
+	}
+	l, err := lc.Listen(ctx, "tcp", addr)
+	return l, errors.Wrap(err, "front: listen")
+}
+
+const (
+	keepAliveIdle     = 10 * time.Second
+	keepAliveInterval = 5 * time.Second
+	keepAliveCount    = 3
+	unacknowledged    = 15 * time.Second
+	tcpUserTimeout    = 18 // TCP_USER_TIMEOUT of Linux
+)
+
+func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
+	var opt error
+	err := c.Control(func(fd uintptr) {
+		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return opt
+}
+
+// limitSendBuffer keeps the send buffer small, so that a caller that stops
+// reading is noticed soon.
+func limitSendBuffer(ctx context.Context, c net.Conn) context.Context {
+	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = t.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(sendBufferBytes)
+	}
+	return ctx
+}
+
+// Serve serves l until Drain. The returned channel gets the reason of the end,
+// nil after Drain, and is closed.
+func (s *Server) Serve(l net.Listener) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		defer close(done)
+		var err error
+		if s.cfg.TLS != nil {
+			err = s.http.ServeTLS(l, "", "")
+		} else {
+			err = s.http.Serve(l)
+		}
+		if !errors.Is(err, http.ErrServerClosed) {
+			done <- errors.Wrap(err, "front: serve")
+		}
+	}()
+	return done
+}
+
+// Active returns the number of requests on their way.
+func (s *Server) Active() int64 { return s.active.count.Load() }
+
+// Draining reports whether the server is to get no new callers.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Withdraw ends the open requests whose key is no longer valid. It is called
+// with each new revision of the table.
+func (s *Server) Withdraw(valid func(sum [32]byte) bool) {
+	if n := s.active.withdraw(valid); n > 0 {
+		s.cfg.Log.Info().Int("requests", n).Msg("front: requests ended because their keys were withdrawn")
+	}
+}
+
+// Drain marks the server as not ready, keeps accepting until the balancer can
+// have noticed, then waits until every request has ended. It cuts none,
+// however long that takes, also when it is called twice: the end of ctx ends
+// only the waiting.
+func (s *Server) Drain(ctx context.Context) error {
+	if !s.draining.Swap(true) {
+		s.cfg.Log.Info().Int64("requests", s.Active()).Msg("front: draining")
+	}
+	settle := s.cfg.Clock.After(s.cfg.Settle)
+	defer settle.Stop()
+	select {
+	case <-settle.C():
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for s.Active() > 0 {
+		select {
+		case <-s.ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return errors.Wrap(s.http.Shutdown(ctx), "front: shut down")
+}
+
+// wake tells a waiting Drain that an exchange has ended.
+func (s *Server) wake() {
+	select {
+	case s.ended <- struct{}{}:
+	default:
+	}
+}
