wasabid: wire the parts of the daemon

Cause: the parts exist and nothing joins them. Change: fx module, adapters from the table to each part, follower of table changes, life from start to drain. No measurement was made.

--- /dev/null
+++ b/wasabid/app/bridge.go
@@ -0,0 +1,114 @@
+package app
+
+import (
+	"context"
+	"time"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/flow"
+	"wasabidock.dev/dock/front"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/limit"
+	"wasabidock.dev/dock/meter"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/quota"
+)
+
+// limiter lets package front admit requests.
+type limiter struct{ s *quota.Service }
+
+// Admit charges tokens to a customer.
+func (l limiter) Admit(ctx context.Context, r ident.Request, c ident.Customer, tokens int64) (settle func(used int64), fresh func() bool, err error) {
+	ch, err := l.s.Admit(ctx, r, c, tokens)
+	if err != nil {
+		return nil, nil, err
+	}
+	return ch.Settle, ch.Fresh, nil
+}
+
+// toll pays for traffic between regions from the bucket of the link.
+type toll struct{ s *quota.Service }
+
+// Pay takes bytes from the allowance of the link.
+func (t toll) Pay(ctx context.Context, from, to ident.Region, bytes int64) bool {
+	ch, err := t.s.Admit(ctx, "", limit.Link(from, to), bytes)
+	if err != nil {
+		return false
+	}
+	ch.Settle(bytes)
+	return true
+}
+
+// generator lets package front run requests to models.
+type generator struct {
+	tables *tables
+	runner *flow.Runner
+}
+
+// Run carries a request through its life.
+func (g generator) Run(ctx context.Context, r front.Generation, s front.Sink) (front.Result, error) {
+	req := flow.Request{
+		ID:           r.Request,
+		Customer:     r.Customer,
+		Model:        r.Model,
+		Class:        r.Class.Name,
+		Prompt:       r.Prompt,
+		PromptTokens: r.PromptTokens,
+		MaxOutput:    r.MaxOutput,
+		Seed:         r.Seed,
+		Exact:        r.Exact,
+		FirstToken:   r.Class.FirstToken,
+		Gap:          r.Class.Gap,
+		Arrived:      r.Arrived,
+		Deadline:     r.Deadline,
+		FreshCharge:  r.Fresh,
+	}
+	if t := g.tables.table(); t != nil {
+		if m, ok := t.Model(r.Model); ok {
+			req.Pieces = place.Pieces(r.Prompt, int(m.PieceTokens))
+		}
+		if c, ok := t.Class(r.Class.Name); ok {
+			req.Priority = lowestPriority - c.Priority
+		}
+	}
+	res, err := g.runner.Run(ctx, req, s)
+	return front.Result{
+		Total:      res.Total,
+		Reason:     res.Reason,
+		FirstToken: res.FirstToken,
+		MaxGap:     res.MaxGap,
+		OnTime:     res.OnTime,
+		Wasted:     res.Wasted,
+		Attempts:   res.Attempts,
+		Prefill:    res.Prefill,
+		Decode:     res.Decode,
+	}, err
+}
+
+// lowestPriority turns the table's priorities, of which the larger goes first,
+// into the engines', of which the smaller does.
+const lowestPriority = 100
+
+// measures lets package front tell the meter.
+type measures struct{ m *meter.Meter }
+
+// Ended counts a request that was admitted and has ended.
+func (x measures) Ended(e front.Ended) {
+	x.m.Ended(meter.Sample{
+		Customer:   e.Customer,
+		Model:      e.Model,
+		Outcome:    e.Outcome,
+		Good:       e.Result.OnTime,
+		FirstToken: e.Result.FirstToken,
+		MaxGap:     e.Result.MaxGap,
+		Prompt:     e.Prompt,
+		Output:     e.Result.Total,
+		Wasted:     e.Result.Wasted,
+	})
+}
+
+// Refused counts a refusal.
+func (x measures) Refused(c ident.Customer, code fail.Code, within bool) { x.m.Refused(c, code, within) }
+
+// pause is the longest wait between two looks at what has no subscription.
+const pause = 250 * time.Millisecond
--- /dev/null
+++ b/wasabid/app/daemon.go
@@ -0,0 +1,210 @@
+package app
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"wasabidock.dev/dock/front"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/meter"
+	"wasabidock.dev/dock/once"
+	"wasabidock.dev/dock/peer"
+	"wasabidock.dev/dock/probe"
+	"wasabidock.dev/dock/quota"
+	"wasabidock.dev/dock/roster"
+	"wasabidock.dev/dock/sched"
+	"wasabidock.dev/dock/spread"
+	"wasabidock.dev/dock/sweep"
+	"wasabidock.dev/dock/tick"
+	"wasabidock.dev/dock/wasabid/conf"
+)
+
+// The bounds of the steps of a daemon's end that follow the last request.
+const (
+	leaveLimit   = 5 * time.Second
+	releaseLimit = 5 * time.Second
+	reloadEvery  = time.Minute
+)
+
+// parts are what the daemon starts and stops.
+type parts struct {
+	fx.In
+
+	Cfg      *conf.Config
+	Node     ident.Node
+	Log      zerolog.Logger
+	Timer    tick.Service
+	Secure   secure
+	Members  *roster.Roster
+	Tables   *tables
+	Spread   *spread.Fleet
+	Quota    *quota.Service
+	Sched    *sched.Service
+	Placer   *sched.Client
+	Once     *once.Service
+	Keeper   *sweep.Keeper
+	Sweeper  *sweep.Sweeper
+	Prober   *probe.Prober
+	Meter    *meter.Meter
+	Front    *front.Server
+	PeerL    net.Listener
+	PeerSrv  *peer.Server
+	PeerPool *peer.Pool
+}
+
+// daemon carries the parts through their life.
+type daemon struct {
+	parts
+	log    zerolog.Logger
+	group  *group
+	callL  net.Listener
+	served <-chan error
+}
+
+func newDaemon(lc fx.Lifecycle, p parts) *daemon {
+	d := &daemon{parts: p, log: logs.Part(p.Log, "app")}
+	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
+	return d
+}
+
+// start opens the listeners and starts the parts. It does not wait for the
+// fleet: until there is a table, callers are refused and the daemon is not
+// ready.
+func (d *daemon) start(context.Context) error {
+	// The context of fx ends with the start; the parts outlive it.
+	ctx := context.Background()
+	l, err := front.Listen(ctx, d.Cfg.Listen())
+	if err != nil {
+		return errors.Wrapf(err, "front: listen %s", d.Cfg.Listen())
+	}
+	d.callL = l
+	adm, err := newAdmin(d.Cfg.AdminListen(), d.ready, d.Meter.Handler(), logs.Part(d.Log, "admin"))
+	if err != nil {
+		return err
+	}
+	loops := d.loops(adm)
+	if d.Cfg.DebugListen() != "" {
+		dbg, err := newDebug(d.Cfg.DebugListen(), logs.Part(d.Log, "debug"))
+		if err != nil {
+			return err
+		}
+		loops = append(loops, part{"debug", dbg.run})
+	}
+	d.PeerSrv.Serve(ctx, d.PeerL)
+	d.group = startGroup(ctx, d.log, loops)
+	d.served = d.Front.Serve(l)
+	d.log.Info().
+		Str("instance", string(d.Node.Instance)).
+		Uint64("incarnation", d.Node.Incarnation).
+		Str("callers", l.Addr().String()).
+		Str("peers", d.PeerL.Addr().String()).
+		Str("admin", adm.l.Addr().String()).
+		Msg("app: listening")
+	return nil
+}
+
+// loops are the parts that run in the background.
+func (d *daemon) loops(adm *admin) []part {
+	f := follower{daemon: d, departed: make(map[ident.Server]bool)}
+	list := []part{
+		{"spread", d.Spread.Run},
+		{"limit", d.Quota.Run},
+		{"table", f.run},
+		{"place", untilClosed(d.Sched.Run)},
+		{"progress", untilClosed(d.Placer.Run)},
+		{"once", untilClosed(d.Once.Start)},
+		{"probe", d.Prober.Run},
+		{"admin", adm.run},
+		{"keeper", func(ctx context.Context) error {
+			d.Keeper.Start(ctx)
+			<-d.Keeper.Done()
+			return nil
+		}},
+		{"sweeper", func(ctx context.Context) error {
+			d.Sweeper.Start(ctx)
+			<-d.Sweeper.Done()
+			return nil
+		}},
+	}
+	if s := d.Secure.callers; s != nil {
+		list = append(list, part{"certs", untilClosed(func(ctx context.Context) <-chan struct{} {
+			return s.Start(ctx, d.Timer, reloadEvery, logs.Part(d.Log, "certs"))
+		})})
+	}
+	if s := d.Secure.peers; s != nil {
+		list = append(list, part{"peercerts", untilClosed(func(ctx context.Context) <-chan struct{} {
+			return s.Start(ctx, d.Timer, reloadEvery, logs.Part(d.Log, "certs"))
+		})})
+	}
+	return list
+}
+
+// untilClosed makes a loop of a part that reports its end by closing a
+// channel.
+func untilClosed(start func(context.Context) <-chan struct{}) func(context.Context) error {
+	return func(ctx context.Context) error {
+		<-start(ctx)
+		return nil
+	}
+}
+
+// ready reports whether the daemon wants new callers, or why not.
+func (d *daemon) ready() (bool, string) {
+	if d.Front.Draining() {
+		return false, "draining"
+	}
+	select {
+	case <-d.Spread.Superseded():
+		return false, "superseded by another process in the seat"
+	default:
+	}
+	if d.Tables.table() == nil {
+		return false, "no table yet"
+	}
+	select {
+	case <-d.Spread.Joined():
+		return true, ""
+	default:
+		return false, "joining the fleet"
+	}
+}
+
+// drain finishes every request and hands over what has a home here. Requests
+// are not bounded by any limit of time.
+func (d *daemon) drain(ctx context.Context) {
+	d.Members.SetState(roster.Draining)
+	d.log.Info().Int64("active", d.Front.Active()).Msg("app: draining")
+	if err := d.Front.Drain(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("app: drain failed")
+	}
+	d.step(ctx, "hand over the journal", leaveLimit, d.Once.Leave)
+	d.step(ctx, "release the leases", releaseLimit, d.Quota.Release)
+	d.step(ctx, "release what engines hold", releaseLimit, d.Keeper.Drain)
+	d.log.Info().Msg("app: drained")
+}
+
+func (d *daemon) step(ctx context.Context, name string, limit time.Duration, f func(context.Context) error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	if err := f(ctx); err != nil {
+		d.log.Warn().Str("step", name).Err(err).Msg("app: step of the shutdown failed")
+	}
+}
+
+// stop ends the parts. The requests have ended before.
+func (d *daemon) stop(ctx context.Context) error {
+	err := d.PeerSrv.Shutdown(ctx)
+	if d.group != nil {
+		if e := d.group.stop(ctx); err == nil {
+			err = e
+		}
+	}
+	d.PeerPool.Close()
+	return err
+}
--- /dev/null
+++ b/wasabid/app/follow.go
@@ -0,0 +1,77 @@
+package app
+
+import (
+	"context"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/roster"
+)
+
+// follower takes each new table to the parts that depend on it, and the
+// departures of backend servers to the schedulers.
+type follower struct {
+	*daemon
+	departed map[ident.Server]bool
+}
+
+func (f *follower) run(ctx context.Context) error {
+	changed, unsubscribe := f.Spread.Subscribe()
+	defer unsubscribe()
+	t := f.Timer.Every(pause)
+	defer t.Stop()
+	joined := f.Spread.Joined()
+	f.take()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+			f.take()
+		case <-joined:
+			joined = nil
+			f.take()
+			f.Members.SetState(roster.Ready)
+			f.log.Info().Uint64("revision", f.Tables.table().Revision()).Msg("app: ready")
+		case <-t.C():
+			f.depart()
+		}
+	}
+}
+
+// take puts the table of package spread in force in all parts.
+func (f *follower) take() {
+	t := f.Spread.Current()
+	old := f.Tables.table()
+	if t == nil || t == old {
+		return
+	}
+	f.Tables.cur.Store(t)
+	f.Sched.Configure(t.Revision(), poolSpecs(t, f.Cfg.Centre()))
+	f.Placer.Configure(layout(t, f.Cfg.Centre()))
+	f.Front.Withdraw(func(sum [32]byte) bool {
+		_, ok := t.KeyOwner(sum)
+		return ok
+	})
+	f.depart()
+	f.log.Info().Uint64("revision", t.Revision()).Msg("app: table in force")
+}
+
+// depart tells the schedulers which backend servers depart.
+func (f *follower) depart() {
+	t := f.Tables.table()
+	if t == nil {
+		return
+	}
+	for _, s := range t.Servers() {
+		if s.Centre != f.Cfg.Centre() {
+			continue
+		}
+		gone := f.Members.Departing(s.Name)
+		if gone == f.departed[s.Name] {
+			continue
+		}
+		f.departed[s.Name] = gone
+		f.Sched.Depart(s.Name, gone)
+		f.log.Info().Str("server", string(s.Name)).Bool("departing", gone).Msg("app: backend server changed")
+	}
+}
--- a/wasabid/app/group.go
+++ b/wasabid/app/group.go
@@ -25,9 +25,10 @@
 	cancel context.CancelFunc
 	ends   chan end
 	n      int
+	taken  int // ends that were read from failed
 }
 
-// start runs each part in a goroutine of its own.
+// startGroup runs each part in a goroutine of its own.
 func startGroup(ctx context.Context, log zerolog.Logger, parts []part) *group {
 	ctx, cancel := context.WithCancel(ctx)
 	g := &group{log: log, cancel: cancel, ends: make(chan end, len(parts)), n: len(parts)}
@@ -42,10 +43,10 @@
 func (g *group) failed() <-chan end { return g.ends }
 
 // stop cancels the parts and waits until each has reported its end or ctx is
-// over. Reported is the number of ends that were taken from failed.
-func (g *group) stop(ctx context.Context, reported int) error {
+// over.
+func (g *group) stop(ctx context.Context) error {
 	g.cancel()
-	for i := reported; i < g.n; i++ {
+	for i := g.taken; i < g.n; i++ {
 		select {
 		case e := <-g.ends:
 			g.note(e)
