wasabid, standin: run the whole path on stand-ins

Cause: the wiring had never run; a nil error that is wrapped is not nil in go-faster/errors, which failed every listener and every TLS handshake. Change: the stand-ins' program, the demo, guards before each wrap.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,9 @@
 build:
 	go build -o bin/ ./standin ./wasabi ./wasabid
 
+demo: build
+	@sh standin/demo.sh bin
+
 tools:
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
 	go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
--- a/certs/certs.go
+++ b/certs/certs.go
@@ -204,7 +204,10 @@
 		opts.Intermediates.AddCert(c)
 	}
 	_, err := cs.PeerCertificates[0].Verify(opts)
-	return errors.Wrap(err, "certs: verify the other side")
+	if err != nil {
+		return errors.Wrap(err, "certs: verify the other side")
+	}
+	return nil
 }
 
 // Start reloads the sources at the period until ctx ends. The returned channel
--- a/front/server.go
+++ b/front/server.go
@@ -104,7 +104,10 @@
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
 	}
 	l, err := lc.Listen(ctx, "tcp", addr)
-	return l, errors.Wrap(err, "front: listen")
+	if err != nil {
+		return nil, errors.Wrap(err, "front: listen")
+	}
+	return l, nil
 }
 
 const (
--- /dev/null
+++ b/standin/drive.go
@@ -0,0 +1,268 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"wasabidock.dev/dock/stand"
+)
+
+// exchange is one request of the demo and what its answer must be.
+type exchange struct {
+	name   string
+	method string
+	path   string
+	key    string // customer's key of the demo table
+	idem   string // idempotency key
+	model  string
+	prompt string
+	tokens int64
+	stream bool
+	status int
+	holds  string // text that the answer must hold, for plain services
+}
+
+const (
+	driveLimit = 30 * time.Second
+	readyLimit = 60 * time.Second
+	readyEvery = 100 * time.Millisecond
+)
+
+func driveCommand() *ffcli.Command {
+	fs := flag.NewFlagSet("standin drive", flag.ContinueOnError)
+	entries := fs.String("entries", "", "comma-separated base `URLs` of the instances for callers")
+	admins := fs.String("admins", "", "comma-separated base `URLs` of the instances' admin listeners")
+	return &ffcli.Command{
+		Name:       "drive",
+		ShortUsage: "standin drive -entries URL,URL -admins URL,URL",
+		ShortHelp:  "Sends requests of both deployments and checks that every answer is whole.",
+		FlagSet:    fs,
+		Exec: func(ctx context.Context, _ []string) error {
+			return drive(ctx, strings.Split(*entries, ","), strings.Split(*admins, ","))
+		},
+	}
+}
+
+// exchanges are the requests of the demo.
+func exchanges() []exchange {
+	preamble := strings.Repeat("The school asks for a calm family near a park. ", 200)
+	return []exchange{
+		{name: "open route", method: http.MethodGet, path: "/about", status: http.StatusOK, holds: `"service":`},
+		{name: "no key", method: http.MethodPost, path: "/v1/chat/completions", model: "dossier", prompt: "x", tokens: 5, status: http.StatusUnauthorized},
+		{name: "dossier streamed", method: http.MethodPost, path: "/v1/chat/completions", key: "quito", model: "dossier", prompt: preamble + "Letter of Ana.", tokens: 40, stream: true, status: http.StatusOK},
+		{name: "dossier, same preamble", method: http.MethodPost, path: "/v1/chat/completions", key: "quito", model: "dossier", prompt: preamble + "Letter of Luis.", tokens: 40, stream: true, status: http.StatusOK},
+		{name: "dossier in one piece", method: http.MethodPost, path: "/v1/chat/completions", key: "loja", model: "dossier", prompt: preamble, tokens: 25, status: http.StatusOK},
+		{name: "opinion streamed", method: http.MethodPost, path: "/v1/chat/completions", key: "lasem", model: "opinion", prompt: "House in Lasem, teak doors, indigo.", tokens: 30, stream: true, status: http.StatusOK},
+		{name: "confirmation", method: http.MethodPost, path: "/placements/confirm", key: "quito", idem: "pupil-7", status: http.StatusOK, holds: `"run":1`},
+		{name: "confirmation repeated", method: http.MethodPost, path: "/placements/confirm", key: "quito", idem: "pupil-7", status: http.StatusOK, holds: `"run":1`},
+		{name: "filing", method: http.MethodPost, path: "/filings", key: "lasem", idem: "door-3", status: http.StatusOK, holds: `"run":1`},
+		{name: "filing repeated", method: http.MethodPost, path: "/filings", key: "lasem", idem: "door-3", status: http.StatusOK, holds: `"run":1`},
+		{name: "status read", method: http.MethodGet, path: "/placements/pupil-7", key: "quito", status: http.StatusOK, holds: `"service":`},
+		{name: "unknown route", method: http.MethodGet, path: "/nowhere", key: "quito", status: http.StatusNotFound},
+	}
+}
+
+func drive(ctx context.Context, entries, admins []string) error {
+	for _, a := range admins {
+		if err := waitReady(ctx, a); err != nil {
+			return err
+		}
+	}
+	failed := 0
+	list := exchanges()
+	for i, x := range list {
+		entry := entries[i%len(entries)]
+		text, err := x.send(ctx, entry)
+		verdict := "whole"
+		if err != nil {
+			verdict = "FAILED: " + err.Error()
+			failed++
+		}
+		fmt.Printf("%-24s %s %s\n", x.name, entry, verdict)
+		if text != "" {
+			fmt.Printf("    %s\n", shorten(text))
+		}
+	}
+	fmt.Printf("%d passed, %d failed\n", len(list)-failed, failed)
+	if failed > 0 {
+		return errors.Errorf("%d answers were not whole", failed)
+	}
+	return nil
+}
+
+func waitReady(ctx context.Context, admin string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	t := time.NewTicker(readyEvery)
+	defer t.Stop()
+	for {
+		status, _, err := call(ctx, http.MethodGet, admin+"/readyz", nil, nil)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("instance at %s did not become ready", admin)
+		case <-t.C:
+		}
+	}
+}
+
+// send sends the request and checks its answer. A refusal for a time is tried
+// again when the answer says so.
+func (x exchange) send(ctx context.Context, entry string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, driveLimit)
+	defer cancel()
+	for {
+		status, body, err := x.once(ctx, entry)
+		if err != nil {
+			return "", err
+		}
+		if status == http.StatusTooManyRequests && x.status == http.StatusOK {
+			fmt.Printf("    refused for now: %s\n", shorten(body))
+			select {
+			case <-ctx.Done():
+				return "", errors.New("refused until the limit of the demo")
+			case <-time.After(time.Second):
+				continue
+			}
+		}
+		if status != x.status {
+			return body, errors.Errorf("status %d, want %d", status, x.status)
+		}
+		if x.model == "" || status != http.StatusOK {
+			return body, x.checkPlain(body)
+		}
+		return x.checkText(body)
+	}
+}
+
+func (x exchange) once(ctx context.Context, entry string) (int, string, error) {
+	h := http.Header{"Content-Type": {"application/json"}}
+	if x.key != "" {
+		h.Set("Authorization", "Bearer wk_DEMO-ONLY-"+x.key)
+	}
+	if x.idem != "" {
+		h.Set("Idempotency-Key", x.idem)
+	}
+	var body any = map[string]string{"id": x.idem}
+	if x.model != "" {
+		body = map[string]any{
+			"model":      x.model,
+			"max_tokens": x.tokens,
+			"stream":     x.stream,
+			"messages":   []map[string]string{{"role": "user", "content": x.prompt}},
+		}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, "", errors.Wrap(err, "encode the request")
+	}
+	if x.method == http.MethodGet {
+		data = nil
+	}
+	return call(ctx, x.method, entry+x.path, h, data)
+}
+
+func (x exchange) checkPlain(body string) error {
+	if !strings.Contains(body, x.holds) {
+		return errors.Errorf("answer lacks %s", x.holds)
+	}
+	return nil
+}
+
+// checkText compares the answer with the output that the stand-in engines give
+// for the prompt.
+func (x exchange) checkText(body string) (string, error) {
+	got, err := x.text(body)
+	if err != nil {
+		return got, err
+	}
+	tokens, _ := stand.Answer(x.prompt, x.tokens)
+	if want := strings.Join(tokens, ""); got != want {
+		return got, errors.Errorf("answer differs: %d bytes, want %d", len(got), len(want))
+	}
+	return got, nil
+}
+
+func (x exchange) text(body string) (string, error) {
+	if !x.stream {
+		var one struct {
+			Choices []struct {
+				Message struct{ Content string }
+			}
+		}
+		if err := json.Unmarshal([]byte(body), &one); err != nil || len(one.Choices) != 1 {
+			return body, errors.New("not a chat answer")
+		}
+		return one.Choices[0].Message.Content, nil
+	}
+	var text strings.Builder
+	whole := false
+	sc := bufio.NewScanner(strings.NewReader(body))
+	for sc.Scan() {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			whole = true
+			continue
+		}
+		var chunk struct {
+			Choices []struct {
+				Delta struct{ Content string }
+			}
+		}
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			return text.String(), errors.Wrap(err, "read a chunk")
+		}
+		for _, c := range chunk.Choices {
+			text.WriteString(c.Delta.Content)
+		}
+	}
+	if !whole {
+		return text.String(), errors.New("stream ended without [DONE]")
+	}
+	return text.String(), nil
+}
+
+func call(ctx context.Context, method, url string, h http.Header, body []byte) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(string(body)))
+	if err != nil {
+		return 0, "", errors.Wrap(err, "make the request")
+	}
+	if h != nil {
+		req.Header = h
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", errors.Wrap(err, "send the request")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, string(data), errors.Wrap(err, "read the answer")
+	}
+	return resp.StatusCode, string(data), nil
+}
+
+const shownBytes = 100
+
+func shorten(s string) string {
+	s = strings.Join(strings.Fields(s), " ")
+	if len(s) > shownBytes {
+		return s[:shownBytes] + "…"
+	}
+	return s
+}
--- a/wasabid/app/bridge.go
+++ b/wasabid/app/bridge.go
@@ -108,7 +108,9 @@
 }
 
 // Refused counts a refusal.
-func (x measures) Refused(c ident.Customer, code fail.Code, within bool) { x.m.Refused(c, code, within) }
+func (x measures) Refused(c ident.Customer, code fail.Code, within bool) {
+	x.m.Refused(c, code, within)
+}
 
 // pause is the longest wait between two looks at what has no subscription.
 const pause = 250 * time.Millisecond
--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -60,7 +60,7 @@
 
 // daemon carries the parts through their life.
 type daemon struct {
-	parts
+	p      parts
 	log    zerolog.Logger
 	group  *group
 	callL  net.Listener
@@ -68,7 +68,7 @@
 }
 
 func newDaemon(lc fx.Lifecycle, p parts) *daemon {
-	d := &daemon{parts: p, log: logs.Part(p.Log, "app")}
+	d := &daemon{p: p, log: logs.Part(p.Log, "app")}
 	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.stop})
 	return d
 }
@@ -79,31 +79,31 @@
 func (d *daemon) start(context.Context) error {
 	// The context of fx ends with the start; the parts outlive it.
 	ctx := context.Background()
-	l, err := front.Listen(ctx, d.Cfg.Listen())
+	l, err := front.Listen(ctx, d.p.Cfg.Listen())
 	if err != nil {
-		return errors.Wrapf(err, "front: listen %s", d.Cfg.Listen())
+		return errors.Wrapf(err, "front: listen %s", d.p.Cfg.Listen())
 	}
 	d.callL = l
-	adm, err := newAdmin(d.Cfg.AdminListen(), d.ready, d.Meter.Handler(), logs.Part(d.Log, "admin"))
+	adm, err := newAdmin(d.p.Cfg.AdminListen(), d.ready, d.p.Meter.Handler(), logs.Part(d.p.Log, "admin"))
 	if err != nil {
 		return err
 	}
 	loops := d.loops(adm)
-	if d.Cfg.DebugListen() != "" {
-		dbg, err := newDebug(d.Cfg.DebugListen(), logs.Part(d.Log, "debug"))
+	if d.p.Cfg.DebugListen() != "" {
+		dbg, err := newDebug(d.p.Cfg.DebugListen(), logs.Part(d.p.Log, "debug"))
 		if err != nil {
 			return err
 		}
 		loops = append(loops, part{"debug", dbg.run})
 	}
-	d.PeerSrv.Serve(ctx, d.PeerL)
+	d.p.PeerSrv.Serve(ctx, d.p.PeerL)
 	d.group = startGroup(ctx, d.log, loops)
-	d.served = d.Front.Serve(l)
+	d.served = d.p.Front.Serve(l)
 	d.log.Info().
-		Str("instance", string(d.Node.Instance)).
-		Uint64("incarnation", d.Node.Incarnation).
+		Str("instance", string(d.p.Node.Instance)).
+		Uint64("incarnation", d.p.Node.Incarnation).
 		Str("callers", l.Addr().String()).
-		Str("peers", d.PeerL.Addr().String()).
+		Str("peers", d.p.PeerL.Addr().String()).
 		Str("admin", adm.l.Addr().String()).
 		Msg("app: listening")
 	return nil
@@ -113,33 +113,33 @@
 func (d *daemon) loops(adm *admin) []part {
 	f := follower{daemon: d, departed: make(map[ident.Server]bool)}
 	list := []part{
-		{"spread", d.Spread.Run},
-		{"limit", d.Quota.Run},
+		{"spread", d.p.Spread.Run},
+		{"limit", d.p.Quota.Run},
 		{"table", f.run},
-		{"place", untilClosed(d.Sched.Run)},
-		{"progress", untilClosed(d.Placer.Run)},
-		{"once", untilClosed(d.Once.Start)},
-		{"probe", d.Prober.Run},
+		{"place", untilClosed(d.p.Sched.Run)},
+		{"progress", untilClosed(d.p.Placer.Run)},
+		{"once", untilClosed(d.p.Once.Start)},
+		{"probe", d.p.Prober.Run},
 		{"admin", adm.run},
 		{"keeper", func(ctx context.Context) error {
-			d.Keeper.Start(ctx)
-			<-d.Keeper.Done()
+			d.p.Keeper.Start(ctx)
+			<-d.p.Keeper.Done()
 			return nil
 		}},
 		{"sweeper", func(ctx context.Context) error {
-			d.Sweeper.Start(ctx)
-			<-d.Sweeper.Done()
+			d.p.Sweeper.Start(ctx)
+			<-d.p.Sweeper.Done()
 			return nil
 		}},
 	}
-	if s := d.Secure.callers; s != nil {
+	if s := d.p.Secure.callers; s != nil {
 		list = append(list, part{"certs", untilClosed(func(ctx context.Context) <-chan struct{} {
-			return s.Start(ctx, d.Timer, reloadEvery, logs.Part(d.Log, "certs"))
+			return s.Start(ctx, d.p.Timer, reloadEvery, logs.Part(d.p.Log, "certs"))
 		})})
 	}
-	if s := d.Secure.peers; s != nil {
+	if s := d.p.Secure.peers; s != nil {
 		list = append(list, part{"peercerts", untilClosed(func(ctx context.Context) <-chan struct{} {
-			return s.Start(ctx, d.Timer, reloadEvery, logs.Part(d.Log, "certs"))
+			return s.Start(ctx, d.p.Timer, reloadEvery, logs.Part(d.p.Log, "certs"))
 		})})
 	}
 	return list
@@ -156,19 +156,19 @@
 
 // ready reports whether the daemon wants new callers, or why not.
 func (d *daemon) ready() (bool, string) {
-	if d.Front.Draining() {
+	if d.p.Front.Draining() {
 		return false, "draining"
 	}
 	select {
-	case <-d.Spread.Superseded():
+	case <-d.p.Spread.Superseded():
 		return false, "superseded by another process in the seat"
 	default:
 	}
-	if d.Tables.table() == nil {
+	if d.p.Tables.table() == nil {
 		return false, "no table yet"
 	}
 	select {
-	case <-d.Spread.Joined():
+	case <-d.p.Spread.Joined():
 		return true, ""
 	default:
 		return false, "joining the fleet"
@@ -178,14 +178,14 @@
 // drain finishes every request and hands over what has a home here. Requests
 // are not bounded by any limit of time.
 func (d *daemon) drain(ctx context.Context) {
-	d.Members.SetState(roster.Draining)
-	d.log.Info().Int64("active", d.Front.Active()).Msg("app: draining")
-	if err := d.Front.Drain(ctx); err != nil {
+	d.p.Members.SetState(roster.Draining)
+	d.log.Info().Int64("active", d.p.Front.Active()).Msg("app: draining")
+	if err := d.p.Front.Drain(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("app: drain failed")
 	}
-	d.step(ctx, "hand over the journal", leaveLimit, d.Once.Leave)
-	d.step(ctx, "release the leases", releaseLimit, d.Quota.Release)
-	d.step(ctx, "release what engines hold", releaseLimit, d.Keeper.Drain)
+	d.step(ctx, "hand over the journal", leaveLimit, d.p.Once.Leave)
+	d.step(ctx, "release the leases", releaseLimit, d.p.Quota.Release)
+	d.step(ctx, "release what engines hold", releaseLimit, d.p.Keeper.Drain)
 	d.log.Info().Msg("app: drained")
 }
 
@@ -199,12 +199,12 @@
 
 // stop ends the parts. The requests have ended before.
 func (d *daemon) stop(ctx context.Context) error {
-	err := d.PeerSrv.Shutdown(ctx)
+	err := d.p.PeerSrv.Shutdown(ctx)
 	if d.group != nil {
 		if e := d.group.stop(ctx); err == nil {
 			err = e
 		}
 	}
-	d.PeerPool.Close()
+	d.p.PeerPool.Close()
 	return err
 }
--- a/wasabid/app/follow.go
+++ b/wasabid/app/follow.go
@@ -15,11 +15,11 @@
 }
 
 func (f *follower) run(ctx context.Context) error {
-	changed, unsubscribe := f.Spread.Subscribe()
+	changed, unsubscribe := f.p.Spread.Subscribe()
 	defer unsubscribe()
-	t := f.Timer.Every(pause)
+	t := f.p.Timer.Every(pause)
 	defer t.Stop()
-	joined := f.Spread.Joined()
+	joined := f.p.Spread.Joined()
 	f.take()
 	for {
 		select {
@@ -30,8 +30,8 @@
 		case <-joined:
 			joined = nil
 			f.take()
-			f.Members.SetState(roster.Ready)
-			f.log.Info().Uint64("revision", f.Tables.table().Revision()).Msg("app: ready")
+			f.p.Members.SetState(roster.Ready)
+			f.log.Info().Uint64("revision", f.p.Tables.table().Revision()).Msg("app: ready")
 		case <-t.C():
 			f.depart()
 		}
@@ -40,15 +40,15 @@
 
 // take puts the table of package spread in force in all parts.
 func (f *follower) take() {
-	t := f.Spread.Current()
-	old := f.Tables.table()
+	t := f.p.Spread.Current()
+	old := f.p.Tables.table()
 	if t == nil || t == old {
 		return
 	}
-	f.Tables.cur.Store(t)
-	f.Sched.Configure(t.Revision(), poolSpecs(t, f.Cfg.Centre()))
-	f.Placer.Configure(layout(t, f.Cfg.Centre()))
-	f.Front.Withdraw(func(sum [32]byte) bool {
+	f.p.Tables.cur.Store(t)
+	f.p.Sched.Configure(t.Revision(), poolSpecs(t, f.p.Cfg.Centre()))
+	f.p.Placer.Configure(layout(t, f.p.Cfg.Centre()))
+	f.p.Front.Withdraw(func(sum [32]byte) bool {
 		_, ok := t.KeyOwner(sum)
 		return ok
 	})
@@ -58,20 +58,20 @@
 
 // depart tells the schedulers which backend servers depart.
 func (f *follower) depart() {
-	t := f.Tables.table()
+	t := f.p.Tables.table()
 	if t == nil {
 		return
 	}
 	for _, s := range t.Servers() {
-		if s.Centre != f.Cfg.Centre() {
+		if s.Centre != f.p.Cfg.Centre() {
 			continue
 		}
-		gone := f.Members.Departing(s.Name)
+		gone := f.p.Members.Departing(s.Name)
 		if gone == f.departed[s.Name] {
 			continue
 		}
 		f.departed[s.Name] = gone
-		f.Sched.Depart(s.Name, gone)
+		f.p.Sched.Depart(s.Name, gone)
 		f.log.Info().Str("server", string(s.Name)).Bool("departing", gone).Msg("app: backend server changed")
 	}
 }
--- a/wasabid/app/view.go
+++ b/wasabid/app/view.go
@@ -270,4 +270,3 @@
 	}
 	return list
 }
-
--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -102,7 +102,10 @@
 
 func newPeerListener(cfg *conf.Config) (net.Listener, error) {
 	l, err := net.Listen("tcp", cfg.PeerListen())
-	return l, errors.Wrapf(err, "peer: listen %s", cfg.PeerListen())
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: listen %s", cfg.PeerListen())
+	}
+	return l, nil
 }
 
 func newMembers(cfg *conf.Config, n ident.Node, l net.Listener) *roster.Roster {
@@ -234,6 +237,7 @@
 		Clock:     t,
 		Log:       logs.Part(l, "front"),
 		Explain:   flow.Explain,
+		NewID:     func() ident.Request { return ident.Request(rand.Text()) },
 		TLS:       s.callerServer(),
 		Stall:     cfg.Slow(),
 		Settle:    cfg.Notice(),
