roster, standin: let a fresh seat lease as soon as its revision is in force everywhere

Cause: a seat's share counts as raised when a process starts, and waited for the time in which a table is in force everywhere, since nobody could tell that it was. Change: nodes pass on the revision that they have in force; Everywhere asks it of every seat and of every other process that is alive.

--- a/roster/hear.go
+++ b/roster/hear.go
@@ -82,6 +82,7 @@
 		r.mergeOther(s, e, heard, now)
 		return
 	}
+	s.entry.Revision = max(s.entry.Revision, e.Revision)
 	switch later := heard > s.heard+ageSlack; {
 	case e.State == Lost:
 		r.mergeLost(s, heard)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,11 +27,12 @@
 
 // Entry is what one instance tells another about a node.
 type Entry struct {
-	Node    ident.Node
-	Address string // host:port for peers
-	Centre  ident.Centre
-	State   State
-	Age     time.Duration // since the node itself was heard
+	Node     ident.Node
+	Address  string // host:port for peers
+	Centre   ident.Centre
+	State    State
+	Age      time.Duration // since the node itself was heard
+	Revision uint64        // of the table in force, as far as known
 }
 
 const (
@@ -64,14 +65,16 @@
 type Roster struct {
 	cfg Config
 
-	mu      sync.Mutex
-	state   State
-	seats   map[ident.Instance]*seat
-	order   []ident.Instance // names of seats, sorted
-	ring    []ident.Instance // instances of the own centre still to be asked in this turn
-	rounds  int
-	servers departures
-	hasList bool // the platform's list has been taken
+	mu    sync.Mutex
+	state State
+	// revision is the one that the own node has in force.
+	revision uint64
+	seats    map[ident.Instance]*seat
+	order    []ident.Instance // names of seats, sorted
+	ring     []ident.Instance // instances of the own centre still to be asked in this turn
+	rounds   int
+	servers  departures
+	hasList  bool // the platform's list has been taken
 }
 
 // seat is what is known of a seat and of the process in it.
@@ -113,7 +116,7 @@
 }
 
 func (r *Roster) self() Entry {
-	return Entry{Node: r.cfg.Self, Address: r.cfg.Address, Centre: r.cfg.Centre, State: r.state}
+	return Entry{Node: r.cfg.Self, Address: r.cfg.Address, Centre: r.cfg.Centre, State: r.state, Revision: r.revision}
 }
 
 // Live returns the ready instances of a data centre, sorted by name.
--- a/spread/wire.go
+++ b/spread/wire.go
@@ -17,6 +17,7 @@
 		State:       peerpb.State(e.State),
 		Centre:      string(e.Centre),
 		AgeMs:       e.Age.Milliseconds(),
+		Revision:    e.Revision,
 	}
 }
 
@@ -27,6 +28,8 @@
 		Centre:  ident.Centre(n.GetCentre()),
 		State:   roster.State(n.GetState()),
 		Age:     time.Duration(n.GetAgeMs()) * time.Millisecond,
+
+		Revision: n.GetRevision(),
 	}
 }
 
--- a/standin/main.go
+++ b/standin/main.go
@@ -28,12 +28,12 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	os.Exit(run(ctx, os.Args[1:]))
+	os.Exit(run(os.Args[1:]))
 }
 
-func run(ctx context.Context, args []string) int {
+func run(args []string) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	fs := flag.NewFlagSet("standin", flag.ContinueOnError)
 	root := &ffcli.Command{
 		ShortUsage:  "standin <serve|list|drive> [flags]",
--- a/wasabid/app/follow.go
+++ b/wasabid/app/follow.go
@@ -53,6 +53,7 @@
 		return ok
 	})
 	f.depart()
+	f.p.Members.SetRevision(t.Revision())
 	f.log.Info().Uint64("revision", t.Revision()).Msg("app: table in force")
 }
 
--- a/wasabid/app/view.go
+++ b/wasabid/app/view.go
@@ -239,9 +239,19 @@
 	}
 }
 
-// Everywhere reports whether every seat is known to have the revision or a
-// later one in force.
-func (f fleet) Everywhere(uint64) bool { return false }
+// Everywhere reports whether every seat, and every other process that is seen
+// alive, is known to have the revision or a later one in force.
+func (f fleet) Everywhere(revision uint64) bool {
+	t := f.table()
+	if t == nil {
+		return false
+	}
+	seats := make([]ident.Instance, 0, len(t.Seats()))
+	for _, s := range t.Seats() {
+		seats = append(seats, s.Name)
+	}
+	return f.members.Everywhere(seats, revision)
+}
 
 // workers is the fleet as packages sched and sweep read it: all ready
 // instances, whether they hold a seat or not.
