orders: decide orders to engines from the published table

Cause: engines need models loaded, unloaded and roles changed without a person, by several instances that see different reports.

Conclusion: a removal of an older revision may still take a replica that was the last one already at an engine that has not seen the present number.

--- a/engine/client.go
+++ b/engine/client.go
@@ -132,11 +132,6 @@
 	return nil
 }
 
-// Order gives an order to the engine s.
-func (c *Client) Order(ctx context.Context, s ident.Server, o OrderRequest) error {
-	return c.work(ctx, "engine: order", s, c.cfg.Call, PathOrders, o, &struct{}{})
-}
-
 // Cancel releases what s holds for an attempt and returns the number of holds
 // released. A positive idleOver spares holds that had contact within it.
 func (c *Client) Cancel(ctx context.Context, s ident.Server, a ident.Attempt, idleOver time.Duration) (int, error) {
--- /dev/null
+++ b/orders/runner.go
@@ -0,0 +1,173 @@
+package orders
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+// Source tells what the table wants and what the engines report.
+type Source interface {
+	// Wants returns the rows of the revision in force and how long it has been.
+	Wants() (revision uint64, inForce time.Duration, wants []Want)
+	// States returns the latest reports.
+	States() []State
+}
+
+// Engines gives orders.
+type Engines interface {
+	Order(ctx context.Context, o Order) error
+}
+
+// RunnerConfig holds the settings of a Runner. Zero values stand for the
+// defaults.
+type RunnerConfig struct {
+	Source  Source
+	Engines Engines
+	Timer   tick.Service
+	Owns    func(s ident.Server) bool // whether this instance orders a server
+	Told    func(o Order, err error)  // called after each order; may be nil
+	Every   time.Duration             // period
+	Settle  time.Duration             // time after which a revision is in force everywhere
+	Repeat  time.Duration             // time after which an order without effect is repeated
+	Limits  Limits
+}
+
+const (
+	defaultEvery  = 2 * time.Second
+	defaultSettle = 25 * time.Second // in force everywhere, and all reports are younger
+	defaultRepeat = 10 * time.Second
+	defaultFresh  = 10 * time.Second
+	defaultLoads  = 1
+)
+
+// Runner gives the orders that Plan decides on.
+type Runner struct {
+	cfg  RunnerConfig
+	done chan struct{}
+
+	mu    sync.Mutex // guards what follows
+	given map[Order]tick.Instant
+	kept  []Kept
+}
+
+// NewRunner returns a Runner that has not started.
+func NewRunner(cfg RunnerConfig) *Runner {
+	setDefault(&cfg.Every, defaultEvery)
+	setDefault(&cfg.Settle, defaultSettle)
+	setDefault(&cfg.Repeat, defaultRepeat)
+	setDefault(&cfg.Limits.Fresh, defaultFresh)
+	if cfg.Limits.Loads == 0 {
+		cfg.Limits.Loads = defaultLoads
+	}
+	return &Runner{cfg: cfg, done: make(chan struct{}), given: make(map[Order]tick.Instant)}
+}
+
+func setDefault(d *time.Duration, def time.Duration) {
+	if *d == 0 {
+		*d = def
+	}
+}
+
+// Start gives orders until ctx ends.
+func (r *Runner) Start(ctx context.Context) {
+	sub := r.cfg.Timer.Every(r.cfg.Every)
+	go func() {
+		defer close(r.done)
+		defer sub.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-sub.C():
+				r.Step(ctx)
+			}
+		}
+	}()
+}
+
+// Done is closed when the Runner has ended.
+func (r *Runner) Done() <-chan struct{} { return r.done }
+
+// Kept returns the orders withheld by the last step.
+func (r *Runner) Kept() []Kept {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.kept)
+}
+
+// Step plans once and gives the orders that are due. A revision that may not
+// have reached all instances gives none.
+func (r *Runner) Step(ctx context.Context) {
+	revision, inForce, wants := r.cfg.Source.Wants()
+	if inForce < r.cfg.Settle {
+		return
+	}
+	orders, kept := Plan(revision, wants, r.states(), r.cfg.Limits)
+	r.mu.Lock()
+	r.kept = kept
+	r.mu.Unlock()
+	for _, o := range orders {
+		if ctx.Err() != nil {
+			return
+		}
+		if r.cfg.Owns(o.Server) && r.due(o) && r.current(revision) {
+			r.give(ctx, o)
+		}
+	}
+}
+
+// current reports whether a revision is still the one in force. A process may
+// have been paused since the plan was made.
+func (r *Runner) current(revision uint64) bool {
+	now, _, _ := r.cfg.Source.Wants()
+	return now == revision
+}
+
+// states returns the reports, with the loads that were ordered and are not
+// reported yet.
+func (r *Runner) states() []State {
+	states := slices.Clone(r.cfg.Source.States())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.cfg.Timer.Now()
+	for o, at := range r.given {
+		if now-at >= r.cfg.Repeat {
+			delete(r.given, o)
+		}
+	}
+	for i := range states {
+		s := &states[i]
+		s.Loading = slices.Clone(s.Loading)
+		for o := range r.given {
+			if o.Server != s.Server || o.Kind != Load {
+				continue
+			}
+			if !slices.Contains(s.Models, o.Model) && !slices.Contains(s.Loading, o.Model) {
+				s.Loading = append(s.Loading, o.Model)
+			}
+		}
+	}
+	return states
+}
+
+func (r *Runner) due(o Order) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, given := r.given[o]
+	return !given
+}
+
+func (r *Runner) give(ctx context.Context, o Order) {
+	r.mu.Lock()
+	r.given[o] = r.cfg.Timer.Now()
+	r.mu.Unlock()
+	err := r.cfg.Engines.Order(ctx, o)
+	if r.cfg.Told != nil {
+		r.cfg.Told(o, err)
+	}
+}
