flow: blame the right engine, and cause each failure at each moment

Cause: nothing showed how a request ends when engines, transfers, connections, cancels or the caller fail.

Change: a table of failures by moment and kind of request states each ending and checks the text, the holds, the attempts and the word "not run"; a seeded walk draws schedules of failures before engines in memory. What they found: a broken connection was reported as a cancelled one, so that no lost answer was ever joined; a transfer was limited by its whole time instead of its progress; a dead source was put down to the decode engine.

--- a/engine/call.go
+++ b/engine/call.go
@@ -54,13 +54,15 @@
 
 // work makes a call that sets the engine to work, on a connection of its own.
 func (c *Client) work(ctx context.Context, step string, s ident.Server, limit time.Duration, path string, in, out any) error {
-	return c.call(ctx, c.fresh, call{step: step, server: s, limit: limit, method: http.MethodPost, path: path}, in, out)
+	cl := call{step: step, server: s, limit: limit, silence: c.cfg.Silence, method: http.MethodPost, path: path}
+	return c.call(ctx, c.fresh, cl, in, out)
 }
 
 // control makes a call that may be repeated. After a failure no pooled
 // connection is reused, since others may be silent too.
 func (c *Client) control(ctx context.Context, step string, s ident.Server, method, path string, in, out any) error {
-	err := c.call(ctx, c.pooled, call{step: step, server: s, limit: c.cfg.Call, method: method, path: path}, in, out)
+	cl := call{step: step, server: s, limit: c.cfg.Call, silence: c.cfg.Silence, method: method, path: path}
+	err := c.call(ctx, c.pooled, cl, in, out)
 	if err != nil {
 		c.pooled.CloseIdleConnections()
 	}
@@ -68,11 +70,12 @@
 }
 
 type call struct {
-	step   string
-	server ident.Server
-	limit  time.Duration
-	method string
-	path   string
+	step    string
+	server  ident.Server
+	limit   time.Duration // of the whole call
+	silence time.Duration // without a byte
+	method  string
+	path    string
 }
 
 func (c *Client) call(ctx context.Context, t *http.Transport, cl call, in, out any) error {
@@ -112,7 +115,7 @@
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	w := watch(ctx, c.cfg.Timer, c.cfg.Silence)
+	w := watch(ctx, c.cfg.Timer, cl.silence)
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(w.ctx, trace), cl.method, "http://"+addr+cl.path, body)
 	if err != nil {
 		w.stop()
@@ -121,7 +124,7 @@
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := t.RoundTrip(req) //nolint:bodyclose // answer.close closes it
 	if err != nil {
-		w.stop()
+		defer w.stop()
 		o := ident.NotRun
 		if connected.Load() {
 			o = ident.Unknown
@@ -188,6 +191,8 @@
 		return flow.ErrNoAttempt
 	case CodeFence:
 		return flow.ErrFence
+	case CodeSource:
+		return flow.ErrSource
 	default:
 		return errors.Errorf("engine answered %q: %s", r.Code, r.Message)
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -119,8 +119,12 @@
 		return fail.New(step, string(t.Source), ident.NotRun, errNoAddress)
 	}
 	in := ImportRequest{Attempt: t.Attempt.String(), Place: t.Place, KV: t.KV, Source: "http://" + source}
+	cl := call{step: step, server: s, limit: c.cfg.Work, silence: c.cfg.Silence, method: http.MethodPost, path: PathImport}
+	if t.Stall > 0 {
+		cl.silence = t.Stall
+	}
 	var out ImportResponse
-	if err := c.work(ctx, step, s, c.cfg.Work, PathImport, in, &out); err != nil {
+	if err := c.call(ctx, c.fresh, cl, in, &out); err != nil {
 		return err
 	}
 	if out.Code != "" {
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -41,7 +41,7 @@
 }
 
 func (c *Client) open(ctx context.Context, step string, s ident.Server, path string) (*answer, error) {
-	return c.send(ctx, c.fresh, call{step: step, server: s, method: http.MethodGet, path: path}, nil)
+	return c.send(ctx, c.fresh, call{step: step, server: s, silence: c.cfg.Silence, method: http.MethodGet, path: path}, nil)
 }
 
 type stream struct {
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -25,6 +25,7 @@
 	CodeNoKV      = "kv"
 	CodeNoAttempt = "attempt"
 	CodeFence     = "fence"
+	CodeSource    = "source"
 	CodeFailed    = "failed"
 )
 
--- a/flow/engines.go
+++ b/flow/engines.go
@@ -20,6 +20,8 @@
 	ErrDraining = errors.New("engine is draining")
 	// ErrNoKV reports that the exported KV cache is gone.
 	ErrNoKV = errors.New("exported KV cache is gone")
+	// ErrSource reports an export that could not be read from its engine.
+	ErrSource = errors.New("export cannot be read from its engine")
 	// ErrNoAttempt reports that the engine holds nothing for the attempt.
 	ErrNoAttempt = errors.New("engine does not know the attempt")
 	// ErrSilent reports a connection without progress.
@@ -75,6 +77,7 @@
 	Place   string
 	KV      string
 	Source  ident.Server
+	Stall   time.Duration // the call fails with ErrSilent after so long without progress
 }
 
 // Event is one message of a decode stream: a token, or the end.
--- /dev/null
+++ b/flow/failure_test.go
@@ -0,0 +1,351 @@
+package flow_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/flow"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/stand"
+	"wasabidock.dev/dock/tick"
+)
+
+// moment is a point in the life of a request.
+type moment string
+
+const (
+	beforeReserve moment = "before reserve"
+	afterReserve  moment = "after reserve"
+	duringPrefill moment = "during prefill"
+	afterPrefill  moment = "after prefill"
+	duringImport  moment = "during import"
+	afterImport   moment = "after import"
+	midStream     moment = "mid-stream"
+	lastToken     moment = "last token"
+)
+
+// ending is how a request ends.
+type ending string
+
+const (
+	whole   ending = "whole"   // the whole answer
+	cut     ending = "cut"     // an explicit error after a part
+	failed  ending = "failed"  // an explicit error, nothing sent, may have run
+	refused ending = "refused" // an explicit error, not run
+	onWay   ending = "on way"  // whole if the end was on its way already, cut if not
+)
+
+// hooks calls a function once at a moment.
+type hooks struct {
+	flow.Engines
+	timer   tick.Service
+	at      moment
+	do      func()
+	counter func() stand.EngineCounts // of the first prefill engine
+}
+
+func (h *hooks) fire(m moment) {
+	if h.at == m && h.do != nil {
+		do := h.do
+		h.do = nil
+		do()
+	}
+}
+
+// during fires while call runs, once the engine has begun with it.
+func (h *hooks) during(m moment, began func(stand.EngineCounts) bool, call func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for h.at == m && !began(h.counter()) && tick.Sleep(ctx, h.timer, time.Millisecond) == nil {
+		}
+		h.fire(m)
+	}()
+	call()
+	cancel()
+	<-done
+}
+
+func (h *hooks) Reserve(ctx context.Context, s ident.Server, r flow.Reservation) (flow.Seat, error) {
+	h.fire(beforeReserve)
+	defer h.fire(afterReserve)
+	return h.Engines.Reserve(ctx, s, r)
+}
+
+func (h *hooks) Prefill(ctx context.Context, s ident.Server, p flow.Prefill) (k flow.KV, err error) {
+	defer h.fire(afterPrefill)
+	began := func(c stand.EngineCounts) bool { return c.Prefills > 0 }
+	h.during(duringPrefill, began, func() { k, err = h.Engines.Prefill(ctx, s, p) })
+	return k, err
+}
+
+func (h *hooks) Import(ctx context.Context, s ident.Server, t flow.Transfer) (err error) {
+	defer h.fire(afterImport)
+	began := func(c stand.EngineCounts) bool { return c.Exports > 0 }
+	h.during(duringImport, began, func() { err = h.Engines.Import(ctx, s, t) })
+	return err
+}
+
+// trial is what a failure may act on.
+type trial struct {
+	*world
+	cancel context.CancelCauseFunc
+}
+
+var errWithdrawn = errors.New("key was withdrawn")
+
+// failures are the things that go wrong.
+var failures = map[string]func(t *trial){
+	"decode engine dies":      func(t *trial) { t.engines["d1"].Kill() },
+	"decode engine restarts":  func(t *trial) { t.engines["d1"].Restart() },
+	"prefill engine dies":     func(t *trial) { t.engines["p1"].Kill() },
+	"prefill engine restarts": func(t *trial) { t.engines["p1"].Restart() },
+	"both engines die":        func(t *trial) { t.engines["p1"].Kill(); t.engines["d1"].Kill() },
+	"all engines die": func(t *trial) {
+		for _, e := range t.engines {
+			e.Kill()
+		}
+	},
+	"caller cancels":   func(t *trial) { t.cancel(context.Canceled) },
+	"key is withdrawn": func(t *trial) { t.cancel(errWithdrawn) },
+	"caller cancels and the cancels are lost": func(t *trial) {
+		t.fault(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/cancel", N: 3})
+		t.cancel(context.Canceled)
+	},
+	"connections silent to the engine":   func(t *trial) { t.silence(true, false) },
+	"connections silent from the engine": func(t *trial) { t.silence(false, true) },
+	"connections silent both ways":       func(t *trial) { t.silence(true, true) },
+	"engines stop talking":               func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultSilence}) },
+	"streams break":                      func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultCut}) },
+	"transfer stalls once": func(t *trial) {
+		t.fault(stand.Fault{Kind: stand.FaultStall, N: 1})
+	},
+	"transfers stall until the cache is gone": func(t *trial) {
+		t.engines["p1"].Inject(stand.Fault{Kind: stand.FaultStall, N: 1000})
+	},
+	"tokens doubled and crossed": func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultCross, N: 7}) },
+	"cancels lost":               func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/cancel", N: 3}) },
+	"cancels unacknowledged":     func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/cancel", N: 3}) },
+	"reserve lost":               func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/reserve", N: 1}) },
+	"reserve answer lost":        func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/reserve", N: 1}) },
+	"reserve acts late":          func(t *trial) { t.late("/v1/reserve") },
+	"prefill answer lost":        func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/prefill", N: 1}) },
+	"prefill acts late":          func(t *trial) { t.late("/v1/prefill") },
+	"prefill fails": func(t *trial) {
+		t.engines["p1"].Inject(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/prefill", N: 1})
+	},
+	"import answer lost":    func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/import", N: 1}) },
+	"import fails":          func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/import", N: 1}) },
+	"stream refused once":   func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/stream", N: 1}) },
+	"decode engine drains":  func(t *trial) { t.engines["d1"].Inject(stand.Fault{Kind: stand.FaultDrain}) },
+	"prefill engine drains": func(t *trial) { t.engines["p1"].Inject(stand.Fault{Kind: stand.FaultDrain}) },
+	"router pauses": func(t *trial) {
+		_ = tick.Sleep(context.Background(), t.timer, testHold+100*time.Millisecond)
+	},
+}
+
+func (t *trial) fault(f stand.Fault) {
+	for _, e := range t.engines {
+		e.Inject(f)
+	}
+}
+
+func (t *trial) late(path string) {
+	t.fault(stand.Fault{Kind: stand.FaultLate, Path: path, N: 1, DelayMS: 200})
+}
+
+func (t *trial) silence(up, down bool) {
+	for _, r := range t.relays {
+		r.silence(up, down)
+	}
+}
+
+// cell is a failure at a moment, and how requests end by it: one whose output
+// is repeatable, and one whose output is not.
+type cell struct {
+	failure string
+	at      moment
+	exact   ending
+	sampled ending
+}
+
+var cells = []cell{
+	{"decode engine dies", beforeReserve, whole, whole},
+	{"decode engine dies", afterReserve, whole, whole},
+	{"decode engine dies", duringPrefill, whole, whole},
+	{"decode engine dies", afterPrefill, whole, whole},
+	{"decode engine dies", duringImport, whole, whole},
+	{"decode engine dies", afterImport, whole, whole},
+	{"decode engine dies", midStream, whole, cut},
+	{"decode engine dies", lastToken, whole, onWay},
+	{"decode engine restarts", afterReserve, whole, whole},
+	{"decode engine restarts", afterPrefill, whole, whole},
+	{"decode engine restarts", afterImport, whole, whole},
+	{"decode engine restarts", midStream, whole, cut},
+	{"prefill engine dies", beforeReserve, whole, whole},
+	{"prefill engine dies", duringPrefill, whole, whole},
+	{"prefill engine dies", afterPrefill, whole, whole},
+	{"prefill engine dies", duringImport, whole, whole},
+	{"prefill engine dies", midStream, whole, whole},
+	{"prefill engine restarts", duringPrefill, whole, whole},
+	{"prefill engine restarts", afterPrefill, whole, whole},
+	{"both engines die", afterReserve, whole, whole},
+	{"both engines die", duringPrefill, whole, whole},
+	{"both engines die", afterPrefill, whole, whole},
+	{"both engines die", midStream, whole, cut},
+	{"all engines die", beforeReserve, refused, refused},
+	{"all engines die", afterPrefill, failed, failed},
+	{"all engines die", midStream, cut, cut},
+	{"caller cancels", beforeReserve, refused, refused},
+	{"caller cancels", afterReserve, refused, refused},
+	{"caller cancels", duringPrefill, failed, failed},
+	{"caller cancels", afterPrefill, failed, failed},
+	{"caller cancels", duringImport, failed, failed},
+	{"caller cancels", midStream, cut, cut},
+	{"key is withdrawn", duringPrefill, failed, failed},
+	{"key is withdrawn", midStream, cut, cut},
+	{"caller cancels and the cancels are lost", duringPrefill, failed, failed},
+	{"caller cancels and the cancels are lost", midStream, cut, cut},
+	{"connections silent to the engine", duringPrefill, whole, whole},
+	{"connections silent to the engine", duringImport, whole, whole},
+	{"connections silent to the engine", midStream, whole, whole},
+	{"connections silent from the engine", duringPrefill, whole, whole},
+	{"connections silent from the engine", duringImport, whole, whole},
+	{"connections silent from the engine", midStream, whole, whole},
+	{"connections silent from the engine", lastToken, whole, whole},
+	{"connections silent both ways", duringPrefill, whole, whole},
+	{"connections silent both ways", midStream, whole, whole},
+	{"engines stop talking", duringPrefill, whole, whole},
+	{"engines stop talking", duringImport, whole, whole},
+	{"engines stop talking", midStream, whole, whole},
+	{"streams break", midStream, whole, whole},
+	{"streams break", lastToken, whole, whole},
+	{"transfer stalls once", afterPrefill, whole, whole},
+	{"transfers stall until the cache is gone", afterPrefill, whole, whole},
+	{"tokens doubled and crossed", afterImport, whole, whole},
+	{"cancels lost", beforeReserve, whole, whole},
+	{"cancels unacknowledged", beforeReserve, whole, whole},
+	{"reserve lost", beforeReserve, whole, whole},
+	{"reserve answer lost", beforeReserve, whole, whole},
+	{"reserve acts late", beforeReserve, whole, whole},
+	{"prefill answer lost", afterReserve, whole, whole},
+	{"prefill acts late", afterReserve, whole, whole},
+	{"prefill fails", afterReserve, whole, whole},
+	{"import answer lost", afterPrefill, whole, whole},
+	{"import fails", afterPrefill, whole, whole},
+	{"stream refused once", afterImport, whole, whole},
+	{"decode engine drains", beforeReserve, whole, whole},
+	{"decode engine drains", afterReserve, whole, whole},
+	{"decode engine drains", midStream, whole, whole},
+	{"prefill engine drains", beforeReserve, whole, whole},
+	{"prefill engine drains", duringPrefill, whole, whole},
+	{"router pauses", afterReserve, whole, whole},
+	{"router pauses", afterPrefill, whole, whole},
+	{"router pauses", afterImport, whole, whole},
+}
+
+func TestFailures(t *testing.T) {
+	for _, c := range cells {
+		for _, exact := range []bool{true, false} {
+			kind, want := "sampled", c.sampled
+			if exact {
+				kind, want = "exact", c.exact
+			}
+			t.Run(strings.Join([]string{c.failure, string(c.at), kind}, "/"), func(t *testing.T) {
+				t.Parallel()
+				runCell(t, c, exact, want)
+			})
+		}
+	}
+}
+
+func runCell(t *testing.T, c cell, exact bool, want ending) {
+	is := is.New(t)
+	w := newWorld(t)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	defer cancel(nil)
+	tr := &trial{world: w, cancel: cancel}
+	h := &hooks{
+		Engines: w.client,
+		timer:   w.timer,
+		at:      c.at,
+		do:      func() { failures[c.failure](tr) },
+		counter: w.engines["p1"].Counts,
+	}
+	var holds flow.Holds = w.keeper
+	if c.failure == "router pauses" {
+		holds = pausable{w.keeper}
+	}
+	r := w.newRunner(h, holds)
+
+	req := request(strings.Repeat("a long letter of the family ", 100))
+	req.Exact = exact
+	total := int64(len(strings.Fields(wanted(req))))
+	sink := &textSink{t: t, after: func(n int64) error {
+		if n == 5 {
+			h.fire(midStream)
+		}
+		if n == total {
+			h.fire(lastToken)
+		}
+		return nil
+	}}
+	res, err := r.Run(ctx, req, sink)
+	t.Logf("result %+v, error %v", res, err)
+	is.True(h.do == nil) // the failure has happened
+	got := endingOf(res, err)
+	is.True(got == want || (want == onWay && (got == whole || got == cut)))
+	checkEnd(t, w, req, sink, res, err)
+	if c.failure == "tokens doubled and crossed" {
+		is.Equal(res.Dropped.Crossed, int64(7))
+		is.True(res.Dropped.Doubled >= 6)
+	}
+	if c.failure == "key is withdrawn" {
+		is.True(errors.Is(err, errWithdrawn))
+	}
+}
+
+// endingOf names the way in which a request ended.
+func endingOf(res flow.Result, err error) ending {
+	switch {
+	case err == nil:
+		return whole
+	case res.Total > 0:
+		return cut
+	case fail.Outcome(err) == ident.NotRun:
+		return refused
+	default:
+		return failed
+	}
+}
+
+// checkEnd checks what holds for every request, however it ended.
+func checkEnd(t *testing.T, w *world, req flow.Request, sink *textSink, res flow.Result, err error) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(res.Total, sink.next)
+	is.Equal(res.Outcome, fail.Outcome(err))
+	if err == nil {
+		is.Equal(sink.text.String(), wanted(req)) // the whole answer
+	} else {
+		is.True(strings.HasPrefix(wanted(req), sink.text.String())) // a true part
+		is.True(res.Reason == "")
+	}
+	var prefills int64
+	for _, e := range w.engines {
+		counts := e.Counts()
+		prefills += counts.Prefills
+		is.Equal(counts.Repeated, 0) // no attempt ran twice
+	}
+	if fail.Outcome(err) == ident.NotRun {
+		is.Equal(prefills, int64(0)) // not run is true
+	}
+	is.Equal(w.awaitNoHolds(5*time.Second), 0)
+}
--- a/flow/fault.go
+++ b/flow/fault.go
@@ -17,8 +17,6 @@
 	ErrDeadline = errors.New("deadline has passed")
 	// ErrCaller reports a caller that is gone.
 	ErrCaller = errors.New("caller is gone")
-	// ErrStalled reports a KV transfer that took too long.
-	ErrStalled = errors.New("transfer stalled")
 	// ErrTotal reports an end whose total does not match the tokens.
 	ErrTotal = errors.New("end does not match the tokens")
 	// ErrDiffers reports a repeated output that differs from what was sent.
--- a/flow/relay.go
+++ b/flow/relay.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
+	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/place"
 	"wasabidock.dev/dock/tick"
 )
@@ -17,11 +18,11 @@
 // transfer that stalls or breaks is begun again.
 func (n *run) transfer(ctx context.Context, p place.Placement, st seat) *setback {
 	n.cfg.Placer.Progress(p, place.StageTransfer, n.sent)
-	in := Transfer{Attempt: st.attempt, Place: st.Place, KV: n.kv.Name, Source: n.kv.server}
+	in := Transfer{Attempt: st.attempt, Place: st.Place, KV: n.kv.Name, Source: n.kv.server, Stall: n.stall()}
 	var err error
 	for range n.cfg.Transfers {
 		n.res.Transfers++
-		if err = n.importOnce(ctx, p, in); err == nil {
+		if err = n.cfg.Engines.Import(ctx, p.Decode, in); err == nil {
 			n.release(n.kv.hold)
 			return nil
 		}
@@ -32,18 +33,30 @@
 			break
 		}
 	}
-	if errors.Is(err, ErrNoKV) {
-		n.dropKV()
-	} else {
-		n.avoid = append(n.avoid, p.Decode)
-	}
-	return &setback{step: "flow: transfer", server: p.Decode, err: err}
+	blamed := n.blame(p, err)
+	return &setback{step: "flow: transfer", server: blamed, err: err}
 }
 
-func (n *run) importOnce(ctx context.Context, p place.Placement, in Transfer) error {
-	ctx, stop := tick.WithTimeout(ctx, n.cfg.Timer, n.transferLimit(p), ErrStalled)
-	defer stop()
-	return n.cfg.Engines.Import(ctx, p.Decode, in)
+// blame avoids the engine to which the failure of a transfer is put down, and
+// drops the KV cache if it is of no more use. A transfer that fails without a
+// word may be stuck at either end: the cache is tried at another decode engine
+// first, and if it fails there too or its life is over, at another prefill
+// engine.
+func (n *run) blame(p place.Placement, err error) ident.Server {
+	switch {
+	case errors.Is(err, ErrNoKV):
+		n.dropKV()
+		return p.Decode
+	case errors.Is(err, ErrNoAttempt):
+	case errors.Is(err, ErrSource), n.kv.moved, n.cfg.Timer.Now() >= n.kv.until:
+		source := n.kv.server
+		n.avoid = append(n.avoid, source)
+		n.dropKV()
+		return source
+	}
+	n.kv.moved = true
+	n.avoid = append(n.avoid, p.Decode)
+	return p.Decode
 }
 
 // relay gives the output to the sink. The stream is opened again, at the
--- a/flow/run.go
+++ b/flow/run.go
@@ -43,6 +43,7 @@
 	hold
 	until tick.Instant // when it is expected to be dropped
 	used  bool         // a token of its output was sent
+	moved bool         // transfers to one decode engine have failed
 }
 
 // seat is a reserved place.
@@ -286,10 +287,11 @@
 	}
 }
 
-// transferLimit returns how long one transfer may take before it is begun
-// again: well over its expected time, and short enough for another one within
-// the life of the KV cache.
-func (n *run) transferLimit(p place.Placement) time.Duration {
-	const overExpected = 3
-	return max(overExpected*p.Transfer, n.kv.Life/time.Duration(n.cfg.Transfers))
+// stall returns how long a transfer may make no progress before it is begun
+// again: short enough for tries to two decode engines within the life of the
+// KV cache.
+func (n *run) stall() time.Duration {
+	return max(n.kv.Life/time.Duration(2*n.cfg.Transfers), minStall)
 }
+
+const minStall = 50 * time.Millisecond
--- a/flow/runner.go
+++ b/flow/runner.go
@@ -36,7 +36,7 @@
 	Budget    *Budget
 	Hold      time.Duration // life of holds without contact
 	Tries     int           // placements of one request
-	Transfers int           // imports of one KV cache
+	Transfers int           // imports of one KV cache to one decode engine
 	Resumes   int           // openings of a stream without a token between
 	Backoff   time.Duration // pause before a stream is opened again, times the openings
 }
@@ -44,7 +44,7 @@
 const (
 	defaultHold      = 10 * time.Second
 	defaultTries     = 4
-	defaultTransfers = 3
+	defaultTransfers = 2
 	defaultResumes   = 4
 	defaultBackoff   = 50 * time.Millisecond
 	budgetRatio      = 0.2
--- /dev/null
+++ b/flow/walk_test.go
@@ -0,0 +1,439 @@
+package flow_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/flow"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/tick"
+)
+
+// walkClock passes by itself while a request pauses.
+type walkClock struct{ *tick.Fake }
+
+func (c walkClock) After(d time.Duration) tick.Timer {
+	t := c.Fake.After(d)
+	if d < time.Second {
+		c.Advance(d)
+	}
+	return t
+}
+
+// walk is one schedule: a request before engines in memory that fail at
+// random. It checks how it is used, and everything happens in the goroutine of
+// the request.
+type walk struct {
+	t        *testing.T
+	seed     uint64
+	rnd      *rand.Rand
+	clock    walkClock
+	trouble  int // chance in a hundred that a call goes wrong
+	cancel   context.CancelFunc
+	deadline tick.Instant
+	total    int64
+	exact    bool
+	builds   map[ident.Server]string
+
+	purpose  map[ident.Attempt]string       // server and kind of call
+	kept     map[ident.Attempt]ident.Server // with Keep and not yet released
+	released map[ident.Attempt]bool
+	places   map[ident.Attempt]*walkPlace
+	caches   map[string]*walkCache
+	prefills int
+	decodes  []string // whole outputs of the attempts that were streamed
+	strays   flow.Dropped
+	sent     []string
+}
+
+type walkPlace struct {
+	server ident.Server
+	ready  bool
+	output []string
+}
+
+type walkCache struct {
+	server ident.Server
+	until  tick.Instant
+}
+
+const (
+	walkKVLife = 900 * time.Millisecond
+	walkHold   = 10 * time.Second
+)
+
+func newWalk(t *testing.T, seed uint64) *walk {
+	w := &walk{
+		t:        t,
+		seed:     seed,
+		rnd:      rand.New(rand.NewPCG(seed, 2)),
+		clock:    walkClock{tick.NewFake(0)},
+		builds:   make(map[ident.Server]string),
+		purpose:  make(map[ident.Attempt]string),
+		kept:     make(map[ident.Attempt]ident.Server),
+		released: make(map[ident.Attempt]bool),
+		places:   make(map[ident.Attempt]*walkPlace),
+		caches:   make(map[string]*walkCache),
+	}
+	w.trouble = []int{0, 5, 15, 40}[w.rnd.IntN(4)]
+	w.total = 1 + w.rnd.Int64N(30)
+	w.exact = w.rnd.IntN(2) == 0
+	for _, s := range []ident.Server{"d1", "d2", "d3"} {
+		w.builds[s] = []string{"b1", "b1", "b2", ""}[w.rnd.IntN(4)]
+	}
+	if w.rnd.IntN(4) == 0 {
+		w.deadline = time.Duration(1+w.rnd.IntN(20)) * time.Second
+	}
+	return w
+}
+
+func (w *walk) errorf(format string, args ...any) {
+	w.t.Helper()
+	w.t.Errorf("seed %d: "+format, append([]any{w.seed}, args...)...)
+}
+
+// pass lets time go by, and waits for the deadline's effect if it is over.
+func (w *walk) pass(ctx context.Context, d time.Duration) {
+	w.clock.Advance(d)
+	if w.deadline > 0 && w.clock.Now() >= w.deadline {
+		<-ctx.Done()
+	}
+}
+
+// Place implements flow.Placer.
+func (w *walk) Place(ctx context.Context, ask place.Ask) (place.Placement, error) {
+	w.pass(ctx, time.Duration(w.rnd.IntN(50))*time.Millisecond)
+	if ctx.Err() != nil {
+		return place.Placement{}, ctx.Err()
+	}
+	p := pick(w.shuffled("p1", "p2", "p3"), ask.Avoid)
+	d := pick(w.shuffled("d1", "d2", "d3"), ask.Avoid)
+	if p == "" || d == "" {
+		return place.Placement{}, fail.Refuse(fail.CodeNoServer, time.Second, "no server left")
+	}
+	return place.Placement{ID: "pl", Prefill: p, Decode: d}, nil
+}
+
+func (w *walk) shuffled(ss ...ident.Server) []ident.Server {
+	w.rnd.Shuffle(len(ss), func(i, j int) { ss[i], ss[j] = ss[j], ss[i] })
+	return ss
+}
+
+// Progress implements flow.Placer.
+func (w *walk) Progress(place.Placement, place.Stage, int64) {}
+
+// Keep implements flow.Holds.
+func (w *walk) Keep(s ident.Server, a ident.Attempt) {
+	if _, ok := w.kept[a]; ok || w.released[a] {
+		w.errorf("attempt %s is used again", a)
+	}
+	w.kept[a] = s
+}
+
+// Release implements flow.Holds.
+func (w *walk) Release(s ident.Server, a ident.Attempt) {
+	if w.kept[a] != s {
+		w.errorf("release of %s at %s, kept at %q", a, s, w.kept[a])
+	}
+	delete(w.kept, a)
+	w.released[a] = true
+	delete(w.places, a)
+}
+
+// arrive checks an attempt and draws what happens to the call: it may be
+// refused, lost on its way or have its answer lost.
+func (w *walk) arrive(ctx context.Context, step string, s ident.Server, a ident.Attempt) (act bool, err error) {
+	if w.kept[a] != s {
+		w.errorf("%s of %s at %s without a hold", step, a, s)
+	}
+	if p := w.purpose[a]; p != "" && p != string(s)+step {
+		w.errorf("attempt %s serves %s and %s", a, p, string(s)+step)
+	}
+	w.purpose[a] = string(s) + step
+	w.pass(ctx, time.Duration(w.rnd.IntN(30))*time.Millisecond)
+	if ctx.Err() != nil {
+		return false, fail.New(step, string(s), ident.NotRun, context.Cause(ctx))
+	}
+	if w.rnd.IntN(100) >= w.trouble {
+		return true, nil
+	}
+	switch w.rnd.IntN(8) {
+	case 0:
+		return false, fail.New(step, string(s), ident.NotRun, flow.ErrFull)
+	case 1:
+		return false, fail.New(step, string(s), ident.NotRun, errors.New("dial refused"))
+	case 2:
+		w.lose(s)
+		return false, fail.New(step, string(s), ident.Unknown, flow.ErrBroken)
+	case 3:
+		w.pass(ctx, 2*time.Second)
+		return false, fail.New(step, string(s), ident.Unknown, flow.ErrSilent)
+	case 4:
+		return true, fail.New(step, string(s), ident.Unknown, flow.ErrBroken)
+	case 5:
+		w.pass(ctx, 2*time.Second)
+		return true, fail.New(step, string(s), ident.Unknown, flow.ErrSilent)
+	case 6:
+		w.pass(ctx, walkHold+time.Second) // the process pauses
+		return true, nil
+	default:
+		w.cancel()
+		return w.rnd.IntN(2) == 0, fail.New(step, string(s), ident.Unknown, context.Canceled)
+	}
+}
+
+// lose lets an engine die and come back without its memory.
+func (w *walk) lose(s ident.Server) {
+	for a, p := range w.places {
+		if p.server == s {
+			delete(w.places, a)
+		}
+	}
+	for name, k := range w.caches {
+		if k.server == s {
+			delete(w.caches, name)
+		}
+	}
+}
+
+// Reserve implements flow.Engines.
+func (w *walk) Reserve(ctx context.Context, s ident.Server, r flow.Reservation) (flow.Seat, error) {
+	act, err := w.arrive(ctx, "decode", s, r.Attempt)
+	if act && w.places[r.Attempt] == nil {
+		w.places[r.Attempt] = &walkPlace{server: s}
+	}
+	return flow.Seat{Place: "place", Build: w.builds[s]}, err
+}
+
+// Prefill implements flow.Engines.
+func (w *walk) Prefill(ctx context.Context, s ident.Server, p flow.Prefill) (flow.KV, error) {
+	act, err := w.arrive(ctx, "prefill", s, p.Attempt)
+	name := p.Attempt.String()
+	if act && w.caches[name] == nil {
+		w.prefills++
+		w.caches[name] = &walkCache{server: s, until: w.clock.Now() + walkKVLife}
+	}
+	return flow.KV{Name: name, Tokens: 100, Life: walkKVLife}, err
+}
+
+// Import implements flow.Engines.
+func (w *walk) Import(ctx context.Context, s ident.Server, t flow.Transfer) error {
+	act, err := w.arrive(ctx, "decode", s, t.Attempt)
+	if !act {
+		return err
+	}
+	p, k := w.places[t.Attempt], w.caches[t.KV]
+	switch {
+	case p == nil:
+		return fail.New("import", string(s), ident.NotRun, flow.ErrNoAttempt)
+	case p.ready:
+		return err
+	case k == nil || w.clock.Now() >= k.until:
+		return fail.New("import", string(s), ident.NotRun, flow.ErrNoKV)
+	case k.server != t.Source:
+		w.errorf("import of %s from %s, exported by %s", t.KV, t.Source, k.server)
+	}
+	p.ready = true
+	p.output = w.output(s, t.Attempt)
+	return err
+}
+
+// output returns what an attempt generates. Only an exact request gives the
+// same at engines of one build, and one build in ten only claims so.
+func (w *walk) output(s ident.Server, a ident.Attempt) []string {
+	source := a.String()
+	if w.exact && w.builds[s] != "" && w.seed%10 != 0 {
+		source = w.builds[s]
+	}
+	out := make([]string, w.total)
+	for i := range out {
+		out[i] = fmt.Sprintf("%s/%d ", source, i)
+	}
+	return out
+}
+
+// Stream implements flow.Engines.
+func (w *walk) Stream(ctx context.Context, s ident.Server, a ident.Attempt, offset int64) (flow.Stream, error) {
+	act, err := w.arrive(ctx, "decode", s, a)
+	p := w.places[a]
+	if act && err == nil && (p == nil || !p.ready) {
+		err = fail.New("stream", string(s), ident.NotRun, flow.ErrNoAttempt)
+	}
+	if !act || err != nil {
+		return nil, err
+	}
+	w.decodes = append(w.decodes, strings.Join(p.output, ""))
+	return &walkStream{w: w, ctx: ctx, a: a, p: p, next: offset, have: offset}, nil
+}
+
+// walkStream sends the output of an attempt, with events that do not belong.
+type walkStream struct {
+	w    *walk
+	ctx  context.Context
+	a    ident.Attempt
+	p    *walkPlace
+	next int64 // offset that the engine sends next
+	have int64 // offset that the reader waits for
+}
+
+func (s *walkStream) Next() (flow.Event, error) {
+	s.w.pass(s.ctx, time.Duration(s.w.rnd.IntN(30))*time.Millisecond)
+	if s.ctx.Err() != nil {
+		return flow.Event{}, context.Cause(s.ctx)
+	}
+	if s.w.rnd.IntN(100) < s.w.trouble/2 {
+		return s.disturb()
+	}
+	return s.proper()
+}
+
+func (s *walkStream) proper() (flow.Event, error) {
+	if s.next >= s.w.total {
+		return flow.Event{Attempt: s.a, End: true, Total: s.w.total, Reason: "stop"}, nil
+	}
+	ev := flow.Event{Attempt: s.a, Offset: s.next, Text: s.p.output[s.next]}
+	if s.next == s.have {
+		s.have++
+	}
+	s.next++
+	return ev, nil
+}
+
+// disturb draws what goes wrong.
+func (s *walkStream) disturb() (flow.Event, error) {
+	w := s.w
+	switch w.rnd.IntN(9) {
+	case 0:
+		w.strays.Crossed++
+		return flow.Event{Attempt: ident.Attempt{Node: ident.Node{Instance: "other"}, Serial: 9}, Offset: s.have, Text: "crossed"}, nil
+	case 1:
+		w.strays.Crossed++
+		return flow.Event{Attempt: ident.Attempt{Serial: 1}, End: true, Total: s.have}, nil
+	case 2:
+		for a := range w.released {
+			w.strays.Late++
+			return flow.Event{Attempt: a, Offset: s.have, Text: "late"}, nil
+		}
+	case 3:
+		if s.have > 0 {
+			w.strays.Doubled++
+			return flow.Event{Attempt: s.a, Offset: w.rnd.Int64N(s.have), Text: "doubled"}, nil
+		}
+	case 4:
+		s.next = min(s.next+1, w.total) // one is lost
+	case 5:
+		return flow.Event{}, fail.New("stream", "d", ident.Unknown, flow.ErrBroken)
+	case 6:
+		w.pass(s.ctx, 2*time.Second)
+		return flow.Event{}, fail.New("stream", "d", ident.Unknown, flow.ErrSilent)
+	case 7:
+		w.lose(s.p.server)
+		return flow.Event{}, fail.New("stream", "d", ident.Unknown, flow.ErrBroken)
+	default:
+		if w.rnd.IntN(4) == 0 {
+			w.cancel()
+			return flow.Event{}, context.Canceled
+		}
+		if s.have > 0 {
+			return flow.Event{Attempt: s.a, End: true, Total: s.have / 2, Reason: "stop"}, nil // a lie
+		}
+	}
+	return s.proper()
+}
+
+func (s *walkStream) Close() {}
+
+// Token implements flow.Sink.
+func (w *walk) Token(offset int64, text string) error {
+	if offset != int64(len(w.sent)) {
+		w.errorf("token at offset %d, want %d", offset, len(w.sent))
+	}
+	w.sent = append(w.sent, text)
+	if w.trouble > 0 && w.rnd.IntN(200) == 0 {
+		return errors.New("caller is gone")
+	}
+	return nil
+}
+
+// run carries one request through the schedule and checks its end.
+func (w *walk) run() (flow.Result, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	w.cancel = cancel
+	r := flow.New(flow.Config{
+		Node:    ident.Node{Instance: "a", Incarnation: 3},
+		Engines: w,
+		Placer:  w,
+		Holds:   w,
+		Timer:   w.clock,
+	})
+	res, err := r.Run(ctx, flow.Request{ID: "r", PromptTokens: 100, MaxOutput: w.total, Exact: w.exact, Deadline: w.deadline}, w)
+	w.check(res, err)
+	return res, err
+}
+
+func (w *walk) check(res flow.Result, err error) {
+	text := strings.Join(w.sent, "")
+	from := 0
+	for _, d := range w.decodes {
+		if (err == nil && text == d) || (err != nil && strings.HasPrefix(d, text)) {
+			from++
+		}
+	}
+	if from == 0 && (err == nil || text != "") {
+		w.errorf("sent %q, which is no output of one run; error %v", text, err)
+	}
+	if err == nil && int64(len(w.sent)) != w.total {
+		w.errorf("%d tokens of %d look whole", len(w.sent), w.total)
+	}
+	if (err == nil) != (res.Outcome == ident.Done) {
+		w.errorf("outcome %v with error %v", res.Outcome, err)
+	}
+	if fail.Outcome(err) == ident.NotRun && w.prefills > 0 {
+		w.errorf("not run is false: %d prefills; error %v", w.prefills, err)
+	}
+	if len(w.kept) > 0 {
+		w.errorf("holds are not released: %v", w.kept)
+	}
+	if res.Dropped != w.strays {
+		w.errorf("dropped %+v, injected %+v", res.Dropped, w.strays)
+	}
+	if res.Wasted > res.Computed || (err != nil && res.Total == 0 && res.Wasted != res.Computed) {
+		w.errorf("wasted %d of %d computed; error %v", res.Wasted, res.Computed, err)
+	}
+}
+
+// TestWalk draws schedules of failures.
+func TestWalk(t *testing.T) {
+	const schedules = 5000
+	ends := make(map[ending]int)
+	var strays, restarts, resumes int64
+	for seed := range uint64(schedules) {
+		w := newWalk(t, seed)
+		res, err := w.run()
+		ends[endingOf(res, err)]++
+		strays += res.Dropped.Late + res.Dropped.Doubled + res.Dropped.Crossed
+		restarts += int64(res.Restarts)
+		resumes += int64(res.Resumes)
+		if t.Failed() {
+			return
+		}
+	}
+	for _, e := range []ending{whole, cut, failed, refused} {
+		if ends[e] == 0 {
+			t.Errorf("no request ended %s: the walk shows too little", e)
+		}
+	}
+	if strays == 0 || restarts == 0 || resumes == 0 {
+		t.Errorf("%d strays, %d restarts, %d resumes: the walk shows too little", strays, restarts, resumes)
+	}
+	t.Logf("%d schedules: %v, %d strays dropped, %d restarts, %d resumes", schedules, ends, strays, restarts, resumes)
+}
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -105,7 +105,7 @@
 	draining bool
 	faults   []Fault
 	counts   EngineCounts
-	runs     map[string]int // prefills and decodes begun, by attempt
+	runs     map[string]int // prefills and decodes begun in this life, by attempt
 }
 
 // lifetime is one life of the engine's process, ended by Kill.
@@ -125,7 +125,6 @@
 		ctx:    ctx,
 		cancel: cancel,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
-		runs:   make(map[string]int),
 	}
 	e.routes()
 	e.reset()
@@ -196,6 +195,7 @@
 	e.report = reports{}
 	e.role, e.models, e.loading = e.cfg.Role, e.cfg.Models, nil
 	e.fence, e.draining = 0, false
+	e.runs = make(map[string]int)
 }
 
 // ServeHTTP answers one call.
--- a/stand/enginefault.go
+++ b/stand/enginefault.go
@@ -43,7 +43,8 @@
 	Busy          int   `json:"busy"`  // now
 	Prefills      int64 `json:"prefills"`
 	PrefillTokens int64 `json:"prefill_tokens"` // computed, not cached
-	Imports       int64 `json:"imports"`
+	Exports       int64 `json:"exports"`        // begun
+	Imports       int64 `json:"imports"`        // finished
 	Decodes       int64 `json:"decodes"`
 	Streams       int64 `json:"streams"`
 	Tokens        int64 `json:"tokens"`
@@ -52,7 +53,7 @@
 	Full          int64 `json:"full"`
 	Orders        int64 `json:"orders"`
 	Loads         int64 `json:"loads"`
-	Repeated      int   `json:"repeated"` // attempts that ran more than once
+	Repeated      int   `json:"repeated"` // attempts that ran more than once in this life
 }
 
 // Inject causes a fault.
--- a/stand/enginekv.go
+++ b/stand/enginekv.go
@@ -64,8 +64,19 @@
 	Bytes  int64  `json:"bytes"`
 }
 
-// transferSlices is the number of parts in which an export is sent.
-const transferSlices = 20
+const (
+	transferSlices = 20                    // least number of parts in which an export is sent
+	sliceTime      = 20 * time.Millisecond // of a part on an idle link, at most
+)
+
+// slice returns the size of the parts in which n bytes are sent.
+func (l *Link) slice(n int64) int64 {
+	size := n / transferSlices
+	if l.rate > 0 {
+		size = min(size, int64(float64(l.rate)*sliceTime.Seconds()))
+	}
+	return max(size, 1)
+}
 
 func (e *Engine) exportKV(w http.ResponseWriter, r *http.Request) {
 	name := r.PathValue("kv")
@@ -85,8 +96,9 @@
 		<-ctx.Done()
 		return
 	}
-	for range transferSlices {
-		if tick.Sleep(ctx, e.cfg.Timer, e.cfg.Link.time(x.bytes/transferSlices)) != nil {
+	slice := e.cfg.Link.slice(x.bytes)
+	for sent := int64(0); sent < x.bytes; sent += slice {
+		if tick.Sleep(ctx, e.cfg.Timer, e.cfg.Link.time(slice)) != nil {
 			panic(http.ErrAbortHandler)
 		}
 		if !speak(r, life) {
@@ -106,6 +118,7 @@
 		return nil, false, e.life
 	}
 	x.readers++
+	e.counts.Exports++
 	return x, e.takeFault(FaultStall, ""), e.life
 }
 
@@ -190,12 +203,12 @@
 	defer close(t.done)
 	t.answer = engine.ImportResponse{Attempt: in.Attempt}
 	switch {
+	case a.transfer != t || e.attempts[in.Attempt] != a:
+		t.answer.Refusal = engine.Refusal{Code: engine.CodeNoAttempt, Message: "released or replaced"}
 	case err != nil:
-		t.answer.Refusal = engine.Refusal{Code: engine.CodeFailed, Message: err.Error()}
+		t.answer.Refusal = engine.Refusal{Code: engine.CodeSource, Message: err.Error()}
 	case refused.Code != "":
 		t.answer.Refusal = refused
-	case a.transfer != t || e.attempts[in.Attempt] != a:
-		t.answer.Refusal = engine.Refusal{Code: engine.CodeNoAttempt, Message: "released or replaced"}
 	default:
 		t.ok = true
 		t.answer.Bytes = p.Bytes
--- a/stand/engineprefill.go
+++ b/stand/engineprefill.go
@@ -45,7 +45,7 @@
 		select {
 		case <-j.done:
 			if speak(r, life) {
-				writeJSON(w, j.answer)
+				writeJSON(w, e.prefillAnswer(j))
 			}
 			return
 		case <-ticks.C():
@@ -179,10 +179,21 @@
 	out.Attempt = j.attempt
 	out.KV = a.kv.name
 	out.TookMS = took.Milliseconds()
-	out.LifeMS = e.cfg.KVLife.Milliseconds()
 	j.end(out)
 }
 
+// prefillAnswer returns the answer of a job that has ended, with the rest of
+// the life of its export.
+func (e *Engine) prefillAnswer(j *job) engine.PrefillResponse {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := j.answer
+	if x := e.exports[out.KV]; x != nil {
+		out.LifeMS = max(x.until-e.cfg.Timer.Now(), 0).Milliseconds()
+	}
+	return out
+}
+
 func (e *Engine) pieces(prompt string) []uint64 {
 	if e.cfg.Pieces == nil {
 		return nil
