--- a/orders/plan.go
+++ b/orders/plan.go
@@ -138,7 +138,7 @@
 	}
 	for _, lost := range lostRoles(s.state.Role, s.want.Role) {
 		for _, m := range s.state.Models {
-			if p.isNamed(m) && !p.remains(m, lost, s.want.Server) {
+			if p.isNamed(m) && !p.remains(m, lost) {
 				p.kept = append(p.kept, Kept{Server: s.want.Server, Kind: Role, Model: m})
 				return
 			}
@@ -179,7 +179,7 @@
 
 func (p *plan) remainsInRoles(m Model, s server) bool {
 	for _, r := range []string{RolePrefill, RoleDecode} {
-		if plays(s.state.Role, r) && !p.remains(m, r, s.want.Server) {
+		if plays(s.state.Role, r) && !p.remains(m, r) {
 			return false
 		}
 	}
@@ -193,13 +193,13 @@
 	weightRemains  = 2
 )
 
-// remains reports whether enough other servers have a model in a role and are
-// wanted to keep both. A server that has seen the revision refuses all older
+// remains reports whether enough servers have a model in a role and are wanted
+// to keep both. The server that is to give one of them up is never among them. A server that has seen the revision refuses all older
 // orders and is enough by itself.
-func (p *plan) remains(m Model, role string, without ident.Server) bool {
+func (p *plan) remains(m Model, role string) bool {
 	weight := 0
 	for _, s := range p.servers {
-		if s.want.Server == without || s.state.Draining {
+		if s.state.Draining {
 			continue
 		}
 		if !plays(s.state.Role, role) || !plays(s.want.Role, role) || !s.keeps(m) {
