--- /dev/null
+++ b/fair/queue_test.go
@@ -0,0 +1,249 @@
+package fair_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"wasabidock.dev/dock/fair"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/tick"
+)
+
+const never = tick.Instant(1 << 60)
+
+// serve pops n items and returns the cost served by customer.
+func serve(q *fair.Queue, n int, now tick.Instant) map[ident.Customer]int64 {
+	out := make(map[ident.Customer]int64)
+	for range n {
+		it, ok := q.Peek(true)
+		if !ok {
+			break
+		}
+		q.Pop(it, now)
+		out[it.Customer] += it.Cost
+	}
+	return out
+}
+
+func TestShareFollowsWeights(t *testing.T) {
+	tests := []struct {
+		name    string
+		weights map[ident.Customer]float64
+		pushed  map[ident.Customer]int
+	}{
+		{"equal", map[ident.Customer]float64{"a": 1, "b": 1}, map[ident.Customer]int{"a": 400, "b": 400}},
+		{"one to three", map[ident.Customer]float64{"a": 1, "b": 3}, map[ident.Customer]int{"a": 400, "b": 400}},
+		{"flood", map[ident.Customer]float64{"a": 1, "b": 1}, map[ident.Customer]int{"a": 1000, "b": 210}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			q := fair.New(fair.Config{Rate: 1000})
+			var id uint64
+			var sum float64
+			for c, n := range tt.pushed {
+				q.SetWeight(c, tt.weights[c])
+				sum += tt.weights[c]
+				for range n {
+					id++
+					_, ok := q.Push(fair.Item{ID: id, Customer: c, Cost: 10, StartBy: never}, 0)
+					is.True(ok)
+				}
+			}
+			got := serve(q, 400, 0)
+			for c, w := range tt.weights {
+				want := 4000 * w / sum
+				is.True(float64(got[c]) >= want-20) // within two items of its share
+				is.True(float64(got[c]) <= want+20)
+			}
+		})
+	}
+}
+
+// TestNoCustomerFallsBehind checks the fair share over random arrivals: a
+// customer that has items all the time gets its share less a constant.
+func TestNoCustomerFallsBehind(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := fair.New(fair.Config{Rate: 1000})
+		n := rapid.IntRange(2, 6).Draw(t, "customers")
+		var sum float64
+		weights := make([]float64, n)
+		name := func(i int) ident.Customer { return ident.Customer(fmt.Sprintf("c%d", i)) }
+		for i := range n {
+			weights[i] = float64(rapid.IntRange(1, 5).Draw(t, "weight"))
+			sum += weights[i]
+			q.SetWeight(name(i), weights[i])
+		}
+		var id uint64
+		var total int64
+		got := make(map[ident.Customer]int64)
+		const maxCost = 500
+		for range 1500 {
+			for i := range n {
+				// The first customer always has a backlog.
+				for i == 0 && q.CustomerBacklog(name(0)) < 3*maxCost {
+					id++
+					q.Push(fair.Item{ID: id, Customer: name(0), Cost: rapid.Int64Range(1, maxCost).Draw(t, "cost"), StartBy: never}, 0)
+				}
+			}
+			c := name(rapid.IntRange(1, n-1).Draw(t, "customer"))
+			id++
+			q.Push(fair.Item{ID: id, Customer: c, Cost: rapid.Int64Range(1, maxCost).Draw(t, "cost"), StartBy: never}, 0)
+			it, _ := q.Peek(true)
+			q.Pop(it, 0)
+			got[it.Customer] += it.Cost
+			total += it.Cost
+		}
+		// Credit of idle customers may take the share of five seconds once.
+		want := float64(total)*weights[0]/sum - 5*1000*float64(n) - 2*maxCost*float64(n)
+		if float64(got["c0"]) < want {
+			t.Fatalf("customer with a backlog got %d of %d, want at least %.0f", got["c0"], total, want)
+		}
+	})
+}
+
+func TestInteractiveGoesFirstWithoutStarvation(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000, Lead: time.Second})
+	var id uint64
+	push := func(c ident.Customer, r fair.Rank) {
+		id++
+		_, ok := q.Push(fair.Item{ID: id, Customer: c, Rank: r, Cost: 100, StartBy: never}, 0)
+		is.True(ok)
+	}
+	for range 40 {
+		push("a", fair.Waiting)
+		push("b", fair.Interactive)
+	}
+	it, _ := q.Peek(true)
+	is.Equal(it.Customer, ident.Customer("b")) // interactive first
+	got := serve(q, 40, 0)
+	is.True(got["a"] >= 1500) // ahead by at most the lead, a takes its half
+	is.True(got["a"] <= 2000)
+
+	// Within one customer one part in four is left to the waiting class.
+	q = fair.New(fair.Config{Rate: 1000})
+	for range 40 {
+		push("a", fair.Waiting)
+		push("a", fair.Interactive)
+	}
+	waiting := 0
+	for range 40 {
+		it, _ := q.Peek(true)
+		q.Pop(it, 0)
+		if it.Rank == fair.Waiting {
+			waiting++
+		}
+	}
+	is.Equal(waiting, 10)
+}
+
+func TestFloodFillsOnlyItsOwnPart(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000, MaxItems: 50})
+	refused := 0
+	for i := range 500 {
+		if retry, ok := q.Push(fair.Item{ID: uint64(i + 1), Customer: "flood", Cost: 100, StartBy: 10 * time.Second}, 0); !ok {
+			is.True(retry > 0)
+			refused++
+		}
+	}
+	is.True(refused >= 450)
+	wait, ok := q.Push(fair.Item{ID: 1000, Customer: "small", Cost: 100, StartBy: time.Second}, 0)
+	is.True(ok)
+	is.Equal(wait, time.Duration(0))
+	q.Pop(fair.Item{ID: 1, Customer: "flood", Cost: 100}, 0)
+	it, _ := q.Peek(true)
+	is.Equal(it.Customer, ident.Customer("small"))
+}
+
+func TestLateItemsAreRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000})
+	for i := range 30 {
+		_, ok := q.Push(fair.Item{ID: uint64(i + 1), Customer: ident.Customer(fmt.Sprint(i)), Cost: 100, StartBy: time.Second}, 0)
+		is.True(ok) // each customer alone could start at once
+	}
+	out := q.Sweep(0, nil)
+	is.Equal(len(out), 19) // 1000 a second start ten, and one at the very end
+	for i, r := range out {
+		// The next would start when the eleven ahead of it have been served.
+		is.Equal(r.Retry, 100*time.Millisecond)
+		is.True(i < 30)
+	}
+	is.Equal(q.Len(), 11)
+	is.Equal(len(q.Sweep(0, nil)), 0)
+}
+
+func TestCorrectMovesTheShare(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000})
+	for i := range 20 {
+		q.Push(fair.Item{ID: uint64(2*i + 1), Customer: "a", Cost: 100, StartBy: never}, 0)
+		q.Push(fair.Item{ID: uint64(2*i + 2), Customer: "b", Cost: 100, StartBy: never}, 0)
+	}
+	it, _ := q.Peek(true)
+	is.Equal(it.Customer, ident.Customer("a"))
+	q.Pop(it, 0)
+	q.Correct("a", 500) // the output was longer than estimated
+	got := serve(q, 6, 0)
+	is.Equal(got["b"], int64(600))
+}
+
+func TestRemoveLeavesNoTrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := fair.New(fair.Config{Rate: 1000})
+		live := make(map[uint64]fair.Item)
+		var id uint64
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			switch rapid.IntRange(0, 2).Draw(t, "op") {
+			case 0:
+				id++
+				it := fair.Item{ID: id, Customer: ident.Customer(fmt.Sprint(id % 5)), Rank: fair.Rank(id % 2), Cost: int64(id%7 + 1), StartBy: never}
+				if _, ok := q.Push(it, 0); ok {
+					live[id] = it
+				}
+			case 1:
+				for n := range live {
+					q.Remove(n)
+					delete(live, n)
+					break
+				}
+			default:
+				it, ok := q.Peek(true)
+				if ok != (len(live) > 0) {
+					t.Fatalf("peek %v with %d items", ok, len(live))
+				}
+				if ok {
+					if _, known := live[it.ID]; !known {
+						t.Fatalf("item %d came out and was not in", it.ID)
+					}
+					q.Pop(it, 0)
+					delete(live, it.ID)
+				}
+			}
+			var cost int64
+			for _, it := range live {
+				cost += it.Cost
+			}
+			if q.Len() != len(live) || q.Backlog() != cost {
+				t.Fatalf("len %d backlog %d, want %d %d", q.Len(), q.Backlog(), len(live), cost)
+			}
+		}
+	})
+}
+
+func TestOutputEstimateFollowsTheCustomer(t *testing.T) {
+	is := is.New(t)
+	o := fair.NewOutput()
+	is.Equal(o.Estimate("a", 50), int64(50))
+	for range 100 {
+		o.Ended("a", 400)
+	}
+	is.True(o.Estimate("a", 0) > 390)
+	is.True(o.Estimate("b", 0) < 390)
+}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -131,8 +131,9 @@
 // Submit takes a request in. Step tells when it is placed or refused.
 func (s *Scheduler) Submit(a *place.Ask, owner ident.Instance, now tick.Instant) Ticket {
 	s.next++
+	t := s.next
 	w := s.waiter()
-	*w = waiter{ticket: s.next, owner: owner, ask: *a, class: s.class(a.Class), since: now}
+	*w = waiter{ticket: t, owner: owner, ask: *a, class: s.class(a.Class), since: now}
 	arrived := now - a.Waited
 	w.query = place.Query{
 		Prompt:  a.Prompt,
@@ -146,10 +147,10 @@
 	w.output = s.output.Estimate(a.Customer, a.MaxOutput)
 	if a.Held != "" {
 		s.hold(w, now)
-		return w.ticket
+		return t
 	}
 	s.enqueue(w, now)
-	return w.ticket
+	return t
 }
 
 func (s *Scheduler) enqueue(w *waiter, now tick.Instant) {
--- /dev/null
+++ b/replay/call.go
@@ -0,0 +1,357 @@
+package replay
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// maxAttempts is the most placements of one request.
+	maxAttempts = 3
+	// prefillSlack and transferSlack are added to twice the expected time
+	// before a step is given up.
+	prefillSlack  = 250 * time.Millisecond
+	transferSlack = 100 * time.Millisecond
+	// bindEvery is the time between two tries at a decode server without a
+	// reservation.
+	bindEvery = 20 * time.Millisecond
+)
+
+type outcome uint8
+
+const (
+	open outcome = iota
+	served
+	refused
+	cancelled
+	failed
+)
+
+// call is the path of one request through the entry instance.
+type call struct {
+	w       *world
+	req     *Request
+	class   pool.Class
+	pieces  []uint64
+	arrived tick.Instant
+	entry   int
+	inRate  bool // within its customer's limit when it arrived
+	ticket  pool.Ticket
+
+	epoch     int // counts the steps; an answer to an older step is dropped
+	attempts  int
+	avoid     []ident.Server
+	placement place.Placement
+	choice    place.Choice
+	stage     place.Stage
+	job       *job
+	kvAt      tick.Instant // end of the prefill
+	stream    *stream
+
+	outcome outcome
+	code    fail.Code
+	begun   tick.Instant // first placement
+	first   tick.Instant
+	ended   tick.Instant
+	run     int64 // prompt tokens prefilled
+	wasted  int64 // of these, without use
+}
+
+func (w *world) newCall(r *Request, n, round int, at tick.Instant) *call {
+	c := &call{w: w, req: r, arrived: at, entry: w.rnd.IntN(w.opt.Entries)}
+	for _, k := range w.trace.Classes {
+		if k.Name == r.Class {
+			c.class = k
+		}
+	}
+	c.pieces = pieces(r, n, round)
+	return c
+}
+
+// pieces returns hashes that are shared within the preamble and differ in the
+// body.
+func pieces(r *Request, n, round int) []uint64 {
+	var out []uint64
+	var prev uint64
+	for i := int64(0); (i+1)*place.PieceTokens <= r.Prompt; i++ {
+		var b [32]byte
+		binary.LittleEndian.PutUint64(b[:], prev)
+		binary.LittleEndian.PutUint64(b[8:], r.Preamble)
+		if (i+1)*place.PieceTokens > r.PreambleTokens {
+			binary.LittleEndian.PutUint64(b[16:], uint64(n)+1)
+			binary.LittleEndian.PutUint64(b[24:], uint64(round)+1)
+		}
+		prev = xxhash.Sum64(b[:])
+		out = append(out, prev)
+	}
+	return out
+}
+
+func (c *call) arrive() {
+	c.w.alive[c.entry][c] = true
+	if c.req.CancelAfter > 0 && !c.w.opt.NoCancels {
+		c.w.after(c.req.CancelAfter, c.cancel)
+	}
+	c.ask("")
+}
+
+func (c *call) ask(held ident.Server) {
+	c.attempts++
+	c.epoch++
+	epoch := c.epoch
+	a := &place.Ask{
+		Customer:  c.req.Customer,
+		Model:     c.w.trace.Model,
+		Class:     c.req.Class,
+		Prompt:    c.req.Prompt,
+		MaxOutput: c.req.MaxOutput,
+		Pieces:    c.pieces,
+		Avoid:     c.avoid,
+		Resumed:   c.attempts > 1,
+		Held:      held,
+	}
+	c.w.after(c.w.policy.distance(), func() {
+		if c.epoch != epoch {
+			return
+		}
+		a.Waited = c.w.now - c.arrived
+		c.w.policy.submit(c, a, c.w.now)
+		c.w.asked = true
+	})
+}
+
+func (c *call) decided(v *verdict) {
+	if v.refusal != nil {
+		c.code = v.refusal.Code()
+		c.lose()
+		c.end(refused)
+		return
+	}
+	c.epoch++
+	if c.begun == 0 {
+		c.begun = c.w.now
+	}
+	c.placement = v.placement
+	c.choice = v.choice
+	c.stage = place.StagePlaced
+	if v.placement.Decode != "" && !c.w.byName[v.placement.Decode].reserve() {
+		c.placement.Decode = ""
+		c.again(place.StageFailedDecode, v.placement.Decode, "")
+		return
+	}
+	if c.kvAt > 0 {
+		c.transfer()
+		return
+	}
+	c.prefill()
+}
+
+func (c *call) prefill() {
+	c.report(place.StagePrefill)
+	epoch := c.epoch
+	s := c.w.byName[c.placement.Prefill]
+	c.job = &job{prompt: c.req.Prompt, pieces: c.pieces, urgent: !c.class.Patient}
+	c.job.finished = func(j *job) {
+		c.run += j.tokens
+		if j.silent || c.epoch != epoch {
+			c.wasted += j.tokens
+			return
+		}
+		c.kvAt = c.w.now
+		c.w.after(hop, func() {
+			if c.epoch == epoch {
+				c.report(place.StageTransfer)
+				c.transfer()
+			}
+		})
+	}
+	c.w.after(hop, func() {
+		if c.epoch == epoch {
+			s.prefill(c.job)
+		}
+	})
+	if c.placement.Decode == "" {
+		return
+	}
+	c.w.after(2*(c.choice.Wait+c.choice.Run)+prefillSlack, func() {
+		if c.epoch == epoch && c.kvAt == 0 {
+			c.again(place.StageFailedPrefill, c.placement.Prefill, "")
+		}
+	})
+}
+
+// transfer moves the KV cache to the decode server.
+func (c *call) transfer() {
+	if c.placement.Decode == "" && !c.bind() {
+		return
+	}
+	if c.w.now-c.kvAt > kvLife {
+		c.lose()
+		c.again(place.StageFailedTransfer, c.placement.Decode, "")
+		return
+	}
+	c.epoch++
+	epoch := c.epoch
+	n := c.req.Prompt * c.w.trace.KVBytes
+	done := c.w.byName[c.placement.Decode].transfer(n)
+	c.w.at(done, func() {
+		if c.epoch == epoch {
+			c.decode()
+		}
+	})
+	c.w.after(2*c.choice.Transfer+c.choice.LinkWait+transferSlack, func() {
+		if c.epoch == epoch && c.stage == place.StageTransfer && c.stream == nil {
+			c.again(place.StageFailedTransfer, c.placement.Decode, c.placement.Prefill)
+		}
+	})
+}
+
+// bind looks for a decode server without a reservation and comes back later
+// if there is none.
+func (c *call) bind() bool {
+	if c.w.now-c.kvAt > kvLife {
+		c.lose()
+		c.end(failed)
+		return false
+	}
+	name, ok := c.w.policy.bind(c.w.now)
+	if ok && c.w.byName[name].reserve() {
+		c.placement.Decode = name
+		c.choice.Transfer = kvLife
+		return true
+	}
+	epoch := c.epoch
+	c.w.after(bindEvery, func() {
+		if c.epoch == epoch {
+			c.transfer()
+		}
+	})
+	return false
+}
+
+func (c *call) decode() {
+	s := c.w.byName[c.placement.Decode]
+	c.stream = s.decode(c.req.Output, func() {
+		c.ended = c.w.now
+		c.stream = nil
+		c.end(served)
+	})
+	epoch := c.epoch
+	c.w.after(s.tokenTime(), func() {
+		if c.epoch == epoch {
+			c.first = c.w.now
+			c.report(place.StageDecode)
+		}
+	})
+}
+
+// again gives up a step at a server and asks anew. Held names the prefill
+// server if the KV cache may still be moved.
+func (c *call) again(s place.Stage, blamed, held ident.Server) {
+	c.report(s)
+	c.stopPrefill()
+	c.free()
+	c.avoid = append(c.avoid, blamed)
+	if held != "" && c.w.now-c.kvAt > kvLife/2 {
+		held = ""
+	}
+	if held == "" && c.kvAt > 0 {
+		c.lose()
+	}
+	if c.attempts >= maxAttempts {
+		c.lose()
+		c.end(failed)
+		return
+	}
+	c.ask(held)
+}
+
+// lose counts a prefill whose result is lost.
+func (c *call) lose() {
+	if c.kvAt > 0 {
+		c.wasted = c.run
+		c.kvAt = 0
+	}
+}
+
+func (c *call) cancel() {
+	if c.outcome != open {
+		return
+	}
+	c.w.policy.cancel(c)
+	c.end(cancelled)
+}
+
+// end gives back all that the request holds and reports its end.
+func (c *call) end(o outcome) {
+	if c.outcome != open {
+		return
+	}
+	c.outcome = o
+	c.stopPrefill()
+	if c.stream != nil {
+		c.w.byName[c.placement.Decode].stop(c.stream)
+	}
+	c.free()
+	if c.placement.ID != "" {
+		c.report(place.StageDone)
+	}
+	c.epoch++
+	delete(c.w.alive[c.entry], c)
+}
+
+func (c *call) stopPrefill() {
+	if c.job == nil {
+		return
+	}
+	if c.kvAt == 0 {
+		n := c.w.byName[c.placement.Prefill].cancel(c.job)
+		c.run += n
+		c.wasted += n
+	}
+	c.job = nil
+}
+
+// free gives the decode place back.
+func (c *call) free() {
+	if c.placement.Decode != "" {
+		c.w.byName[c.placement.Decode].release()
+		c.placement.Decode = ""
+	}
+}
+
+func (c *call) progress() pool.Progress {
+	p := pool.Progress{
+		ID:       c.placement.ID,
+		Stage:    c.stage,
+		Prefill:  c.placement.Prefill,
+		Decode:   c.placement.Decode,
+		Customer: c.req.Customer,
+		Prompt:   c.req.Prompt,
+	}
+	if c.outcome == served {
+		p.Output = c.req.Output
+	}
+	return p
+}
+
+// report tells the scheduler how far the request has come.
+func (c *call) report(s place.Stage) {
+	c.stage = s
+	p := c.progress()
+	if s.Ended() {
+		c.placement.ID = ""
+	}
+	c.w.after(c.w.policy.distance(), func() {
+		c.w.policy.progress(c.entry, &p, c.w.now)
+		c.w.asked = true
+	})
+}
--- /dev/null
+++ b/replay/doc.go
@@ -0,0 +1,38 @@
+// Package replay feeds recorded traces through the placement decisions and
+// measures what the customers get.
+//
+// The decisions are the real ones of packages fair, place and pool, on a fake
+// clock. The backend servers are small fakes: a prefill server works off a
+// queue at a constant rate with a prefix cache, a decode server runs a batch
+// whose token time grows with its size. There is no network and no process.
+//
+// # Usage
+//
+//	t, err := replay.Read(f)
+//	r := replay.Run(t, replay.Options{Load: 1.5, Policy: replay.Home, Seed: 1})
+//	err = replay.WriteTable(os.Stdout, []replay.Result{r})
+//
+// The same trace, options and seed give the same result.
+//
+// # Trace format
+//
+// A trace is CSV. Lines that start with # are comments. The first column
+// names the kind of a record; times are in milliseconds from the start.
+//
+//	pool,<trace>,<data centre>,<model>,<KV bytes per token>,<length ms>
+//	server,<name>,prefill|decode,<places>,<tokens per second>,<token ms>,<link bytes per second>,<cached pieces>
+//	class,<name>,<first token ms>,<between tokens ms>,patient|prompt
+//	customer,<name>,<weight>,<rate in tokens per second>,<burst in tokens>
+//	event,<at>,depart|silent|stall,<server>,<for ms, 0 for good>
+//	request,<at>,<customer>,<class>,<prompt>,<max output>,<output>,<preamble>,<preamble tokens>,<cancelled after ms, 0 never>
+//
+// An event "silent" loses the answers of all calls that are open at the
+// server; calls made later are answered. An event "stall" stops the transfers
+// into the server.
+//
+// # Load
+//
+// At load f the requests come f times as fast and the trace starts over until
+// its length is filled. Bodies differ from round to round, preambles do not.
+// Events keep their times.
+package replay
--- /dev/null
+++ b/replay/policy.go
@@ -0,0 +1,261 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/tick"
+)
+
+// Policy names a way to decide.
+type Policy string
+
+// The policies. Home is the router's own; the others are what it is compared
+// with.
+const (
+	// Home has one scheduler for the pool, which all entry instances ask.
+	Home Policy = "home"
+	// Each has a scheduler in each entry instance, on shared lagging reports.
+	Each Policy = "each"
+	// TwoChoices is Each with two random choices for each role.
+	TwoChoices Policy = "two-choices"
+	// FirstCome is Home without regard to customers and classes.
+	FirstCome Policy = "first-come"
+	// RoundRobin sends requests to the servers in turn, without reservation.
+	RoundRobin Policy = "round-robin"
+	// LeastLoaded sends requests to the server with the least load by the
+	// last report, without reservation.
+	LeastLoaded Policy = "least-loaded"
+)
+
+// Policies returns all policies.
+func Policies() []Policy {
+	return []Policy{Home, Each, TwoChoices, FirstCome, RoundRobin, LeastLoaded}
+}
+
+// policy decides for the entry instances of a run.
+type policy interface {
+	// distance is the time of a message between an entry instance and the
+	// place of decision.
+	distance() time.Duration
+	submit(c *call, a *place.Ask, now tick.Instant)
+	cancel(c *call)
+	step(now tick.Instant) []verdict
+	progress(entry int, p *pool.Progress, now tick.Instant)
+	heartbeat(entry int, all []pool.Progress, now tick.Instant)
+	report(r place.Report, now tick.Instant)
+	events(e place.Events)
+	depart(name ident.Server, departing bool)
+	// bind names a decode server for a policy that reserves none.
+	bind(now tick.Instant) (ident.Server, bool)
+}
+
+// verdict is a decision on a call.
+type verdict struct {
+	call      *call
+	placement place.Placement
+	choice    place.Choice
+	refusal   *fail.Refusal
+}
+
+func newPolicy(w *world) policy {
+	switch w.opt.Policy {
+	case RoundRobin, LeastLoaded:
+		return newBlind(w)
+	default:
+		return newScheduled(w)
+	}
+}
+
+// scheduled decides by the router's schedulers.
+type scheduled struct {
+	w    *world
+	set  []*pool.Scheduler
+	call []map[pool.Ticket]*call
+	buf  []pool.Decision
+}
+
+func newScheduled(w *world) *scheduled {
+	s := &scheduled{w: w}
+	n := 1
+	if w.opt.Policy == Each || w.opt.Policy == TwoChoices {
+		n = w.opt.Entries
+	}
+	t := w.trace
+	spec := place.Spec{Centre: t.Centre, Model: t.Model, KVBytes: t.KVBytes, Servers: servers(t)}
+	for i := range n {
+		cfg := w.opt.Pool
+		cfg.Instance = ident.Instance("s" + strconv.Itoa(i+1))
+		cfg.Incarnation = 1
+		cfg.Rand = rand.NewPCG(w.opt.Seed, uint64(i+100))
+		cfg.FIFO = w.opt.Policy == FirstCome
+		if w.opt.Policy == TwoChoices {
+			cfg.Place.Choices = 2
+		}
+		sch := pool.New(cfg)
+		sch.Configure(spec, t.Classes)
+		for _, c := range t.Customers {
+			sch.SetWeight(c.Name, c.Weight)
+		}
+		s.set = append(s.set, sch)
+		s.call = append(s.call, make(map[pool.Ticket]*call))
+	}
+	return s
+}
+
+func (s *scheduled) distance() time.Duration {
+	if len(s.set) > 1 {
+		return 0
+	}
+	return hop
+}
+
+func (s *scheduled) of(entry int) int { return entry % len(s.set) }
+
+func (s *scheduled) submit(c *call, a *place.Ask, now tick.Instant) {
+	i := s.of(c.entry)
+	t := s.set[i].Submit(a, entryName(c.entry), now)
+	s.call[i][t] = c
+	c.ticket = t
+}
+
+func (s *scheduled) cancel(c *call) {
+	i := s.of(c.entry)
+	if s.call[i][c.ticket] == c {
+		s.set[i].Cancel(c.ticket)
+		delete(s.call[i], c.ticket)
+	}
+}
+
+func (s *scheduled) step(now tick.Instant) []verdict {
+	var out []verdict
+	for i, sch := range s.set {
+		s.buf = sch.Step(now, s.buf[:0])
+		for k := range s.buf {
+			d := &s.buf[k]
+			v := verdict{call: s.call[i][d.Ticket], placement: d.Placement, choice: d.Choice}
+			delete(s.call[i], d.Ticket)
+			if !d.Placed() {
+				v.refusal = d.Refusal()
+			}
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+func (s *scheduled) progress(entry int, p *pool.Progress, now tick.Instant) {
+	s.set[s.of(entry)].Progress(entryName(entry), p, now)
+}
+
+func (s *scheduled) heartbeat(entry int, all []pool.Progress, now tick.Instant) {
+	sch := s.set[s.of(entry)]
+	sch.Heartbeat(entryName(entry), 1, all, now)
+	sch.Expire(now)
+}
+
+func (s *scheduled) report(r place.Report, now tick.Instant) {
+	for _, sch := range s.set {
+		sch.Report(r, now)
+	}
+}
+
+func (s *scheduled) events(e place.Events) {
+	for _, sch := range s.set {
+		sch.Events(e)
+	}
+}
+
+func (s *scheduled) depart(name ident.Server, departing bool) {
+	for _, sch := range s.set {
+		sch.Depart(name, departing)
+	}
+}
+
+func (s *scheduled) bind(tick.Instant) (ident.Server, bool) { return "", false }
+
+func entryName(i int) ident.Instance { return ident.Instance("e" + strconv.Itoa(i+1)) }
+
+// blind decides at once and reserves nothing.
+type blind struct {
+	w       *world
+	least   bool
+	prefill []ident.Server
+	decode  []ident.Server
+	last    map[ident.Server]place.Report
+	gone    map[ident.Server]bool
+	turn    int
+	bound   int
+	out     []verdict
+}
+
+func newBlind(w *world) *blind {
+	b := &blind{
+		w:     w,
+		least: w.opt.Policy == LeastLoaded,
+		last:  make(map[ident.Server]place.Report),
+		gone:  make(map[ident.Server]bool),
+	}
+	for _, s := range w.trace.Servers {
+		if s.Role == place.RolePrefill {
+			b.prefill = append(b.prefill, s.Name)
+		} else {
+			b.decode = append(b.decode, s.Name)
+		}
+	}
+	return b
+}
+
+func (b *blind) distance() time.Duration { return 0 }
+
+func (b *blind) submit(c *call, _ *place.Ask, _ tick.Instant) {
+	name := b.pick(b.prefill, &b.turn, func(r place.Report) int64 { return r.QueueTokens })
+	b.out = append(b.out, verdict{call: c, placement: place.Placement{Prefill: name}})
+}
+
+// pick returns the next live server in turn, or the one with the least load.
+func (b *blind) pick(set []ident.Server, turn *int, load func(place.Report) int64) ident.Server {
+	best := -1
+	for n := range set {
+		i := (*turn + n) % len(set)
+		if b.gone[set[i]] {
+			continue
+		}
+		if best < 0 {
+			best = i
+		}
+		if !b.least {
+			break
+		}
+		if load(b.last[set[i]]) < load(b.last[set[best]]) {
+			best = i
+		}
+	}
+	if best < 0 {
+		best = 0
+	}
+	*turn = best + 1
+	return set[best]
+}
+
+func (b *blind) step(tick.Instant) []verdict {
+	out := b.out
+	b.out = nil
+	return out
+}
+
+func (b *blind) bind(tick.Instant) (ident.Server, bool) {
+	return b.pick(b.decode, &b.bound, func(r place.Report) int64 { return int64(r.Busy) }), true
+}
+
+func (b *blind) cancel(*call)                                 {}
+func (b *blind) progress(int, *pool.Progress, tick.Instant)   {}
+func (b *blind) heartbeat(int, []pool.Progress, tick.Instant) {}
+func (b *blind) events(place.Events)                          {}
+func (b *blind) report(r place.Report, _ tick.Instant)        { b.last[r.Server] = r }
+func (b *blind) depart(name ident.Server, departing bool)     { b.gone[name] = departing }
