--- a/pool/live.go
+++ b/pool/live.go
@@ -19,7 +19,8 @@
 	hold     place.Hold
 	stage    place.Stage
 	charged  int64 // output tokens that the customer's account holds
-	misses   int   // heartbeats in a row that did not name the placement
+	named    bool  // the entry instance has named the placement
+	missed   bool  // a heartbeat has not named it
 }
 
 // entry is an entry instance and its live placements.
@@ -54,7 +55,7 @@
 		}
 		return
 	}
-	l.misses = 0
+	l.named = true
 	if p.Stage < l.stage && !p.Stage.Ended() {
 		return
 	}
@@ -81,8 +82,8 @@
 	for id, l := range e.live {
 		switch {
 		case named[id]:
-		case l.stage == place.StagePlaced && l.misses == 0:
-			l.misses++
+		case !l.named && !l.missed:
+			l.missed = true
 		default:
 			s.end(id, l, now)
 		}
@@ -123,6 +124,7 @@
 		hold:     place.Hold{Prefill: p.Prefill, Decode: p.Decode},
 		stage:    p.Stage,
 		charged:  p.Output,
+		named:    true,
 	}
 	if p.Stage <= place.StagePrefill {
 		l.hold.Tokens = p.Prompt
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -230,13 +230,11 @@
 	for _, w := range s.held {
 		c, v := s.pool.Choose(&w.query, now)
 		switch {
-		case v == place.Chosen || v == place.Late:
+		case c.Decode != "":
 			// A late first token is still worth more than the prefill lost.
-			if c.Decode != "" {
-				s.place(w, &c, now)
-				continue
-			}
-			s.refuse(w, fail.CodeDeadline, s.queueTime(), ReasonTarget, now)
+			s.place(w, &c, now)
+		case v == place.NoServer:
+			s.refuse(w, fail.CodeNoServer, noServerRetry, ReasonServer, now)
 		case now-w.since > heldLife:
 			s.refuse(w, fail.CodeOverload, s.queueTime(), ReasonHeld, now)
 		default:
--- /dev/null
+++ b/pool/scheduler_test.go
@@ -0,0 +1,242 @@
+package pool_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/tick"
+)
+
+var classes = []pool.Class{
+	pool.DefaultClass,
+	{Name: "patient", First: 20 * time.Second, Between: 150 * time.Millisecond, Patient: true},
+}
+
+// newScheduler returns a scheduler over decode servers with two places each.
+func newScheduler(prefill, decode int) *pool.Scheduler {
+	s := pool.New(pool.Config{Instance: "i", Incarnation: 1, Rand: rand.NewPCG(1, 2)})
+	spec := place.Spec{KVBytes: 1 << 10, Revision: 7}
+	for i := range prefill {
+		spec.Servers = append(spec.Servers, place.Server{
+			Name: ident.Server(fmt.Sprintf("p%d", i+1)), Role: place.RolePrefill, PrefillRate: 10000, LinkRate: 1 << 30,
+		})
+	}
+	for i := range decode {
+		spec.Servers = append(spec.Servers, place.Server{
+			Name: ident.Server(fmt.Sprintf("d%d", i+1)), Role: place.RoleDecode, Places: 2,
+			TokenTime: 50 * time.Millisecond, LinkRate: 1 << 30,
+		})
+	}
+	s.Configure(spec, classes)
+	return s
+}
+
+func ask(c ident.Customer) *place.Ask {
+	return &place.Ask{Customer: c, Prompt: 500, MaxOutput: 100}
+}
+
+// submit submits an ask and returns its decision, if there is one at once.
+func submit(s *pool.Scheduler, a *place.Ask, now tick.Instant) (pool.Ticket, []pool.Decision) {
+	t := s.Submit(a, "e1", now)
+	return t, s.Step(now, nil)
+}
+
+func TestDecisionNamesItsTicket(t *testing.T) {
+	tests := []struct {
+		name string
+		s    *pool.Scheduler
+		a    *place.Ask
+		code fail.Code
+	}{
+		{"placed", newScheduler(1, 1), ask("a"), ""},
+		{"no server", newScheduler(0, 0), ask("a"), fail.CodeNoServer},
+		{"target cannot be met", newScheduler(1, 1), &place.Ask{Customer: "a", Prompt: 50000, MaxOutput: 1}, fail.CodeDeadline},
+		{"waited too long", newScheduler(1, 1), &place.Ask{Customer: "a", Prompt: 10, Waited: 2 * time.Second}, fail.CodeDeadline},
+		{"held without a decode server", newScheduler(1, 0), &place.Ask{Customer: "a", Prompt: 10, Held: "p1"}, fail.CodeNoServer},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			ticket, out := submit(tt.s, tt.a, 0)
+			is.Equal(len(out), 1)
+			is.Equal(out[0].Ticket, ticket)
+			is.Equal(out[0].Code, tt.code)
+			is.Equal(out[0].Placed(), tt.code == "")
+			if tt.code == "" {
+				is.Equal(out[0].Placement.ID, "i.1.1")
+				is.Equal(out[0].Placement.Revision, uint64(7))
+				return
+			}
+			is.True(out[0].Retry > 0)
+			is.Equal(out[0].Refusal().Retry(), out[0].Retry)
+		})
+	}
+}
+
+// TestRefusalIsNotHeldBack checks that a request is refused when it is first
+// known that it cannot be placed in time, and that what waits is placed or
+// refused before its target passes.
+func TestRefusalIsNotHeldBack(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	submit(s, ask("a"), 0)
+	submit(s, ask("a"), 0)
+	refused := 0
+	for i := range 30 {
+		_, out := submit(s, ask("a"), tick.Instant(i)*time.Millisecond)
+		refused += len(out)
+	}
+	// The two places end in seconds; most can be told at once.
+	is.True(refused >= 20)
+	for now := tick.Instant(0); now <= 1200*time.Millisecond; now += 10 * time.Millisecond {
+		for _, d := range s.Step(now, nil) {
+			is.True(!d.Placed())
+			is.True(now < 1200*time.Millisecond)
+			refused++
+		}
+	}
+	is.Equal(refused, 30)
+}
+
+func TestCancelledRequestIsNeverPlaced(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, 1)
+	submit(s, ask("a"), 0)
+	_, out := submit(s, ask("a"), 0)
+	is.Equal(len(out), 1)
+	first := out[0].Placement.ID
+	waiting, out := submit(s, ask("b"), 0)
+	is.Equal(len(out), 0)
+	s.Cancel(waiting)
+	s.Progress("e1", &pool.Progress{ID: first, Stage: place.StageDone}, time.Millisecond)
+	is.Equal(len(s.Step(10*time.Millisecond, nil)), 0)
+}
+
+func TestInteractiveBeforePatient(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, 1)
+	_, a := submit(s, ask("a"), 0)
+	submit(s, ask("a"), 0)
+	p := ask("a")
+	p.Class = "patient"
+	_, out := submit(s, p, 10*time.Millisecond)
+	is.Equal(len(out), 0)
+	i, out := submit(s, ask("b"), 20*time.Millisecond)
+	is.Equal(len(out), 0)
+	s.Progress("e1", &pool.Progress{ID: a[0].Placement.ID, Stage: place.StageDone, Output: 10}, 100*time.Millisecond)
+	out = s.Step(110*time.Millisecond, nil)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Ticket, i)
+}
+
+// TestSuccessorLearnsFromHeartbeats starts a scheduler over and checks that it
+// gives away no place that is taken.
+func TestSuccessorLearnsFromHeartbeats(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	var all []pool.Progress
+	for range 2 {
+		_, out := submit(s, ask("a"), 0)
+		p := out[0].Placement
+		all = append(all, pool.Progress{ID: p.ID, Stage: place.StageDecode, Prefill: p.Prefill, Decode: p.Decode, Customer: "a", Prompt: 500})
+	}
+	next := newScheduler(4, 1)
+	next.Heartbeat("e1", 1, all, time.Second)
+	is.Equal(next.Live(), 2)
+	_, out := submit(next, ask("b"), time.Second)
+	is.Equal(len(out), 0) // no place is free
+
+	next.Heartbeat("e1", 1, all[:1], 2*time.Second) // one has ended
+	is.Equal(next.Live(), 1)
+	is.Equal(len(next.Step(2*time.Second, nil)), 1)
+}
+
+func TestSilentEntryInstanceLosesItsPlacements(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	submit(s, ask("a"), 0)
+	s.Expire(5 * time.Second)
+	is.Equal(s.Live(), 1)
+	s.Expire(5*time.Second + 1)
+	is.Equal(s.Live(), 0)
+}
+
+func TestNewIncarnationDropsTheOldOnes(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	p := pool.Progress{ID: "x", Stage: place.StageDecode, Decode: "d1", Customer: "a"}
+	s.Heartbeat("e1", 1, []pool.Progress{p}, 0)
+	is.Equal(s.Live(), 1)
+	s.Heartbeat("e1", 2, nil, time.Second)
+	is.Equal(s.Live(), 0)
+}
+
+func TestPlacementOnItsWaySurvivesOneHeartbeat(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	submit(s, ask("a"), 0)
+	s.Heartbeat("e1", 1, nil, 0)
+	is.Equal(s.Live(), 1)
+	s.Heartbeat("e1", 1, nil, time.Second)
+	is.Equal(s.Live(), 0)
+}
+
+func TestHeldCacheGoesFirstWithoutAnotherPrefill(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, 2)
+	a := ask("a")
+	a.Held, a.Avoid = "p1", []ident.Server{"d1"}
+	_, out := submit(s, a, 0)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Placement.Prefill, ident.Server("p1"))
+	is.Equal(out[0].Placement.Decode, ident.Server("d2"))
+	is.Equal(out[0].Choice.Run, time.Duration(0))
+	_, next := submit(s, ask("b"), 0)
+	is.Equal(next[0].Choice.Wait, time.Duration(0)) // no prefill was queued
+}
+
+// TestPlacesNeverExceeded runs random submissions and ends and checks that
+// the live placements fit the places and that each ticket is decided once.
+func TestPlacesNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newScheduler(3, 3)
+		now := tick.Instant(0)
+		decided := make(map[pool.Ticket]bool)
+		var live []string
+		for range 150 {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond
+			if len(live) > 0 && rapid.Bool().Draw(t, "end") {
+				stage := place.Stage(rapid.IntRange(int(place.StageDone), int(place.StageFailedDecode)).Draw(t, "stage"))
+				s.Progress("e1", &pool.Progress{ID: live[0], Stage: stage, Output: 9}, now)
+				live = live[1:]
+			} else {
+				a := ask(ident.Customer(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "customer"))))
+				if rapid.Bool().Draw(t, "patient") {
+					a.Class = "patient"
+				}
+				s.Submit(a, "e1", now)
+			}
+			for _, d := range s.Step(now, nil) {
+				if decided[d.Ticket] {
+					t.Fatalf("ticket %d was decided twice", d.Ticket)
+				}
+				decided[d.Ticket] = true
+				if d.Placed() {
+					live = append(live, d.Placement.ID)
+				}
+			}
+			if len(live) > 6 || s.Live() != len(live) {
+				t.Fatalf("%d live placements, scheduler holds %d, 6 places", len(live), s.Live())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/sched/sched_test.go
@@ -0,0 +1,342 @@
+package sched_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peerpb/peerpbconnect"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/sched"
+	"wasabidock.dev/dock/tick"
+)
+
+// fleet is a fixed list of instances and the way to them.
+type fleet struct {
+	mu   sync.Mutex
+	live map[ident.Centre][]ident.Instance
+	urls map[ident.Instance]string
+}
+
+func newFleet() *fleet {
+	return &fleet{live: make(map[ident.Centre][]ident.Instance), urls: make(map[ident.Instance]string)}
+}
+
+func (f *fleet) Live(c ident.Centre) []ident.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.live[c]
+}
+
+func (f *fleet) Place(i ident.Instance) (peerpbconnect.PlaceServiceClient, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	u, ok := f.urls[i]
+	if !ok {
+		return nil, errors.New("no address")
+	}
+	return peerpbconnect.NewPlaceServiceClient(http.DefaultClient, u), nil
+}
+
+// serve starts an instance of a data centre with a pool of the given size.
+func (f *fleet) serve(t *testing.T, i ident.Instance, c ident.Centre, svc *sched.Service) {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(peerpbconnect.NewPlaceServiceHandler(sched.NewHandler(svc)))
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	f.live[c] = append(f.live[c], i)
+	f.urls[i] = srv.URL
+}
+
+func newService(i ident.Instance, clock tick.Service, log io.Writer, places int) *sched.Service {
+	svc := sched.NewService(sched.ServiceConfig{
+		Self: ident.Node{Instance: i, Incarnation: 1}, Clock: clock, Log: zerolog.New(log),
+	})
+	svc.Configure(3, spec(places))
+	return svc
+}
+
+func spec(places int) []sched.PoolSpec {
+	return []sched.PoolSpec{{
+		Spec: place.Spec{Model: "m", KVBytes: 1, Servers: []place.Server{
+			{Name: "p1", Role: place.RolePrefill, PrefillRate: 1e6, LinkRate: 1 << 30},
+			{Name: "p2", Role: place.RolePrefill, PrefillRate: 1e6, LinkRate: 1 << 30},
+			{Name: "d1", Role: place.RoleDecode, Places: places, TokenTime: 50 * time.Millisecond, LinkRate: 1 << 30},
+		}},
+		Classes: []pool.Class{pool.DefaultClass},
+		Weights: []sched.Weight{{Customer: "a", Weight: 2}},
+	}}
+}
+
+func newClient(f *fleet, local *sched.Service, clock tick.Service) *sched.Client {
+	c := sched.NewClient(sched.ClientConfig{
+		Self: ident.Node{Instance: "e", Incarnation: 1}, Local: local, Fleet: f, Dialer: f, Clock: clock,
+	})
+	c.Configure(sched.Layout{
+		Own:     sched.Centre{Name: "x", Region: "r"},
+		Centres: []sched.Centre{{Name: "x", Region: "r"}, {Name: "y", Region: "r"}, {Name: "z", Region: "s"}},
+		Abroad:  []ident.Class{"patient"},
+	})
+	return c
+}
+
+func ask() place.Ask {
+	return place.Ask{Request: "q1", Customer: "a", Model: "m", Prompt: 100, MaxOutput: 50}
+}
+
+func TestPlaceAtAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	f, clock := newFleet(), tick.NewFake(0)
+	var log bytes.Buffer
+	f.serve(t, "i1", "x", newService("i1", clock, &log, 1))
+	c := newClient(f, nil, clock)
+	p, err := c.Place(context.Background(), ask())
+	is.NoErr(err)
+	is.Equal(p.Scheduler, ident.Instance("i1"))
+	is.Equal(p.Decode, ident.Server("d1"))
+	is.Equal(p.Revision, uint64(3))
+	is.True(p.RunnerUp != "" && p.RunnerUp != p.Prefill)
+
+	var line struct {
+		Decision                           bool
+		Request, Customer, Prefill, Decode string
+		RunnerUp                           string `json:"runner_up"`
+		Revision                           uint64
+		Score                              *float64
+		Queued                             *int
+		Message                            string
+	}
+	is.NoErr(json.Unmarshal(log.Bytes(), &line))
+	is.True(line.Decision)
+	is.Equal(line.Request, "q1")
+	is.Equal(line.Customer, "a")
+	is.Equal(line.Prefill, string(p.Prefill))
+	is.Equal(line.RunnerUp, string(p.RunnerUp))
+	is.Equal(line.Revision, uint64(3))
+	is.True(line.Score != nil && line.Queued != nil)
+	is.Equal(line.Message, "sched: request placed")
+}
+
+func TestRefusalKeepsCodeAndRetry(t *testing.T) {
+	tests := []struct {
+		name  string
+		ask   func(a *place.Ask)
+		code  fail.Code
+		never bool
+	}{
+		{"unknown model", func(a *place.Ask) { a.Model = "other" }, fail.CodeModel, true},
+		{"too long for the target", func(a *place.Ask) { a.Prompt = 5e6 }, fail.CodeDeadline, false},
+		{"no server left", func(a *place.Ask) { a.Avoid = []ident.Server{"d1"} }, fail.CodeNoServer, false},
+	}
+	for _, tt := range tests {
+		for _, local := range []bool{false, true} {
+			t.Run(tt.name, func(t *testing.T) {
+				is := is.New(t)
+				f, clock := newFleet(), tick.NewFake(0)
+				svc := newService("e", clock, io.Discard, 1)
+				f.serve(t, "e", "x", svc)
+				if !local {
+					svc = nil
+				}
+				a := ask()
+				tt.ask(&a)
+				c := newClient(f, svc, clock)
+				c.Configure(sched.Layout{Own: sched.Centre{Name: "x", Region: "r"}})
+				_, err := c.Place(context.Background(), a)
+				r, ok := fail.AsRefusal(err)
+				is.True(ok)
+				is.Equal(r.Code(), tt.code)
+				is.Equal(r.Retry() == fail.Never, tt.never)
+				is.True(r.Retry() != 0)
+				is.Equal(fail.Outcome(err), ident.NotRun)
+			})
+		}
+	}
+}
+
+func TestLostSchedulerIsReplaced(t *testing.T) {
+	is := is.New(t)
+	f, clock := newFleet(), tick.NewFake(0)
+	for _, i := range []ident.Instance{"i1", "i2"} {
+		f.serve(t, i, "x", newService(i, clock, io.Discard, 8))
+	}
+	c := newClient(f, nil, clock)
+	p, err := c.Place(context.Background(), ask())
+	is.NoErr(err)
+	f.urls[p.Scheduler] = "http://127.0.0.1:1" // refuses connections
+	next, err := c.Place(context.Background(), ask())
+	is.NoErr(err)
+	is.True(next.Scheduler != p.Scheduler)
+}
+
+func TestSilentSchedulerIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	clock := tick.NewFake(0)
+	f := newFleet()
+	entered := make(chan struct{}, 8)
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		entered <- struct{}{}
+		<-r.Context().Done()
+	}))
+	defer srv.Close()
+	f.live["x"] = []ident.Instance{"i1"}
+	f.urls["i1"] = srv.URL
+	c := newClient(f, newService("e", clock, io.Discard, 1), clock)
+	errs := make(chan error, 1)
+	go func() {
+		_, err := c.Place(context.Background(), ask())
+		errs <- err
+	}()
+	<-entered
+	clock.Advance(pool.DefaultClass.First + time.Second)
+	err := <-errs
+	is.True(err != nil)
+	is.Equal(fail.Outcome(err), ident.NotRun)
+}
+
+func TestSpillOver(t *testing.T) {
+	tests := []struct {
+		name  string
+		class ident.Class
+		toll  bool
+		full  []ident.Centre
+		want  ident.Instance // empty if refused
+	}{
+		{"own first", "", true, nil, "x1"},
+		{"same region next", "", true, []ident.Centre{"x"}, "y1"},
+		{"class stays in its region", "", true, []ident.Centre{"x", "y"}, ""},
+		{"class may cross", "patient", true, []ident.Centre{"x", "y"}, "z1"},
+		{"link is not paid", "patient", false, []ident.Centre{"x", "y"}, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			f, clock := newFleet(), tick.NewFake(0)
+			for _, c := range []ident.Centre{"x", "y", "z"} {
+				i := ident.Instance(c) + "1"
+				svc := newService(i, clock, io.Discard, 1)
+				for _, full := range tt.full {
+					if full == c {
+						svc.Depart("d1", true)
+					}
+				}
+				f.serve(t, i, c, svc)
+			}
+			cfg := sched.ClientConfig{Self: ident.Node{Instance: "e"}, Fleet: f, Dialer: f, Clock: clock, Toll: toll(tt.toll)}
+			c := sched.NewClient(cfg)
+			c.Configure(sched.Layout{
+				Own:     sched.Centre{Name: "x", Region: "r"},
+				Centres: []sched.Centre{{Name: "x", Region: "r"}, {Name: "y", Region: "r"}, {Name: "z", Region: "s"}},
+				Abroad:  []ident.Class{"patient"},
+			})
+			a := ask()
+			a.Class = tt.class
+			p, err := c.Place(context.Background(), a)
+			is.Equal(err != nil, tt.want == "")
+			is.Equal(p.Scheduler, tt.want)
+		})
+	}
+}
+
+type toll bool
+
+func (t toll) Pay(_ context.Context, from, to ident.Region, n int64) bool {
+	return bool(t) && from == "r" && to == "s" && n > 0
+}
+
+// TestEndedCallerGivesItsPlaceBack cancels a call that waits and checks that
+// the place goes to the next one.
+func TestEndedCallerGivesItsPlaceBack(t *testing.T) {
+	is := is.New(t)
+	f, clock := newFleet(), tick.NewFake(0)
+	svc := newService("e", clock, io.Discard, 1)
+	f.serve(t, "e", "x", svc)
+	c := newClient(f, svc, clock)
+	first, err := c.Place(context.Background(), ask())
+	is.NoErr(err)
+
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err = c.Place(ctx, ask())
+	is.True(errors.Is(err, context.Canceled))
+	is.Equal(fail.Outcome(err), ident.NotRun)
+
+	c.Progress(first, place.StageDone, 10)
+	is.Equal(c.Live(), 0)
+	_, err = c.Place(context.Background(), ask())
+	is.NoErr(err)
+}
+
+// TestHeartbeatsTeachASuccessor places at one scheduler, lets another take
+// over, and checks that it knows of the placement after a heartbeat.
+func TestHeartbeatsTeachASuccessor(t *testing.T) {
+	is := is.New(t)
+	f, clock := newFleet(), tick.NewFake(0)
+	f.serve(t, "i1", "x", newService("i1", clock, io.Discard, 1))
+	c := newClient(f, nil, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := c.Run(ctx)
+	defer func() {
+		cancel()
+		<-done
+	}()
+	p, err := c.Place(ctx, ask())
+	is.NoErr(err)
+
+	f.mu.Lock()
+	f.live["x"] = nil
+	f.mu.Unlock()
+	svc := newService("i2", clock, io.Discard, 1)
+	f.serve(t, "i2", "x", svc)
+	clock.Advance(time.Second)
+	for svc.Live() == 0 {
+		clock.Advance(time.Second)
+		runtime.Gosched()
+	}
+	c.Progress(p, place.StageDone, 5)
+	for svc.Live() == 1 {
+		clock.Advance(time.Second)
+		runtime.Gosched()
+	}
+}
+
+func askRef() *place.Ask {
+	a := ask()
+	return &a
+}
+
+func TestPoolThatLeavesTheTableRefusesItsQueue(t *testing.T) {
+	is := is.New(t)
+	clock := tick.NewFake(0)
+	svc := newService("e", clock, io.Discard, 1)
+	_, err := svc.Place(context.Background(), askRef(), ident.Node{Instance: "e"})
+	is.NoErr(err)
+	errs := make(chan error, 1)
+	go func() {
+		_, err := svc.Place(context.Background(), askRef(), ident.Node{Instance: "e"})
+		errs <- err
+	}()
+	for svc.Waiting() == 0 {
+		runtime.Gosched()
+	}
+	svc.Configure(4, nil)
+	r, ok := fail.AsRefusal(<-errs)
+	is.True(ok)
+	is.Equal(r.Code(), fail.CodeModel)
+}
--- a/sched/service.go
+++ b/sched/service.go
@@ -192,3 +192,25 @@
 		f(sh)
 	}
 }
+
+// Waiting returns the number of requests that are neither placed nor refused.
+func (s *Service) Waiting() int {
+	n := 0
+	s.each(func(sh *shard) {
+		sh.mu.Lock()
+		n += len(sh.calls)
+		sh.mu.Unlock()
+	})
+	return n
+}
+
+// Live returns the number of placements that have not ended.
+func (s *Service) Live() int {
+	n := 0
+	s.each(func(sh *shard) {
+		sh.mu.Lock()
+		n += sh.sch.Live()
+		sh.mu.Unlock()
+	})
+	return n
+}
