wasabid, probe: give engines their orders from the table

Cause: package orders decides and nobody gave its orders. Change: the scheduler of a pool passes the reports that it reads anyway to the planner and gives the orders of that pool's engines. No measurement was made. Conclusion: loads take turns within a pool's scheduler; schedulers of different pools do not know of each other's loads.

--- a/probe/probe.go
+++ b/probe/probe.go
@@ -35,10 +35,12 @@
 	// Targets returns the engines to follow.
 	Targets func() []ident.Server
 	Sink    Sink
-	Timer   tick.Service
-	Log     zerolog.Logger
-	Poll    time.Duration // between two polls of one engine
-	Retry   time.Duration // before a broken feed is opened anew
+	// Loaded gets each whole load report; it may be nil.
+	Loaded func(s ident.Server, l engine.Load)
+	Timer  tick.Service
+	Log    zerolog.Logger
+	Poll   time.Duration // between two polls of one engine
+	Retry  time.Duration // before a broken feed is opened anew
 }
 
 // Prober follows engines.
@@ -130,7 +132,7 @@
 	for {
 		l, err := p.cfg.Engines.Load(ctx, s)
 		if err == nil {
-			p.cfg.Sink.Report(report(s, l))
+			p.take(s, l)
 		} else if ctx.Err() == nil {
 			p.cfg.Log.Debug().Str("server", string(s)).Err(err).Msg("probe: load report failed")
 		}
@@ -142,6 +144,13 @@
 	}
 }
 
+func (p *Prober) take(s ident.Server, l engine.Load) {
+	p.cfg.Sink.Report(report(s, l))
+	if p.cfg.Loaded != nil {
+		p.cfg.Loaded(s, l)
+	}
+}
+
 // follow passes on the cache events of s and opens the feed anew when it ends.
 func (p *Prober) follow(ctx context.Context, s ident.Server) {
 	var after uint64
--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -14,6 +14,7 @@
 	"wasabidock.dev/dock/logs"
 	"wasabidock.dev/dock/meter"
 	"wasabidock.dev/dock/once"
+	"wasabidock.dev/dock/orders"
 	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/probe"
 	"wasabidock.dev/dock/quota"
@@ -51,6 +52,7 @@
 	Keeper   *sweep.Keeper
 	Sweeper  *sweep.Sweeper
 	Prober   *probe.Prober
+	Orders   *orders.Runner
 	Meter    *meter.Meter
 	Front    *front.Server
 	PeerL    net.Listener
@@ -120,6 +122,11 @@
 		{"progress", untilClosed(d.p.Placer.Run)},
 		{"once", untilClosed(d.p.Once.Start)},
 		{"probe", d.p.Prober.Run},
+		{"orders", func(ctx context.Context) error {
+			d.p.Orders.Start(ctx)
+			<-d.p.Orders.Done()
+			return nil
+		}},
 		{"admin", adm.run},
 		{"keeper", func(ctx context.Context) error {
 			d.p.Keeper.Start(ctx)
--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -72,6 +72,8 @@
 			newMeter,
 			newFront,
 			newProber,
+			newOrderers,
+			newOrders,
 			newPeerServer,
 			newDaemon,
 		),
@@ -249,8 +251,9 @@
 	return f, nil
 }
 
-func newProber(e *engine.Client, w *watched, s *sched.Service, t tick.Service, l zerolog.Logger) *probe.Prober {
+func newProber(e *engine.Client, w *watched, s *sched.Service, o *orderers, t tick.Service, l zerolog.Logger) *probe.Prober {
 	return probe.New(probe.Config{
+		Loaded:  o.Loaded,
 		Engines: e,
 		Targets: w.servers,
 		Sink:    s,
