once: cause the faults of keyed calls at every moment

Cause: a keyed call may meet a crash, a pause, a twin of its home, a lost message or a changed table at any moment, and must still run at most once.

--- a/intent/journal.go
+++ b/intent/journal.go
@@ -121,6 +121,15 @@
 	return Run, *e
 }
 
+// Has reports whether the journal holds a call with the identifier.
+func (j *Journal) Has(now tick.Instant, id ID) bool {
+	s := j.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	return ok && (e.Live || !e.over(now))
+}
+
 // judge never calls an open entry of a predecessor a clash: buddies may hold an
 // outdated sum of it.
 func judge(e *Entry, sum Sum) Verdict {
--- a/once/config.go
+++ b/once/config.go
@@ -27,6 +27,8 @@
 	retryHome      = 2 * time.Second
 	defaultKeep    = 10 * time.Minute
 	minKeep        = 10 * time.Second // well above maxCopyAge
+	maxWait        = 5 * time.Second  // of a call before it is passed on or noted in the journal
+	transit        = 2 * maxWait      // between a call's arrival and its entry in the journal
 	settleTime     = 15 * time.Second // until a changed table is in force everywhere
 )
 
@@ -46,6 +48,10 @@
 	Status    string // where callers read whether a call took effect
 }
 
+// hold returns how long an entry of the route stays in the journal: the age of
+// its keys and the time that a call may have been on its way to the home.
+func (r Route) hold() time.Duration { return r.keep() + transit }
+
 func (r Route) keep() time.Duration {
 	if r.Keep <= 0 {
 		return defaultKeep
--- a/once/copy.go
+++ b/once/copy.go
@@ -36,13 +36,16 @@
 	return fail.Refuse(fail.CodeHomeAway, retryHome, "no other instance could take a copy of the call's intent")
 }
 
-// copyEnd copies how a call ended. Its loss is harmless: a later process of
-// the seat would then call the outcome unknown.
+// copyEnd copies how a call ended and returns when a buddy has acknowledged
+// it. Its loss is harmless: a later process of the seat would then call the
+// outcome unknown.
 func (s *Service) copyEnd(ctx context.Context, e intent.Entry) {
 	names := s.buddyNames()
 	acks := s.copyAll(ctx, names, []intent.Entry{e})
 	for range names {
-		<-acks
+		if <-acks {
+			return
+		}
 	}
 }
 
@@ -51,9 +54,9 @@
 func (s *Service) copyAll(ctx context.Context, names []ident.Instance, entries []intent.Entry) <-chan bool {
 	acks := make(chan bool, len(names))
 	for _, name := range names {
-		s.tasks.Add(1)
+		s.begun()
 		go func() {
-			defer s.tasks.Done()
+			defer s.exit()
 			ctx, cancel := context.WithTimeout(ctx, copyLimit)
 			defer cancel()
 			acks <- s.copyTo(ctx, name, entries)
--- a/once/dispatch.go
+++ b/once/dispatch.go
@@ -39,9 +39,9 @@
 		call := c.Call
 		call.Idempotent = false
 		call.Limit, call.MaxAnswer = r.Limit, r.MaxAnswer
-		call.Gate = func() error { return s.gate(at) }
+		call.Gate = func() error { return s.gate(at, r, e.ID) }
 		a, err := s.cfg.Caller.Call(ctx, call)
-		if err == nil || fail.Outcome(err) != ident.NotRun || s.gate(at) == nil || s.superseded() {
+		if err == nil || fail.Outcome(err) != ident.NotRun || !errors.Is(err, errStale) {
 			return a, err
 		}
 		last = err
@@ -50,43 +50,59 @@
 }
 
 // gate checks the right to run of a call whose intent was copied from at on.
-func (s *Service) gate(at tick.Instant) error {
-	if s.superseded() {
+func (s *Service) gate(at tick.Instant, r Route, id intent.ID) error {
+	v, ok := s.cfg.Table.View()
+	if !ok || s.superseded() {
 		return fail.Refuse(fail.CodeHomeAway, retryHome, "the call's home has been replaced")
 	}
+	now, ok := v.Route(r.Name)
+	if !ok {
+		return fail.Refuse(fail.CodeRoute, fail.Never, "the table has no such route any more")
+	}
+	if home, ok := intent.Home(v.Seats(), now.Centre, id); !ok || home != s.cfg.Self.Instance {
+		return fail.Refuse(fail.CodeHomeAway, retryHome, "the call's home has changed")
+	}
 	if s.cfg.Clock.Now()-at > maxCopyAge {
 		return errStale
 	}
 	return nil
 }
 
-// conclude records the end of a call and wakes those who wait for it.
+// conclude records the end of a call, here and at a buddy, and wakes those who
+// wait for it.
 func (s *Service) conclude(ctx context.Context, cur *run, id intent.ID, r Route, a plain.Answer, err error) {
-	var (
-		e    intent.Entry
-		copy bool
-	)
-	s.mu.Lock()
-	switch {
-	case err == nil:
-		e, copy = s.journal.Finish(id, record(a))
-	case fail.Outcome(err) == ident.NotRun:
-		e, copy = s.journal.Drop(id)
-	case fail.Outcome(err) == ident.Done:
-		e, copy = s.journal.Finish(id, intent.Answer{Partial: true})
-	default:
-		s.journal.Lose(id)
+	e, changed := s.settle(id, a, err)
+	if changed {
+		s.copyEnd(ctx, e)
+	}
+	if fail.Outcome(err) == ident.Unknown {
 		err = lostCall(r, err)
 	}
-	cur.answer, cur.err = a, err
-	delete(s.runs, id)
+	s.mu.Lock()
+	if s.runs[id] == cur {
+		delete(s.runs, id)
+	}
 	s.mu.Unlock()
+	cur.answer, cur.err = a, err
 	close(cur.done)
+	s.exit()
+}
 
-	if copy {
-		s.copyEnd(ctx, e)
+// settle notes the outcome of a call in the journal and returns the entry to
+// copy, if it has changed.
+func (s *Service) settle(id intent.ID, a plain.Answer, err error) (intent.Entry, bool) {
+	switch fail.Outcome(err) {
+	case ident.Done:
+		if err != nil {
+			return s.journal.Finish(id, intent.Answer{Partial: true})
+		}
+		return s.journal.Finish(id, record(a))
+	case ident.NotRun:
+		return s.journal.Drop(id)
+	default:
+		s.journal.Lose(id)
+		return intent.Entry{}, false
 	}
-	s.exit()
 }
 
 // lostCall adds to err what the caller can do about a call that may have run.
--- a/once/forward.go
+++ b/once/forward.go
@@ -11,11 +11,14 @@
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/tick"
 )
 
 // forward passes the call on to its home. The reply's loss makes the outcome
 // unknown; a failed dial proves that the call has not run.
-func (s *Service) forward(ctx context.Context, home ident.Instance, r Route, c Call, revision uint64) (plain.Answer, error) {
+func (s *Service) forward(ctx context.Context, arrived tick.Instant, home ident.Instance, r Route, c Call, revision uint64) (
+	plain.Answer, error,
+) {
 	const step = "once: forward"
 	peer, err := s.cfg.Dialer.Once(home)
 	if err != nil {
@@ -25,6 +28,9 @@
 	if t, ok := ctx.Deadline(); ok {
 		req.DeadlineMs = max(1, time.Until(t).Milliseconds())
 	}
+	if s.cfg.Clock.Now()-arrived > maxWait {
+		return plain.Answer{}, late()
+	}
 	res, err := peer.Run(ctx, req)
 	switch {
 	case err == nil:
--- a/once/join.go
+++ b/once/join.go
@@ -35,7 +35,6 @@
 	go func() {
 		defer close(done)
 		s.loop(ctx)
-		s.tasks.Wait()
 	}()
 	return done
 }
@@ -256,12 +255,13 @@
 func (s *Service) Leave(ctx context.Context) error {
 	s.mu.Lock()
 	s.leaving = true
-	s.noteIdle()
+	for s.active > 0 {
+		s.quiet.Wait()
+	}
 	for _, b := range s.buddies {
 		b.whole = false
 	}
 	s.mu.Unlock()
-	<-s.idle
 	if s.superseded() {
 		return nil
 	}
--- a/once/layout.go
+++ b/once/layout.go
@@ -71,16 +71,13 @@
 }
 
 // known returns an error unless every call with the identifier within the
-// age of the route's keys would be in this process's journal.
-func (s *Service) known(v View, r Route, id intent.ID) error {
-	s.observe(v)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+// age of the route's keys would be in this process's journal. The caller holds
+// mu.
+func (s *Service) known(now tick.Instant, r Route, id intent.ID) error {
 	if !s.joined {
 		return unknown(r, retryHome, "the call's home has not read its journal yet")
 	}
-	now := s.cfg.Clock.Now()
-	if wait := s.since + r.keep() - now; wait > 0 {
+	if wait := s.since + r.hold() - now; wait > 0 {
 		return unknown(r, wait, "the call's home has lost its journal and can't tell whether the key is fresh")
 	}
 	if wait := s.moved(now, r, id); wait > 0 {
@@ -101,7 +98,7 @@
 		}
 		seat, ok := intent.Home(l.seats, was.centre, id)
 		if ok && (seat != s.cfg.Self.Instance || was.keep < r.keep()) {
-			wait = max(wait, l.until+r.keep()+settleTime-now)
+			wait = max(wait, l.until+r.hold()+settleTime-now)
 		}
 	}
 	return wait
--- a/once/service.go
+++ b/once/service.go
@@ -29,11 +29,9 @@
 	current  layout
 	earlier  []layout
 	leaving  bool
-	active   int
-	idle     chan struct{} // closed when leaving and active is 0
+	active   int        // callers, calls and copies on their way
+	quiet    *sync.Cond // signalled when active is 0
 	runs     map[intent.ID]*run
-
-	tasks sync.WaitGroup // copies on their way
 }
 
 // run is a call on its way. Its fields are set before done is closed.
@@ -46,19 +44,21 @@
 // New returns a Service. It joins its buddies only after Start, or by Join.
 func New(cfg Config) *Service {
 	cfg.setDefaults()
-	return &Service{
+	s := &Service{
 		cfg:     cfg,
 		journal: intent.NewJournal(cfg.Journal),
 		copies:  intent.NewCopies(cfg.Copies),
 		buddies: make(map[ident.Instance]*buddy),
-		idle:    make(chan struct{}),
 		runs:    make(map[intent.ID]*run),
 	}
+	s.quiet = sync.NewCond(&s.mu)
+	return s
 }
 
 // Run makes the call at its home and returns the service's answer, or the
 // recorded answer of an earlier call with the same key.
 func (s *Service) Run(ctx context.Context, c Call) (plain.Answer, error) {
+	arrived := s.cfg.Clock.Now()
 	v, ok := s.cfg.Table.View()
 	if !ok {
 		return plain.Answer{}, fail.Refuse(fail.CodeNoTable, retryHome, "no table is in force yet")
@@ -72,7 +72,7 @@
 		return plain.Answer{}, fail.Refuse(fail.CodeNoServer, fail.Never, "the route's home data centre has no seat")
 	}
 	if home != s.cfg.Self.Instance {
-		a, err := s.forward(ctx, home, r, c, v.Revision())
+		a, err := s.forward(ctx, arrived, home, r, c, v.Revision())
 		s.line(c, home, "call passed on to its home", a, err)
 		return a, err
 	}
@@ -87,19 +87,21 @@
 		return plain.Answer{}, fail.Refuse(fail.CodeDraining, retryHome, "the call's home is being replaced")
 	}
 	defer s.exit()
+	arrived := s.cfg.Clock.Now()
 	if s.superseded() {
 		return plain.Answer{}, fail.Refuse(fail.CodeHomeAway, retryHome, "the call's home has been replaced")
 	}
-	if err := s.known(v, r, intent.NewID(c.Customer, c.Route, c.Key)); err != nil {
-		return plain.Answer{}, err
-	}
-	return s.decide(ctx, r, c)
+	s.observe(v)
+	return s.decide(ctx, arrived, r, c)
 }
 
-// decide acts on the journal's verdict about the call.
-func (s *Service) decide(ctx context.Context, r Route, c Call) (plain.Answer, error) {
+// decide acts on the journal's verdict about a call that came at arrived.
+func (s *Service) decide(ctx context.Context, arrived tick.Instant, r Route, c Call) (plain.Answer, error) {
 	id := intent.NewID(c.Customer, c.Route, c.Key)
-	verdict, e, cur := s.begin(ctx, id, r, c)
+	verdict, e, cur, err := s.begin(ctx, arrived, id, r, c)
+	if err != nil {
+		return plain.Answer{}, err
+	}
 	switch verdict {
 	case intent.Run:
 		return await(ctx, cur, r)
@@ -120,24 +122,40 @@
 }
 
 // begin asks the journal about the call and starts it if it is fresh. A call
-// that has started goes on when its caller leaves.
-func (s *Service) begin(ctx context.Context, id intent.ID, r Route, c Call) (intent.Verdict, intent.Entry, *run) {
+// that has started goes on when its caller leaves. It fails for a call that
+// came too long ago, because this process has paused, and for one that is not
+// in the journal but may have been in an earlier one.
+func (s *Service) begin(ctx context.Context, arrived tick.Instant, id intent.ID, r Route, c Call) (
+	v intent.Verdict, e intent.Entry, cur *run, err error,
+) {
 	sum := intent.NewSum(c.Method, c.Path, c.Body)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v, e := s.journal.Begin(s.cfg.Clock.Now(), id, sum, r.keep())
+	now := s.cfg.Clock.Now()
+	if now-arrived > maxWait {
+		return v, e, nil, late()
+	}
+	if !s.journal.Has(now, id) {
+		if err := s.known(now, r, id); err != nil {
+			return v, e, nil, err
+		}
+	}
+	v, e = s.journal.Begin(now, id, sum, r.hold())
 	switch v {
 	case intent.Run:
-		cur := &run{done: make(chan struct{})}
+		cur = &run{done: make(chan struct{})}
 		s.runs[id] = cur
 		s.active++
 		go s.dispatch(context.WithoutCancel(ctx), cur, e, r, c)
-		return v, e, cur
 	case intent.Join:
-		return v, e, s.runs[id]
-	default:
-		return v, e, nil
+		cur = s.runs[id]
 	}
+	return v, e, cur, nil
+}
+
+// late is the refusal of a call that has waited too long to be taken.
+func late() error {
+	return fail.Refuse(fail.CodeDeadline, retryHome, "the call waited too long inside the router")
 }
 
 // await waits for the end of a call, or until its caller leaves.
@@ -162,23 +180,18 @@
 	return true
 }
 
-func (s *Service) exit() {
+// begun counts work in that goes on while the service leaves.
+func (s *Service) begun() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.active--
-	s.noteIdle()
+	s.active++
 }
 
-// noteIdle closes idle if the service is leaving and nothing is on its way.
-// The caller holds mu.
-func (s *Service) noteIdle() {
-	if !s.leaving || s.active > 0 {
-		return
-	}
-	select {
-	case <-s.idle:
-	default:
-		close(s.idle)
+func (s *Service) exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active--; s.active == 0 {
+		s.quiet.Broadcast()
 	}
 }
 
--- /dev/null
+++ b/once/world_test.go
@@ -0,0 +1,393 @@
+package once_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/intent"
+	"wasabidock.dev/dock/once"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/peerpb/peerpbconnect"
+	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/tick"
+)
+
+const keep = time.Minute
+
+// moment is a point in the life of a keyed call at which a fault may strike.
+type moment string
+
+const (
+	atForward    moment = "before the forward"
+	atReply      moment = "before the forward's reply"
+	atCopy       moment = "before the copy of the intent"
+	afterCopy    moment = "after the copy of the intent"
+	atGate       moment = "before the gate"
+	atWrite      moment = "after the gate"
+	afterWrite   moment = "after the write"
+	atFinishCopy moment = "before the copy of the answer"
+)
+
+var errLost = errors.New("message lost")
+
+// world is a fleet on an in-memory net. Its fake service counts runs.
+type world struct {
+	clock *tick.Fake
+	view  *view
+
+	mu     sync.Mutex
+	procs  map[ident.Instance]*proc // the latest process of each seat
+	all    []*proc
+	serial uint64
+	runs   map[ident.Request]int // by request
+	keys   map[string][]ident.Request
+	strike map[moment]func(p *proc) // each is called once
+	cut    map[[2]ident.Instance]bool
+	turns  map[turn]chan struct{}
+	broken bool // the service does not answer
+}
+
+// proc is one process in a seat.
+type proc struct {
+	w    *world
+	node ident.Node
+	svc  *once.Service
+	own  *view // table of its own, if any
+	dead bool
+}
+
+type view struct {
+	revision uint64
+	seats    []intent.Seat
+	route    once.Route
+}
+
+func (v *view) Revision() uint64                          { return v.revision }
+func (v *view) Seats() []intent.Seat                      { return v.seats }
+func (v *view) Routes() []once.Route                      { return []once.Route{v.route} }
+func (v *view) Route(r ident.Route) (once.Route, bool)    { return v.route, r == v.route.Name }
+func (p *proc) View() (once.View, bool)                   { return p.table(), true }
+func (p *proc) Once(n ident.Instance) (peerClient, error) { return p.w.dial(p, n) }
+
+type peerClient = peerpbconnect.OnceServiceClient
+
+func (p *proc) table() *view {
+	p.w.mu.Lock()
+	defer p.w.mu.Unlock()
+	if p.own != nil {
+		return p.own
+	}
+	return p.w.view
+}
+
+func seatsOf(centre ident.Centre, names ...ident.Instance) []intent.Seat {
+	var out []intent.Seat
+	for _, n := range names {
+		out = append(out, intent.Seat{Instance: n, Centre: centre})
+	}
+	return out
+}
+
+// newWorld returns a fleet whose journals are complete for a whole key age.
+func newWorld() *world {
+	w := &world{
+		clock:  tick.NewFake(time.Hour),
+		procs:  make(map[ident.Instance]*proc),
+		runs:   make(map[ident.Request]int),
+		keys:   make(map[string][]ident.Request),
+		strike: make(map[moment]func(*proc)),
+		cut:    make(map[[2]ident.Instance]bool),
+		turns:  make(map[turn]chan struct{}),
+	}
+	w.view = &view{
+		revision: 1,
+		seats:    append(seatsOf("a", "a1", "a2", "a3"), seatsOf("b", "b1", "b2")...),
+		route:    once.Route{Name: "confirm", Centre: "a", Keep: keep, Status: "/status"},
+	}
+	for _, s := range w.view.seats {
+		w.start(s.Instance)
+	}
+	w.sync()
+	w.clock.Advance(2 * keep)
+	w.sync()
+	return w
+}
+
+// start puts a fresh process into a seat. The earlier one lives on, unseen.
+func (w *world) start(seat ident.Instance) *proc {
+	w.mu.Lock()
+	w.serial++
+	p := &proc{w: w, node: ident.Node{Instance: seat, Incarnation: 1<<63 - w.serial}}
+	p.svc = once.New(once.Config{
+		Self: p.node, Table: p, Dialer: p, Caller: p, Clock: w.clock, Log: zerolog.Nop(),
+	})
+	w.procs[seat] = p
+	w.all = append(w.all, p)
+	w.mu.Unlock()
+	return p
+}
+
+// restart kills the process in a seat, and starts and joins another.
+func (w *world) restart(seat ident.Instance) *proc {
+	w.kill(w.at(seat))
+	p := w.start(seat)
+	_ = p.svc.Sync(ctx)
+	return p
+}
+
+func (w *world) sync() {
+	for _, s := range w.view.seats {
+		_ = w.at(s.Instance).svc.Sync(ctx)
+	}
+}
+
+func (w *world) at(seat ident.Instance) *proc {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.procs[seat]
+}
+
+func (w *world) kill(p *proc) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p.dead = true
+}
+
+func (w *world) alive(p *proc) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !p.dead
+}
+
+func (w *world) split(a, b ident.Instance, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[[2]ident.Instance{a, b}] = cut
+	w.cut[[2]ident.Instance{b, a}] = cut
+}
+
+// hit calls the fault that waits for the moment, if there is one.
+func (w *world) hit(m moment, p *proc) {
+	w.mu.Lock()
+	f := w.strike[m]
+	delete(w.strike, m)
+	w.mu.Unlock()
+	if f != nil {
+		f(p)
+	}
+}
+
+func (w *world) on(m moment, f func(*proc)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.strike[m] = f
+}
+
+func (w *world) dial(from *proc, to ident.Instance) (peerClient, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p, ok := w.procs[to]
+	if !ok || p.dead || from.dead || w.cut[[2]ident.Instance{from.node.Instance, to}] {
+		return nil, errors.New("no connection")
+	}
+	return &link{w: w, from: from, to: p}, nil
+}
+
+// link carries messages between two processes while both live and are not cut
+// off from each other.
+type link struct {
+	w        *world
+	from, to *proc
+}
+
+func (l *link) up() bool {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	return !l.from.dead && !l.to.dead && !l.w.cut[[2]ident.Instance{l.from.node.Instance, l.to.node.Instance}]
+}
+
+func (l *link) Run(ctx context.Context, req *peerpb.RunRequest) (*peerpb.RunResponse, error) {
+	l.w.hit(atForward, l.from)
+	if !l.up() {
+		return nil, errLost
+	}
+	res, err := l.to.svc.Handler().Run(ctx, req)
+	l.w.hit(atReply, l.to)
+	if !l.up() {
+		return nil, errLost
+	}
+	return res, err
+}
+
+// turn names one copy of one entry, which goes to two buddies.
+type turn struct {
+	owner, serial uint64
+}
+
+// inTurn makes the copy to the second buddy wait for the one to the first, so
+// that faults at copies strike in a fixed order.
+func (l *link) inTurn(req *peerpb.CopyRequest) (end func()) {
+	if len(req.GetEntries()) != 1 || req.GetWhole() {
+		return func() {}
+	}
+	t := turn{req.GetOwner().GetIncarnation(), req.GetEntries()[0].GetSerial()}
+	buddies := intent.Buddies(l.from.table().seats, l.from.node.Instance)
+	if len(buddies) == 0 {
+		return func() {}
+	}
+	l.w.mu.Lock()
+	c, ok := l.w.turns[t]
+	if !ok {
+		c = make(chan struct{})
+		l.w.turns[t] = c
+	}
+	l.w.mu.Unlock()
+	if l.to.node.Instance == buddies[0] {
+		return func() {
+			l.w.mu.Lock()
+			defer l.w.mu.Unlock()
+			select {
+			case <-c: // the copy was sent once more
+			default:
+				close(c)
+			}
+		}
+	}
+	if _, err := l.w.dial(l.from, buddies[0]); err == nil {
+		<-c
+	}
+	return func() {}
+}
+
+func (l *link) Copy(ctx context.Context, req *peerpb.CopyRequest) (*peerpb.CopyResponse, error) {
+	defer l.inTurn(req)()
+	intent := len(req.GetEntries()) == 1 && !req.GetWhole()
+	answer := intent && (req.GetEntries()[0].GetAnswer() != nil || req.GetEntries()[0].GetDropped())
+	switch {
+	case answer:
+		l.w.hit(atFinishCopy, l.from)
+	case intent:
+		l.w.hit(atCopy, l.from)
+	}
+	if !l.up() {
+		return nil, errLost
+	}
+	res, err := l.to.svc.Handler().Copy(ctx, req)
+	if intent && !answer {
+		l.w.hit(afterCopy, l.from)
+	}
+	if !l.up() {
+		return nil, errLost
+	}
+	return res, err
+}
+
+func (l *link) Fetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	if !l.up() {
+		return nil, errLost
+	}
+	res, err := l.to.svc.Handler().Fetch(ctx, req)
+	if !l.up() {
+		return nil, errLost
+	}
+	return res, err
+}
+
+// Call is the way of a process to the service.
+func (p *proc) Call(_ context.Context, c plain.Call) (plain.Answer, error) {
+	w := p.w
+	w.hit(atGate, p)
+	if !w.alive(p) {
+		return plain.Answer{}, fail.New("call", "service", ident.NotRun, errLost)
+	}
+	if err := c.Gate(); err != nil {
+		return plain.Answer{}, fail.New("call", "service", ident.NotRun, err)
+	}
+	w.hit(atWrite, p)
+	if !w.alive(p) {
+		return plain.Answer{}, fail.New("call", "service", ident.NotRun, errLost)
+	}
+	w.mu.Lock()
+	w.runs[c.Request]++
+	key := c.Header.Get("Idempotency-Key")
+	w.keys[key] = append(w.keys[key], c.Request)
+	broken := w.broken
+	w.mu.Unlock()
+	w.hit(afterWrite, p)
+	if broken || !w.alive(p) {
+		return plain.Answer{}, fail.New("call", "service", ident.Unknown, errLost)
+	}
+	return plain.Answer{Status: 201, Header: http.Header{"X-Run": {string(c.Request)}}, Body: []byte("ok")}, nil
+}
+
+// call sends a call with the key through the process in the seat, and returns
+// what its caller learns.
+func (w *world) call(entry ident.Instance, request ident.Request, key string) (plain.Answer, error) {
+	p := w.at(entry)
+	if !w.alive(p) {
+		return plain.Answer{}, fail.New("caller", string(entry), ident.NotRun, errLost)
+	}
+	a, err := p.svc.Run(ctx, once.Call{
+		Key: key,
+		Call: plain.Call{
+			Request: request, Customer: "sur", Route: "confirm", Method: "POST", Path: "/confirm",
+			Header: http.Header{"Idempotency-Key": {key}}, Body: []byte("pupil 7"),
+		},
+	})
+	if !w.alive(p) {
+		return plain.Answer{}, fail.New("caller", string(entry), ident.Unknown, errLost)
+	}
+	return a, err
+}
+
+// ran returns how often the key ran.
+func (w *world) ran(key string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.keys[key])
+}
+
+// ranAs returns how often the request ran.
+func (w *world) ranAs(r ident.Request) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[r]
+}
+
+// homeOf returns the home of a key by the world's table.
+func (w *world) homeOf(key string) ident.Instance {
+	h, _ := intent.Home(w.view.seats, w.view.route.Centre, intent.NewID("sur", "confirm", key))
+	return h
+}
+
+// keyAt returns a key whose home is the seat.
+func (w *world) keyAt(seat ident.Instance) string {
+	for i := 0; ; i++ {
+		if key := "key-" + strconv.Itoa(i); w.homeOf(key) == seat {
+			return key
+		}
+	}
+}
+
+// settled waits until the calls that were started have ended.
+func settled(w *world) {
+	w.mu.Lock()
+	all := slices.Clone(w.all)
+	w.mu.Unlock()
+	for _, p := range all {
+		p.svc.Idle()
+	}
+}
+
+var ctx = context.Background()
+
+var intentBuddies = intent.Buddies
--- a/plain/client.go
+++ b/plain/client.go
@@ -118,7 +118,7 @@
 
 // again reports whether the call may be tried once more after err.
 func again(ctx context.Context, call Call, err error) bool {
-	if ctx.Err() != nil || errors.Is(err, errGate) {
+	if ctx.Err() != nil || held(err) {
 		return false
 	}
 	if fail.Outcome(err) == ident.NotRun {
@@ -127,6 +127,12 @@
 	return call.Idempotent && fail.Outcome(err) == ident.Unknown
 }
 
+// held reports whether the call's gate held it back.
+func held(err error) bool {
+	var h *heldError
+	return errors.As(err, &h)
+}
+
 // worse returns the error that claims less of the two attempts of one call.
 func worse(a, b error) error {
 	if a != nil && fail.Outcome(a) != ident.NotRun {
@@ -139,7 +145,7 @@
 func (c *Client) try(ctx context.Context, s Server, call Call) (Answer, error) {
 	c.begin(s.Name)
 	a, err := c.exchange(ctx, s, call)
-	c.end(s.Name, err != nil && ctx.Err() == nil && !errors.Is(err, errGate))
+	c.end(s.Name, err != nil && ctx.Err() == nil && !held(err))
 	return a, err
 }
 
@@ -154,6 +160,9 @@
 	defer tr.CloseIdleConnections()
 
 	resp, err := tr.RoundTrip(req)
+	if held := t.held.Load(); err != nil && held != nil {
+		return Answer{}, fail.New("plain: gate", string(s.Name), ident.NotRun, held)
+	}
 	if err != nil {
 		return Answer{}, fail.New(step, string(s.Name), outcome(t), err)
 	}
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -7,18 +7,22 @@
 	"strings"
 	"sync/atomic"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
-// errGate marks a call that its gate held back.
-var errGate = errors.New("the right to run is gone")
+// heldError reports a call that its gate held back.
+type heldError struct {
+	err error
+}
+
+func (e *heldError) Error() string { return "held back: " + e.err.Error() }
+
+func (e *heldError) Unwrap() error { return e.err }
 
 // trace notes how far the attempt on one connection came.
 type trace struct {
 	gate  func() error
 	wrote atomic.Bool
-	held  atomic.Pointer[error] // what the gate said
+	held  atomic.Pointer[heldError]
 }
 
 // conn is a connection that serves one attempt. It carries the plain text of
@@ -37,8 +41,9 @@
 	if !c.t.wrote.Load() {
 		if c.t.gate != nil {
 			if err := c.t.gate(); err != nil {
-				c.t.held.Store(&err)
-				return 0, errors.Wrap(errGate, err.Error())
+				held := &heldError{err}
+				c.t.held.Store(held)
+				return 0, held
 			}
 		}
 		c.t.wrote.Store(true)
