--- a/fair/predict.go
+++ b/fair/predict.go
@@ -58,12 +58,14 @@
 	if q.meter.rate <= 0 || q.Len() == 0 {
 		return 0
 	}
-	tag := c.tag + float64(c.backlog)/c.weight
+	ahead := float64(c.backlog)
+	tag := c.tag - q.vtime
 	if r == Interactive {
-		waiting := c.backlog - c.lists[Interactive].cost()
-		tag -= float64(waiting)/c.weight + q.lag(q.cfg.Lead)
+		ahead = float64(c.lists[Interactive].cost())
+		tag -= q.lag(q.cfg.Lead)
 	}
-	return q.span(max(0, tag-q.vtime) * max(q.weight, c.weight))
+	tag += ahead / c.weight
+	return q.span(max(ahead, tag*max(q.weight, c.weight)))
 }
 
 // span converts a cost to the time in which the pool serves it.
--- a/fair/queue_test.go
+++ b/fair/queue_test.go
@@ -247,3 +247,49 @@
 	is.True(o.Estimate("a", 0) > 390)
 	is.True(o.Estimate("b", 0) < 390)
 }
+
+func TestIdleCustomerKeepsNoMoreThanItsCredit(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000, Credit: time.Second})
+	push := func(c ident.Customer, from, n int) {
+		for i := range n {
+			_, ok := q.Push(fair.Item{ID: uint64(from + i), Customer: c, Cost: 100, StartBy: never}, 0)
+			is.True(ok)
+		}
+	}
+	q.SetWeight("idle", 1)
+	push("busy", 1, 200)
+	serve(q, 100, 0) // 10,000 while the other customer was idle
+	push("idle", 1000, 100)
+	got := serve(q, 40, 0)
+	is.True(got["idle"] >= 2000) // its half
+	is.True(got["idle"] <= 3100) // and a second of credit
+}
+
+func TestSlowServiceShortensTheQueue(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000})
+	var id uint64
+	fill := func(now tick.Instant) int {
+		n := 0
+		for {
+			id++
+			if _, ok := q.Push(fair.Item{ID: id, Customer: "a", Cost: 100, StartBy: now + 10*time.Second}, now); !ok {
+				return n
+			}
+			n++
+		}
+	}
+	is.Equal(fill(0), 101)
+	// Half of the expected rate is served for ten seconds.
+	now := tick.Instant(0)
+	for range 50 {
+		now += 200 * time.Millisecond
+		it, _ := q.Peek(true)
+		q.Pop(it, now)
+	}
+	is.True(q.Rate() < 600)
+	left := q.Len()
+	is.Equal(left, 51)
+	is.True(fill(now) <= 10) // about half as many may wait now
+}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -240,3 +240,39 @@
 		}
 	})
 }
+
+// TestManyCustomersAtOnce submits one request of each of many customers. Each
+// alone would start in time; together they cannot, which the next sweep finds.
+func TestManyCustomersAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	decided := 0
+	for i := range 50 {
+		_, out := submit(s, ask(ident.Customer(fmt.Sprint(i))), 0)
+		decided += len(out)
+	}
+	is.Equal(decided, 2) // the places
+	refused := s.Step(60*time.Millisecond, nil)
+	is.True(len(refused) >= 40)
+	for _, d := range refused {
+		is.Equal(d.Code, fail.CodeOverload)
+		is.True(d.Retry > 0)
+	}
+}
+
+func TestOutputEstimateIsCorrected(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, 4)
+	a := ask("a")
+	a.MaxOutput = 1000
+	var last int64
+	for i := range 40 {
+		now := tick.Instant(i) * time.Second
+		_, out := submit(s, a, now)
+		is.Equal(len(out), 1)
+		last = out[0].Output
+		s.Progress("e1", &pool.Progress{ID: out[0].Placement.ID, Stage: place.StageDone, Output: 600}, now)
+	}
+	is.True(last > 550)
+	is.True(last <= 600)
+}
