replay: measure how long refused requests wait for their refusal

Cause: a refusal must come as soon as it is known, and nothing measured that. Change: the median and the 95th percentile of the time to a refusal.

--- a/replay/call.go
+++ b/replay/call.go
@@ -240,7 +240,6 @@
 func (c *call) decode() {
 	s := c.w.byName[c.placement.Decode]
 	c.stream = s.decode(c.req.Output, func() {
-		c.ended = c.w.now
 		c.stream = nil
 		c.end(served)
 	})
@@ -296,6 +295,7 @@
 		return
 	}
 	c.outcome = o
+	c.ended = c.w.now
 	c.stopPrefill()
 	if c.stream != nil {
 		c.w.byName[c.placement.Decode].stop(c.stream)
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -41,9 +41,13 @@
 	Waste float64 `json:"waste"`
 	// Worst is the least part of its weighted max-min share that a customer
 	// got of the cost served.
-	Worst     float64          `json:"worst"`
-	FirstP95  float64          `json:"first_p95_ms"` // interactive
-	Customers []CustomerResult `json:"customers"`
+	Worst    float64 `json:"worst"`
+	FirstP95 float64 `json:"first_p95_ms"` // interactive
+	// RefusedP50 and RefusedP95 are the times after which refused requests
+	// were told.
+	RefusedP50 float64          `json:"refused_p50_ms"`
+	RefusedP95 float64          `json:"refused_p95_ms"`
+	Customers  []CustomerResult `json:"customers"`
 }
 
 // CustomerResult is what a run gave one customer.
@@ -72,7 +76,7 @@
 	}
 	w.limit(index)
 	span := (w.trace.Length - warmTime).Seconds()
-	var firsts []time.Duration
+	var firsts, refusals []time.Duration
 	for _, c := range w.calls {
 		k := &r.Customers[index[c.req.Customer]]
 		r.Requests++
@@ -85,6 +89,9 @@
 		if c.first > 0 && !c.class.Patient {
 			firsts = append(firsts, c.first-c.arrived)
 		}
+		if c.outcome == refused {
+			refusals = append(refusals, c.ended-c.arrived)
+		}
 		w.count(c, &r, k)
 		part := w.within(c) / span
 		k.Demand += cost * part
@@ -101,7 +108,9 @@
 	if r.Prefill > 0 {
 		r.Waste = float64(r.Wasted) / float64(r.Prefill)
 	}
-	r.FirstP95 = float64(percentile(firsts, 0.95).Microseconds()) / 1000
+	r.FirstP95 = percentile(firsts, 0.95)
+	r.RefusedP50 = percentile(refusals, 0.5)
+	r.RefusedP95 = percentile(refusals, 0.95)
 	w.shares(&r)
 	return r
 }
@@ -223,10 +232,12 @@
 	return out
 }
 
-func percentile(set []time.Duration, p float64) time.Duration {
+// percentile returns a percentile of the times in milliseconds.
+func percentile(set []time.Duration, p float64) float64 {
 	if len(set) == 0 {
 		return 0
 	}
 	sort.Slice(set, func(i, j int) bool { return set[i] < set[j] })
-	return set[min(len(set)-1, int(p*float64(len(set))))]
+	d := set[min(len(set)-1, int(p*float64(len(set))))]
+	return float64(d.Microseconds()) / 1000
 }
--- a/replay/table.go
+++ b/replay/table.go
@@ -15,12 +15,12 @@
 	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	// An error of the writer comes back from Flush.
 	put := func(format string, args ...any) { _, _ = fmt.Fprintf(tw, format, args...) }
-	put("policy\tload\trequests\tgood\tlate\trefused\twrongful\tfailed\tgood part\tgood/s\ttokens/s\tcost/s\twaste\tworst\tfirst p95 ms\t\n")
+	put("policy\tload\trequests\tgood\tlate\trefused\twrongful\tfailed\tgood part\tgood/s\ttokens/s\tcost/s\twaste\tworst\tfirst p95 ms\trefused p50 ms\trefused p95 ms\t\n")
 	for i := range set {
 		r := &set[i]
-		put("%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.2f\t%.0f\t%.0f\t%.4f\t%.3f\t%.0f\t\n",
+		put("%s\t%.2f\t%d\t%d\t%d\t%d\t%d\t%d\t%.3f\t%.2f\t%.0f\t%.0f\t%.4f\t%.3f\t%.0f\t%.0f\t%.0f\t\n",
 			r.Policy, r.Load, r.Requests, r.Good, r.Late, r.Refused, r.Wrongful, r.Failed,
-			r.GoodPart, r.GoodRate, r.GoodTokens, r.GoodCost, r.Waste, r.Worst, r.FirstP95)
+			r.GoodPart, r.GoodRate, r.GoodTokens, r.GoodCost, r.Waste, r.Worst, r.FirstP95, r.RefusedP50, r.RefusedP95)
 	}
 	put("\n")
 	put("policy\tload\tcustomer\trequests\tgood\tlate\trefused\twrongful\tfailed\tdemand/s\tgot/s\tshare/s\tpart\t\n")
