quota: check the bound over random schedules of a fleet

The bound must hold under pauses, crashes, superseded processes, stale views, cuts, lost, late and doubled answers, table changes and full restarts.

--- a/quota/renew.go
+++ b/quota/renew.go
@@ -57,6 +57,7 @@
 // renew asks all live seats of the data centre for the groups that this
 // instance is to hold, and returns the time until the next renewal.
 func (s *Service) renew(ctx context.Context) time.Duration {
+	s.seat.Beat(s.time.Now())
 	s.confirm()
 	seats := slices.Clone(s.view.Live(s.centre))
 	slices.Sort(seats)
--- /dev/null
+++ b/quota/seeds_test.go
@@ -0,0 +1,42 @@
+package quota
+
+import (
+	"flag"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const firstSeed = 20261204
+
+// checkSeeds checks a property from a fixed seed, and from the seeds after it
+// for WASABI_SOAK seconds if that is set.
+func checkSeeds(t *testing.T, checks int, prop func(*rapid.T)) {
+	t.Helper()
+	soak, _ := strconv.Atoi(os.Getenv("WASABI_SOAK"))
+	end := time.Now().Add(time.Duration(soak) * time.Second)
+	runs := 0
+	counted := func(rt *rapid.T) {
+		runs++
+		prop(rt)
+	}
+	if err := flag.Set("rapid.checks", strconv.Itoa(checks)); err != nil {
+		t.Fatal(err)
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
+	for seed := firstSeed; ; seed++ {
+		if err := flag.Set("rapid.seed", strconv.Itoa(seed)); err != nil {
+			t.Fatal(err)
+		}
+		rapid.Check(t, counted)
+		if t.Failed() || !time.Now().Before(end) {
+			break
+		}
+	}
+	t.Logf("%d schedules", runs)
+}
