fair: predict the waiting class from its own rate of service

Cause: patient requests were accepted by a prediction that left out the interactive requests still to come, and refused close to their target.

--- a/fair/predict.go
+++ b/fair/predict.go
@@ -12,13 +12,20 @@
 	meterWindow = time.Second
 	// meterGain is the part of a new measurement in the rate.
 	meterGain = 0.3
+	// waitingWindow is the time over which the rate of a customer's waiting
+	// class is measured.
+	waitingWindow = 2 * time.Second
 	// meterFloor is the least part of the expected rate that a measurement
 	// may leave.
 	meterFloor = 0.3
+	// waitingFloor is the least part of its share that a measurement may
+	// leave to a customer's waiting class.
+	waitingFloor = 0.1
 )
 
 // meter measures the cost served per second while there is a backlog.
 type meter struct {
+	window  time.Duration
 	rate    float64
 	nominal float64
 	since   tick.Instant
@@ -41,8 +48,13 @@
 
 func (m *meter) served(cost int64, now tick.Instant) {
 	m.sum += cost
+	m.tick(now)
+}
+
+// tick takes the window into the rate when it is over.
+func (m *meter) tick(now tick.Instant) {
 	d := now - m.since
-	if d < meterWindow {
+	if d < m.window {
 		return
 	}
 	seen := max(float64(m.sum)/d.Seconds(), m.nominal*meterFloor)
@@ -65,7 +77,25 @@
 		tag -= q.lag(q.cfg.Lead)
 	}
 	tag += ahead / c.weight
-	return q.span(max(ahead, tag*max(q.weight, c.weight)))
+	d := q.span(max(ahead, tag*max(q.weight, c.weight)))
+	if r == Waiting && c.lists[Waiting].n > 0 {
+		d = max(d, c.waitingSpan(float64(c.lists[Waiting].cost())))
+	}
+	return d
+}
+
+// waitingSpan converts a cost to the time in which the customer's waiting
+// class is served, which depends on what its interactive class leaves.
+func (c *customer) waitingSpan(cost float64) time.Duration {
+	return time.Duration(cost / c.meter.rate * float64(time.Second))
+}
+
+// beginWaiting starts to measure the customer's waiting class when a backlog
+// of it arises, from the customer's share.
+func (q *Queue) beginWaiting(c *customer, now tick.Instant) {
+	share := q.meter.rate * c.weight / max(q.weight, c.weight)
+	c.meter = meter{window: waitingWindow, rate: max(share, 1), nominal: share * waitingFloor}
+	c.meter.begin(now)
 }
 
 // span converts a cost to the time in which the pool serves it.
@@ -85,9 +115,10 @@
 
 // forecast is an item with the tag at which it will be due.
 type forecast struct {
-	key  float64
-	seq  int
-	item Item
+	key   float64
+	seq   int
+	least time.Duration // for which the item stays in any case
+	item  Item
 }
 
 // Sweep takes out the items that cannot start in time if the queue is served
@@ -99,14 +130,14 @@
 	q.forecast = q.forecast[:0]
 	for _, h := range q.heaps {
 		for _, c := range h.set {
-			q.predict(c, h.rank)
+			q.predict(c, h.rank, now)
 		}
 	}
 	f := q.forecast
 	sort.Slice(f, func(i, j int) bool { return f[i].before(f[j]) })
 	var ahead float64
 	for i := range f {
-		late := now + q.span(ahead) - f[i].item.StartBy
+		late := now + max(q.span(ahead), f[i].least) - f[i].item.StartBy
 		if late > 0 {
 			q.Remove(f[i].item.ID)
 			out = append(out, Refused{Item: f[i].item, Retry: max(late, minRetry)})
@@ -119,20 +150,27 @@
 
 // predict appends the items of rank r of c with the tags at which they will
 // be due.
-func (q *Queue) predict(c *customer, r Rank) {
+func (q *Queue) predict(c *customer, r Rank, now tick.Instant) {
 	tag := c.tag
 	if r == Interactive {
 		tag -= q.lag(q.cfg.Lead)
 	} else {
+		c.meter.tick(now)
 		tag += float64(c.lists[Interactive].cost()) / c.weight
 	}
 	l := &c.lists[r]
+	var ahead float64
 	for _, e := range l.set[l.first:] {
 		if e.gone {
 			continue
 		}
-		q.forecast = append(q.forecast, forecast{key: tag, seq: len(q.forecast), item: e.item})
+		f := forecast{key: tag, seq: len(q.forecast), item: e.item}
+		if r == Waiting {
+			f.least = c.waitingSpan(ahead)
+		}
+		q.forecast = append(q.forecast, f)
 		tag += float64(e.item.Cost) / c.weight
+		ahead += float64(e.item.Cost)
 	}
 }
 
--- a/fair/queue.go
+++ b/fair/queue.go
@@ -77,6 +77,7 @@
 	lists   [ranks]list
 	pos     [ranks]int // index in the heap of the rank, -1 if absent
 	backlog int64
+	meter   meter // of the waiting class
 	run     int64 // interactive cost served since the last waiting item
 }
 
@@ -103,7 +104,7 @@
 		cfg:       cfg,
 		customers: make(map[ident.Customer]*customer),
 		items:     make(map[uint64]*entry),
-		meter:     meter{rate: cfg.Rate, nominal: cfg.Rate},
+		meter:     meter{window: meterWindow, rate: cfg.Rate, nominal: cfg.Rate},
 	}
 	for r := range q.heaps {
 		q.heaps[r].rank = Rank(r)
@@ -166,6 +167,9 @@
 		c.tag = max(c.tag, q.vtime-q.lag(q.cfg.Credit))
 		q.weight += c.weight
 	}
+	if it.Rank == Waiting && c.lists[Waiting].n == 0 {
+		q.beginWaiting(c, now)
+	}
 	e := q.entry(it)
 	q.items[it.ID] = e
 	c.lists[it.Rank].push(e)
@@ -210,6 +214,7 @@
 	switch {
 	case it.Rank == Waiting:
 		c.run = 0
+		c.meter.served(it.Cost, now)
 	case c.lists[Waiting].n > 0:
 		c.run += it.Cost
 	}
