pool: queue a request again whose held KV cache cannot be moved

Cause: a patient request was refused when no decode place came free within the life of its KV cache, though its target left time for another prefill. Change: it joins the queue again; Placement.Held and PlaceResponse.held tell whether the cache is moved or the prompt is prefilled anew.

--- a/place/ask.go
+++ b/place/ask.go
@@ -47,7 +47,9 @@
 	Waited    time.Duration  // since the request arrived at the entry instance
 	Avoid     []ident.Server // servers that failed this request
 	Resumed   bool           // the request has been prefilled before
-	Held      ident.Server   // prefill server that still holds the KV cache
+	// Held names the prefill server that still holds the KV cache. The
+	// placement says whether it is moved or the prompt is prefilled again.
+	Held ident.Server
 }
 
 // Placement is a scheduler's answer to an Ask.
@@ -62,6 +64,7 @@
 	Score         float64
 	RunnerUpScore float64
 	Revision      uint64
+	Held          bool // the KV cache that the Ask names is moved, nothing is prefilled
 }
 
 // Stage is how far a placement has come.
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -33,7 +33,6 @@
 	ReasonNone   Reason = iota
 	ReasonTarget        // the first token would come after its target
 	ReasonQueue         // the customer's queue is too long for the target
-	ReasonHeld          // no decode place came free while the KV cache lived
 	ReasonServer        // no server may be used
 )
 
@@ -44,8 +43,6 @@
 		return "the first token would come after its target"
 	case ReasonQueue:
 		return "the queue is too long to meet the first-token target"
-	case ReasonHeld:
-		return "no decode place came free in time"
 	case ReasonServer:
 		return "no backend server may be used"
 	default:
@@ -90,7 +87,8 @@
 		hold:     s.pool.Commit(&w.query, c, now),
 		charged:  w.output,
 	}
-	if w.query.Held != "" {
+	held := w.query.Held != ""
+	if held {
 		l.stage = place.StageTransfer
 	}
 	d := s.record(w, now)
@@ -106,6 +104,7 @@
 		Score:         c.Score,
 		RunnerUpScore: c.RunnerUpScore,
 		Revision:      s.pool.Spec().Revision,
+		Held:          held,
 	}
 	s.live[d.Placement.ID] = l
 	s.entry(w.owner, now).live[d.Placement.ID] = l
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -236,7 +236,10 @@
 		case v == place.NoServer:
 			s.refuse(w, fail.CodeNoServer, noServerRetry, ReasonServer, now)
 		case now-w.since > heldLife:
-			s.refuse(w, fail.CodeOverload, s.queueTime(), ReasonHeld, now)
+			// The cache will not live long enough: prefill again if the
+			// target leaves the time.
+			w.query.Held = ""
+			s.enqueue(w, now)
 		default:
 			kept = append(kept, w)
 		}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -276,3 +276,24 @@
 	is.True(last > 550)
 	is.True(last <= 600)
 }
+
+// TestHeldCacheThatMustWaitIsPrefilledAgain lets no decode place come free
+// while a held cache lives and checks that a patient request is queued.
+func TestHeldCacheThatMustWaitIsPrefilledAgain(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(2, 1)
+	_, first := submit(s, ask("a"), 0)
+	_, second := submit(s, ask("a"), 0)
+	s.Progress("e1", &pool.Progress{ID: second[0].Placement.ID, Stage: place.StageDecode}, 100*time.Millisecond)
+	a := ask("a")
+	a.Class, a.Held = "patient", "p1"
+	_, out := submit(s, a, 100*time.Millisecond)
+	is.Equal(len(out), 0)
+	is.Equal(len(s.Step(600*time.Millisecond, nil)), 0)
+	s.Progress("e1", &pool.Progress{ID: first[0].Placement.ID, Stage: place.StageDone}, 700*time.Millisecond)
+	out = s.Step(800*time.Millisecond, nil)
+	is.Equal(len(out), 1)
+	is.True(out[0].Placed())
+	is.True(!out[0].Placement.Held)
+	is.True(out[0].Choice.Run > 0)
+}
--- a/replay/call.go
+++ b/replay/call.go
@@ -147,10 +147,11 @@
 		c.again(place.StageFailedDecode, v.placement.Decode, "")
 		return
 	}
-	if c.kvAt > 0 {
+	if v.placement.Held {
 		c.transfer()
 		return
 	}
+	c.lose()
 	c.prefill()
 }
 
--- a/replay/world.go
+++ b/replay/world.go
@@ -114,6 +114,11 @@
 // Run replays the trace and measures it.
 func Run(t *Trace, opt Options) Result {
 	w := newWorld(t, opt.withDefaults())
+	return w.run()
+}
+
+func (w *world) run() Result {
+	t := w.trace
 	w.load()
 	if !w.opt.NoEvents {
 		for _, e := range t.Events {
--- a/sched/convert.go
+++ b/sched/convert.go
@@ -68,6 +68,7 @@
 		Score:         p.Score,
 		RunnerUpScore: p.RunnerUpScore,
 		Revision:      p.Revision,
+		Held:          p.Held,
 	}
 }
 
@@ -83,6 +84,7 @@
 		Score:         r.GetScore(),
 		RunnerUpScore: r.GetRunnerUpScore(),
 		Revision:      r.GetRevision(),
+		Held:          r.GetHeld(),
 	}
 }
 
--- a/sched/track.go
+++ b/sched/track.go
@@ -63,7 +63,7 @@
 		centre:    centre,
 		scheduler: p.Scheduler,
 	}
-	if a.Held != "" {
+	if p.Held {
 		t.progress.Stage = place.StageTransfer
 	}
 	ts := c.tracks(p.ID)
