fair: shorten the lead of the interactive class to two seconds

Cause: the lead is a debt of the flooding customer while the overload lasts. Change: DefaultLead 5 s to 2 s.

--- a/fair/queue.go
+++ b/fair/queue.go
@@ -21,7 +21,7 @@
 // Defaults of Config.
 const (
 	DefaultDecodeWeight = 32
-	DefaultLead         = 5 * time.Second
+	DefaultLead         = 2 * time.Second
 	DefaultCredit       = 5 * time.Second
 	DefaultMaxItems     = 1024
 
