--- a/wasabid/harness_test.go
+++ b/wasabid/harness_test.go
@@ -179,7 +179,11 @@
 	return list
 }
 
-func centreOf(name string) string { return name[:strings.LastIndex(name, "-")] }
+// centreOf returns the data centre in the name of a seat or engine.
+func centreOf(name string) string {
+	centre, _, _ := strings.Cut(name, "-")
+	return centre
+}
 
 // startAll starts a daemon in each seat and waits until all are ready.
 func (f *fleet) startAll() {
