roster: pass addresses on to instances that have no list

Change: a starting node is told addresses of instances that nobody has heard; contacts with those are shared among the instances that are there. The property test also wants agreement on who is there after all is healed, and that no living process is told that its seat is taken.

--- a/roster/hear.go
+++ b/roster/hear.go
@@ -57,7 +57,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, e := range entries {
-		if e.Age < 0 || e.Node.Incarnation == 0 || e.State < Starting || e.State > Lost {
+		if e.Node.Incarnation == 0 {
+			r.learn(e)
+			continue
+		}
+		if e.Age < 0 || e.State < Starting || e.State > Lost {
 			continue
 		}
 		if e.Node.Instance == r.cfg.Self.Instance {
@@ -69,6 +73,17 @@
 	}
 }
 
+// learn takes the address of an instance that nobody has heard.
+func (r *Roster) learn(e Entry) {
+	if e.Node.Instance == r.cfg.Self.Instance || e.Address == "" {
+		return
+	}
+	if s := r.open(e.Node.Instance); s != nil && s.entry.Address == "" {
+		s.entry.Address = e.Address
+		s.entry.Centre = e.Centre
+	}
+}
+
 func (r *Roster) merge(s *seat, e Entry, now tick.Instant) {
 	heard := now - e.Age
 	if s.superseded(e.Node.Incarnation) {
--- a/roster/list.go
+++ b/roster/list.go
@@ -116,7 +116,7 @@
 	outsidePeriod = 4
 	// newcomerContacts is the number of exchanges that all instances together
 	// have in a round with those that nobody has heard.
-	newcomerContacts = 4
+	newcomerContacts = 8
 	// lostPeriod is the number of rounds for one exchange with a lost node.
 	lostPeriod = 5
 )
@@ -133,9 +133,7 @@
 		targets = append(targets, name)
 	}
 	targets = append(targets, r.pick(1, func(s *seat) bool { return s.failures > 0 && !s.lost() })...)
-	if r.cfg.Random.IntN(len(r.order)+1) < newcomerContacts {
-		targets = append(targets, r.pick(1, func(s *seat) bool { return !s.met && !s.lost() })...)
-	}
+	targets = append(targets, r.pick(r.newcomers(), func(s *seat) bool { return !s.met && !s.lost() })...)
 	if r.rounds%outsidePeriod == 0 || len(targets) == 0 {
 		targets = append(targets, r.pick(1, func(s *seat) bool { return s.entry.Centre != r.cfg.Centre && !s.lost() })...)
 	}
@@ -145,6 +143,23 @@
 	return targets
 }
 
+// newcomers returns how many instances that nobody has heard to talk to in
+// this round, so that all that are there together have a bounded number of
+// such contacts.
+func (r *Roster) newcomers() int {
+	share := 1
+	for _, s := range r.order {
+		if s.met && !s.lost() {
+			share++
+		}
+	}
+	n := newcomerContacts / share
+	if r.cfg.Random.IntN(share) < newcomerContacts%share {
+		n++
+	}
+	return n
+}
+
 // Spread returns instances to tell of a change at once: near ones of the own
 // data centre and far ones of others.
 func (r *Roster) Spread(near, far int) []ident.Instance {
@@ -222,7 +237,8 @@
 
 // News returns what to tell a node of the given data centre: changes that were
 // passed on least often, those of its own data centre first, and a random
-// node. A starting node is told more.
+// node. A starting node is told more, also addresses of instances that nobody
+// has heard, since it may have no list.
 func (r *Roster) News(c ident.Centre, starting bool, now tick.Instant) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -230,7 +246,7 @@
 	if starting {
 		others = joinEntries
 	}
-	seats := r.shuffled(func(s *seat) bool { return s.met })
+	seats := r.shuffled(func(s *seat) bool { return s.met || starting })
 	sort.SliceStable(seats, func(i, j int) bool { return seats[i].urgency(c) > seats[j].urgency(c) })
 	var out []Entry
 	for _, s := range seats {
@@ -252,7 +268,10 @@
 const nearUrgency = 1000
 
 func (s *seat) urgency(c ident.Centre) int {
-	if s.told > 0 && s.entry.Centre == c {
+	switch {
+	case !s.met:
+		return -1
+	case s.told > 0 && s.entry.Centre == c:
 		return s.told + nearUrgency
 	}
 	return s.told
--- a/spread/property_test.go
+++ b/spread/property_test.go
@@ -68,6 +68,16 @@
 		if !s.allJoined() {
 			rt.Fatal("a process has not joined after all was healed")
 		}
+		if took := s.run(time.Minute, func() bool { return s.agreed(nil) }); !s.agreed(nil) {
+			rt.Fatalf("no agreement on who is there %v after all was healed", took)
+		}
+		for _, n := range s.nodes {
+			select {
+			case <-n.f.Superseded():
+				rt.Fatalf("%s was told that another process has its seat", n.name)
+			default:
+			}
+		}
 	})
 }
 
