spread: read the head in turn in case the watchers' replicas are stale

Change: the instances that do not watch read the head in turn, one of a data centre every two seconds. Conclusion: mended for data centres of today's size; in larger ones it takes longer to come to a fresh replica if most are stale.

--- a/spread/watch.go
+++ b/spread/watch.go
@@ -28,6 +28,9 @@
 	// instance reads for itself, up to starvedSpread later.
 	starvedAge    = 6 * time.Second
 	starvedSpread = 3 * time.Second
+	// auditPeriod is the time between two reads of the head in a data centre by
+	// instances that do not watch it.
+	auditPeriod = 2 * time.Second
 	// listPeriod is the period at which all instances read the lists.
 	listPeriod   = 5 * time.Minute
 	backoffFirst = 500 * time.Millisecond
@@ -43,6 +46,7 @@
 	apply   func(plat.Value) error
 	after   uint64 // revision of the value last seen
 	due     tick.Instant
+	audit   tick.Instant // when this instance reads the head though others watch
 	backoff plat.Backoff
 	random  *rand.Rand
 }
@@ -147,6 +151,9 @@
 	if !w.head {
 		return now >= w.due
 	}
+	if f.audits(w, now) {
+		return true
+	}
 	f.mu.Lock()
 	starved := now-f.seen > starvedAge
 	f.mu.Unlock()
@@ -156,6 +163,18 @@
 	return starved && now >= w.due
 }
 
+// audits reports whether it is this instance's turn to read the head for
+// itself, in case all that watch it read from stale replicas.
+func (f *Fleet) audits(w *watched, now tick.Instant) bool {
+	due := w.audit
+	if now < due {
+		return false
+	}
+	period := time.Duration(len(f.cfg.Roster.Candidates(f.cfg.Centre))) * auditPeriod
+	w.audit = now + period/2 + w.jitter(period)
+	return due != 0
+}
+
 func (f *Fleet) applyHead(v plat.Value) error {
 	head, err := table.ParseHead(v.Data)
 	if err != nil {
