peer: send messages between instances uncompressed

Cause: connect asks for gzip by default; each small message was compressed, and the compressors are large. Change: no compression on both sides.

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -135,6 +135,7 @@
 
 func newClients(hc *http.Client, base string) *clients {
 	opts := []connect.ClientOption{
+		connect.WithAcceptCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithSendMaxBytes(maxMessageBytes),
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -37,6 +37,7 @@
 func NewServer(h Handlers, cfg *tls.Config) *Server {
 	mux := http.NewServeMux()
 	opts := []connect.HandlerOption{
+		connect.WithCompression("gzip", nil, nil),
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithSendMaxBytes(maxMessageBytes),
 	}
