--- a/place/prefix.go
+++ b/place/prefix.go
@@ -1,5 +1,7 @@
 package place
 
+import "math/bits"
+
 const (
 	// maxHinted is the most servers of a pool that prefix hints cover.
 	maxHinted = 256
@@ -129,13 +131,11 @@
 	}
 }
 
+// each sets the depth of the servers in the set.
 func (s *servers) each(depth []uint16, n uint16) {
-	for i := range depth {
-		if i >= maxHinted {
-			return
-		}
-		if s.has(i) {
-			depth[i] = n
+	for w, set := range s {
+		for ; set != 0; set &= set - 1 {
+			depth[w*64+bits.TrailingZeros64(set)] = n
 		}
 	}
 }
