replay: end the scheduler in the middle of a trace

Cause: the cost of a successor that knows nothing was not measured. Change: the event "loss" and a test of the outcomes with it. Conclusion: reports and heartbeats suffice.

--- a/replay/doc.go
+++ b/replay/doc.go
@@ -23,12 +23,13 @@
 //	server,<name>,prefill|decode,<places>,<tokens per second>,<token ms>,<link bytes per second>,<cached pieces>
 //	class,<name>,<first token ms>,<between tokens ms>,patient|prompt
 //	customer,<name>,<weight>,<rate in tokens per second>,<burst in tokens>
-//	event,<at>,depart|silent|stall,<server>,<for ms, 0 for good>
+//	event,<at>,depart|silent|stall|loss,<server>,<for ms, 0 for good>
 //	request,<at>,<customer>,<class>,<prompt>,<max output>,<output>,<preamble>,<preamble tokens>,<cancelled after ms, 0 never>
 //
 // An event "silent" loses the answers of all calls that are open at the
 // server; calls made later are answered. An event "stall" stops the transfers
-// into the server.
+// into the server. An event "loss" ends the scheduler, whatever the server;
+// its successor knows nothing and entry instances ask it at once.
 //
 // # Load
 //
--- a/replay/outcome_test.go
+++ b/replay/outcome_test.go
@@ -119,6 +119,24 @@
 	}
 }
 
+// TestLostScheduler ends the scheduler in the middle of the trace. Its
+// successor learns from reports and heartbeats what runs.
+func TestLostScheduler(t *testing.T) {
+	for _, name := range traces {
+		tr := read(t, name)
+		tr.Events = append(tr.Events, replay.Event{At: 35 * time.Second, Kind: replay.EventLoss})
+		for _, load := range []float64{0.9, 1.5} {
+			r := replay.Run(tr, replay.Options{Load: load, Seed: seed})
+			if r.Waste > 0.01 || r.Worst < 0.9 {
+				t.Errorf("%s at %.1f: waste %.4f, worst %.3f", name, load, r.Waste, r.Worst)
+			}
+			if load < 1 && (r.Wrongful > 0 || r.GoodPart < 0.95) {
+				t.Errorf("%s at %.1f: %d wrongful refusals, %.3f good", name, load, r.Wrongful, r.GoodPart)
+			}
+		}
+	}
+}
+
 // TestBaselinesFallBehind shows that the checks can fail: what they demand is
 // not met by the policies that the router is compared with.
 func TestBaselinesFallBehind(t *testing.T) {
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -51,6 +51,8 @@
 	report(r place.Report, now tick.Instant)
 	events(e place.Events)
 	depart(name ident.Server, departing bool)
+	// lose ends the schedulers and starts others that know nothing.
+	lose()
 	// bind names a decode server for a policy that reserves none.
 	bind(now tick.Instant) (ident.Server, bool)
 }
@@ -78,36 +80,62 @@
 	set  []*pool.Scheduler
 	call []map[pool.Ticket]*call
 	buf  []pool.Decision
+
+	started uint64
+	gone    map[ident.Server]bool
 }
 
 func newScheduled(w *world) *scheduled {
-	s := &scheduled{w: w}
+	s := &scheduled{w: w, gone: make(map[ident.Server]bool)}
 	n := 1
 	if w.opt.Policy == Each || w.opt.Policy == TwoChoices {
 		n = w.opt.Entries
 	}
-	t := w.trace
-	spec := place.Spec{Centre: t.Centre, Model: t.Model, KVBytes: t.KVBytes, Servers: servers(t)}
 	for i := range n {
-		cfg := w.opt.Pool
-		cfg.Instance = ident.Instance("s" + strconv.Itoa(i+1))
-		cfg.Incarnation = 1
-		cfg.Rand = rand.NewPCG(w.opt.Seed, uint64(i+100))
-		cfg.FIFO = w.opt.Policy == FirstCome
-		if w.opt.Policy == TwoChoices {
-			cfg.Place.Choices = 2
-		}
-		sch := pool.New(cfg)
-		sch.Configure(spec, t.Classes)
-		for _, c := range t.Customers {
-			sch.SetWeight(c.Name, c.Weight)
-		}
-		s.set = append(s.set, sch)
+		s.set = append(s.set, s.start(i))
 		s.call = append(s.call, make(map[pool.Ticket]*call))
 	}
 	return s
 }
 
+// start returns a new scheduler for position i.
+func (s *scheduled) start(i int) *pool.Scheduler {
+	s.started++
+	t := s.w.trace
+	cfg := s.w.opt.Pool
+	cfg.Instance = ident.Instance("s" + strconv.Itoa(i+1))
+	cfg.Incarnation = s.started
+	cfg.Rand = rand.NewPCG(s.w.opt.Seed, uint64(i+100))
+	cfg.FIFO = s.w.opt.Policy == FirstCome
+	if s.w.opt.Policy == TwoChoices {
+		cfg.Place.Choices = 2
+	}
+	sch := pool.New(cfg)
+	sch.Configure(place.Spec{Centre: t.Centre, Model: t.Model, KVBytes: t.KVBytes, Servers: servers(t)}, t.Classes)
+	for _, c := range t.Customers {
+		sch.SetWeight(c.Name, c.Weight)
+	}
+	for name, gone := range s.gone {
+		sch.Depart(name, gone)
+	}
+	return sch
+}
+
+// lose lets the entry instances ask the successors for what was waiting.
+func (s *scheduled) lose() {
+	for i := range s.set {
+		s.set[i] = s.start(i)
+		waiting := s.call[i]
+		s.call[i] = make(map[pool.Ticket]*call)
+		for _, c := range s.w.calls {
+			if waiting[c.ticket] == c && c.outcome == open {
+				c.attempts--
+				c.ask("")
+			}
+		}
+	}
+}
+
 func (s *scheduled) distance() time.Duration {
 	if len(s.set) > 1 {
 		return 0
@@ -172,6 +200,7 @@
 }
 
 func (s *scheduled) depart(name ident.Server, departing bool) {
+	s.gone[name] = departing
 	for _, sch := range s.set {
 		sch.Depart(name, departing)
 	}
@@ -253,6 +282,7 @@
 	return b.pick(b.decode, &b.bound, func(r place.Report) int64 { return int64(r.Busy) }), true
 }
 
+func (b *blind) lose()                                        {}
 func (b *blind) cancel(*call)                                 {}
 func (b *blind) progress(int, *pool.Progress, tick.Instant)   {}
 func (b *blind) heartbeat(int, []pool.Progress, tick.Instant) {}
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -49,6 +49,7 @@
 	EventDepart EventKind = "depart"
 	EventSilent EventKind = "silent"
 	EventStall  EventKind = "stall"
+	EventLoss   EventKind = "loss"
 )
 
 // Event is something that happens to a server during the replay.
--- a/replay/world.go
+++ b/replay/world.go
@@ -173,6 +173,10 @@
 }
 
 func (w *world) happen(e Event) {
+	if e.Kind == EventLoss {
+		w.policy.lose()
+		return
+	}
 	s, ok := w.byName[e.Server]
 	if !ok {
 		return
