pool: bound the requests that are placed again

Cause: failing servers multiply the load of the others. Change: ten new requests earn one retry, at most 32 are kept; beyond that a retry is refused at once.

--- a/pool/decide.go
+++ b/pool/decide.go
@@ -30,10 +30,11 @@
 
 // The reasons of a refusal.
 const (
-	ReasonNone   Reason = iota
-	ReasonTarget        // the first token would come after its target
-	ReasonQueue         // the customer's queue is too long for the target
-	ReasonServer        // no server may be used
+	ReasonNone    Reason = iota
+	ReasonTarget         // the first token would come after its target
+	ReasonQueue          // the customer's queue is too long for the target
+	ReasonServer         // no server may be used
+	ReasonRetries        // too many requests are being placed again
 )
 
 // String returns the sentence for the caller.
@@ -43,6 +44,8 @@
 		return "the first token would come after its target"
 	case ReasonQueue:
 		return "the queue is too long to meet the first-token target"
+	case ReasonRetries:
+		return "too many requests are being placed again"
 	case ReasonServer:
 		return "no backend server may be used"
 	default:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -61,6 +61,7 @@
 	entries  map[ident.Instance]*entry
 	decided  []Decision
 	swept    tick.Instant
+	retries  budget
 	refused  []fair.Refused
 	spare    []*waiter
 	next     Ticket
@@ -95,6 +96,7 @@
 		live:     make(map[string]*live),
 		entries:  make(map[ident.Instance]*entry),
 		idPrefix: placementPrefix(cfg),
+		retries:  budget{earned: maxRetries * retryCost},
 	}
 }
 
@@ -145,7 +147,11 @@
 		Between: w.class.Between,
 	}
 	w.output = s.output.Estimate(a.Customer, a.MaxOutput)
-	if a.Held != "" {
+	switch {
+	case !s.retries.allow(a.Resumed):
+		s.refuse(w, fail.CodeOverload, s.queueTime(), ReasonRetries, now)
+		return t
+	case a.Held != "":
 		s.hold(w, now)
 		return t
 	}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -297,3 +297,26 @@
 	is.True(!out[0].Placement.Held)
 	is.True(out[0].Choice.Run > 0)
 }
+
+func TestRetriesAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(40, 100)
+	again := ask("a")
+	again.Resumed = true
+	placed := func(n int, a *place.Ask) int {
+		ok := 0
+		for range n {
+			_, out := submit(s, a, 0)
+			if out[0].Placed() {
+				ok++
+				continue
+			}
+			is.Equal(out[0].Reason, pool.ReasonRetries)
+			is.Equal(out[0].Code, fail.CodeOverload)
+		}
+		return ok
+	}
+	is.Equal(placed(50, again), 32)
+	is.Equal(placed(50, ask("b")), 50)
+	is.Equal(placed(10, again), 5) // one for ten new requests
+}
