--- a/sched/beat.go
+++ b/sched/beat.go
@@ -202,7 +202,7 @@
 			k := poolKey{centre: t.centre, model: t.model}
 			home, ok := homes[k]
 			if !ok {
-				if r := rank(c.cfg.Fleet.Live(t.centre), t.centre, t.model); len(r) > 0 {
+				if r := Rank(c.cfg.Fleet.Live(t.centre), t.centre, t.model); len(r) > 0 {
 					home = r[0]
 				}
 				homes[k] = home
--- a/sched/client.go
+++ b/sched/client.go
@@ -176,7 +176,7 @@
 // placeAt asks the scheduler of the pool in the data centre, and another one
 // if it is lost.
 func (c *Client) placeAt(ctx context.Context, to ident.Centre, a *place.Ask) (place.Placement, error) {
-	ranked := rank(c.cfg.Fleet.Live(to), to, a.Model)
+	ranked := Rank(c.cfg.Fleet.Live(to), to, a.Model)
 	if len(ranked) > maxTries {
 		ranked = ranked[:maxTries]
 	}
@@ -255,8 +255,10 @@
 	return c.cfg.Local.patience(a)
 }
 
-// rank orders instances for a pool by rendezvous hashing.
-func rank(live []ident.Instance, centre ident.Centre, m ident.Model) []ident.Instance {
+// Rank orders instances for a pool by rendezvous hashing. The first one has the
+// scheduler of the pool; only it and its successor need the load reports and
+// cache events of the pool's backend servers.
+func Rank(live []ident.Instance, centre ident.Centre, m ident.Model) []ident.Instance {
 	out := append([]ident.Instance(nil), live...)
 	weight := func(i ident.Instance) uint64 {
 		return xxhash.Sum64String(string(i) + "\x00" + string(centre) + "\x00" + string(m))
