--- /dev/null
+++ b/sched/bench_test.go
@@ -0,0 +1,74 @@
+package sched_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/sched"
+	"wasabidock.dev/dock/tick"
+)
+
+// BenchmarkService places requests in one pool or in ten, each under its own
+// lock, with ten callers and a decision line for each placement.
+func BenchmarkService(b *testing.B) {
+	const callers = 10
+	for _, pools := range []int{1, 10} {
+		b.Run(fmt.Sprint(pools), func(b *testing.B) {
+			svc := sched.NewService(sched.ServiceConfig{
+				Self: ident.Node{Instance: "i", Incarnation: 1}, Clock: tick.NewReal(), Log: zerolog.New(io.Discard),
+			})
+			var specs []sched.PoolSpec
+			for p := range pools {
+				specs = append(specs, benchPool(p))
+			}
+			svc.Configure(1, specs)
+			b.ReportAllocs()
+			b.ResetTimer()
+			var wg sync.WaitGroup
+			for c := range callers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					owner := ident.Node{Instance: ident.Instance(fmt.Sprint("e", c)), Incarnation: 1}
+					a := place.Ask{Customer: "a", Model: ident.Model(fmt.Sprint("m", c%pools)), Prompt: 500, MaxOutput: 100}
+					for range b.N {
+						p, err := svc.Place(context.Background(), &a, owner)
+						if err != nil {
+							b.Error(err)
+							return
+						}
+						svc.Progress(owner, a.Model, []pool.Progress{{ID: p.ID, Stage: place.StageDone, Output: 50}}, false)
+					}
+				}()
+			}
+			wg.Wait()
+			b.ReportMetric(float64(b.N*callers)/b.Elapsed().Seconds(), "placements/s")
+		})
+	}
+}
+
+func benchPool(n int) sched.PoolSpec {
+	p := sched.PoolSpec{
+		Spec:    place.Spec{Model: ident.Model(fmt.Sprint("m", n)), KVBytes: 1},
+		Classes: []pool.Class{pool.DefaultClass},
+	}
+	for i := range 100 {
+		sv := place.Server{Name: ident.Server(fmt.Sprint("r", i)), LinkRate: 10 << 30}
+		if i < 40 {
+			sv.Role, sv.PrefillRate = place.RolePrefill, 1e9
+		} else {
+			sv.Role, sv.Places, sv.TokenTime = place.RoleDecode, 20, 50*time.Millisecond
+		}
+		p.Spec.Servers = append(p.Spec.Servers, sv)
+	}
+	return p
+}
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -21,6 +21,7 @@
 	sch    *pool.Scheduler
 	calls  map[pool.Ticket]chan pool.Decision
 	closed bool
+	buf    []pool.Decision
 }
 
 func (sh *shard) configure(p PoolSpec, gone map[ident.Server]bool) {
@@ -166,14 +167,14 @@
 
 // step runs the scheduler. The caller holds sh.mu.
 func (sh *shard) step(now tick.Instant) []decided {
-	set := sh.sch.Step(now, nil)
-	if len(set) == 0 {
+	sh.buf = sh.sch.Step(now, sh.buf[:0])
+	if len(sh.buf) == 0 {
 		return nil
 	}
-	out := make([]decided, 0, len(set))
-	for i := range set {
-		t := set[i].Ticket
-		out = append(out, decided{decision: set[i], call: sh.calls[t]})
+	out := make([]decided, 0, len(sh.buf))
+	for i := range sh.buf {
+		t := sh.buf[i].Ticket
+		out = append(out, decided{decision: sh.buf[i], call: sh.calls[t]})
 		delete(sh.calls, t)
 	}
 	return out
