sched: step the schedulers by time only while requests wait

Cause: every daemon stepped its schedulers a hundred times a second, with or without requests. Change: the timer runs while a request waits for its placement; whatever else can let one go ahead steps its scheduler itself.

--- a/sched/mine.go
+++ b/sched/mine.go
@@ -17,7 +17,7 @@
 	}
 	var mine []ident.Model
 	for _, m := range c.cfg.Local.Models() {
-		if rank(live, own, m)[0] == c.cfg.Self.Instance {
+		if Rank(live, own, m)[0] == c.cfg.Self.Instance {
 			mine = append(mine, m)
 		}
 	}
--- a/sched/service.go
+++ b/sched/service.go
@@ -48,6 +48,7 @@
 	cfg     ServiceConfig
 	placed  metrics.Counter
 	refused metrics.Counter
+	waiting chan struct{} // holds a notice while a request may wait
 
 	mu     sync.RWMutex // guards the fields below
 	shards map[ident.Model]*shard
@@ -63,6 +64,7 @@
 		cfg:     cfg,
 		placed:  metrics.NewRegisteredCounter("sched.placed", cfg.Metrics),
 		refused: metrics.NewRegisteredCounter("sched.refused", cfg.Metrics),
+		waiting: make(chan struct{}, 1),
 		shards:  make(map[ident.Model]*shard),
 		gone:    make(map[ident.Server]bool),
 	}
@@ -155,24 +157,55 @@
 // closed when it has stopped.
 func (s *Service) Run(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
-	step := s.cfg.Clock.Every(stepEvery)
-	expire := s.cfg.Clock.Every(time.Second)
 	go func() {
 		defer close(done)
-		defer step.Stop()
-		defer expire.Stop()
-		for {
-			select {
-			case <-ctx.Done():
+		s.run(ctx)
+	}()
+	return done
+}
+
+// run steps the schedulers by time only while requests wait: all else that may
+// let a request go ahead steps its scheduler itself.
+func (s *Service) run(ctx context.Context) {
+	expire := s.cfg.Clock.Every(time.Second)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.C():
+			s.each(func(sh *shard) { sh.expire() })
+		case <-s.waiting:
+			s.stepWhileWaiting(ctx, expire)
+		}
+	}
+}
+
+func (s *Service) stepWhileWaiting(ctx context.Context, expire tick.Timer) {
+	step := s.cfg.Clock.Every(stepEvery)
+	defer step.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.C():
+			s.each(func(sh *shard) { sh.expire() })
+		case <-step.C():
+			waits := false
+			s.each(func(sh *shard) { waits = sh.tick() || waits })
+			if !waits {
 				return
-			case <-step.C():
-				s.each(func(sh *shard) { sh.tick() })
-			case <-expire.C():
-				s.each(func(sh *shard) { sh.expire() })
 			}
 		}
-	}()
-	return done
+	}
+}
+
+// wait has the schedulers stepped until no request waits.
+func (s *Service) wait() {
+	select {
+	case s.waiting <- struct{}{}:
+	default:
+	}
 }
 
 func (s *Service) shard(m ident.Model) *shard {
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -48,8 +48,12 @@
 	t := sh.sch.Submit(a, owner.Instance, now)
 	sh.calls[t] = c
 	out := sh.step(now)
+	waits := len(sh.calls) > 0
 	sh.mu.Unlock()
 	sh.deliver(out)
+	if waits {
+		sh.svc.wait()
+	}
 	select {
 	case d, ok := <-c:
 		if !ok {
@@ -114,12 +118,15 @@
 	sh.deliver(out)
 }
 
-func (sh *shard) tick() {
+// tick steps the scheduler and reports whether requests still wait.
+func (sh *shard) tick() bool {
 	now := sh.svc.cfg.Clock.Now()
 	sh.mu.Lock()
 	out := sh.step(now)
+	waits := len(sh.calls) > 0
 	sh.mu.Unlock()
 	sh.deliver(out)
+	return waits
 }
 
 func (sh *shard) expire() {
