--- a/flow/walk_test.go
+++ b/flow/walk_test.go
@@ -400,6 +400,9 @@
 	if fail.Outcome(err) == ident.NotRun && w.prefills > 0 {
 		w.errorf("not run is false: %d prefills; error %v", w.prefills, err)
 	}
+	if res.Restarts > 0 && !w.exact {
+		w.errorf("%d restarts of an output that is not repeatable", res.Restarts)
+	}
 	if len(w.kept) > 0 {
 		w.errorf("holds are not released: %v", w.kept)
 	}
--- a/sweep/keeper.go
+++ b/sweep/keeper.go
@@ -49,6 +49,7 @@
 	Live      int   // holds kept alive
 	Pending   int   // releases not yet acknowledged
 	Released  int64 // acknowledged
+	Touched   int64 // rounds of renewal that an engine has answered
 	Failed    int64 // calls that failed
 	Abandoned int64 // not acknowledged within the life of the hold
 	Overflow  int64 // not queued; the life of the hold ends them
@@ -257,6 +258,7 @@
 	ac := k.servers[s]
 	if now := k.cfg.Timer.Now(); now >= ac.touch {
 		ac.touch = now + k.cfg.Touch
+		k.counts.Touched++
 	}
 	return nil
 }
