--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -43,6 +43,12 @@
 func (p pausable) Keep(ident.Server, ident.Attempt) {}
 
 func newWorld(t *testing.T) *world {
+	t.Helper()
+	return newWorldOf(t, func(*stand.EngineConfig) {})
+}
+
+// newWorldOf returns a world whose engines are changed by a function.
+func newWorldOf(t *testing.T, change func(cfg *stand.EngineConfig)) *world {
 	t.Helper()
 	w := &world{
 		t:       t,
@@ -52,10 +58,10 @@
 		relays:  make(map[ident.Server]*relay),
 	}
 	for _, s := range []ident.Server{"p1", "p2"} {
-		w.addEngine(s, stand.RolePrefill)
+		w.addEngine(s, stand.RolePrefill, change)
 	}
 	for _, s := range []ident.Server{"d1", "d2"} {
-		w.addEngine(s, stand.RoleDecode)
+		w.addEngine(s, stand.RoleDecode, change)
 	}
 	w.client = engine.New(engine.Config{Timer: w.timer, Directory: w, Silence: 150 * time.Millisecond, Call: 500 * time.Millisecond})
 	w.placer = &listPlacer{prefill: []ident.Server{"p1", "p2"}, decode: []ident.Server{"d1", "d2"}}
@@ -80,8 +86,8 @@
 	})
 }
 
-func (w *world) addEngine(s ident.Server, role string) {
-	e := stand.NewEngine(stand.EngineConfig{
+func (w *world) addEngine(s ident.Server, role string, change func(cfg *stand.EngineConfig)) {
+	cfg := stand.EngineConfig{
 		Server:       s,
 		Role:         role,
 		Models:       []engine.Loaded{{Model: testModel}},
@@ -93,7 +99,9 @@
 		Link:         stand.NewLink(1 << 30),
 		HoldLife:     testHold,
 		Heartbeat:    20 * time.Millisecond,
-	})
+	}
+	change(&cfg)
+	e := stand.NewEngine(cfg)
 	w.engines[s] = e
 	w.servers[s] = httptest.NewServer(e)
 	w.relays[s] = newRelay(w.t, w.servers[s].Listener.Addr().String())
