--- a/sched/beat.go
+++ b/sched/beat.go
@@ -115,7 +115,7 @@
 }
 
 // deliver sends items to a scheduler. A message that is lost is made up for by
-// the next heartbeat.
+// the next heartbeat, and the scheduler is asked after the others meanwhile.
 func (c *Client) deliver(ctx context.Context, to ident.Instance, items []track, whole bool) {
 	cl, err := c.cfg.Dialer.Place(to)
 	if err != nil {
@@ -127,7 +127,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	_, _ = cl.Progress(ctx, r)
+	_, err = cl.Progress(ctx, r)
+	c.doubt.note(to, err == nil, c.cfg.Clock.Now())
 }
 
 // beat sends the live placements each second to their schedulers.
--- a/sched/client.go
+++ b/sched/client.go
@@ -76,6 +76,7 @@
 	cfg   ClientConfig
 	lives [trackShards]tracks
 	boxes outboxes
+	doubt suspects
 
 	mu     sync.RWMutex // guards layout
 	layout Layout
@@ -87,6 +88,7 @@
 	for i := range c.lives {
 		c.lives[i].set = make(map[string]*track)
 	}
+	c.doubt.set = make(map[ident.Instance]tick.Instant)
 	c.boxes.set = make(map[ident.Instance]*outbox)
 	return c
 }
@@ -176,7 +178,7 @@
 // placeAt asks the scheduler of the pool in the data centre, and another one
 // if it is lost.
 func (c *Client) placeAt(ctx context.Context, to ident.Centre, a *place.Ask) (place.Placement, error) {
-	ranked := Rank(c.cfg.Fleet.Live(to), to, a.Model)
+	ranked := c.doubt.last(Rank(c.cfg.Fleet.Live(to), to, a.Model), c.cfg.Clock.Now())
 	if len(ranked) > maxTries {
 		ranked = ranked[:maxTries]
 	}
@@ -190,6 +192,7 @@
 		if _, ok := fail.AsRefusal(err); ok || ctx.Err() != nil {
 			return p, err
 		}
+		c.doubt.note(i, false, c.cfg.Clock.Now())
 		last = err
 	}
 	if last == nil {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -210,6 +210,48 @@
 	is.Equal(fail.Outcome(err), ident.NotRun)
 }
 
+// TestSuspectIsAskedLast lets a heartbeat fail and checks that the next
+// request does not wait for the scheduler that missed it.
+func TestSuspectIsAskedLast(t *testing.T) {
+	is := is.New(t)
+	f, clock := newFleet(), tick.NewFake(0)
+	for _, i := range []ident.Instance{"i1", "i2"} {
+		f.serve(t, i, "x", newService(i, clock, io.Discard, 8))
+	}
+	c := newClient(f, nil, clock)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := c.Run(ctx)
+	defer func() {
+		cancel()
+		<-done
+	}()
+	p, err := c.Place(ctx, ask())
+	is.NoErr(err)
+
+	missed := make(chan struct{}, 8)
+	asked := make(chan struct{}, 8)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		if r.URL.Path == peerpbconnect.PlaceServicePlaceProcedure {
+			asked <- struct{}{}
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		missed <- struct{}{}
+	}))
+	defer srv.Close()
+	f.mu.Lock()
+	f.urls[p.Scheduler] = srv.URL
+	f.mu.Unlock()
+	for range 2 { // the second heartbeat starts when the first has been noted
+		clock.Advance(time.Second)
+		<-missed
+	}
+	next, err := c.Place(ctx, ask())
+	is.NoErr(err)
+	is.True(next.Scheduler != p.Scheduler)
+	is.Equal(len(asked), 0)
+}
+
 func TestSpillOver(t *testing.T) {
 	tests := []struct {
 		name  string
