--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -97,6 +97,7 @@
 			return err
 		}
 		loops = append(loops, part{"debug", dbg.run})
+		d.log.Info().Str("address", dbg.l.Addr().String()).Msg("app: profiler listening")
 	}
 	d.p.PeerSrv.Serve(ctx, d.p.PeerL)
 	d.group = startGroup(ctx, d.log, loops)
