wasabi, conf: offer the replay, and keep only settings that do something

Cause: the replay command was not among the subcommands; -join-wait had no effect; a seed needs the instance's name. Change: replay is registered and checks its policies; -join-wait is gone; -seeds takes NAME=HOST:PORT. No measurement was made.

--- a/wasabi/app.go
+++ b/wasabi/app.go
@@ -95,14 +95,14 @@
 		ShortUsage: "wasabi <command> [flags] [arguments]",
 		LongHelp: strings.TrimSpace(`
 Checks, compares and packs tables, makes keys, shows what the instances have in
-force and explains decisions. Flags can be set in the environment too, for
+force, explains decisions and replays recorded load. Flags can be set in the environment too, for
 example WASABI_INSTANCES for -instances.
 
 Exit codes: 0 all is well, 1 faults found, 2 wrong usage, 3 the instances
 disagree, 4 an instance could not be reached.`),
 		FlagSet: a.flags("wasabi"),
 		Subcommands: []*ffcli.Command{
-			a.check(), a.diff(), a.pack(), a.key(), a.status(), a.explain(), a.version(),
+			a.check(), a.diff(), a.pack(), a.key(), a.status(), a.explain(), a.replay(), a.version(),
 		},
 	}
 	for _, c := range root.Subcommands {
--- a/wasabi/replay.go
+++ b/wasabi/replay.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -26,11 +27,12 @@
 	lag      time.Duration
 }
 
-// replayCommand returns the command that feeds a recorded trace through the
-// placement decisions and prints what the customers get.
-func replayCommand(out io.Writer) *ffcli.Command {
+// replay returns the command that feeds a recorded trace through the placement
+// decisions and prints what the customers get.
+func (a *app) replay() *ffcli.Command { return replayCommand(a.out, a.flags("wasabi replay")) }
+
+func replayCommand(out io.Writer, fs *flag.FlagSet) *ffcli.Command {
 	var s replaySettings
-	fs := flag.NewFlagSet("wasabi replay", flag.ContinueOnError)
 	fs.StringVar(&s.loads, "loads", "0.5,0.9,1,1.5,2,3", "multiples of the recorded load")
 	fs.StringVar(&s.policies, "policies", "", "policies to run, all by default")
 	fs.Uint64Var(&s.seed, "seed", 1, "seed of the run, or of the trace with -shape")
@@ -48,7 +50,7 @@
 				return writeShape(out, s.shape, s.seed)
 			}
 			if len(args) != 1 {
-				return flag.ErrHelp
+				return usageError("replay takes one trace")
 			}
 			return runReplay(out, args[0], &s)
 		},
@@ -77,8 +79,12 @@
 	if err != nil {
 		return err
 	}
+	chosen, err := policies(s.policies)
+	if err != nil {
+		return err
+	}
 	var set []replay.Result
-	for _, p := range policies(s.policies) {
+	for _, p := range chosen {
 		for _, l := range loads {
 			set = append(set, replay.Run(t, replay.Options{Load: l, Policy: p, Seed: s.seed, ReportLag: s.lag}))
 		}
@@ -109,15 +115,20 @@
 	return nil
 }
 
-func policies(list string) []replay.Policy {
+func policies(list string) ([]replay.Policy, error) {
+	known := replay.Policies()
 	if list == "" {
-		return replay.Policies()
+		return known, nil
 	}
 	var out []replay.Policy
 	for _, n := range strings.Split(list, ",") {
-		out = append(out, replay.Policy(n))
+		p := replay.Policy(n)
+		if !slices.Contains(known, p) {
+			return nil, usageError("policy %q is not one of %v", n, known)
+		}
+		out = append(out, p)
 	}
-	return out
+	return out, nil
 }
 
 func numbers(list string) ([]float64, error) {
@@ -125,7 +136,7 @@
 	for _, n := range strings.Split(list, ",") {
 		f, err := strconv.ParseFloat(n, 64)
 		if err != nil || f <= 0 {
-			return nil, errors.Errorf("load %q is not a positive number", n)
+			return nil, usageError("load %q is not a positive number", n)
 		}
 		out = append(out, f)
 	}
--- a/wasabi/replay_test.go
+++ b/wasabi/replay_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"flag"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,7 +14,7 @@
 	var out [2]bytes.Buffer
 	for i := range out {
 		args := []string{"-loads", "0.5,1", "-policies", "home", "-json", "../replay/testdata/koperasi.csv"}
-		is.NoErr(replayCommand(&out[i]).ParseAndRun(context.Background(), args))
+		is.NoErr(replayCommand(&out[i], flag.NewFlagSet("replay", flag.ContinueOnError)).ParseAndRun(context.Background(), args))
 	}
 	is.True(bytes.Contains(out[0].Bytes(), []byte(`"policy": "home"`)))
 	is.True(bytes.Equal(out[0].Bytes(), out[1].Bytes()))
@@ -22,5 +23,5 @@
 func TestReplayRefusesBadLoads(t *testing.T) {
 	is := is.New(t)
 	args := []string{"-loads", "0", "../replay/testdata/koperasi.csv"}
-	is.True(replayCommand(&bytes.Buffer{}).ParseAndRun(context.Background(), args) != nil)
+	is.True(replayCommand(&bytes.Buffer{}, flag.NewFlagSet("replay", flag.ContinueOnError)).ParseAndRun(context.Background(), args) != nil)
 }
--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -6,7 +6,6 @@
 	"io"
 	mrand "math/rand/v2"
 	"net"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -117,10 +116,7 @@
 	}
 	r := roster.New(roster.Config{Self: n, Address: addr, Centre: cfg.Centre(), Random: seeded(n, randomRoster)})
 	for _, s := range cfg.Seeds() {
-		name, at, ok := strings.Cut(s, "=")
-		if ok {
-			r.Seed(ident.Instance(name), at, cfg.Centre())
-		}
+		r.Seed(s.Instance, s.Address, cfg.Centre())
 	}
 	return r
 }
--- a/wasabid/conf/conf.go
+++ b/wasabid/conf/conf.go
@@ -35,7 +35,6 @@
 	peerKey     string
 	peerCA      string
 	notice      time.Duration
-	joinWait    time.Duration
 	slow        time.Duration
 	maxActive   int
 }
@@ -65,9 +64,22 @@
 // Platform returns the base URLs of the platform's configuration service.
 func (c *Config) Platform() []string { return splitList(c.platform) }
 
-// Seeds returns the addresses of peers that are asked when the platform does
-// not answer.
-func (c *Config) Seeds() []string { return splitList(c.seeds) }
+// Seed is an instance of the own data centre that is asked when the platform
+// does not answer.
+type Seed struct {
+	Instance ident.Instance
+	Address  string // host:port for peers
+}
+
+// Seeds returns the instances that are asked when the platform does not answer.
+func (c *Config) Seeds() []Seed {
+	var list []Seed
+	for _, s := range splitList(c.seeds) {
+		name, addr, _ := strings.Cut(s, "=")
+		list = append(list, Seed{Instance: ident.Instance(name), Address: addr})
+	}
+	return list
+}
 
 // LogLevel returns one of debug, info, warn and error.
 func (c *Config) LogLevel() string { return c.logLevel }
@@ -91,10 +103,6 @@
 // balancer can notice.
 func (c *Config) Notice() time.Duration { return c.notice }
 
-// JoinWait returns the longest time a starting daemon asks its peers for the
-// newest revision before it serves.
-func (c *Config) JoinWait() time.Duration { return c.joinWait }
-
 // Slow returns the time after which a caller that reads nothing is given up.
 func (c *Config) Slow() time.Duration { return c.slow }
 
@@ -137,7 +145,7 @@
 	fs.StringVar(&c.adminListen, "admin-listen", ":8082", "`address` of /livez, /readyz and /metrics")
 	fs.StringVar(&c.debugListen, "debug-listen", "", "`address` of the profiler; off if empty")
 	fs.StringVar(&c.platform, "platform", "", "comma-separated base `URLs` of the configuration service (required)")
-	fs.StringVar(&c.seeds, "seeds", "", "comma-separated `addresses` of peers to ask when the platform does not answer")
+	fs.StringVar(&c.seeds, "seeds", "", "comma-separated `NAME=HOST:PORT` of instances of the data centre to ask when the platform does not answer")
 	fs.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error; decision lines are written at every `level`")
 	fs.StringVar(&c.cert, "tls-cert", "", "certificate towards callers, PEM or `file`; plain HTTP if empty")
 	fs.StringVar(&c.certKey, "tls-key", "", "key of -tls-cert, PEM or `file`")
@@ -145,7 +153,6 @@
 	fs.StringVar(&c.peerKey, "peer-key", "", "key of -peer-cert, PEM or `file`")
 	fs.StringVar(&c.peerCA, "peer-ca", "", "authority that signs the peers' certificates, PEM or `file`")
 	fs.DurationVar(&c.notice, "drain-notice", 5*time.Second, "`time` to go on accepting after the signal to stop")
-	fs.DurationVar(&c.joinWait, "join-wait", 3*time.Second, "longest `time` to ask peers for the newest revision at start")
 	fs.DurationVar(&c.slow, "slow-caller", 30*time.Second, "`time` after which a caller that reads nothing is given up")
 	fs.IntVar(&c.maxActive, "max-active", 4096, "largest `number` of requests in progress")
 	return fs
@@ -174,7 +181,11 @@
 		}
 	}
 	for _, s := range c.Seeds() {
-		checkAddress(add, "seeds", s, false)
+		if s.Instance == "" || s.Address == "" {
+			add("seeds", "each must be NAME=HOST:PORT")
+			continue
+		}
+		checkAddress(add, "seeds", s.Address, false)
 	}
 	switch c.logLevel {
 	case "debug", "info", "warn", "error":
@@ -184,7 +195,6 @@
 	checkTogether(add, []string{"tls-cert", "tls-key"}, []string{c.cert, c.certKey})
 	checkTogether(add, []string{"peer-cert", "peer-key", "peer-ca"}, []string{c.peerCert, c.peerKey, c.peerCA})
 	checkRange(add, "drain-notice", c.notice, 0, 10*time.Minute)
-	checkRange(add, "join-wait", c.joinWait, 100*time.Millisecond, time.Minute)
 	checkRange(add, "slow-caller", c.slow, time.Second, time.Hour)
 	if c.maxActive < 1 || c.maxActive > 1<<20 {
 		add("max-active", strconv.Itoa(c.maxActive)+" is not between 1 and 1048576")
--- a/wasabid/conf/conf_test.go
+++ b/wasabid/conf/conf_test.go
@@ -29,6 +29,8 @@
 		{"bad variable", base, []string{"WASABI_DRAIN_NOTICE=soon"}, []string{"WASABI_DRAIN_NOTICE"}},
 		{"port out of range", append([]string{"-listen", ":70000"}, base...), nil, []string{"-listen"}},
 		{"unknown flag", append([]string{"-lisen", ":1"}, base...), nil, []string{"lisen"}},
+		{"seed without a name", append([]string{"-seeds", "10.0.0.1:8081"}, base...), nil, []string{"-seeds: each must be NAME=HOST:PORT"}},
+		{"seed without a port", append([]string{"-seeds", "a=10.0.0.1"}, base...), nil, []string{"-seeds"}},
 		{"stray argument", append(base, "stray"), nil, []string{`unexpected argument "stray"`}},
 	}
 	for _, tt := range tests {
