--- a/Makefile
+++ b/Makefile
@@ -44,3 +44,16 @@
 # red runs the tests that KNOWN-RED.txt names, prints them and never fails.
 red:
 	@sh .ci/red
+
+# soak runs the property tests over random schedules for SOAK seconds each.
+SOAK ?= 60
+soak:
+	WASABI_SOAK=$(SOAK) go test -count=1 -timeout 2h ./limit ./quota ./spread ./once ./flow
+
+# slopes measures what a daemon costs at several sizes and fits lines. Nothing
+# else should use the machine's loopback meanwhile.
+slopes:
+	WASABI_SLOPES=1 go test -count=1 -timeout 30m -run 'TestSlopes' -v ./limit ./quota ./spread ./wasabid
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./fair ./place ./pool ./sched ./limit ./engine
--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -129,6 +129,7 @@
 			return nil
 		}},
 		{"admin", adm.run},
+		{"gauges", d.gauge},
 		{"keeper", func(ctx context.Context) error {
 			d.p.Keeper.Start(ctx)
 			<-d.p.Keeper.Done()
