flow: let two failures meet

Cause: failures come together or twice.

Change: 100 seeded pairs of failures, each at a moment of its own, before stand-in engines; what holds for every request is checked.

--- a/flow/failure_test.go
+++ b/flow/failure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,12 +43,13 @@
 	onWay   ending = "on way"  // whole if the end was on its way already, cut if not
 )
 
-// hooks calls a function once at a moment.
+// hooks calls a function once at a moment, and then the same of next.
 type hooks struct {
 	flow.Engines
 	timer   tick.Service
 	at      moment
 	do      func()
+	next    *hooks
 	counter func() stand.EngineCounts // of the first prefill engine
 }
 
@@ -56,6 +59,14 @@
 		h.do = nil
 		do()
 	}
+	if h.next != nil {
+		h.next.fire(m)
+	}
+}
+
+// expects reports whether something is still to be called at a moment.
+func (h *hooks) expects(m moment) bool {
+	return (h.at == m && h.do != nil) || (h.next != nil && h.next.expects(m))
 }
 
 // during fires while call runs, once the engine has begun with it.
@@ -64,7 +75,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for h.at == m && !began(h.counter()) && tick.Sleep(ctx, h.timer, time.Millisecond) == nil {
+		for h.expects(m) && !began(h.counter()) && tick.Sleep(ctx, h.timer, time.Millisecond) == nil {
 		}
 		h.fire(m)
 	}()
@@ -269,19 +280,40 @@
 func runCell(t *testing.T, c cell, exact bool, want ending) {
 	is := is.New(t)
 	w := newWorld(t)
+	h, res, err := runHooked(t, w, exact, c)
+	t.Logf("result %+v, error %v", res, err)
+	is.True(h.do == nil) // the failure has happened
+	got := endingOf(res, err)
+	is.True(got == want || (want == onWay && (got == whole || got == cut)))
+	if c.failure == "tokens doubled and crossed" {
+		is.Equal(res.Dropped.Crossed, int64(7))
+		is.True(res.Dropped.Doubled >= 6)
+	}
+	if c.failure == "key is withdrawn" {
+		is.True(errors.Is(err, errWithdrawn))
+	}
+}
+
+// runHooked carries a request through failures and checks what holds for
+// every request.
+func runHooked(t *testing.T, w *world, exact bool, cs ...cell) (*hooks, flow.Result, error) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	tr := &trial{world: w, cancel: cancel}
-	h := &hooks{
-		Engines: w.client,
-		timer:   w.timer,
-		at:      c.at,
-		do:      func() { failures[c.failure](tr) },
-		counter: w.engines["p1"].Counts,
-	}
+	var h *hooks
 	var holds flow.Holds = w.keeper
-	if c.failure == "router pauses" {
-		holds = pausable{w.keeper}
+	for _, c := range cs {
+		h = &hooks{
+			Engines: w.client,
+			timer:   w.timer,
+			at:      c.at,
+			do:      func() { failures[c.failure](tr) },
+			next:    h,
+			counter: w.engines["p1"].Counts,
+		}
+		if c.failure == "router pauses" {
+			holds = pausable{w.keeper}
+		}
 	}
 	r := w.newRunner(h, holds)
 
@@ -298,17 +330,33 @@
 		return nil
 	}}
 	res, err := r.Run(ctx, req, sink)
-	t.Logf("result %+v, error %v", res, err)
-	is.True(h.do == nil) // the failure has happened
-	got := endingOf(res, err)
-	is.True(got == want || (want == onWay && (got == whole || got == cut)))
 	checkEnd(t, w, req, sink, res, err)
-	if c.failure == "tokens doubled and crossed" {
-		is.Equal(res.Dropped.Crossed, int64(7))
-		is.True(res.Dropped.Doubled >= 6)
+	return h, res, err
+}
+
+// TestFailurePairs lets two failures meet, each at a moment of its own. No
+// ending is stated, but what holds for every request is checked.
+func TestFailurePairs(t *testing.T) {
+	const pairs = 100
+	var names []string
+	for name := range failures {
+		names = append(names, name)
 	}
-	if c.failure == "key is withdrawn" {
-		is.True(errors.Is(err, errWithdrawn))
+	slices.Sort(names)
+	moments := []moment{beforeReserve, afterReserve, duringPrefill, afterPrefill, duringImport, afterImport, midStream, lastToken}
+	rnd := rand.New(rand.NewPCG(1, 3))
+	for n := range pairs {
+		cs := []cell{
+			{failure: names[rnd.IntN(len(names))], at: moments[rnd.IntN(len(moments))]},
+			{failure: names[rnd.IntN(len(names))], at: moments[rnd.IntN(len(moments))]},
+		}
+		name := strings.Join([]string{cs[0].failure, string(cs[0].at), "and " + cs[1].failure, string(cs[1].at)}, "/")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t)
+			_, res, err := runHooked(t, w, n%2 == 0, cs...)
+			t.Logf("ended %s: %+v, error %v", endingOf(res, err), res, err)
+		})
 	}
 }
 
