orders: let any version meet a row without one

Cause: a row that names no version wanted the empty one, so that the engine's real version would have been unloaded once another replica stayed.

Change: an empty version in the table matches every version.

No measurement; go test -race ./orders covers it by a row of TestPlan.

--- a/orders/plan.go
+++ b/orders/plan.go
@@ -26,7 +26,8 @@
 	Role   Kind = "role"
 )
 
-// Model is a model, or an adapter of one, in a version.
+// Model is a model, or an adapter of one, in a version. Where a table wants it,
+// an empty version stands for any.
 type Model struct {
 	Name    ident.Model
 	Adapter string
@@ -36,6 +37,19 @@
 // same reports whether two models answer the same requests.
 func (m Model) same(o Model) bool { return m.Name == o.Name && m.Adapter == o.Adapter }
 
+// meets reports whether a loaded model is what a table wants.
+func (m Model) meets(want Model) bool {
+	return m.same(want) && (want.Version == "" || m.Version == want.Version)
+}
+
+// wanted reports whether the table wants the server to have the model.
+func (w Want) wanted(m Model) bool { return slices.ContainsFunc(w.Models, m.meets) }
+
+// has reports whether one of the models is what a table wants.
+func has(models []Model, want Model) bool {
+	return slices.ContainsFunc(models, func(m Model) bool { return m.meets(want) })
+}
+
 func (m Model) compare(o Model) int {
 	return strings.Compare(string(m.Name)+"\x00"+m.Adapter+"\x00"+m.Version,
 		string(o.Name)+"\x00"+o.Adapter+"\x00"+o.Version)
@@ -155,7 +169,7 @@
 	models := slices.Clone(s.state.Models)
 	slices.SortFunc(models, Model.compare)
 	for _, m := range models {
-		if slices.Contains(s.want.Models, m) {
+		if s.want.wanted(m) {
 			continue
 		}
 		if p.isNamed(m) && !p.replaced(s, m) && !p.remainsInRoles(m, s) {
@@ -170,7 +184,7 @@
 // which it is to unload another version.
 func (p *plan) replaced(s server, m Model) bool {
 	for _, o := range s.state.Models {
-		if o != m && o.same(m) && slices.Contains(s.want.Models, o) {
+		if o != m && o.same(m) && s.want.wanted(o) {
 			return true
 		}
 	}
@@ -221,7 +235,7 @@
 // wants it to keep.
 func (s server) keeps(m Model) bool {
 	for _, o := range s.state.Models {
-		if o.same(m) && slices.Contains(s.want.Models, o) {
+		if o.same(m) && s.want.wanted(o) {
 			return true
 		}
 	}
@@ -253,7 +267,7 @@
 			continue
 		}
 		for _, m := range s.want.Models {
-			if !slices.Contains(s.state.Models, m) && !slices.Contains(s.state.Loading, m) {
+			if !has(s.state.Models, m) && !has(s.state.Loading, m) {
 				missing = append(missing, load{server: s.want.Server, store: s.want.Store, model: m, replicas: p.replicas(m)})
 			}
 		}
--- a/orders/plan_test.go
+++ b/orders/plan_test.go
@@ -134,6 +134,11 @@
 			orders: []orders.Order{order("a", orders.Load, m2)},
 			kept:   []orders.Kept{{Server: "a", Kind: orders.Unload, Model: m1}},
 		},
+		{
+			name:   "any version will do where the table names none",
+			wants:  []orders.Want{want("a", both, orders.Model{Name: "dossier"}), want("b", both, orders.Model{Name: "dossier"})},
+			states: []orders.State{state("a", both, m1), {Server: "b", Role: both, Loading: []orders.Model{m2}}},
+		},
 		{
 			name:   "last replica of a role keeps it",
 			wants:  []orders.Want{want("a", orders.RoleDecode, m1), want("b", orders.RoleDecode, m1)},
--- a/orders/runner.go
+++ b/orders/runner.go
@@ -147,7 +147,7 @@
 			if o.Server != s.Server || o.Kind != Load {
 				continue
 			}
-			if !slices.Contains(s.Models, o.Model) && !slices.Contains(s.Loading, o.Model) {
+			if !has(s.Models, o.Model) && !has(s.Loading, o.Model) {
 				s.Loading = append(s.Loading, o.Model)
 			}
 		}
