fair: shorten the credit of idle customers to two seconds

Cause: the credits of all others together are a debt of the one customer that always has a backlog. Change: DefaultCredit 5 s to 2 s; the property test's bound follows.

--- a/fair/queue.go
+++ b/fair/queue.go
@@ -22,7 +22,7 @@
 const (
 	DefaultDecodeWeight = 32
 	DefaultLead         = 2 * time.Second
-	DefaultCredit       = 5 * time.Second
+	DefaultCredit       = 2 * time.Second
 	DefaultMaxItems     = 1024
 
 	// waitingPart is the number of parts of interactive cost of one customer
--- a/fair/queue_test.go
+++ b/fair/queue_test.go
@@ -98,8 +98,8 @@
 			got[it.Customer] += it.Cost
 			total += it.Cost
 		}
-		// Credit of idle customers may take the share of five seconds once.
-		want := float64(total)*weights[0]/sum - 5*1000*float64(n) - 2*maxCost*float64(n)
+		// Credit of idle customers may take the share of two seconds once.
+		want := float64(total)*weights[0]/sum - 2*1000*float64(n) - 2*maxCost*float64(n)
 		if float64(got["c0"]) < want {
 			t.Fatalf("customer with a backlog got %d of %d, want at least %.0f", got["c0"], total, want)
 		}
