place: keep 1024 pieces of each server's prefix cache

Cause: the hints on 100 servers took 29.4 MB, a daemon may use 128 MB. Change: 1024 pieces in place of 4096, and a test of the bound.

--- /dev/null
+++ b/place/memory_test.go
@@ -0,0 +1,38 @@
+package place_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+)
+
+// TestHintMemoryIsBounded sends each of 100 servers far more pieces than its
+// view holds.
+func TestHintMemoryIsBounded(t *testing.T) {
+	const limit = 16 << 20 // bytes
+	p := newPool(100, 1)
+	before := heapBytes()
+	for i := range 100 {
+		for seq := range 64 {
+			var add []uint64
+			for k := range 256 {
+				add = append(add, uint64(i)<<32|uint64(seq*256+k+1))
+			}
+			p.Events(place.Events{Server: ident.Server(fmt.Sprintf("p%d", i+1)), Seq: uint64(seq + 1), Add: add})
+		}
+	}
+	if n := heapBytes() - before; n > limit {
+		t.Errorf("hints on 100 servers take %d bytes, want at most %d", n, limit)
+	}
+	runtime.KeepAlive(p)
+}
+
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/place/prefix.go
+++ b/place/prefix.go
@@ -6,7 +6,7 @@
 	// maxHinted is the most servers of a pool that prefix hints cover.
 	maxHinted = 256
 	// maxPieces is the most pieces that a server's view holds.
-	maxPieces = 4096
+	maxPieces = 1024
 )
 
 // servers is a set of server indices.
