front: cause what callers and operators do at bad moments

Cause: keys leak through queries, bodies and headers; callers stall, vanish or send slowly; keys are withdrawn and shutdowns begin while answers stream. Conclusion: the key stays inside and a drain cuts nothing.

--- a/certs/certs.go
+++ b/certs/certs.go
@@ -203,8 +203,10 @@
 	for _, c := range cs.PeerCertificates[1:] {
 		opts.Intermediates.AddCert(c)
 	}
-	_, err := cs.PeerCertificates[0].Verify(opts)
-	return errors.Wrap(err, "certs: verify the other side")
+	if _, err := cs.PeerCertificates[0].Verify(opts); err != nil {
+		return errors.Wrap(err, "certs: verify the other side")
+	}
+	return nil
 }
 
 // Start reloads the sources at the period until ctx ends. The returned channel
--- a/front/config.go
+++ b/front/config.go
@@ -15,22 +15,21 @@
 )
 
 const (
-	maxChatBody     = 8 << 20 // bytes
-	maxPlainBody    = 1 << 20 // bytes, for routes without a limit
-	maxHeaderBytes  = 32 << 10
-	headerLimit     = 5 * time.Second  // for a request's headers to arrive
-	bodyProgress    = 10 * time.Second // of silence while a body arrives
-	bodyLimit       = 60 * time.Second // for a whole body to arrive
-	idleLimit       = 2 * time.Minute  // of a kept-alive connection
-	defaultStall    = 10 * time.Second // for a caller to take what was written
-	defaultSettle   = 5 * time.Second  // for the balancer to notice a drain
-	defaultWhole    = 10 * time.Minute // for a whole answer of a model
-	defaultOutput   = 512              // tokens
-	bytesPerToken   = 4
-	maxIdempotency  = 255 // bytes of an idempotency key
-	maxRequestID    = 64  // bytes
-	sendBufferBytes = 64 << 10
-	pieceBytes      = 32 << 10 // of a whole answer written at a time
+	maxChatBody    = 8 << 20 // bytes
+	maxPlainBody   = 1 << 20 // bytes, for routes without a limit
+	maxHeaderBytes = 32 << 10
+	defaultHeader  = 5 * time.Second  // for a request's headers to arrive
+	defaultBody    = 10 * time.Second // of silence while a body arrives
+	bodyLimit      = 60 * time.Second // for a whole body to arrive
+	idleLimit      = 2 * time.Minute  // of a kept-alive connection
+	defaultStall   = 10 * time.Second // for a caller to take what was written
+	defaultSettle  = 5 * time.Second  // for the balancer to notice a drain
+	defaultWhole   = 10 * time.Minute // for a whole answer of a model
+	defaultOutput  = 512              // tokens
+	bytesPerToken  = 4
+	maxIdempotency = 255      // bytes of an idempotency key
+	maxRequestID   = 64       // bytes
+	pieceBytes     = 32 << 10 // of a whole answer written at a time
 )
 
 // Model is what the table says of a model.
@@ -166,6 +165,10 @@
 	Wall func() time.Time
 	// TLS is nil for plain text.
 	TLS *tls.Config
+	// Header is how long the headers of a request may take.
+	Header time.Duration
+	// Body is how long a caller may be silent while it sends a body.
+	Body time.Duration
 	// Stall is how long a caller may take nothing of what was written.
 	Stall time.Duration
 	// Settle is how long Drain keeps accepting before it waits for the end.
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -90,8 +90,7 @@
 	}
 	x.cancel(nil)
 	x.line()
-	x.s.active.count.Add(-1)
-	x.s.wake()
+	x.s.leave()
 }
 
 // table takes the revision in force for the whole exchange.
@@ -133,8 +132,8 @@
 
 // clean makes sure that no key is left in what goes on to backend servers.
 func (x *exchange) clean(body []byte) bool {
+	leak := x.keys.in(x.c.GetHeader(idempotencyKey)) || repeated(x.c.Request.URL, body, &x.keys)
 	cleanHeaders(x.c.Request.Header, &x.keys)
-	leak := repeated(x.c.Request.URL, body, &x.keys)
 	x.keys = secrets{}
 	if leak {
 		x.refuse(refused(fail.CodeBadRequest, "the request repeats its key where it can't be taken out"))
@@ -144,7 +143,7 @@
 
 // read reads the whole body within its limits.
 func (x *exchange) read(limit int64) ([]byte, bool) {
-	r := &bodyReader{r: http.MaxBytesReader(x.c.Writer, x.c.Request.Body, limit), rc: x.rc, end: time.Now().Add(bodyLimit)}
+	r := &bodyReader{r: http.MaxBytesReader(x.c.Writer, x.c.Request.Body, limit), rc: x.rc, silence: x.s.cfg.Body, end: time.Now().Add(bodyLimit)}
 	body, err := io.ReadAll(r)
 	_ = x.rc.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
@@ -162,13 +161,14 @@
 
 // bodyReader gives the caller a progress limit for each read.
 type bodyReader struct {
-	r   io.Reader
-	rc  *http.ResponseController
-	end time.Time
+	r       io.Reader
+	rc      *http.ResponseController
+	silence time.Duration
+	end     time.Time
 }
 
 func (b *bodyReader) Read(p []byte) (int, error) {
-	limit := time.Now().Add(bodyProgress)
+	limit := time.Now().Add(b.silence)
 	if limit.After(b.end) {
 		limit = b.end
 	}
@@ -182,8 +182,8 @@
 		f = x.withdrawn(f)
 	}
 	x.fail(f)
-	if v, ok := f.retryAfter(); ok {
-		x.c.Header("Retry-After", v)
+	if n := f.retryAfter(); n > 0 {
+		x.c.Header("Retry-After", strconv.FormatInt(n, 10))
 	}
 	x.json(f.status(), f.body(x.id))
 }
--- a/front/fault.go
+++ b/front/fault.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"wasabidock.dev/dock/fail"
@@ -16,10 +15,11 @@
 }
 
 type errorDetail struct {
-	Code    fail.Code     `json:"code"`
-	Message string        `json:"message"`
-	Outcome string        `json:"outcome"`
-	Request ident.Request `json:"request"`
+	Code       fail.Code     `json:"code"`
+	Message    string        `json:"message"`
+	Outcome    string        `json:"outcome"`
+	Request    ident.Request `json:"request"`
+	RetryAfter int64         `json:"retry_after,omitempty"` // seconds, as in the header
 }
 
 // fault is an error as a caller sees it.
@@ -62,16 +62,15 @@
 }
 
 func (f fault) body(id ident.Request) errorBody {
-	return errorBody{errorDetail{Code: f.code, Message: f.message, Outcome: f.outcome.String(), Request: id}}
+	return errorBody{errorDetail{
+		Code: f.code, Message: f.message, Outcome: f.outcome.String(), Request: id, RetryAfter: f.retryAfter(),
+	}}
 }
 
-// retryAfter returns the value of Retry-After, and false if nothing true can
-// be said.
-func (f fault) retryAfter() (string, bool) {
-	if f.retry <= 0 {
-		return "", false
-	}
-	return strconv.FormatInt(int64(math.Ceil(f.retry.Seconds())), 10), true
+// retryAfter returns the seconds after which the caller may come back, and
+// zero if nothing true can be said.
+func (f fault) retryAfter() int64 {
+	return max(0, int64(math.Ceil(f.retry.Seconds())))
 }
 
 // explain converts an error of the parts behind the front. Its message never
--- /dev/null
+++ b/front/live_test.go
@@ -0,0 +1,234 @@
+package front_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/front"
+	"wasabidock.dev/dock/ident"
+)
+
+// hold is a generator that gives one token and waits.
+type hold struct {
+	started chan struct{}
+	ended   chan error // why the wait has ended
+	release chan struct{}
+}
+
+func newHold(w *world) *hold {
+	h := &hold{started: make(chan struct{}, 8), ended: make(chan error, 8), release: make(chan struct{})}
+	w.generate = func(ctx context.Context, g front.Generation, s front.Sink) (front.Result, error) {
+		if err := s.Token(0, "Placement"); err != nil {
+			return front.Result{}, err
+		}
+		h.started <- struct{}{}
+		select {
+		case <-h.release:
+			return front.Result{Total: 1, Reason: "stop"}, nil
+		case <-ctx.Done():
+			h.ended <- context.Cause(ctx)
+			return front.Result{Total: 1}, fail.New("flow: relay", "d1", ident.Unknown, ctx.Err())
+		}
+	}
+	return h
+}
+
+// send writes a request and leaves the connection open.
+func (w *world) send(request string) (body io.Reader, closed func()) {
+	w.t.Helper()
+	c := w.dial()
+	if _, err := io.WriteString(c, request); err != nil {
+		w.t.Fatal(err)
+	}
+	return c, func() { _ = c.Close() }
+}
+
+func readAll(t *testing.T, r io.Reader) string {
+	t.Helper()
+	b, err := io.ReadAll(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
+func TestWithdrawnKeyEndsOpenRequests(t *testing.T) {
+	tests := []struct {
+		name, in, want string
+	}{
+		{"stream", chat(`,"stream":true`, auth), "event: error\ndata: {\"error\":{\"code\":\"key_withdrawn\""},
+		{"whole", chat("", auth), "HTTP/1.1 401 Unauthorized"},
+	}
+	const other = "sk-another-customer-000000"
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			w.view.keys[sha256.Sum256([]byte(other))] = "norte"
+			h := newHold(w)
+			mine, _ := w.send(tt.in)
+			theirs, _ := w.send(chat(`,"stream":true`, "X-Api-Key: "+other))
+			<-h.started
+			<-h.started
+			w.view.drop(secret)
+			w.s.Withdraw(func(sum [32]byte) bool { _, ok := w.view.KeyOwner(sum); return ok })
+			is.True(<-h.ended != nil) // the work was cancelled
+			got := readAll(t, mine)
+			is.True(strings.Contains(got, tt.want))
+			is.True(strings.Contains(got, "key_withdrawn"))
+			is.True(!strings.Contains(got, "[DONE]"))
+			close(h.release)
+			is.True(strings.Contains(readAll(t, theirs), "[DONE]")) // the other customer's stream is whole
+			is.True(strings.HasPrefix(w.exchange(chat("", auth)), "HTTP/1.1 401"))
+		})
+	}
+}
+
+func TestCallerThatGoesAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	h := newHold(w)
+	_, closed := w.send(chat(`,"stream":true`, auth))
+	<-h.started
+	closed()
+	is.True(<-h.ended != nil)
+	w.idle()
+	is.Equal(w.s.Active(), int64(0))
+}
+
+func TestCallerThatStopsReading(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	ended := make(chan error, 1)
+	w.generate = func(ctx context.Context, _ front.Generation, s front.Sink) (front.Result, error) {
+		text := strings.Repeat("x", 64<<10)
+		for i := int64(0); ; i++ {
+			if err := s.Token(i, text); err != nil {
+				<-ctx.Done() // the work is cancelled as well
+				ended <- err
+				return front.Result{Total: i}, err
+			}
+		}
+	}
+	_, _ = w.send(chat(`,"stream":true`, auth))
+	is.True(<-ended != nil)
+	w.idle()
+	is.True(strings.Contains(w.log.String(), `"outcome":"unknown"`))
+}
+
+func TestDrainCutsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	h := newHold(w)
+	long, _ := w.send(chat(`,"stream":true`, auth))
+	<-h.started
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { first <- w.s.Drain(context.Background()) }()
+	for !w.s.Draining() {
+		w.clock.Advance(0)
+	}
+	go func() { second <- w.s.Drain(context.Background()) }()
+	is.True(strings.HasPrefix(w.exchange(request("GET", "/open", "")), "HTTP/1.1 200")) // still accepts
+	w.clock.Advance(time.Hour)
+	select {
+	case <-first:
+		t.Fatal("drain ended before the stream")
+	case <-second:
+		t.Fatal("the second drain ended before the stream")
+	case err := <-w.done:
+		t.Fatal("the server stopped before the stream", err)
+	default:
+	}
+	close(h.release)
+	is.True(strings.Contains(readAll(t, long), "data: [DONE]"))
+	for range 2 {
+		w.clock.Advance(time.Hour)
+	}
+	for first != nil || second != nil {
+		select {
+		case err := <-first:
+			is.NoErr(err)
+			first = nil
+		case err := <-second:
+			is.NoErr(err)
+			second = nil
+		default:
+			w.clock.Advance(time.Second)
+		}
+	}
+	is.NoErr(<-w.done)
+}
+
+func TestSlowCallers(t *testing.T) {
+	tests := []struct {
+		name, in, want string
+	}{
+		{"headers", "GET /open HTTP/1.1\r\nHost: do", "HTTP/1.1 408 Request Timeout"},
+		{"body", strings.Replace(request("POST", "/open", "pupil"), "pupil", "pup", 1), "HTTP/1.1 400 Bad Request"},
+		{"nothing", "", ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			in, _ := w.send(tt.in)
+			got := readAll(t, in)
+			is.True(strings.HasPrefix(got, tt.want))
+			if strings.Contains(got, "400") {
+				is.True(strings.Contains(got, `"outcome":"not run"`))
+			}
+		})
+	}
+}
+
+func TestAdmin(t *testing.T) {
+	is := is.New(t)
+	reason := "no table"
+	h := front.Admin(func() string { return reason }, http.NotFoundHandler())
+	for _, tt := range []struct {
+		path, reason string
+		want         int
+	}{
+		{"/livez", "no table", 200}, {"/readyz", "no table", 503}, {"/readyz", "", 200}, {"/metrics", "", 404},
+	} {
+		reason = tt.reason
+		rec := httptest.NewRecorder()
+		req, err := http.NewRequest("GET", tt.path, http.NoBody)
+		is.NoErr(err)
+		h.ServeHTTP(rec, req)
+		is.Equal(rec.Code, tt.want)
+	}
+}
+
+func TestSettleOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		set  func(*world)
+		want int64
+	}{
+		{"whole", nil, 10 + 3},
+		{"cut", cutAfter("a", "b"), 10 + 2},
+		{"not run", refuseRun(fail.CodeOverload, time.Second, "full"), 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t)
+			if tt.set != nil {
+				tt.set(w)
+			}
+			_ = w.exchange(chat("", auth))
+			w.idle()
+			is.Equal(w.settled, []int64{tt.want})
+		})
+	}
+}
--- a/front/plain.go
+++ b/front/plain.go
@@ -12,6 +12,10 @@
 	"wasabidock.dev/dock/plain"
 )
 
+// idempotencyKey is the header that names a call that may be repeated by its
+// caller.
+const idempotencyKey = "Idempotency-Key"
+
 // plain serves the routes of the table.
 func (s *Server) plain(c *gin.Context) {
 	x := s.open(c, "plain")
@@ -111,7 +115,7 @@
 
 // call makes the call, at its home if it carries an idempotency key.
 func (x *exchange) call(r Route, call plain.Call) (plain.Answer, error) {
-	key := call.Header.Get("Idempotency-Key")
+	key := call.Header.Get(idempotencyKey)
 	if call.Idempotent || key == "" {
 		return x.s.cfg.Plain.Call(x.ctx, call)
 	}
--- a/front/server.go
+++ b/front/server.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -22,7 +22,9 @@
 	http     *http.Server
 	active   active
 	draining atomic.Bool
-	ended    chan struct{} // holds a token after an exchange has ended
+
+	mu    sync.Mutex
+	quiet chan struct{} // closed and replaced when no request is left
 }
 
 // New returns a Server.
@@ -37,17 +39,22 @@
 	if cfg.Stall == 0 {
 		cfg.Stall = defaultStall
 	}
+	if cfg.Header == 0 {
+		cfg.Header = defaultHeader
+	}
+	if cfg.Body == 0 {
+		cfg.Body = defaultBody
+	}
 	if cfg.Settle == 0 {
 		cfg.Settle = defaultSettle
 	}
-	s := &Server{cfg: cfg, ended: make(chan struct{}, 1)}
+	s := &Server{cfg: cfg, quiet: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		TLSConfig:         cfg.TLS,
-		ReadHeaderTimeout: headerLimit,
+		ReadHeaderTimeout: cfg.Header,
 		IdleTimeout:       idleLimit,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       limitSendBuffer,
 	}
 	return s, nil
 }
@@ -96,48 +103,6 @@
 	x.refuse(refused(fail.CodeMethod, "the path does not take this method"))
 }
 
-// Listen opens a listener whose connections are given up when the other side
-// does not acknowledge what was sent, or does not answer keep-alive probes.
-func Listen(ctx context.Context, addr string) (net.Listener, error) {
-	lc := net.ListenConfig{
-		Control:         limitUnacknowledged,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount},
-	}
-	l, err := lc.Listen(ctx, "tcp", addr)
-	return l, errors.Wrap(err, "front: listen")
-}
-
-const (
-	keepAliveIdle     = 10 * time.Second
-	keepAliveInterval = 5 * time.Second
-	keepAliveCount    = 3
-	unacknowledged    = 15 * time.Second
-	tcpUserTimeout    = 18 // TCP_USER_TIMEOUT of Linux
-)
-
-func limitUnacknowledged(_, _ string, c syscall.RawConn) error {
-	var opt error
-	err := c.Control(func(fd uintptr) {
-		opt = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unacknowledged.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return opt
-}
-
-// limitSendBuffer keeps the send buffer small, so that a caller that stops
-// reading is noticed soon.
-func limitSendBuffer(ctx context.Context, c net.Conn) context.Context {
-	if t, ok := c.(interface{ NetConn() net.Conn }); ok {
-		c = t.NetConn()
-	}
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetWriteBuffer(sendBufferBytes)
-	}
-	return ctx
-}
-
 // Serve serves l until Drain. The returned channel gets the reason of the end,
 // nil after Drain, and is closed.
 func (s *Server) Serve(l net.Listener) <-chan error {
@@ -146,9 +111,9 @@
 		defer close(done)
 		var err error
 		if s.cfg.TLS != nil {
-			err = s.http.ServeTLS(l, "", "")
+			err = s.http.ServeTLS(&listener{Listener: l}, "", "")
 		} else {
-			err = s.http.Serve(l)
+			err = s.http.Serve(&listener{Listener: l, plain: true})
 		}
 		if !errors.Is(err, http.ErrServerClosed) {
 			done <- errors.Wrap(err, "front: serve")
@@ -186,20 +151,38 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	for s.Active() > 0 {
+	for {
+		quiet := s.nextQuiet()
+		if s.Active() == 0 {
+			break
+		}
 		select {
-		case <-s.ended:
+		case <-quiet:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
-	return errors.Wrap(s.http.Shutdown(ctx), "front: shut down")
+	if err := s.http.Shutdown(ctx); err != nil {
+		return errors.Wrap(err, "front: shut down")
+	}
+	return nil
 }
 
-// wake tells a waiting Drain that an exchange has ended.
-func (s *Server) wake() {
-	select {
-	case s.ended <- struct{}{}:
-	default:
+// nextQuiet returns a channel that is closed when no request is left for the
+// next time.
+func (s *Server) nextQuiet() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quiet
+}
+
+// leave counts an exchange out and wakes those who wait for the last one.
+func (s *Server) leave() {
+	if s.active.count.Add(-1) > 0 {
+		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.quiet)
+	s.quiet = make(chan struct{})
 }
--- /dev/null
+++ b/front/world_test.go
@@ -0,0 +1,271 @@
+package front_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/front"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/meter"
+	"wasabidock.dev/dock/once"
+	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/tick"
+)
+
+const secret = "sk-0123456789abcdefghijklmnop"
+
+// world is a server with fakes behind it.
+type world struct {
+	t     *testing.T
+	clock *tick.Fake
+	view  *view
+	log   *buffer
+	meter *meter.Meter
+	s     *front.Server
+	addr  string
+	done  <-chan error
+
+	generate func(ctx context.Context, g front.Generation, s front.Sink) (front.Result, error)
+	call     func(ctx context.Context, c plain.Call) (plain.Answer, error)
+	keyed    func(ctx context.Context, c once.Call) (plain.Answer, error)
+	admit    func(tokens int64) error
+
+	mu      sync.Mutex
+	ids     int
+	settled []int64
+	seen    []front.Generation
+}
+
+// view is a table of one customer, one model and some routes.
+type view struct {
+	mu   sync.Mutex
+	keys map[[32]byte]ident.Customer
+	none bool
+}
+
+func (v *view) View() (front.View, bool) { return v, !v.none }
+func (v *view) Revision() uint64         { return 7 }
+func (v *view) Models() []ident.Model    { return []ident.Model{"dossier"} }
+
+func (v *view) KeyOwner(sum [32]byte) (ident.Customer, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c, ok := v.keys[sum]
+	return c, ok
+}
+
+func (v *view) drop(key string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.keys, sha256.Sum256([]byte(key)))
+}
+
+func (v *view) Model(m ident.Model) (front.Model, bool) {
+	return front.Model{Name: "dossier", Class: "batch", MaxPrompt: 100, MaxOutput: 64}, m == "dossier"
+}
+
+func (v *view) Class(c ident.Class) (front.Class, bool) {
+	return front.Class{Name: c, FirstToken: time.Second, Gap: 100 * time.Millisecond}, c == "batch" || c == "fast"
+}
+
+func (v *view) RouteFor(path string) (front.Route, bool) {
+	for _, r := range []front.Route{
+		{Name: "status", Idempotent: true, MaxBody: 64},
+		{Name: "confirm", MaxBody: 1 << 10, Tokens: 5},
+		{Name: "open", Open: true, Idempotent: true, MaxBody: 1 << 10},
+	} {
+		if strings.HasPrefix(path, "/"+string(r.Name)) {
+			return r, true
+		}
+	}
+	return front.Route{}, false
+}
+
+// buffer is a log that may be written and read concurrently.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.String()
+}
+
+func (w *world) Admit(_ context.Context, _ ident.Request, _ ident.Customer, tokens int64) (func(int64), func() bool, error) {
+	if err := w.admit(tokens); err != nil {
+		return nil, nil, err
+	}
+	settle := func(used int64) {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.settled = append(w.settled, used)
+	}
+	return settle, func() bool { return true }, nil
+}
+
+// generator and the types below give the world's functions their interfaces.
+type generator struct{ w *world }
+
+func (g generator) Run(ctx context.Context, r front.Generation, s front.Sink) (front.Result, error) {
+	g.w.mu.Lock()
+	g.w.seen = append(g.w.seen, r)
+	g.w.mu.Unlock()
+	return g.w.generate(ctx, r, s)
+}
+
+type plainCaller struct{ w *world }
+
+func (p plainCaller) Call(ctx context.Context, c plain.Call) (plain.Answer, error) {
+	return p.w.call(ctx, c)
+}
+
+type keyedCaller struct{ w *world }
+
+func (k keyedCaller) Run(ctx context.Context, c once.Call) (plain.Answer, error) {
+	return k.w.keyed(ctx, c)
+}
+
+type measures struct{ *meter.Meter }
+
+func (m measures) Ended(e front.Ended) {
+	m.Meter.Ended(meter.Sample{
+		Customer: e.Customer, Model: e.Model, Outcome: e.Outcome, Good: e.Result.OnTime,
+		FirstToken: e.Result.FirstToken, MaxGap: e.Result.MaxGap,
+		Prompt: e.Prompt, Output: e.Result.Total, Wasted: e.Result.Wasted,
+	})
+}
+
+// newWorld serves on loopback until the end of the test.
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{
+		t: t, clock: tick.NewFake(0), log: &buffer{},
+		view: &view{keys: map[[32]byte]ident.Customer{sha256.Sum256([]byte(secret)): "sur"}},
+	}
+	w.meter = meter.New(meter.Config{Clock: w.clock})
+	w.generate = say("Placement", " fits", ".")
+	w.admit = func(int64) error { return nil }
+	w.call = func(_ context.Context, c plain.Call) (plain.Answer, error) {
+		h := http.Header{"Content-Type": {"text/plain"}}
+		return plain.Answer{Status: 200, Header: h, Body: []byte(c.Method + " " + c.Path), Server: "app-1", RunnerUp: "app-2"}, nil
+	}
+	w.keyed = func(ctx context.Context, c once.Call) (plain.Answer, error) { return w.call(ctx, c.Call) }
+	s, err := front.New(front.Config{
+		Table: w.view, Limiter: w, Generator: generator{w}, Plain: plainCaller{w}, Keyed: keyedCaller{w},
+		Meter: measures{w.meter}, Clock: w.clock, Log: zerolog.New(w.log), NewID: w.newID,
+		Wall:    func() time.Time { return time.Unix(1_700_000_000, 0) },
+		Explain: explain, Stall: 200 * time.Millisecond, Settle: time.Second,
+		Header: 200 * time.Millisecond, Body: 200 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := front.Listen(context.Background(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.s, w.addr, w.done = s, l.Addr().String(), s.Serve(l)
+	t.Cleanup(func() { _ = l.Close() })
+	return w
+}
+
+func explain(err error) (fail.Code, time.Duration) {
+	if strings.Contains(err.Error(), "cut") {
+		return fail.CodeStreamCut, 2 * time.Second
+	}
+	return fail.CodeBackend, 0
+}
+
+func (w *world) newID() ident.Request {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ids++
+	return ident.Request("req-" + strconv.Itoa(w.ids))
+}
+
+// say returns a generator that gives the words and ends whole.
+func say(words ...string) func(context.Context, front.Generation, front.Sink) (front.Result, error) {
+	return func(_ context.Context, _ front.Generation, s front.Sink) (front.Result, error) {
+		res := front.Result{
+			Reason: "stop", OnTime: true, Attempts: 1, Prefill: "p1", Decode: "d1",
+			FirstToken: 40 * time.Millisecond, MaxGap: 20 * time.Millisecond,
+		}
+		for i, word := range words {
+			if err := s.Token(int64(i), word); err != nil {
+				return res, err
+			}
+			res.Total++
+		}
+		return res, nil
+	}
+}
+
+// dial opens a connection of a caller.
+func (w *world) dial() net.Conn {
+	w.t.Helper()
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+var dateLine = regexp.MustCompile(`Date: [^\r]*\r\n`)
+
+// exchange sends the bytes of one or more requests, the last of which closes
+// the connection, and returns all bytes of the answers but the date.
+func (w *world) exchange(request string) string {
+	w.t.Helper()
+	c := w.dial()
+	if _, err := io.WriteString(c, request); err != nil {
+		w.t.Fatal(err)
+	}
+	b, err := io.ReadAll(c)
+	if err != nil && len(b) == 0 {
+		w.t.Fatal(err)
+	}
+	return dateLine.ReplaceAllString(string(b), "Date: -\r\n")
+}
+
+// request builds the bytes of a request that closes its connection.
+func request(method, target, body string, headers ...string) string {
+	var b strings.Builder
+	b.WriteString(method + " " + target + " HTTP/1.1\r\nHost: dock\r\nConnection: close\r\n")
+	for _, h := range headers {
+		b.WriteString(h + "\r\n")
+	}
+	if body != "" {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
+	}
+	return b.String() + "\r\n" + body
+}
+
+const auth = "Authorization: Bearer " + secret
+
+// chat builds a request to the model.
+func chat(fields string, headers ...string) string {
+	body := `{"model":"dossier","messages":[{"role":"user","content":"Does the family fit?"}]` + fields + `}`
+	return request("POST", "/v1/chat/completions", body, headers...)
+}
