--- a/wasabid/harness_test.go
+++ b/wasabid/harness_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,6 +31,9 @@
 // hangLimit ends a test that hangs; no verdict depends on it otherwise.
 const hangLimit = 60 * time.Second
 
+// trusted is what callers trust; the tests that use TLS set it.
+var trusted *tls.Config
+
 // fleet is a number of daemons, each a process, on the stand-ins of one test.
 type fleet struct {
 	t        *testing.T
@@ -43,7 +47,8 @@
 	procs    map[string]*proc
 	centres  []string
 	seats    int
-	extra    string // rows added to the table
+	flags    []string // added to those of each daemon
+	scheme   string   // of the callers' addresses
 }
 
 // proc is one daemon.
@@ -72,6 +77,7 @@
 		procs:   make(map[string]*proc),
 		centres: centres,
 		seats:   seats,
+		scheme:  "http://",
 	}
 	if out, err := exec.Command("go", "build", "-o", f.bin, ".").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
@@ -201,8 +207,10 @@
 func (f *fleet) start(name string) *proc {
 	f.t.Helper()
 	p := &proc{name: name, done: make(chan struct{})}
-	p.cmd = exec.Command(f.bin, "-instance", name, "-centre", centreOf(name), "-platform", f.url,
-		"-listen", "127.0.0.1:0", "-peer-listen", "127.0.0.1:0", "-admin-listen", "127.0.0.1:0", "-drain-notice", "500ms")
+	p.cmd = exec.Command(f.bin, append([]string{
+		"-instance", name, "-centre", centreOf(name), "-platform", f.url,
+		"-listen", "127.0.0.1:0", "-peer-listen", "127.0.0.1:0", "-admin-listen", "127.0.0.1:0", "-drain-notice", "500ms",
+	}, f.flags...)...)
 	r, w, err := os.Pipe()
 	if err != nil {
 		f.t.Fatal(err)
@@ -215,7 +223,7 @@
 	go p.read(r)
 	f.t.Cleanup(func() { p.kill() })
 	f.procs[name] = p
-	f.await(name+" listening", func() bool { return p.parse() })
+	f.await(name+" listening", func() bool { return p.parse(f.scheme) })
 	return p
 }
 
@@ -239,11 +247,11 @@
 }
 
 // parse finds the daemon's addresses in its log.
-func (p *proc) parse() bool {
+func (p *proc) parse(scheme string) bool {
 	for _, line := range strings.Split(p.text(), "\n") {
 		var l struct{ Callers, Peers, Admin, Message string }
 		if json.Unmarshal([]byte(line), &l) == nil && l.Message == "app: listening" {
-			p.callers, p.peers, p.admin = "http://"+l.Callers, l.Peers, "http://"+l.Admin
+			p.callers, p.peers, p.admin = scheme+l.Callers, l.Peers, "http://"+l.Admin
 			return true
 		}
 	}
@@ -326,6 +334,7 @@
 	}
 	c := http.Client{Transport: &http.Transport{
 		DisableKeepAlives: true,
+		TLSClientConfig:   trusted,
 		DialContext:       (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 	}}
 	resp, err := c.Do(req)
