--- a/engine/client.go
+++ b/engine/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -166,11 +167,16 @@
 	return gone, nil
 }
 
-// Holds returns the account that s keeps of its holds. Entries of attempts
-// that this router cannot read are left out.
-func (c *Client) Holds(ctx context.Context, s ident.Server) ([]sweep.Hold, error) {
+// Holds returns the holds of s that had no contact for longer than idleOver,
+// or all of them if it is zero, by the account of s. Entries of attempts that
+// this router cannot read are left out.
+func (c *Client) Holds(ctx context.Context, s ident.Server, idleOver time.Duration) ([]sweep.Hold, error) {
+	path := PathHolds
+	if idleOver > 0 {
+		path += "?idle_over_ms=" + strconv.FormatInt(idleOver.Milliseconds(), 10)
+	}
 	var out []HoldEntry
-	if err := c.control(ctx, "engine: holds", s, http.MethodGet, PathHolds, nil, &out); err != nil {
+	if err := c.control(ctx, "engine: holds", s, http.MethodGet, path, nil, &out); err != nil {
 		return nil, err
 	}
 	var hs []sweep.Hold
--- a/flow/gone_test.go
+++ b/flow/gone_test.go
@@ -22,6 +22,8 @@
 func (deadHolds) Keep(ident.Server, ident.Attempt)    {}
 func (deadHolds) Release(ident.Server, ident.Attempt) {}
 
+func (deadHolds) Streaming(ident.Server, ident.Attempt, bool) {}
+
 // TestRouterGone lets a router die at each moment. Its holds end by their
 // life, or, where engines give them a longer one, by the sweep of another
 // instance, which spares a living request.
@@ -147,7 +149,7 @@
 	for {
 		n := 0
 		for s := range w.engines {
-			holds, err := w.client.Holds(ctx, s)
+			holds, err := w.client.Holds(ctx, s, 0)
 			for _, h := range holds {
 				if h.Attempt.Node != except {
 					n++
--- a/flow/relay.go
+++ b/flow/relay.go
@@ -126,6 +126,8 @@
 		return err
 	}
 	defer s.Close()
+	r.cfg.Holds.Streaming(r.p.Decode, r.st.attempt, true)
+	defer r.cfg.Holds.Streaming(r.p.Decode, r.st.attempt, false)
 	for {
 		ev, err := s.Next()
 		if err != nil {
--- a/flow/runner.go
+++ b/flow/runner.go
@@ -19,10 +19,14 @@
 	Progress(p place.Placement, s place.Stage, output int64)
 }
 
-// Holds keeps what requests hold at engines alive and releases it. Neither
-// call blocks.
+// Holds keeps what requests hold at engines alive and releases it. No call
+// blocks.
 type Holds interface {
+	// Keep is called before the first call for an attempt.
 	Keep(s ident.Server, a ident.Attempt)
+	// Streaming tells whether a stream of the attempt is open.
+	Streaming(s ident.Server, a ident.Attempt, open bool)
+	// Release is called once, at the end.
 	Release(s ident.Server, a ident.Attempt)
 }
 
--- a/flow/walk_test.go
+++ b/flow/walk_test.go
@@ -138,6 +138,13 @@
 	w.kept[a] = s
 }
 
+// Streaming implements flow.Holds.
+func (w *walk) Streaming(s ident.Server, a ident.Attempt, _ bool) {
+	if w.kept[a] != s {
+		w.errorf("stream of %s at %s without a hold", a, s)
+	}
+}
+
 // Release implements flow.Holds.
 func (w *walk) Release(s ident.Server, a ident.Attempt) {
 	if w.kept[a] != s {
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -35,6 +35,8 @@
 	placer  *listPlacer
 	runner  *flow.Runner
 	stop    context.CancelFunc
+	// touchOnly tells that the engines do not count streams as contact.
+	touchOnly bool
 }
 
 // pausable holds renew nothing while the process is paused.
@@ -67,7 +69,14 @@
 	w.placer = &listPlacer{prefill: []ident.Server{"p1", "p2"}, decode: []ident.Server{"d1", "d2"}}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	w.keeper = sweep.NewKeeper(sweep.KeeperConfig{Engines: w.client, Timer: w.timer, Life: testHold, Touch: testHold / 8, Retry: 5 * time.Millisecond})
+	w.keeper = sweep.NewKeeper(sweep.KeeperConfig{
+		Engines: w.client,
+		Timer:   w.timer,
+		Life:    testHold,
+		Touch:   testHold / 8,
+		Retry:   5 * time.Millisecond,
+		Streams: w.touchOnly,
+	})
 	w.keeper.Start(ctx)
 	w.runner = w.newRunner(w.client, w.keeper)
 	t.Cleanup(w.close)
@@ -101,6 +110,7 @@
 		Heartbeat:    20 * time.Millisecond,
 	}
 	change(&cfg)
+	w.touchOnly = cfg.TouchOnly
 	e := stand.NewEngine(cfg)
 	w.engines[s] = e
 	w.servers[s] = httptest.NewServer(e)
--- a/stand/engine_test.go
+++ b/stand/engine_test.go
@@ -152,10 +152,13 @@
 		is.NoErr(err)
 		is.Equal(len(gone), 0)
 	}
-	holds, err := b.client.Holds(ctx, "e1")
+	holds, err := b.client.Holds(ctx, "e1", 0)
 	is.NoErr(err)
 	is.Equal(len(holds), 1) // the second one had no contact
 	is.Equal(holds[0].Attempt, attempt(1))
+	holds, err = b.client.Holds(ctx, "e1", time.Second)
+	is.NoErr(err)
+	is.Equal(len(holds), 0) // none was without contact for so long
 	gone, err := b.client.Touch(ctx, "e1", []ident.Attempt{attempt(2)})
 	is.NoErr(err)
 	is.Equal(gone, []ident.Attempt{attempt(2)})
--- a/stand/enginehold.go
+++ b/stand/enginehold.go
@@ -2,7 +2,9 @@
 
 import (
 	"net/http"
+	"slices"
 	"sort"
+	"strconv"
 	"time"
 
 	"wasabidock.dev/dock/engine"
@@ -215,10 +217,18 @@
 	writeJSON(w, out)
 }
 
-func (e *Engine) holds(w http.ResponseWriter, _ *http.Request) {
+func (e *Engine) holds(w http.ResponseWriter, r *http.Request) {
+	over := int64(-1)
+	if q := r.URL.Query().Get("idle_over_ms"); q != "" {
+		var err error
+		if over, err = strconv.ParseInt(q, 10, 64); err != nil {
+			refuse(w, http.StatusBadRequest, "body", "idle_over_ms is not a whole number")
+			return
+		}
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	writeJSON(w, e.account())
+	writeJSON(w, slices.DeleteFunc(e.account(), func(h engine.HoldEntry) bool { return h.IdleMS <= over }))
 }
 
 // account lists the holds in the order of their attempts.
--- a/sweep/keeper.go
+++ b/sweep/keeper.go
@@ -19,6 +19,9 @@
 	Retry   time.Duration // pause after a call to an engine has failed
 	Workers int           // calls at a time
 	Queue   int           // releases that wait
+	// Streams renews holds with an open stream too, for engines that do not
+	// count the stream as contact.
+	Streams bool
 }
 
 const (
@@ -49,7 +52,7 @@
 	Live      int   // holds kept alive
 	Pending   int   // releases not yet acknowledged
 	Released  int64 // acknowledged
-	Touched   int64 // rounds of renewal that an engine has answered
+	Touched   int64 // renewals of holds
 	Failed    int64 // calls that failed
 	Abandoned int64 // not acknowledged within the life of the hold
 	Overflow  int64 // not queued; the life of the hold ends them
@@ -57,13 +60,19 @@
 
 // account is what this process holds at one engine.
 type account struct {
-	live    map[ident.Attempt]bool
+	live    map[ident.Attempt]*live
 	pending []release
 	busy    bool // a worker is on it
 	touch   tick.Instant
 	retry   tick.Instant
 }
 
+// live is a hold of a request that goes on.
+type live struct {
+	contact   tick.Instant // last known
+	streaming bool         // an open stream renews the hold
+}
+
 type release struct {
 	attempt ident.Attempt
 	until   tick.Instant
@@ -122,7 +131,18 @@
 func (k *Keeper) Keep(s ident.Server, a ident.Attempt) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.account(s).live[a] = true
+	k.account(s).live[a] = &live{contact: k.cfg.Timer.Now()}
+}
+
+// Streaming tells that the engine s has a stream open for the attempt, or has
+// it no longer.
+func (k *Keeper) Streaming(s ident.Server, a ident.Attempt, open bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l := k.account(s).live[a]; l != nil {
+		l.contact = k.cfg.Timer.Now()
+		l.streaming = open
+	}
 }
 
 // Release lets the engine s drop what it holds for the attempt.
@@ -167,7 +187,7 @@
 func (k *Keeper) account(s ident.Server) *account {
 	ac := k.servers[s]
 	if ac == nil {
-		ac = &account{live: make(map[ident.Attempt]bool), touch: k.cfg.Timer.Now() + k.cfg.Touch}
+		ac = &account{live: make(map[ident.Attempt]*live), touch: k.cfg.Timer.Now() + k.cfg.Touch}
 		k.servers[s] = ac
 	}
 	return ac
@@ -248,9 +268,11 @@
 	as := k.touchable(s)
 	for len(as) > 0 {
 		n := min(len(as), maxTouch)
+		asked := k.cfg.Timer.Now()
 		if _, err := k.cfg.Engines.Touch(ctx, s, as[:n]); err != nil {
 			return err
 		}
+		k.touched(s, as[:n], asked)
 		as = as[n:]
 	}
 	k.mu.Lock()
@@ -258,20 +280,36 @@
 	ac := k.servers[s]
 	if now := k.cfg.Timer.Now(); now >= ac.touch {
 		ac.touch = now + k.cfg.Touch
-		k.counts.Touched++
 	}
 	return nil
 }
 
+// touched notes the contact of holds that were renewed.
+func (k *Keeper) touched(s ident.Server, as []ident.Attempt, at tick.Instant) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.counts.Touched += int64(len(as))
+	for _, a := range as {
+		if l := k.servers[s].live[a]; l != nil {
+			l.contact = max(l.contact, at)
+		}
+	}
+}
+
+// touchable returns the holds that are to be renewed now. One that is new, or
+// that a stream renews, can wait for the next round.
 func (k *Keeper) touchable(s ident.Server) []ident.Attempt {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	ac := k.servers[s]
-	if k.cfg.Timer.Now() < ac.touch {
+	ac, now := k.servers[s], k.cfg.Timer.Now()
+	if now < ac.touch {
 		return nil
 	}
-	as := make([]ident.Attempt, 0, len(ac.live))
-	for a := range ac.live {
+	var as []ident.Attempt
+	for a, l := range ac.live {
+		if (l.streaming && !k.cfg.Streams) || now-l.contact < k.cfg.Touch/2 {
+			continue
+		}
 		as = append(as, a)
 	}
 	return as
--- a/sweep/keeper_test.go
+++ b/sweep/keeper_test.go
@@ -59,7 +59,7 @@
 	return nil, f.answer(ctx, call{name: "touch", server: s, attempts: as})
 }
 
-func (f *fakeEngines) Holds(_ context.Context, s ident.Server) ([]sweep.Hold, error) {
+func (f *fakeEngines) Holds(_ context.Context, s ident.Server, _ time.Duration) ([]sweep.Hold, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.holds[s], nil
@@ -75,7 +75,7 @@
 	testRetry = 100 * time.Millisecond
 )
 
-func startKeeper(t *testing.T, queue int) (*sweep.Keeper, *fakeEngines, *tick.Fake) {
+func startKeeper(t *testing.T, queue int, streams bool) (*sweep.Keeper, *fakeEngines, *tick.Fake) {
 	t.Helper()
 	engines, timer := newFakeEngines(), tick.NewFake(0)
 	k := sweep.NewKeeper(sweep.KeeperConfig{
@@ -86,6 +86,7 @@
 		Retry:   testRetry,
 		Workers: 2,
 		Queue:   queue,
+		Streams: streams,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	k.Start(ctx)
@@ -110,7 +111,7 @@
 
 func TestKeeperRepeatsCancelUntilAcknowledged(t *testing.T) {
 	is := is.New(t)
-	k, engines, timer := startKeeper(t, 0)
+	k, engines, timer := startKeeper(t, 0, false)
 	a := attempt("a", 1, 1)
 	k.Keep("d1", a)
 	k.Release("d1", a)
@@ -130,7 +131,7 @@
 
 func TestKeeperGivesUpAfterLife(t *testing.T) {
 	is := is.New(t)
-	k, engines, timer := startKeeper(t, 0)
+	k, engines, timer := startKeeper(t, 0, false)
 	k.Release("d1", attempt("a", 1, 1))
 	<-engines.calls
 	engines.fail <- errDown
@@ -143,7 +144,7 @@
 
 func TestKeeperTouchesLiveHolds(t *testing.T) {
 	is := is.New(t)
-	k, engines, timer := startKeeper(t, 0)
+	k, engines, timer := startKeeper(t, 0, false)
 	live, gone := attempt("a", 1, 1), attempt("a", 1, 2)
 	k.Keep("d1", live)
 	k.Keep("d1", gone)
@@ -159,9 +160,38 @@
 	}
 }
 
+func TestKeeperLeavesStreamsToThemselves(t *testing.T) {
+	for _, streams := range []bool{false, true} {
+		name := "streams are contact"
+		if streams {
+			name = "streams are no contact"
+		}
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			k, engines, timer := startKeeper(t, 0, streams)
+			quiet, streaming := attempt("a", 1, 1), attempt("a", 1, 2)
+			k.Keep("d1", quiet)
+			k.Keep("d1", streaming)
+			k.Streaming("d1", streaming, true)
+			timer.Advance(testTouch)
+			is.Equal(len((<-engines.calls).attempts) == 2, streams)
+			engines.fail <- nil
+			await(t, func() bool { return k.Counts().Touched > 0 })
+			k.Release("d1", quiet)
+			<-engines.calls
+			engines.fail <- nil
+			k.Streaming("d1", streaming, false)
+			is.NoErr(k.Drain(context.Background()))
+			timer.Advance(testTouch)
+			is.Equal(<-engines.calls, call{name: "touch", server: "d1", attempts: []ident.Attempt{streaming}})
+			engines.fail <- nil
+		})
+	}
+}
+
 func TestKeeperHangingEngineTiesUpNoOther(t *testing.T) {
 	is := is.New(t)
-	k, engines, _ := startKeeper(t, 0)
+	k, engines, _ := startKeeper(t, 0, false)
 	k.Release("d1", attempt("a", 1, 1))
 	is.Equal((<-engines.calls).server, ident.Server("d1")) // is not answered
 	for n := range uint64(10) {
@@ -175,7 +205,7 @@
 
 func TestKeeperQueueIsBounded(t *testing.T) {
 	is := is.New(t)
-	k, engines, _ := startKeeper(t, 2)
+	k, engines, _ := startKeeper(t, 2, false)
 	for n := range uint64(5) {
 		k.Release("d1", attempt("a", 1, 1+n))
 	}
--- a/sweep/sweep.go
+++ b/sweep/sweep.go
@@ -19,5 +19,7 @@
 type Engines interface {
 	Cancel(ctx context.Context, s ident.Server, a ident.Attempt, idleOver time.Duration) (released int, err error)
 	Touch(ctx context.Context, s ident.Server, as []ident.Attempt) (gone []ident.Attempt, err error)
-	Holds(ctx context.Context, s ident.Server) ([]Hold, error)
+	// Holds returns the holds without contact for longer than idleOver, or all
+	// of them if it is zero.
+	Holds(ctx context.Context, s ident.Server, idleOver time.Duration) ([]Hold, error)
 }
--- a/sweep/sweeper.go
+++ b/sweep/sweeper.go
@@ -32,7 +32,7 @@
 }
 
 const (
-	defaultEvery  = 2 * time.Second
+	defaultEvery  = 3 * time.Second
 	defaultIdle   = defaultLife
 	defaultOwners = 2
 )
@@ -92,7 +92,7 @@
 }
 
 func (s *Sweeper) sweepServer(ctx context.Context, server ident.Server) {
-	holds, err := s.cfg.Engines.Holds(ctx, server)
+	holds, err := s.cfg.Engines.Holds(ctx, server, s.cfg.Idle)
 	if err != nil {
 		return
 	}
