flow, orders: check deadline and plan again at the last moment

Cause: a process that wakes from a pause may be ahead of the goroutine that ends its context, and would send a prefill past the deadline, or orders that were planned an hour ago.

Change: flow looks at the clock right before a prefill is sent; Runner gives orders for two seconds after it planned them.

No measurement. With either check taken out, its test fails.

--- a/flow/run.go
+++ b/flow/run.go
@@ -199,6 +199,9 @@
 		err := fail.Refuse(fail.CodeRate, retryAfter, "the charge for the request ran out before it could run")
 		return &setback{step: "flow: prefill", err: err, final: true}
 	}
+	if n.overdue() {
+		return &setback{step: "flow: prefill", err: ErrDeadline, final: true}
+	}
 	n.cfg.Placer.Progress(p, place.StagePrefill, n.sent)
 	k, err := n.compute(ctx, p)
 	if err != nil {
@@ -209,6 +212,12 @@
 	return nil
 }
 
+// overdue reports whether the deadline has passed. A process that wakes from a
+// pause may see that here before its context has ended.
+func (n *run) overdue() bool {
+	return n.req.Deadline != 0 && n.cfg.Timer.Now() >= n.req.Deadline
+}
+
 // compute runs a prefill. A call whose answer is lost is repeated once, with
 // the same attempt, which joins the prefill if it runs.
 func (n *run) compute(ctx context.Context, p place.Placement) (*kv, error) {
--- a/flow/walk_test.go
+++ b/flow/walk_test.go
@@ -48,10 +48,12 @@
 	released map[ident.Attempt]bool
 	places   map[ident.Attempt]*walkPlace
 	caches   map[string]*walkCache
-	prefills int
+	asked    int      // prefills
+	prefills int      // prefills that ran
 	decodes  []string // whole outputs of the attempts that were streamed
 	strays   flow.Dropped
 	sent     []string
+	fresh    func() bool
 }
 
 type walkPlace struct {
@@ -222,6 +224,7 @@
 
 // Prefill implements flow.Engines.
 func (w *walk) Prefill(ctx context.Context, s ident.Server, p flow.Prefill) (flow.KV, error) {
+	w.asked++
 	act, err := w.arrive(ctx, "prefill", s, p.Attempt)
 	name := p.Attempt.String()
 	if act && w.caches[name] == nil {
@@ -382,7 +385,14 @@
 		Holds:   w,
 		Timer:   w.clock,
 	})
-	res, err := r.Run(ctx, flow.Request{ID: "r", PromptTokens: 100, MaxOutput: w.total, Exact: w.exact, Deadline: w.deadline}, w)
+	res, err := r.Run(ctx, flow.Request{
+		ID:           "r",
+		PromptTokens: 100,
+		MaxOutput:    w.total,
+		Exact:        w.exact,
+		Deadline:     w.deadline,
+		FreshCharge:  w.fresh,
+	}, w)
 	w.check(res, err)
 	return res, err
 }
@@ -421,6 +431,37 @@
 	}
 }
 
+// TestNothingRunsAfterPause lets the process pause right before the prefill is
+// sent, until the deadline, or the charge, has run out.
+func TestNothingRunsAfterPause(t *testing.T) {
+	tests := []struct {
+		name  string
+		fresh bool
+		code  fail.Code
+	}{
+		{"deadline has passed", true, fail.CodeDeadline},
+		{"charge ran out", false, fail.CodeRate},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWalk(t, 0)
+			w.trouble = 0
+			w.deadline = time.Minute
+			w.fresh = func() bool {
+				w.clock.Advance(time.Hour)
+				return tt.fresh
+			}
+			_, err := w.run()
+			if code, _ := flow.Explain(err); code != tt.code {
+				t.Errorf("code %q, want %q; error %v", code, tt.code, err)
+			}
+			if w.asked != 0 || fail.Outcome(err) != ident.NotRun {
+				t.Errorf("%d prefills asked for, error %v", w.asked, err)
+			}
+		})
+	}
+}
+
 // TestWalk draws schedules of failures.
 func TestWalk(t *testing.T) {
 	const schedules = 5000
--- a/orders/runner.go
+++ b/orders/runner.go
@@ -107,6 +107,7 @@
 	if inForce < r.cfg.Settle {
 		return
 	}
+	planned := r.cfg.Timer.Now()
 	orders, kept := Plan(revision, wants, r.states(), r.cfg.Limits)
 	r.mu.Lock()
 	r.kept = kept
@@ -115,14 +116,19 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if r.cfg.Timer.Now()-planned >= maxPlanAge {
+			return // the process was paused or an engine hangs: plan again
+		}
 		if r.cfg.Owns(o.Server) && r.due(o) && r.current(revision) {
 			r.give(ctx, o)
 		}
 	}
 }
 
-// current reports whether a revision is still the one in force. A process may
-// have been paused since the plan was made.
+// maxPlanAge is how long the orders of a plan may be given.
+const maxPlanAge = 2 * time.Second
+
+// current reports whether a revision is still the one in force.
 func (r *Runner) current(revision uint64) bool {
 	now, _, _ := r.cfg.Source.Wants()
 	return now == revision
--- a/orders/walk_test.go
+++ b/orders/walk_test.go
@@ -204,13 +204,44 @@
 }
 func (f *fakeSource) States() []orders.State { return f.states }
 
-type fakeEngines struct{ given []orders.Order }
+type fakeEngines struct {
+	given []orders.Order
+	pause func() // called within each order; may be nil
+}
 
 func (f *fakeEngines) Order(_ context.Context, o orders.Order) error {
 	f.given = append(f.given, o)
+	if f.pause != nil {
+		f.pause()
+	}
 	return nil
 }
 
+func TestRunnerPlansAgainAfterPause(t *testing.T) {
+	is := is.New(t)
+	timer := tick.NewFake(0)
+	src := &fakeSource{
+		revision: revision,
+		inForce:  time.Minute,
+		wants:    []orders.Want{want("a", orders.RoleBoth, m1), want("b", orders.RoleBoth, m1)},
+		states:   []orders.State{state("a", orders.RoleBoth), state("b", orders.RoleBoth)},
+	}
+	engines := &fakeEngines{}
+	r := orders.NewRunner(orders.RunnerConfig{
+		Source:  src,
+		Engines: engines,
+		Timer:   timer,
+		Owns:    func(ident.Server) bool { return true },
+		Limits:  orders.Limits{Loads: 2},
+	})
+	engines.pause = func() { timer.Advance(time.Hour) }
+	r.Step(context.Background())
+	is.Equal(engines.given, []orders.Order{order("a", orders.Load, m1)})
+	engines.pause = nil
+	r.Step(context.Background())
+	is.Equal(len(engines.given), 3)
+}
+
 func TestRunnerStep(t *testing.T) {
 	is := is.New(t)
 	timer := tick.NewFake(0)
