--- /dev/null
+++ b/meter/meter_test.go
@@ -0,0 +1,120 @@
+package meter_test
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/meter"
+	"wasabidock.dev/dock/tick"
+)
+
+func sample(c ident.Customer, good bool) meter.Sample {
+	return meter.Sample{Customer: c, Good: good, FirstToken: 40 * time.Millisecond, MaxGap: time.Millisecond, Output: 10, Wasted: 3}
+}
+
+func export(t *testing.T, m *meter.Meter) string {
+	t.Helper()
+	rec := httptest.NewRecorder()
+	m.Handler().ServeHTTP(rec, httptest.NewRequest("GET", "/metrics", nil))
+	return rec.Body.String()
+}
+
+func TestExport(t *testing.T) {
+	is := is.New(t)
+	m := meter.New(meter.Config{Clock: tick.NewFake(0)})
+	for range 3 {
+		m.Ended(sample("sur", true))
+		m.Ended(sample("norte", false))
+	}
+	m.Refused("sur", fail.CodeRate, false)
+	m.Refused("sur", fail.CodeOverload, true)
+	m.Refused("", fail.CodeKey, false)
+	m.Counter("dropped_total").Inc(2)
+	m.Gauge("active").Update(4)
+	got := export(t, m)
+	for _, line := range []string{
+		"# TYPE wasabidock_requests_total counter",
+		"wasabidock_requests_total 6",
+		"wasabidock_requests_good_total 3",
+		"wasabidock_prefill_wasted_tokens_total 18",
+		"wasabidock_refusals_within_rate_total 1",
+		`wasabidock_refusals_total{code="rate_limited"} 1`,
+		`wasabidock_refusals_total{code="invalid_key"} 1`,
+		`wasabidock_customer_requests_total{customer="norte"} 3`,
+		`wasabidock_customer_refusals_within_rate_total{customer="sur"} 1`,
+		`wasabidock_customer_output_tokens_total{customer="sur"} 30`,
+		`wasabidock_first_token_ms{quantile="0.95"} 40`,
+		"wasabidock_first_token_ms_count 6",
+		"wasabidock_dropped_total 2",
+		"wasabidock_active 4",
+		`wasabidock_worst_customer_good_share{customer="norte"} 0`,
+	} {
+		if !strings.Contains(got, line+"\n") {
+			t.Errorf("line %q is missing in\n%s", line, got)
+		}
+	}
+	is.Equal(strings.Count(got, "# TYPE wasabidock_refusals_total "), 1) // one type line for all series
+}
+
+func TestWorst(t *testing.T) {
+	tests := []struct {
+		name  string
+		wait  time.Duration
+		want  ident.Customer
+		share float64
+		ok    bool
+	}{
+		{"at once", 0, "norte", 0.25, true},
+		{"in the next window", 6 * time.Minute, "norte", 0.25, true},
+		{"after two windows", 11 * time.Minute, "", 0, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := tick.NewFake(0)
+			m := meter.New(meter.Config{Clock: clock})
+			for i := range 4 {
+				m.Ended(sample("sur", true))
+				m.Ended(sample("norte", i == 0))
+			}
+			m.Ended(sample("seldom", false)) // too little traffic to tell
+			clock.Advance(tt.wait)
+			name, share, ok := m.Worst()
+			is.Equal(name, tt.want)
+			is.Equal(share, tt.share)
+			is.Equal(ok, tt.ok)
+		})
+	}
+}
+
+func TestLabelsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := meter.New(meter.Config{Clock: tick.NewFake(0), MaxCustomers: 10})
+	var wg sync.WaitGroup
+	for i := range 100 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			m.Ended(sample(ident.Customer(fmt.Sprintf("c%d", i)), true))
+		}()
+	}
+	wg.Wait()
+	got := export(t, m)
+	is.Equal(strings.Count(got, "wasabidock_customer_requests_total{"), 11) // ten and the rest
+	is.True(strings.Contains(got, `wasabidock_customer_requests_total{customer="other"} 90`))
+}
+
+func TestLabelIsQuoted(t *testing.T) {
+	is := is.New(t)
+	m := meter.New(meter.Config{Clock: tick.NewFake(0)})
+	m.Ended(sample("a\"b\\c\nd", true))
+	is.True(strings.Contains(export(t, m), `{customer="a\"b\\c\nd"} 1`))
+}
