--- a/once/config.go
+++ b/once/config.go
@@ -26,6 +26,7 @@
 	defaultAnswer  = 16 << 10
 	retryHome      = 2 * time.Second
 	defaultKeep    = 10 * time.Minute
+	defaultLimit   = 30 * time.Second
 	minKeep        = 10 * time.Second // well above maxCopyAge
 	maxWait        = 5 * time.Second  // of a call before it is passed on or noted in the journal
 	transit        = 2 * maxWait      // between a call's arrival and its entry in the journal
@@ -52,6 +53,17 @@
 // its keys and the time that a call may have been on its way to the home.
 func (r Route) hold() time.Duration { return r.keep() + transit }
 
+// limit returns the time for one attempt at the service.
+func (r Route) limit() time.Duration {
+	if r.Limit <= 0 {
+		return defaultLimit
+	}
+	return r.Limit
+}
+
+// whole returns the time after which the home has certainly decided.
+func (r Route) whole() time.Duration { return maxTries*(r.limit()+copyLimit) + maxWait }
+
 func (r Route) keep() time.Duration {
 	if r.Keep <= 0 {
 		return defaultKeep
--- a/once/forward.go
+++ b/once/forward.go
@@ -24,6 +24,8 @@
 	if err != nil {
 		return plain.Answer{}, away(home, err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, r.whole())
+	defer cancel()
 	req := callToProto(s.node(), c, revision)
 	if t, ok := ctx.Deadline(); ok {
 		req.DeadlineMs = max(1, time.Until(t).Milliseconds())
--- a/once/join.go
+++ b/once/join.go
@@ -141,22 +141,24 @@
 
 // since returns from when on the journal holds every call.
 func since(now tick.Instant, all []fetched, joined bool, old tick.Instant) tick.Instant {
-	complete := time.Duration(-1)
-	for _, f := range all {
-		if joined && f.known {
-			return old
+	if joined {
+		for _, f := range all {
+			if f.known {
+				return old
+			}
 		}
+		return now
+	}
+	start := tick.Instant(0)
+	for i, f := range all {
 		if !f.sure {
 			return now
 		}
-		if complete < 0 || f.complete < complete {
-			complete = f.complete
+		if i == 0 || now-f.complete > start {
+			start = now - f.complete
 		}
 	}
-	if joined {
-		return now
-	}
-	return now - complete
+	return start
 }
 
 func (s *Service) fetch(ctx context.Context, name ident.Instance) (fetched, error) {
