wasabid: serve the admin paths by package front

Cause: the same three paths stood in two packages. Change: the daemon uses front.Admin. No measurement was made. Conclusion: one place answers probes.

--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -86,7 +86,7 @@
 		return errors.Wrapf(err, "front: listen %s", d.p.Cfg.Listen())
 	}
 	d.callL = l
-	adm, err := newAdmin(d.p.Cfg.AdminListen(), d.ready, d.p.Meter.Handler(), logs.Part(d.p.Log, "admin"))
+	adm, err := newAdmin(d.p.Cfg.AdminListen(), d.unready, d.p.Meter.Handler(), logs.Part(d.p.Log, "admin"))
 	if err != nil {
 		return err
 	}
@@ -163,24 +163,25 @@
 	}
 }
 
-// ready reports whether the daemon wants new callers, or why not.
-func (d *daemon) ready() (bool, string) {
+// unready returns the reason why the daemon wants no new callers, or an empty
+// string.
+func (d *daemon) unready() string {
 	if d.p.Front.Draining() {
-		return false, "draining"
+		return "draining"
 	}
 	select {
 	case <-d.p.Spread.Superseded():
-		return false, "superseded by another process in the seat"
+		return "superseded by another process in the seat"
 	default:
 	}
 	if d.p.Tables.table() == nil {
-		return false, "no table yet"
+		return "no table yet"
 	}
 	select {
 	case <-d.p.Spread.Joined():
-		return true, ""
+		return ""
 	default:
-		return false, "joining the fleet"
+		return "joining the fleet"
 	}
 }
 
--- a/wasabid/app/listen.go
+++ b/wasabid/app/listen.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/front"
 )
 
 const (
@@ -23,25 +25,14 @@
 	log zerolog.Logger
 }
 
-// newAdmin listens on addr. Live answers 200 while the process runs, ready
-// 200 while it wants new callers.
-func newAdmin(addr string, ready func() (bool, string), metrics http.Handler, log zerolog.Logger) (*admin, error) {
+// newAdmin listens on addr. Ready returns an empty string while the process
+// wants new callers, or else the reason.
+func newAdmin(addr string, ready func() string, metrics http.Handler, log zerolog.Logger) (*admin, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "admin: listen %s", addr)
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { writeLine(w, http.StatusOK, "alive") })
-	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		ok, reason := ready()
-		if !ok {
-			writeLine(w, http.StatusServiceUnavailable, reason)
-			return
-		}
-		writeLine(w, http.StatusOK, "ready")
-	})
-	mux.Handle("GET /metrics", metrics)
-	return &admin{l: l, srv: quietServer(mux), log: log}, nil
+	return &admin{l: l, srv: quietServer(front.Admin(ready, metrics)), log: log}, nil
 }
 
 func (a *admin) run(ctx context.Context) error { return serveUntil(ctx, a.srv, a.l) }
@@ -84,9 +75,3 @@
 	<-done
 	return nil
 }
-
-func writeLine(w http.ResponseWriter, status int, line string) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(status)
-	_, _ = w.Write([]byte(line + "\n"))
-}
