wasabid: charge a request anew when it waited longer than its grant lives

Cause: a grant of tokens may be used for a second; a request that waited longer for its servers was refused as rate_limited although its customer was within its rate, after a place had been found for it. Change: the charge is given back and taken anew right before the request runs. Conclusion: the bound is kept, since only the later charge is used.

--- a/wasabid/app/bridge.go
+++ b/wasabid/app/bridge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"wasabidock.dev/dock/fail"
@@ -19,11 +20,52 @@
 
 // Admit charges tokens to a customer.
 func (l limiter) Admit(ctx context.Context, r ident.Request, c ident.Customer, tokens int64) (settle func(used int64), fresh func() bool, err error) {
-	ch, err := l.s.Admit(ctx, r, c, tokens)
+	a := &admission{s: l.s, request: r, customer: c, tokens: tokens}
+	a.charge, err = l.s.Admit(ctx, r, c, tokens)
 	if err != nil {
 		return nil, nil, err
 	}
-	return ch.Settle, ch.Fresh, nil
+	return a.settle, func() bool { return a.fresh(ctx) }, nil
+}
+
+// admission is the charge of one request. A charge lives for a moment only and
+// a request may wait longer for its servers: then the charge is given back and
+// another one is taken right before the request runs.
+type admission struct {
+	s        *quota.Service
+	request  ident.Request
+	customer ident.Customer
+	tokens   int64
+
+	mu     sync.Mutex // guards charge
+	charge *quota.Charge
+}
+
+// fresh reports whether the charge may still be used, if need be after it was
+// taken anew.
+func (a *admission) fresh(ctx context.Context) bool {
+	a.mu.Lock()
+	old := a.charge
+	a.mu.Unlock()
+	if old.Fresh() {
+		return true
+	}
+	old.Settle(0)
+	ch, err := a.s.Admit(ctx, a.request, a.customer, a.tokens)
+	if err != nil {
+		return false
+	}
+	a.mu.Lock()
+	a.charge = ch
+	a.mu.Unlock()
+	return ch.Fresh()
+}
+
+func (a *admission) settle(used int64) {
+	a.mu.Lock()
+	ch := a.charge
+	a.mu.Unlock()
+	ch.Settle(used)
 }
 
 // toll pays for traffic between regions from the bucket of the link.
--- a/wasabid/fault_test.go
+++ b/wasabid/fault_test.go
@@ -31,6 +31,7 @@
 	}{
 		{"engine dies in the middle of a stream", engineDies},
 		{"caller goes away", callerLeaves},
+		{"queue is longer than a grant lives", queueOutlivesGrant},
 		{"entry instance dies", entryDies},
 		{"process starts while the platform is down", startsWithoutPlatform},
 		{"older revision is published", olderRevision},
@@ -89,6 +90,33 @@
 	t.Logf("holds released after %v", took.Round(time.Millisecond))
 }
 
+// queueOutlivesGrant sends more patient requests than there are places, so that
+// some wait for seconds. Each must be answered whole.
+func queueOutlivesGrant(t *testing.T, f *fleet) {
+	const requests, tokens = 90, 1000
+	bodies := make(chan string, requests)
+	for i := range requests {
+		p := f.procs[f.names()[i%len(f.procs)]]
+		go func() {
+			_, body, err := chatIn(t.Context(), p, "patient", "calm", tokens, true)
+			if err != nil {
+				body = err.Error()
+			}
+			bodies <- body
+		}()
+	}
+	whole := 0
+	for range requests {
+		body := <-bodies
+		if strings.Contains(body, "[DONE]") {
+			whole++
+			continue
+		}
+		t.Errorf("not whole: %.200s", body)
+	}
+	t.Logf("%d of %d answers whole", whole, requests)
+}
+
 func entryDies(t *testing.T, f *fleet) {
 	is := is.New(t)
 	before := f.streams()
--- a/wasabid/harness_test.go
+++ b/wasabid/harness_test.go
@@ -127,6 +127,7 @@
 	rows := []string{
 		"class,name,first_token,token_gap,queue,cross,priority",
 		"class,interactive,1200ms,77ms,5s,no,10",
+		"class,patient,60s,200ms,60s,no,1",
 		"model,name,class,piece_tokens,max_prompt,max_output",
 		"model,dossier,interactive,1000,40000,100000",
 		"centre,name,region",
@@ -318,7 +319,12 @@
 
 // chat sends a request for n output tokens and returns the status and body.
 func chat(ctx context.Context, p *proc, key string, n int, stream bool) (int, string, error) {
-	body := fmt.Sprintf(`{"model":"dossier","max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":"[output=%d] letter"}]}`, n, stream, n)
+	return chatIn(ctx, p, "interactive", key, n, stream)
+}
+
+// chatIn is chat in a latency class.
+func chatIn(ctx context.Context, p *proc, class, key string, n int, stream bool) (int, string, error) {
+	body := fmt.Sprintf(`{"model":"dossier","class":%q,"max_tokens":%d,"stream":%t,"messages":[{"role":"user","content":"[output=%d] letter"}]}`, class, n, stream, n)
 	return post(ctx, p.callers+"/v1/chat/completions", key, "", body)
 }
 
