limit: make the default lease life fit small data centres

A fresh process waits out the longest lease life before its seat leases anything. Six seconds serve 60 seats in a data centre, and today's have three.

The default is 2.4 s, which carries 24 seats; larger fleets set it. The gap after which a process counts as paused is half of the longest life.

--- a/limit/lease_test.go
+++ b/limit/lease_test.go
@@ -58,7 +58,9 @@
 		var grants, uses []event
 		now := tick.Instant(0)
 		for range rapid.IntRange(10, 80).Draw(t, "steps") {
+			before := now
 			now += time.Duration(rapid.SampledFrom([]int{1, 50, 300, 1000, 3000}).Draw(t, "wait")) * time.Millisecond
+			beat(seat, before, now)
 			i := rapid.IntRange(0, 1).Draw(t, "tenant")
 			n := tenants[i]
 			seat.Beat(now)
--- a/limit/seat.go
+++ b/limit/seat.go
@@ -9,17 +9,14 @@
 )
 
 const (
-	// DefaultMaxLife is the longest life of a lease.
-	DefaultMaxLife = 6 * time.Second
+	// DefaultMaxLife is the longest life of a lease in a fleet with at most 24
+	// seats in a data centre.
+	DefaultMaxLife = 2400 * time.Millisecond
 	// DefaultRaiseAfter is the time within which a table is in force
 	// everywhere.
 	DefaultRaiseAfter = 15 * time.Second
 
-	// maxGap is the longest time between two beats of a process that did not
-	// pause.
-	maxGap = 3 * time.Second
-
-	minLife     = 2400 * time.Millisecond
+	minLife     = DefaultMaxLife
 	lifePerSeat = 100 * time.Millisecond
 )
 
@@ -69,9 +66,10 @@
 	}
 }
 
-// Beat tells that the process runs; it is to be called at least every second
-// or two. After a pause the process may have been replaced without knowing, so
-// its seat leases nothing until peers had the time to tell it.
+// Beat tells that the process runs; it is to be called at least every half of
+// the longest lease life. After a pause the process may have been replaced
+// without knowing, so its seat leases nothing until peers had the time to tell
+// it.
 func (s *Seat) Beat(now tick.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -152,7 +150,7 @@
 }
 
 func (s *Seat) checkGap(now tick.Instant) {
-	if now-s.beat > maxGap {
+	if now-s.beat > s.maxLife/2 {
 		s.opens = max(s.opens, now+outlast(s.maxLife))
 	}
 }
