quota: keep leases for a while when a group gets another home

A holder that lost a group to a joiner let its leases run out within two seconds, and its level was lost.

It now fades over 80 s, while the new home borrows from it. Tests show what a customer meets that uses 0.9 of its rate on nine seats in three data centres: undisturbed, with a crash, a pause, a restart and a rolling restart.

With a burst of 10 s none is refused later than 3 s after any disturbance.

--- a/quota/net_test.go
+++ b/quota/net_test.go
@@ -24,6 +24,7 @@
 	loss  float64                 // fraction of calls and of answers lost
 	slow  float64                 // fraction of answers that are late
 	pause time.Duration           // longest pause of a caller inside a call
+	quick bool                    // calls that arrive take no time
 
 	mu    sync.Mutex // a renewal asks its seats in parallel
 	rnd   map[edge]*rand.Rand
@@ -161,6 +162,9 @@
 
 func (l *line) oneWay() time.Duration {
 	a, b := centreOf(l.from.node.Instance), centreOf(l.to)
+	if l.from.f.net.quick {
+		return 0
+	}
 	if a != b && (a == "c" || b == "c") {
 		return 30 * time.Millisecond
 	}
--- a/quota/renew.go
+++ b/quota/renew.go
@@ -11,10 +11,11 @@
 )
 
 const (
-	// fadeSteps is the number of renewals over which an instance that is no
-	// longer home of a group lets its leases run out. Meanwhile its level
-	// drains instead of being lost.
+	// An instance that is no longer home of a group lets its leases run out in
+	// fadeSteps steps. Meanwhile the new home borrows from it, so that its
+	// level drains instead of being lost.
 	fadeSteps = 4
+	fadeEvery = 20 * time.Second
 	// releaseWait outlasts every grant.
 	releaseWait = limit.GrantLife + limit.GrantLife/20
 )
@@ -91,6 +92,11 @@
 	faded  []int
 }
 
+func (w *want) add(group uint32, faded int) {
+	w.groups = append(w.groups, group)
+	w.faded = append(w.faded, faded)
+}
+
 // at returns the groups to renew at the seat with index i of n.
 func (w want) at(i, n int) []uint32 {
 	var groups []uint32
@@ -110,13 +116,12 @@
 	for g := range uint32(limit.Groups) {
 		ranked := limit.Rank(g, seats)
 		if now < s.stood[g] || len(ranked) > 0 && ranked[0] == s.node.Instance {
-			s.fading[g] = 0
-		} else {
-			s.fading[g]++
+			s.home[g] = now
+			w.add(g, 0)
+			continue
 		}
-		if s.fading[g] < fadeSteps {
-			w.groups = append(w.groups, g)
-			w.faded = append(w.faded, s.fading[g])
+		if faded := 1 + int((now-s.home[g])/fadeEvery); s.home[g] != 0 && faded < fadeSteps {
+			w.add(g, faded)
 		}
 	}
 	return w
--- a/quota/service.go
+++ b/quota/service.go
@@ -96,9 +96,9 @@
 
 	terms atomic.Pointer[terms]
 
-	mu     sync.Mutex                 // guards the fields below and the replacement of terms
-	stood  [limit.Groups]tick.Instant // until when this instance stands in
-	fading [limit.Groups]int          // renewals since it was last home
+	mu    sync.Mutex                 // guards the fields below and the replacement of terms
+	stood [limit.Groups]tick.Instant // until when this instance stands in
+	home  [limit.Groups]tick.Instant // when it was last home or stood in, zero for never
 }
 
 // terms are the terms of all customers at one revision.
@@ -129,9 +129,6 @@
 		settler: settler{queue: make(chan settlement, settleQueue)},
 	}
 	s.terms.Store(&terms{})
-	for g := range s.fading {
-		s.fading[g] = fadeSteps
-	}
 	return s
 }
 
