--- a/stand/enginehold.go
+++ b/stand/enginehold.go
@@ -231,6 +231,13 @@
 	writeJSON(w, slices.DeleteFunc(e.account(), func(h engine.HoldEntry) bool { return h.IdleMS <= over }))
 }
 
+// Holds returns the holds in the order of their attempts.
+func (e *Engine) Holds() []engine.HoldEntry {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.account()
+}
+
 // account lists the holds in the order of their attempts.
 func (e *Engine) account() []engine.HoldEntry {
 	e.expire()
