--- /dev/null
+++ b/orders/example_test.go
@@ -0,0 +1,30 @@
+package orders_test
+
+import (
+	"fmt"
+	"time"
+
+	"wasabidock.dev/dock/orders"
+)
+
+func ExamplePlan() {
+	dossier := orders.Model{Name: "dossier", Version: "2"}
+	wants := []orders.Want{
+		{Server: "d1", Role: orders.RoleDecode, Models: []orders.Model{dossier}, Fenced: true},
+		{Server: "d2", Role: orders.RoleDecode, Fenced: true},
+	}
+	states := []orders.State{
+		{Server: "d1", Role: orders.RoleDecode},
+		{Server: "d2", Role: orders.RoleDecode, Models: []orders.Model{dossier}},
+	}
+	given, kept := orders.Plan(7, wants, states, orders.Limits{Loads: 1, Fresh: time.Second})
+	for _, o := range given {
+		fmt.Println("order", o.Server, o.Kind, o.Model.Name, o.Fence)
+	}
+	for _, k := range kept {
+		fmt.Println("kept", k.Server, k.Kind, k.Model.Name)
+	}
+	// Output:
+	// order d1 load dossier 7
+	// kept d2 unload dossier
+}
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -256,60 +256,6 @@
 	}
 }
 
-// planLoads orders what is missing. At each store, the models with the fewest
-// replicas come first, then the servers by name.
-func (p *plan) planLoads() {
-	inFlight := make(map[string]int)
-	var missing []load
-	for _, s := range p.servers {
-		inFlight[s.want.Store] += len(s.state.Loading)
-		if s.state.Draining {
-			continue
-		}
-		for _, m := range s.want.Models {
-			if !has(s.state.Models, m) && !has(s.state.Loading, m) {
-				missing = append(missing, load{server: s.want.Server, store: s.want.Store, model: m, replicas: p.replicas(m)})
-			}
-		}
-	}
-	sort.Slice(missing, func(i, j int) bool { return missing[i].before(missing[j]) })
-	for _, l := range missing {
-		if inFlight[l.store] >= p.lim.Loads {
-			continue
-		}
-		inFlight[l.store]++
-		p.orders = append(p.orders, Order{Server: l.server, Kind: Load, Model: l.model, Fence: p.revision})
-	}
-}
-
-func (p *plan) replicas(m Model) int {
-	n := 0
-	for _, s := range p.servers {
-		if slices.ContainsFunc(s.state.Models, m.same) {
-			n++
-		}
-	}
-	return n
-}
-
-// load is a model that a server lacks.
-type load struct {
-	server   ident.Server
-	store    string
-	model    Model
-	replicas int
-}
-
-func (l load) before(o load) bool {
-	if l.replicas != o.replicas {
-		return l.replicas < o.replicas
-	}
-	if l.server != o.server {
-		return l.server < o.server
-	}
-	return l.model.compare(o.model) < 0
-}
-
 func plays(has, role string) bool { return has == role || has == RoleBoth }
 
 // lostRoles returns the roles that a server gives up.
