fair, place, pool, replay: split files that grew long

Change: customer.go, ranking.go, step.go and ending.go; a test that a growing output is charged. No measurement.

--- a/fair/queue.go
+++ b/fair/queue.go
@@ -70,22 +70,6 @@
 	forecast  []forecast
 }
 
-type customer struct {
-	name    ident.Customer
-	weight  float64
-	tag     float64
-	lists   [ranks]list
-	pos     [ranks]int // index in the heap of the rank, -1 if absent
-	backlog int64
-	meter   meter // of the waiting class
-	run     int64 // interactive cost served since the last waiting item
-}
-
-type entry struct {
-	item Item
-	gone bool
-}
-
 // New returns an empty queue.
 func New(cfg Config) *Queue {
 	if cfg.DecodeWeight == 0 {
@@ -255,25 +239,6 @@
 	q.vtime = max(q.vtime, start)
 }
 
-func (q *Queue) customer(name ident.Customer) *customer {
-	c, ok := q.customers[name]
-	if !ok {
-		c = &customer{name: name, weight: 1, tag: q.vtime, pos: [ranks]int{-1, -1}}
-		q.customers[name] = c
-	}
-	return c
-}
-
-func (q *Queue) entry(it Item) *entry {
-	if n := len(q.free); n > 0 {
-		e := q.free[n-1]
-		q.free = q.free[:n-1]
-		*e = entry{item: it}
-		return e
-	}
-	return &entry{item: it}
-}
-
 // drop unlinks e. Its place in the list is given up when it reaches the head.
 func (q *Queue) drop(c *customer, e *entry) {
 	delete(q.items, e.item.ID)
@@ -312,7 +277,3 @@
 func (q *Queue) lag(d time.Duration) float64 {
 	return d.Seconds() * q.meter.rate / max(q.weight, 1)
 }
-
-func (c *customer) waitingDue() bool {
-	return c.run >= waitingPart*c.lists[Waiting].head().item.Cost
-}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -320,3 +320,24 @@
 	is.Equal(placed(50, ask("b")), 50)
 	is.Equal(placed(10, again), 5) // one for ten new requests
 }
+
+// TestLongOutputIsCharged checks that a customer whose output grows beyond the
+// estimate gives way to another one.
+func TestLongOutputIsCharged(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	patient := func(c ident.Customer) *place.Ask {
+		a := ask(c)
+		a.Class = "patient"
+		return a
+	}
+	_, a := submit(s, patient("a"), 0)
+	_, b := submit(s, patient("b"), 0)
+	submit(s, patient("a"), 0)
+	next, _ := submit(s, patient("b"), 0)
+	s.Progress("e1", &pool.Progress{ID: a[0].Placement.ID, Stage: place.StageDecode, Output: 3000}, time.Millisecond)
+	s.Progress("e1", &pool.Progress{ID: b[0].Placement.ID, Stage: place.StageDone, Output: 100}, time.Millisecond)
+	out := s.Step(2*time.Millisecond, nil)
+	is.Equal(len(out), 1)
+	is.Equal(out[0].Ticket, next)
+}
--- /dev/null
+++ b/replay/ending.go
@@ -0,0 +1,111 @@
+package replay
+
+import (
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/pool"
+)
+
+// again gives up a step at a server and asks anew. Held names the prefill
+// server if the KV cache may still be moved.
+func (c *call) again(s place.Stage, blamed, held ident.Server) {
+	c.report(s)
+	c.stopPrefill()
+	c.free()
+	c.avoid = append(c.avoid, blamed)
+	if held != "" && c.w.now-c.kvAt > kvLife/2 {
+		held = ""
+	}
+	if held == "" && c.kvAt > 0 {
+		c.lose()
+	}
+	if c.attempts >= maxAttempts {
+		c.lose()
+		c.end(failed)
+		return
+	}
+	c.ask(held)
+}
+
+// lose counts a prefill whose result is lost.
+func (c *call) lose() {
+	if c.kvAt > 0 {
+		c.wasted = c.run
+		c.kvAt = 0
+	}
+}
+
+func (c *call) cancel() {
+	if c.outcome != open {
+		return
+	}
+	c.w.policy.cancel(c)
+	c.end(cancelled)
+}
+
+// end gives back all that the request holds and reports its end.
+func (c *call) end(o outcome) {
+	if c.outcome != open {
+		return
+	}
+	c.outcome = o
+	c.ended = c.w.now
+	c.stopPrefill()
+	if c.stream != nil {
+		c.w.byName[c.placement.Decode].stop(c.stream)
+	}
+	c.free()
+	if c.placement.ID != "" {
+		c.report(place.StageDone)
+	}
+	c.epoch++
+	delete(c.w.alive[c.entry], c)
+}
+
+func (c *call) stopPrefill() {
+	if c.job == nil {
+		return
+	}
+	if c.kvAt == 0 {
+		n := c.w.byName[c.placement.Prefill].cancel(c.job)
+		c.run += n
+		c.wasted += n
+	}
+	c.job = nil
+}
+
+// free gives the decode place back.
+func (c *call) free() {
+	if c.placement.Decode != "" {
+		c.w.byName[c.placement.Decode].release()
+		c.placement.Decode = ""
+	}
+}
+
+func (c *call) progress() pool.Progress {
+	p := pool.Progress{
+		ID:       c.placement.ID,
+		Stage:    c.stage,
+		Prefill:  c.placement.Prefill,
+		Decode:   c.placement.Decode,
+		Customer: c.req.Customer,
+		Prompt:   c.req.Prompt,
+	}
+	if c.outcome == served {
+		p.Output = c.req.Output
+	}
+	return p
+}
+
+// report tells the scheduler how far the request has come.
+func (c *call) report(s place.Stage) {
+	c.stage = s
+	p := c.progress()
+	if s.Ended() {
+		c.placement.ID = ""
+	}
+	c.w.after(c.w.policy.distance(), func() {
+		c.w.policy.progress(c.entry, &p, c.w.now)
+		c.w.asked = true
+	})
+}
