--- a/flow/failure_test.go
+++ b/flow/failure_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -41,12 +43,13 @@
 	onWay   ending = "on way"  // whole if the end was on its way already, cut if not
 )
 
-// hooks calls a function once at a moment.
+// hooks calls a function once at a moment, and then the same of next.
 type hooks struct {
 	flow.Engines
 	timer   tick.Service
 	at      moment
 	do      func()
+	next    *hooks
 	counter func() stand.EngineCounts // of the first prefill engine
 }
 
@@ -56,6 +59,14 @@
 		h.do = nil
 		do()
 	}
+	if h.next != nil {
+		h.next.fire(m)
+	}
+}
+
+// expects reports whether something is still to be called at a moment.
+func (h *hooks) expects(m moment) bool {
+	return (h.at == m && h.do != nil) || (h.next != nil && h.next.expects(m))
 }
 
 // during fires while call runs, once the engine has begun with it.
@@ -64,7 +75,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for h.at == m && !began(h.counter()) && tick.Sleep(ctx, h.timer, time.Millisecond) == nil {
+		for h.expects(m) && !began(h.counter()) && tick.Sleep(ctx, h.timer, time.Millisecond) == nil {
 		}
 		h.fire(m)
 	}()
@@ -101,56 +112,6 @@
 
 var errWithdrawn = errors.New("key was withdrawn")
 
-// failures are the things that go wrong.
-var failures = map[string]func(t *trial){
-	"decode engine dies":      func(t *trial) { t.engines["d1"].Kill() },
-	"decode engine restarts":  func(t *trial) { t.engines["d1"].Restart() },
-	"prefill engine dies":     func(t *trial) { t.engines["p1"].Kill() },
-	"prefill engine restarts": func(t *trial) { t.engines["p1"].Restart() },
-	"both engines die":        func(t *trial) { t.engines["p1"].Kill(); t.engines["d1"].Kill() },
-	"all engines die": func(t *trial) {
-		for _, e := range t.engines {
-			e.Kill()
-		}
-	},
-	"caller cancels":   func(t *trial) { t.cancel(context.Canceled) },
-	"key is withdrawn": func(t *trial) { t.cancel(errWithdrawn) },
-	"caller cancels and the cancels are lost": func(t *trial) {
-		t.fault(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/cancel", N: 3})
-		t.cancel(context.Canceled)
-	},
-	"connections silent to the engine":   func(t *trial) { t.silence(true, false) },
-	"connections silent from the engine": func(t *trial) { t.silence(false, true) },
-	"connections silent both ways":       func(t *trial) { t.silence(true, true) },
-	"engines stop talking":               func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultSilence}) },
-	"streams break":                      func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultCut}) },
-	"transfer stalls once": func(t *trial) {
-		t.fault(stand.Fault{Kind: stand.FaultStall, N: 1})
-	},
-	"transfers stall until the cache is gone": func(t *trial) {
-		t.engines["p1"].Inject(stand.Fault{Kind: stand.FaultStall, N: 1000})
-	},
-	"tokens doubled and crossed": func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultCross, N: 7}) },
-	"cancels lost":               func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/cancel", N: 3}) },
-	"cancels unacknowledged":     func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/cancel", N: 3}) },
-	"reserve lost":               func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/reserve", N: 1}) },
-	"reserve answer lost":        func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/reserve", N: 1}) },
-	"reserve acts late":          func(t *trial) { t.late("/v1/reserve") },
-	"prefill answer lost":        func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/prefill", N: 1}) },
-	"prefill acts late":          func(t *trial) { t.late("/v1/prefill") },
-	"prefill fails": func(t *trial) {
-		t.engines["p1"].Inject(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/prefill", N: 1})
-	},
-	"import answer lost":    func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultAfter, Path: "/v1/import", N: 1}) },
-	"import fails":          func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/import", N: 1}) },
-	"stream refused once":   func(t *trial) { t.fault(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/stream", N: 1}) },
-	"decode engine drains":  func(t *trial) { t.engines["d1"].Inject(stand.Fault{Kind: stand.FaultDrain}) },
-	"prefill engine drains": func(t *trial) { t.engines["p1"].Inject(stand.Fault{Kind: stand.FaultDrain}) },
-	"router pauses": func(t *trial) {
-		_ = tick.Sleep(context.Background(), t.timer, testHold+100*time.Millisecond)
-	},
-}
-
 func (t *trial) fault(f stand.Fault) {
 	for _, e := range t.engines {
 		e.Inject(f)
@@ -167,90 +128,6 @@
 	}
 }
 
-// cell is a failure at a moment, and how requests end by it: one whose output
-// is repeatable, and one whose output is not.
-type cell struct {
-	failure string
-	at      moment
-	exact   ending
-	sampled ending
-}
-
-var cells = []cell{
-	{"decode engine dies", beforeReserve, whole, whole},
-	{"decode engine dies", afterReserve, whole, whole},
-	{"decode engine dies", duringPrefill, whole, whole},
-	{"decode engine dies", afterPrefill, whole, whole},
-	{"decode engine dies", duringImport, whole, whole},
-	{"decode engine dies", afterImport, whole, whole},
-	{"decode engine dies", midStream, whole, cut},
-	{"decode engine dies", lastToken, whole, onWay},
-	{"decode engine restarts", afterReserve, whole, whole},
-	{"decode engine restarts", afterPrefill, whole, whole},
-	{"decode engine restarts", afterImport, whole, whole},
-	{"decode engine restarts", midStream, whole, cut},
-	{"prefill engine dies", beforeReserve, whole, whole},
-	{"prefill engine dies", duringPrefill, whole, whole},
-	{"prefill engine dies", afterPrefill, whole, whole},
-	{"prefill engine dies", duringImport, whole, whole},
-	{"prefill engine dies", midStream, whole, whole},
-	{"prefill engine restarts", duringPrefill, whole, whole},
-	{"prefill engine restarts", afterPrefill, whole, whole},
-	{"both engines die", afterReserve, whole, whole},
-	{"both engines die", duringPrefill, whole, whole},
-	{"both engines die", afterPrefill, whole, whole},
-	{"both engines die", midStream, whole, cut},
-	{"all engines die", beforeReserve, refused, refused},
-	{"all engines die", afterPrefill, failed, failed},
-	{"all engines die", midStream, cut, cut},
-	{"caller cancels", beforeReserve, refused, refused},
-	{"caller cancels", afterReserve, refused, refused},
-	{"caller cancels", duringPrefill, failed, failed},
-	{"caller cancels", afterPrefill, failed, failed},
-	{"caller cancels", duringImport, failed, failed},
-	{"caller cancels", midStream, cut, cut},
-	{"key is withdrawn", duringPrefill, failed, failed},
-	{"key is withdrawn", midStream, cut, cut},
-	{"caller cancels and the cancels are lost", duringPrefill, failed, failed},
-	{"caller cancels and the cancels are lost", midStream, cut, cut},
-	{"connections silent to the engine", duringPrefill, whole, whole},
-	{"connections silent to the engine", duringImport, whole, whole},
-	{"connections silent to the engine", midStream, whole, whole},
-	{"connections silent from the engine", duringPrefill, whole, whole},
-	{"connections silent from the engine", duringImport, whole, whole},
-	{"connections silent from the engine", midStream, whole, whole},
-	{"connections silent from the engine", lastToken, whole, whole},
-	{"connections silent both ways", duringPrefill, whole, whole},
-	{"connections silent both ways", midStream, whole, whole},
-	{"engines stop talking", duringPrefill, whole, whole},
-	{"engines stop talking", duringImport, whole, whole},
-	{"engines stop talking", midStream, whole, whole},
-	{"streams break", midStream, whole, whole},
-	{"streams break", lastToken, whole, whole},
-	{"transfer stalls once", afterPrefill, whole, whole},
-	{"transfers stall until the cache is gone", afterPrefill, whole, whole},
-	{"tokens doubled and crossed", afterImport, whole, whole},
-	{"cancels lost", beforeReserve, whole, whole},
-	{"cancels unacknowledged", beforeReserve, whole, whole},
-	{"reserve lost", beforeReserve, whole, whole},
-	{"reserve answer lost", beforeReserve, whole, whole},
-	{"reserve acts late", beforeReserve, whole, whole},
-	{"prefill answer lost", afterReserve, whole, whole},
-	{"prefill acts late", afterReserve, whole, whole},
-	{"prefill fails", afterReserve, whole, whole},
-	{"import answer lost", afterPrefill, whole, whole},
-	{"import fails", afterPrefill, whole, whole},
-	{"stream refused once", afterImport, whole, whole},
-	{"decode engine drains", beforeReserve, whole, whole},
-	{"decode engine drains", afterReserve, whole, whole},
-	{"decode engine drains", midStream, whole, whole},
-	{"prefill engine drains", beforeReserve, whole, whole},
-	{"prefill engine drains", duringPrefill, whole, whole},
-	{"router pauses", afterReserve, whole, whole},
-	{"router pauses", afterPrefill, whole, whole},
-	{"router pauses", afterImport, whole, whole},
-}
-
 func TestFailures(t *testing.T) {
 	for _, c := range cells {
 		for _, exact := range []bool{true, false} {
@@ -269,19 +146,40 @@
 func runCell(t *testing.T, c cell, exact bool, want ending) {
 	is := is.New(t)
 	w := newWorld(t)
+	h, res, err := runHooked(t, w, exact, c)
+	t.Logf("result %+v, error %v", res, err)
+	is.True(h.do == nil) // the failure has happened
+	got := endingOf(res, err)
+	is.True(got == want || (want == onWay && (got == whole || got == cut)))
+	if c.failure == "tokens doubled and crossed" {
+		is.Equal(res.Dropped.Crossed, int64(7))
+		is.True(res.Dropped.Doubled >= 6)
+	}
+	if c.failure == "key is withdrawn" {
+		is.True(errors.Is(err, errWithdrawn))
+	}
+}
+
+// runHooked carries a request through failures and checks what holds for
+// every request.
+func runHooked(t *testing.T, w *world, exact bool, cs ...cell) (*hooks, flow.Result, error) {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	defer cancel(nil)
 	tr := &trial{world: w, cancel: cancel}
-	h := &hooks{
-		Engines: w.client,
-		timer:   w.timer,
-		at:      c.at,
-		do:      func() { failures[c.failure](tr) },
-		counter: w.engines["p1"].Counts,
-	}
+	var h *hooks
 	var holds flow.Holds = w.keeper
-	if c.failure == "router pauses" {
-		holds = pausable{w.keeper}
+	for _, c := range cs {
+		h = &hooks{
+			Engines: w.client,
+			timer:   w.timer,
+			at:      c.at,
+			do:      func() { failures[c.failure](tr) },
+			next:    h,
+			counter: w.engines["p1"].Counts,
+		}
+		if c.failure == "router pauses" {
+			holds = pausable{w.keeper}
+		}
 	}
 	r := w.newRunner(h, holds)
 
@@ -298,17 +196,33 @@
 		return nil
 	}}
 	res, err := r.Run(ctx, req, sink)
-	t.Logf("result %+v, error %v", res, err)
-	is.True(h.do == nil) // the failure has happened
-	got := endingOf(res, err)
-	is.True(got == want || (want == onWay && (got == whole || got == cut)))
 	checkEnd(t, w, req, sink, res, err)
-	if c.failure == "tokens doubled and crossed" {
-		is.Equal(res.Dropped.Crossed, int64(7))
-		is.True(res.Dropped.Doubled >= 6)
+	return h, res, err
+}
+
+// TestFailurePairs lets two failures meet, each at a moment of its own. No
+// ending is stated, but what holds for every request is checked.
+func TestFailurePairs(t *testing.T) {
+	const pairs = 100
+	var names []string
+	for name := range failures {
+		names = append(names, name)
 	}
-	if c.failure == "key is withdrawn" {
-		is.True(errors.Is(err, errWithdrawn))
+	slices.Sort(names)
+	moments := []moment{beforeReserve, afterReserve, duringPrefill, afterPrefill, duringImport, afterImport, midStream, lastToken}
+	rnd := rand.New(rand.NewPCG(1, 3))
+	for n := range pairs {
+		cs := []cell{
+			{failure: names[rnd.IntN(len(names))], at: moments[rnd.IntN(len(moments))]},
+			{failure: names[rnd.IntN(len(names))], at: moments[rnd.IntN(len(moments))]},
+		}
+		name := strings.Join([]string{cs[0].failure, string(cs[0].at), "and " + cs[1].failure, string(cs[1].at)}, "/")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t)
+			_, res, err := runHooked(t, w, n%2 == 0, cs...)
+			t.Logf("ended %s: %+v, error %v", endingOf(res, err), res, err)
+		})
 	}
 }
 
--- a/flow/walk_test.go
+++ b/flow/walk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -48,10 +47,12 @@
 	released map[ident.Attempt]bool
 	places   map[ident.Attempt]*walkPlace
 	caches   map[string]*walkCache
-	prefills int
+	asked    int      // prefills
+	prefills int      // prefills that ran
 	decodes  []string // whole outputs of the attempts that were streamed
 	strays   flow.Dropped
 	sent     []string
+	fresh    func() bool
 }
 
 type walkPlace struct {
@@ -138,6 +139,13 @@
 	w.kept[a] = s
 }
 
+// Streaming implements flow.Holds.
+func (w *walk) Streaming(s ident.Server, a ident.Attempt, _ bool) {
+	if w.kept[a] != s {
+		w.errorf("stream of %s at %s without a hold", a, s)
+	}
+}
+
 // Release implements flow.Holds.
 func (w *walk) Release(s ident.Server, a ident.Attempt) {
 	if w.kept[a] != s {
@@ -148,209 +156,6 @@
 	delete(w.places, a)
 }
 
-// arrive checks an attempt and draws what happens to the call: it may be
-// refused, lost on its way or have its answer lost.
-func (w *walk) arrive(ctx context.Context, step string, s ident.Server, a ident.Attempt) (act bool, err error) {
-	if w.kept[a] != s {
-		w.errorf("%s of %s at %s without a hold", step, a, s)
-	}
-	if p := w.purpose[a]; p != "" && p != string(s)+step {
-		w.errorf("attempt %s serves %s and %s", a, p, string(s)+step)
-	}
-	w.purpose[a] = string(s) + step
-	w.pass(ctx, time.Duration(w.rnd.IntN(30))*time.Millisecond)
-	if ctx.Err() != nil {
-		return false, fail.New(step, string(s), ident.NotRun, context.Cause(ctx))
-	}
-	if w.rnd.IntN(100) >= w.trouble {
-		return true, nil
-	}
-	switch w.rnd.IntN(8) {
-	case 0:
-		return false, fail.New(step, string(s), ident.NotRun, flow.ErrFull)
-	case 1:
-		return false, fail.New(step, string(s), ident.NotRun, errors.New("dial refused"))
-	case 2:
-		w.lose(s)
-		return false, fail.New(step, string(s), ident.Unknown, flow.ErrBroken)
-	case 3:
-		w.pass(ctx, 2*time.Second)
-		return false, fail.New(step, string(s), ident.Unknown, flow.ErrSilent)
-	case 4:
-		return true, fail.New(step, string(s), ident.Unknown, flow.ErrBroken)
-	case 5:
-		w.pass(ctx, 2*time.Second)
-		return true, fail.New(step, string(s), ident.Unknown, flow.ErrSilent)
-	case 6:
-		w.pass(ctx, walkHold+time.Second) // the process pauses
-		return true, nil
-	default:
-		w.cancel()
-		return w.rnd.IntN(2) == 0, fail.New(step, string(s), ident.Unknown, context.Canceled)
-	}
-}
-
-// lose lets an engine die and come back without its memory.
-func (w *walk) lose(s ident.Server) {
-	for a, p := range w.places {
-		if p.server == s {
-			delete(w.places, a)
-		}
-	}
-	for name, k := range w.caches {
-		if k.server == s {
-			delete(w.caches, name)
-		}
-	}
-}
-
-// Reserve implements flow.Engines.
-func (w *walk) Reserve(ctx context.Context, s ident.Server, r flow.Reservation) (flow.Seat, error) {
-	act, err := w.arrive(ctx, "decode", s, r.Attempt)
-	if act && w.places[r.Attempt] == nil {
-		w.places[r.Attempt] = &walkPlace{server: s}
-	}
-	return flow.Seat{Place: "place", Build: w.builds[s]}, err
-}
-
-// Prefill implements flow.Engines.
-func (w *walk) Prefill(ctx context.Context, s ident.Server, p flow.Prefill) (flow.KV, error) {
-	act, err := w.arrive(ctx, "prefill", s, p.Attempt)
-	name := p.Attempt.String()
-	if act && w.caches[name] == nil {
-		w.prefills++
-		w.caches[name] = &walkCache{server: s, until: w.clock.Now() + walkKVLife}
-	}
-	return flow.KV{Name: name, Tokens: 100, Life: walkKVLife}, err
-}
-
-// Import implements flow.Engines.
-func (w *walk) Import(ctx context.Context, s ident.Server, t flow.Transfer) error {
-	act, err := w.arrive(ctx, "decode", s, t.Attempt)
-	if !act {
-		return err
-	}
-	p, k := w.places[t.Attempt], w.caches[t.KV]
-	switch {
-	case p == nil:
-		return fail.New("import", string(s), ident.NotRun, flow.ErrNoAttempt)
-	case p.ready:
-		return err
-	case k == nil || w.clock.Now() >= k.until:
-		return fail.New("import", string(s), ident.NotRun, flow.ErrNoKV)
-	case k.server != t.Source:
-		w.errorf("import of %s from %s, exported by %s", t.KV, t.Source, k.server)
-	}
-	p.ready = true
-	p.output = w.output(s, t.Attempt)
-	return err
-}
-
-// output returns what an attempt generates. Only an exact request gives the
-// same at engines of one build, and one build in ten only claims so.
-func (w *walk) output(s ident.Server, a ident.Attempt) []string {
-	source := a.String()
-	if w.exact && w.builds[s] != "" && w.seed%10 != 0 {
-		source = w.builds[s]
-	}
-	out := make([]string, w.total)
-	for i := range out {
-		out[i] = fmt.Sprintf("%s/%d ", source, i)
-	}
-	return out
-}
-
-// Stream implements flow.Engines.
-func (w *walk) Stream(ctx context.Context, s ident.Server, a ident.Attempt, offset int64) (flow.Stream, error) {
-	act, err := w.arrive(ctx, "decode", s, a)
-	p := w.places[a]
-	if act && err == nil && (p == nil || !p.ready) {
-		err = fail.New("stream", string(s), ident.NotRun, flow.ErrNoAttempt)
-	}
-	if !act || err != nil {
-		return nil, err
-	}
-	w.decodes = append(w.decodes, strings.Join(p.output, ""))
-	return &walkStream{w: w, ctx: ctx, a: a, p: p, next: offset, have: offset}, nil
-}
-
-// walkStream sends the output of an attempt, with events that do not belong.
-type walkStream struct {
-	w    *walk
-	ctx  context.Context
-	a    ident.Attempt
-	p    *walkPlace
-	next int64 // offset that the engine sends next
-	have int64 // offset that the reader waits for
-}
-
-func (s *walkStream) Next() (flow.Event, error) {
-	s.w.pass(s.ctx, time.Duration(s.w.rnd.IntN(30))*time.Millisecond)
-	if s.ctx.Err() != nil {
-		return flow.Event{}, context.Cause(s.ctx)
-	}
-	if s.w.rnd.IntN(100) < s.w.trouble/2 {
-		return s.disturb()
-	}
-	return s.proper()
-}
-
-func (s *walkStream) proper() (flow.Event, error) {
-	if s.next >= s.w.total {
-		return flow.Event{Attempt: s.a, End: true, Total: s.w.total, Reason: "stop"}, nil
-	}
-	ev := flow.Event{Attempt: s.a, Offset: s.next, Text: s.p.output[s.next]}
-	if s.next == s.have {
-		s.have++
-	}
-	s.next++
-	return ev, nil
-}
-
-// disturb draws what goes wrong.
-func (s *walkStream) disturb() (flow.Event, error) {
-	w := s.w
-	switch w.rnd.IntN(9) {
-	case 0:
-		w.strays.Crossed++
-		return flow.Event{Attempt: ident.Attempt{Node: ident.Node{Instance: "other"}, Serial: 9}, Offset: s.have, Text: "crossed"}, nil
-	case 1:
-		w.strays.Crossed++
-		return flow.Event{Attempt: ident.Attempt{Serial: 1}, End: true, Total: s.have}, nil
-	case 2:
-		for a := range w.released {
-			w.strays.Late++
-			return flow.Event{Attempt: a, Offset: s.have, Text: "late"}, nil
-		}
-	case 3:
-		if s.have > 0 {
-			w.strays.Doubled++
-			return flow.Event{Attempt: s.a, Offset: w.rnd.Int64N(s.have), Text: "doubled"}, nil
-		}
-	case 4:
-		s.next = min(s.next+1, w.total) // one is lost
-	case 5:
-		return flow.Event{}, fail.New("stream", "d", ident.Unknown, flow.ErrBroken)
-	case 6:
-		w.pass(s.ctx, 2*time.Second)
-		return flow.Event{}, fail.New("stream", "d", ident.Unknown, flow.ErrSilent)
-	case 7:
-		w.lose(s.p.server)
-		return flow.Event{}, fail.New("stream", "d", ident.Unknown, flow.ErrBroken)
-	default:
-		if w.rnd.IntN(4) == 0 {
-			w.cancel()
-			return flow.Event{}, context.Canceled
-		}
-		if s.have > 0 {
-			return flow.Event{Attempt: s.a, End: true, Total: s.have / 2, Reason: "stop"}, nil // a lie
-		}
-	}
-	return s.proper()
-}
-
-func (s *walkStream) Close() {}
-
 // Token implements flow.Sink.
 func (w *walk) Token(offset int64, text string) error {
 	if offset != int64(len(w.sent)) {
@@ -375,7 +180,14 @@
 		Holds:   w,
 		Timer:   w.clock,
 	})
-	res, err := r.Run(ctx, flow.Request{ID: "r", PromptTokens: 100, MaxOutput: w.total, Exact: w.exact, Deadline: w.deadline}, w)
+	res, err := r.Run(ctx, flow.Request{
+		ID:           "r",
+		PromptTokens: 100,
+		MaxOutput:    w.total,
+		Exact:        w.exact,
+		Deadline:     w.deadline,
+		FreshCharge:  w.fresh,
+	}, w)
 	w.check(res, err)
 	return res, err
 }
@@ -400,6 +212,9 @@
 	if fail.Outcome(err) == ident.NotRun && w.prefills > 0 {
 		w.errorf("not run is false: %d prefills; error %v", w.prefills, err)
 	}
+	if res.Restarts > 0 && !w.exact {
+		w.errorf("%d restarts of an output that is not repeatable", res.Restarts)
+	}
 	if len(w.kept) > 0 {
 		w.errorf("holds are not released: %v", w.kept)
 	}
@@ -411,6 +226,37 @@
 	}
 }
 
+// TestNothingRunsAfterPause lets the process pause right before the prefill is
+// sent, until the deadline, or the charge, has run out.
+func TestNothingRunsAfterPause(t *testing.T) {
+	tests := []struct {
+		name  string
+		fresh bool
+		code  fail.Code
+	}{
+		{"deadline has passed", true, fail.CodeDeadline},
+		{"charge ran out", false, fail.CodeRate},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			w := newWalk(t, 0)
+			w.trouble = 0
+			w.deadline = time.Minute
+			w.fresh = func() bool {
+				w.clock.Advance(time.Hour)
+				return tt.fresh
+			}
+			_, err := w.run()
+			if code, _ := flow.Explain(err); code != tt.code {
+				t.Errorf("code %q, want %q; error %v", code, tt.code, err)
+			}
+			if w.asked != 0 || fail.Outcome(err) != ident.NotRun {
+				t.Errorf("%d prefills asked for, error %v", w.asked, err)
+			}
+		})
+	}
+}
+
 // TestWalk draws schedules of failures.
 func TestWalk(t *testing.T) {
 	const schedules = 5000
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -35,6 +35,8 @@
 	placer  *listPlacer
 	runner  *flow.Runner
 	stop    context.CancelFunc
+	// touchOnly tells that the engines do not count streams as contact.
+	touchOnly bool
 }
 
 // pausable holds renew nothing while the process is paused.
@@ -43,6 +45,12 @@
 func (p pausable) Keep(ident.Server, ident.Attempt) {}
 
 func newWorld(t *testing.T) *world {
+	t.Helper()
+	return newWorldOf(t, func(*stand.EngineConfig) {})
+}
+
+// newWorldOf returns a world whose engines are changed by a function.
+func newWorldOf(t *testing.T, change func(cfg *stand.EngineConfig)) *world {
 	t.Helper()
 	w := &world{
 		t:       t,
@@ -52,16 +60,23 @@
 		relays:  make(map[ident.Server]*relay),
 	}
 	for _, s := range []ident.Server{"p1", "p2"} {
-		w.addEngine(s, stand.RolePrefill)
+		w.addEngine(s, stand.RolePrefill, change)
 	}
 	for _, s := range []ident.Server{"d1", "d2"} {
-		w.addEngine(s, stand.RoleDecode)
+		w.addEngine(s, stand.RoleDecode, change)
 	}
 	w.client = engine.New(engine.Config{Timer: w.timer, Directory: w, Silence: 150 * time.Millisecond, Call: 500 * time.Millisecond})
 	w.placer = &listPlacer{prefill: []ident.Server{"p1", "p2"}, decode: []ident.Server{"d1", "d2"}}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	w.keeper = sweep.NewKeeper(sweep.KeeperConfig{Engines: w.client, Timer: w.timer, Life: testHold, Touch: testHold / 8, Retry: 5 * time.Millisecond})
+	w.keeper = sweep.NewKeeper(sweep.KeeperConfig{
+		Engines: w.client,
+		Timer:   w.timer,
+		Life:    testHold,
+		Touch:   testHold / 8,
+		Retry:   5 * time.Millisecond,
+		Streams: w.touchOnly,
+	})
 	w.keeper.Start(ctx)
 	w.runner = w.newRunner(w.client, w.keeper)
 	t.Cleanup(w.close)
@@ -80,8 +95,8 @@
 	})
 }
 
-func (w *world) addEngine(s ident.Server, role string) {
-	e := stand.NewEngine(stand.EngineConfig{
+func (w *world) addEngine(s ident.Server, role string, change func(cfg *stand.EngineConfig)) {
+	cfg := stand.EngineConfig{
 		Server:       s,
 		Role:         role,
 		Models:       []engine.Loaded{{Model: testModel}},
@@ -93,7 +108,10 @@
 		Link:         stand.NewLink(1 << 30),
 		HoldLife:     testHold,
 		Heartbeat:    20 * time.Millisecond,
-	})
+	}
+	change(&cfg)
+	w.touchOnly = cfg.TouchOnly
+	e := stand.NewEngine(cfg)
 	w.engines[s] = e
 	w.servers[s] = httptest.NewServer(e)
 	w.relays[s] = newRelay(w.t, w.servers[s].Listener.Addr().String())
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -26,7 +26,8 @@
 	Role   Kind = "role"
 )
 
-// Model is a model, or an adapter of one, in a version.
+// Model is a model, or an adapter of one, in a version. Where a table wants it,
+// an empty version stands for any.
 type Model struct {
 	Name    ident.Model
 	Adapter string
@@ -36,6 +37,19 @@
 // same reports whether two models answer the same requests.
 func (m Model) same(o Model) bool { return m.Name == o.Name && m.Adapter == o.Adapter }
 
+// meets reports whether a loaded model is what a table wants.
+func (m Model) meets(want Model) bool {
+	return m.same(want) && (want.Version == "" || m.Version == want.Version)
+}
+
+// wanted reports whether the table wants the server to have the model.
+func (w Want) wanted(m Model) bool { return slices.ContainsFunc(w.Models, m.meets) }
+
+// has reports whether one of the models is what a table wants.
+func has(models []Model, want Model) bool {
+	return slices.ContainsFunc(models, func(m Model) bool { return m.meets(want) })
+}
+
 func (m Model) compare(o Model) int {
 	return strings.Compare(string(m.Name)+"\x00"+m.Adapter+"\x00"+m.Version,
 		string(o.Name)+"\x00"+o.Adapter+"\x00"+o.Version)
@@ -155,7 +169,7 @@
 	models := slices.Clone(s.state.Models)
 	slices.SortFunc(models, Model.compare)
 	for _, m := range models {
-		if slices.Contains(s.want.Models, m) {
+		if s.want.wanted(m) {
 			continue
 		}
 		if p.isNamed(m) && !p.replaced(s, m) && !p.remainsInRoles(m, s) {
@@ -170,7 +184,7 @@
 // which it is to unload another version.
 func (p *plan) replaced(s server, m Model) bool {
 	for _, o := range s.state.Models {
-		if o != m && o.same(m) && slices.Contains(s.want.Models, o) {
+		if o != m && o.same(m) && s.want.wanted(o) {
 			return true
 		}
 	}
@@ -221,7 +235,7 @@
 // wants it to keep.
 func (s server) keeps(m Model) bool {
 	for _, o := range s.state.Models {
-		if o.same(m) && slices.Contains(s.want.Models, o) {
+		if o.same(m) && s.want.wanted(o) {
 			return true
 		}
 	}
@@ -242,60 +256,6 @@
 	}
 }
 
-// planLoads orders what is missing. At each store, the models with the fewest
-// replicas come first, then the servers by name.
-func (p *plan) planLoads() {
-	inFlight := make(map[string]int)
-	var missing []load
-	for _, s := range p.servers {
-		inFlight[s.want.Store] += len(s.state.Loading)
-		if s.state.Draining {
-			continue
-		}
-		for _, m := range s.want.Models {
-			if !slices.Contains(s.state.Models, m) && !slices.Contains(s.state.Loading, m) {
-				missing = append(missing, load{server: s.want.Server, store: s.want.Store, model: m, replicas: p.replicas(m)})
-			}
-		}
-	}
-	sort.Slice(missing, func(i, j int) bool { return missing[i].before(missing[j]) })
-	for _, l := range missing {
-		if inFlight[l.store] >= p.lim.Loads {
-			continue
-		}
-		inFlight[l.store]++
-		p.orders = append(p.orders, Order{Server: l.server, Kind: Load, Model: l.model, Fence: p.revision})
-	}
-}
-
-func (p *plan) replicas(m Model) int {
-	n := 0
-	for _, s := range p.servers {
-		if slices.ContainsFunc(s.state.Models, m.same) {
-			n++
-		}
-	}
-	return n
-}
-
-// load is a model that a server lacks.
-type load struct {
-	server   ident.Server
-	store    string
-	model    Model
-	replicas int
-}
-
-func (l load) before(o load) bool {
-	if l.replicas != o.replicas {
-		return l.replicas < o.replicas
-	}
-	if l.server != o.server {
-		return l.server < o.server
-	}
-	return l.model.compare(o.model) < 0
-}
-
 func plays(has, role string) bool { return has == role || has == RoleBoth }
 
 // lostRoles returns the roles that a server gives up.
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -21,6 +21,7 @@
 	sch    *pool.Scheduler
 	calls  map[pool.Ticket]chan pool.Decision
 	closed bool
+	buf    []pool.Decision
 }
 
 func (sh *shard) configure(p PoolSpec, gone map[ident.Server]bool) {
@@ -47,8 +48,12 @@
 	t := sh.sch.Submit(a, owner.Instance, now)
 	sh.calls[t] = c
 	out := sh.step(now)
+	waits := len(sh.calls) > 0
 	sh.mu.Unlock()
 	sh.deliver(out)
+	if waits {
+		sh.svc.wait()
+	}
 	select {
 	case d, ok := <-c:
 		if !ok {
@@ -113,12 +118,15 @@
 	sh.deliver(out)
 }
 
-func (sh *shard) tick() {
+// tick steps the scheduler and reports whether requests still wait.
+func (sh *shard) tick() bool {
 	now := sh.svc.cfg.Clock.Now()
 	sh.mu.Lock()
 	out := sh.step(now)
+	waits := len(sh.calls) > 0
 	sh.mu.Unlock()
 	sh.deliver(out)
+	return waits
 }
 
 func (sh *shard) expire() {
@@ -166,14 +174,14 @@
 
 // step runs the scheduler. The caller holds sh.mu.
 func (sh *shard) step(now tick.Instant) []decided {
-	set := sh.sch.Step(now, nil)
-	if len(set) == 0 {
+	sh.buf = sh.sch.Step(now, sh.buf[:0])
+	if len(sh.buf) == 0 {
 		return nil
 	}
-	out := make([]decided, 0, len(set))
-	for i := range set {
-		t := set[i].Ticket
-		out = append(out, decided{decision: set[i], call: sh.calls[t]})
+	out := make([]decided, 0, len(sh.buf))
+	for i := range sh.buf {
+		t := sh.buf[i].Ticket
+		out = append(out, decided{decision: sh.buf[i], call: sh.calls[t]})
 		delete(sh.calls, t)
 	}
 	return out
--- a/sweep/keeper.go
+++ b/sweep/keeper.go
@@ -19,6 +19,9 @@
 	Retry   time.Duration // pause after a call to an engine has failed
 	Workers int           // calls at a time
 	Queue   int           // releases that wait
+	// Streams renews holds with an open stream too, for engines that do not
+	// count the stream as contact.
+	Streams bool
 }
 
 const (
@@ -49,6 +52,7 @@
 	Live      int   // holds kept alive
 	Pending   int   // releases not yet acknowledged
 	Released  int64 // acknowledged
+	Touched   int64 // renewals of holds
 	Failed    int64 // calls that failed
 	Abandoned int64 // not acknowledged within the life of the hold
 	Overflow  int64 // not queued; the life of the hold ends them
@@ -56,13 +60,19 @@
 
 // account is what this process holds at one engine.
 type account struct {
-	live    map[ident.Attempt]bool
+	live    map[ident.Attempt]*live
 	pending []release
 	busy    bool // a worker is on it
 	touch   tick.Instant
 	retry   tick.Instant
 }
 
+// live is a hold of a request that goes on.
+type live struct {
+	contact   tick.Instant // last known
+	streaming bool         // an open stream renews the hold
+}
+
 type release struct {
 	attempt ident.Attempt
 	until   tick.Instant
@@ -121,7 +131,18 @@
 func (k *Keeper) Keep(s ident.Server, a ident.Attempt) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.account(s).live[a] = true
+	k.account(s).live[a] = &live{contact: k.cfg.Timer.Now()}
+}
+
+// Streaming tells that the engine s has a stream open for the attempt, or has
+// it no longer.
+func (k *Keeper) Streaming(s ident.Server, a ident.Attempt, open bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l := k.account(s).live[a]; l != nil {
+		l.contact = k.cfg.Timer.Now()
+		l.streaming = open
+	}
 }
 
 // Release lets the engine s drop what it holds for the attempt.
@@ -166,169 +187,8 @@
 func (k *Keeper) account(s ident.Server) *account {
 	ac := k.servers[s]
 	if ac == nil {
-		ac = &account{live: make(map[ident.Attempt]bool), touch: k.cfg.Timer.Now() + k.cfg.Touch}
+		ac = &account{live: make(map[ident.Attempt]*live), touch: k.cfg.Timer.Now() + k.cfg.Touch}
 		k.servers[s] = ac
 	}
 	return ac
 }
-
-// dispatch hands engines with something to do to the workers.
-func (k *Keeper) dispatch(ctx context.Context, sub tick.Timer) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-k.wake:
-		case <-sub.C():
-		}
-		for _, s := range k.due() {
-			select {
-			case k.work <- s:
-			case <-ctx.Done():
-				return
-			}
-		}
-	}
-}
-
-// due marks and returns the engines with something to do. An engine is given
-// to one worker at a time, so that one that hangs ties up no other.
-func (k *Keeper) due() []ident.Server {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	now := k.cfg.Timer.Now()
-	var out []ident.Server
-	for s, ac := range k.servers {
-		if ac.busy || now < ac.retry {
-			continue
-		}
-		switch {
-		case len(ac.pending) > 0 || (len(ac.live) > 0 && now >= ac.touch):
-			ac.busy = true
-			out = append(out, s)
-		case len(ac.live) == 0:
-			delete(k.servers, s)
-		}
-	}
-	return out
-}
-
-// serve is the loop of one worker.
-func (k *Keeper) serve(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-k.work:
-			err := k.renew(ctx, s)
-			if err == nil {
-				err = k.releaseAll(ctx, s)
-			}
-			k.finish(s, err)
-		}
-	}
-}
-
-// finish frees an engine for the next round.
-func (k *Keeper) finish(s ident.Server, err error) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ac := k.servers[s]
-	ac.busy = false
-	if err != nil {
-		k.counts.Failed++
-		ac.retry = k.cfg.Timer.Now() + k.cfg.Retry
-	}
-	notify(k.wake)
-}
-
-// renew touches the live holds at an engine if that is due.
-func (k *Keeper) renew(ctx context.Context, s ident.Server) error {
-	as := k.touchable(s)
-	for len(as) > 0 {
-		n := min(len(as), maxTouch)
-		if _, err := k.cfg.Engines.Touch(ctx, s, as[:n]); err != nil {
-			return err
-		}
-		as = as[n:]
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ac := k.servers[s]
-	if now := k.cfg.Timer.Now(); now >= ac.touch {
-		ac.touch = now + k.cfg.Touch
-	}
-	return nil
-}
-
-func (k *Keeper) touchable(s ident.Server) []ident.Attempt {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ac := k.servers[s]
-	if k.cfg.Timer.Now() < ac.touch {
-		return nil
-	}
-	as := make([]ident.Attempt, 0, len(ac.live))
-	for a := range ac.live {
-		as = append(as, a)
-	}
-	return as
-}
-
-// releaseAll cancels until nothing is pending at the engine or a call fails.
-func (k *Keeper) releaseAll(ctx context.Context, s ident.Server) error {
-	for {
-		r, ok := k.first(s)
-		if !ok {
-			return nil
-		}
-		if _, err := k.cfg.Engines.Cancel(ctx, s, r.attempt, 0); err != nil {
-			return err
-		}
-		k.settle(s, true)
-	}
-}
-
-// first returns the oldest pending release, without those whose hold has
-// ended by itself.
-func (k *Keeper) first(s ident.Server) (release, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	ac := k.servers[s]
-	for len(ac.pending) > 0 {
-		if r := ac.pending[0]; k.cfg.Timer.Now() < r.until {
-			return r, true
-		}
-		k.pop(ac, false)
-	}
-	return release{}, false
-}
-
-func (k *Keeper) settle(s ident.Server, acknowledged bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.pop(k.servers[s], acknowledged)
-}
-
-// pop takes the oldest pending release off. Only the worker that has the
-// engine does so.
-func (k *Keeper) pop(ac *account, acknowledged bool) {
-	ac.pending = ac.pending[1:]
-	k.counts.Pending--
-	if acknowledged {
-		k.counts.Released++
-	} else {
-		k.counts.Abandoned++
-	}
-	if k.counts.Pending == 0 {
-		notify(k.drained)
-	}
-}
-
-// notify wakes the reader of c, which holds at most one signal.
-func notify(c chan struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
