--- a/roster/hear.go
+++ b/roster/hear.go
@@ -28,6 +28,7 @@
 		return nil
 	}
 	s.failures = 0
+	s.doubted = false
 	if s.entry.State != e.State || s.entry.Address != e.Address {
 		r.announce(s)
 	}
@@ -49,6 +50,7 @@
 	s.heard = heard
 	s.first = now
 	s.failures = 0
+	s.doubted = false
 	r.announce(s)
 }
 
@@ -140,9 +142,11 @@
 	}
 	r.announce(s)
 	if heard+ageSlack < s.heard {
-		return // heard later than the sender: pass that on instead
+		s.doubted = true
+		return // heard later than the sender: pass that on and ask the node
 	}
 	s.entry.State = Lost
+	r.alarm = true
 }
 
 // cleared forgets failures that a later sign of life outdates. A node that
@@ -176,5 +180,6 @@
 		return
 	}
 	s.entry.State = Lost
+	r.alarm = true
 	r.announce(s)
 }
--- a/roster/list.go
+++ b/roster/list.go
@@ -122,7 +122,7 @@
 )
 
 // Next returns the instances to talk to in this round: one of the own data
-// centre, each in turn, one that failed to answer once, and now and then one
+// centre, each in turn, one that seems to be lost, and now and then one
 // that has not been heard yet, one of another data centre or a lost one.
 func (r *Roster) Next() []ident.Instance {
 	r.mu.Lock()
@@ -132,7 +132,7 @@
 	if name, ok := r.turn(); ok {
 		targets = append(targets, name)
 	}
-	targets = append(targets, r.pick(1, func(s *seat) bool { return s.failures > 0 && !s.lost() })...)
+	targets = append(targets, r.pick(1, func(s *seat) bool { return (s.doubted || s.failures > 0) && !s.lost() })...)
 	targets = append(targets, r.pick(r.newcomers(), func(s *seat) bool { return !s.met && !s.lost() })...)
 	if r.rounds%outsidePeriod == 0 || len(targets) == 0 {
 		targets = append(targets, r.pick(1, func(s *seat) bool { return s.entry.Centre != r.cfg.Centre && !s.lost() })...)
@@ -225,54 +225,3 @@
 	r.cfg.Random.Shuffle(len(seats), func(i, j int) { seats[i], seats[j] = seats[j], seats[i] })
 	return seats
 }
-
-const (
-	// newsEntries bounds the changes in one message.
-	newsEntries = 4
-	// randomEntries is the number of random nodes in one message.
-	randomEntries = 1
-	// joinEntries bounds the nodes in an answer to a starting node.
-	joinEntries = 64
-)
-
-// News returns what to tell a node of the given data centre: changes that were
-// passed on least often, those of its own data centre first, and a random
-// node. A starting node is told more, also addresses of instances that nobody
-// has heard, since it may have no list.
-func (r *Roster) News(c ident.Centre, starting bool, now tick.Instant) []Entry {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	changes, others := newsEntries, randomEntries
-	if starting {
-		others = joinEntries
-	}
-	seats := r.shuffled(func(s *seat) bool { return s.met || starting })
-	sort.SliceStable(seats, func(i, j int) bool { return seats[i].urgency(c) > seats[j].urgency(c) })
-	var out []Entry
-	for _, s := range seats {
-		switch {
-		case s.told > 0 && changes > 0:
-			changes--
-			s.told--
-		case others > 0 && (s.told == 0 || starting):
-			others--
-		default:
-			continue
-		}
-		out = append(out, s.report(now))
-	}
-	return out
-}
-
-// nearUrgency puts changes of the receiver's data centre before all others.
-const nearUrgency = 1000
-
-func (s *seat) urgency(c ident.Centre) int {
-	switch {
-	case !s.met:
-		return -1
-	case s.told > 0 && s.entry.Centre == c:
-		return s.told + nearUrgency
-	}
-	return s.told
-}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -73,7 +73,8 @@
 	ring     []ident.Instance // instances of the own centre still to be asked in this turn
 	rounds   int
 	servers  departures
-	hasList  bool // the platform's list has been taken
+	hasList  bool // the list of the platform has been taken
+	alarm    bool // a node has been lost since the last call of Alarmed
 }
 
 // seat is what is known of a seat and of the process in it.
@@ -85,6 +86,7 @@
 	old    []uint64 // superseded incarnations, oldest first
 	listed bool     // the platform lists the instance
 
+	doubted  bool // others call it lost, but it was heard later than by them
 	failures int
 	failed   tick.Instant
 	told     int // times left to pass on the last change
@@ -227,9 +229,19 @@
 	return s
 }
 
+// Alarmed reports whether a node has been lost since the last call, so that
+// others can be told at once.
+func (r *Roster) Alarmed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	alarmed := r.alarm
+	r.alarm = false
+	return alarmed
+}
+
 // announceTimes is the number of messages in which one instance passes on a
 // change.
-const announceTimes = 4
+const announceTimes = 6
 
 // announce has the last change of a seat passed on.
 func (r *Roster) announce(s *seat) { s.told = announceTimes }
--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -18,6 +18,7 @@
 	roundPeriod     = time.Second
 	exchangeTimeout = time.Second
 	maxExchanges    = 8
+	alarmGap        = time.Second
 	// pushNear and pushFar are the instances told at once of a new table.
 	pushNear = 3
 	pushFar  = 1
@@ -100,6 +101,7 @@
 	default:
 		f.stats.failed()
 		f.cfg.Roster.Failed(name, f.cfg.Timer.Now())
+		f.passAlarm()
 		f.cfg.Log.Debug().Err(err).Msg("spread: exchange failed")
 	}
 	f.asked(err == nil)
@@ -168,6 +170,7 @@
 func (f *Fleet) merge(from ident.Instance, n news, at tick.Instant) {
 	f.cfg.Roster.Merge(entriesFromWire(n.GetNodes()), at)
 	f.cfg.Roster.MergeServers(goneFromWire(n.GetGone()), at)
+	f.passAlarm()
 	if ms := n.GetPlatformAgeMs(); ms >= 0 {
 		f.heardPlatform(time.Duration(ms)*time.Millisecond + f.cfg.Timer.Now() - at)
 	}
@@ -176,6 +179,21 @@
 	}
 }
 
+// passAlarm has the loss of a node told at once, but not many times a second.
+func (f *Fleet) passAlarm() {
+	if !f.cfg.Roster.Alarmed() {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.cfg.Timer.Now()
+	if now-f.alarmed < alarmGap {
+		return
+	}
+	f.alarmed = now
+	notify(f.pushes)
+}
+
 // platformAge returns the age for the wire: -1 if the platform was never read.
 func (f *Fleet) platformAge() int64 {
 	age, ok := f.PlatformAge()
--- a/spread/fleet.go
+++ b/spread/fleet.go
@@ -62,6 +62,7 @@
 	wanted     chan struct{} // a newer version waits to be pulled
 
 	mu       sync.Mutex
+	alarmed  tick.Instant // last time that the loss of a node was told at once
 	pending  offer
 	retry    retry
 	seen     tick.Instant // last time that anyone known read the head
--- a/spread/member_test.go
+++ b/spread/member_test.go
@@ -20,7 +20,7 @@
 		limit         time.Duration // for a crash, a pause, a drain and a restart
 	}{
 		{9, 3, 6 * time.Second},
-		{90, 6, 12 * time.Second},
+		{90, 6, 9 * time.Second},
 	}
 	for _, tt := range tests {
 		t.Run(fmt.Sprint(tt.size), func(t *testing.T) {
