wasabid: repeat confirmations at every daemon while one is killed

Cause: at most once had been shown by parts only. Change: 120 keyed calls, each sent twice to each of three daemons at the same time, one of which is killed and replaced.

--- a/wasabid/fault_test.go
+++ b/wasabid/fault_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +35,7 @@
 		{"engine dies in the middle of a stream", engineDies},
 		{"caller goes away", callerLeaves},
 		{"queue is longer than a grant lives", queueOutlivesGrant},
+		{"confirmations are repeated while a process dies", confirmsWhileDying},
 		{"entry instance dies", entryDies},
 		{"process starts while the platform is down", startsWithoutPlatform},
 		{"older revision is published", olderRevision},
@@ -117,6 +121,67 @@
 	t.Logf("%d of %d answers whole", whole, requests)
 }
 
+// confirmsWhileDying sends each confirmation to all daemons at once and again,
+// while one of them is killed and replaced. None may run twice, and a whole
+// answer means that it ran.
+func confirmsWhileDying(t *testing.T, f *fleet) {
+	is := is.New(t)
+	const calls = 120
+	for i := range 8 { // each home has come to know its journal
+		key := "first-" + strconv.Itoa(i)
+		f.await("confirmation", func() bool {
+			s, _, err := post(t.Context(), f.procs["east-1"].callers+"/confirm", "calm", key, key)
+			return err == nil && s == http.StatusOK
+		})
+	}
+	var done, unknown, notRun atomic.Int64
+	var wg sync.WaitGroup
+	answered := make([]atomic.Bool, calls)
+	for i := range calls {
+		if i == calls/3 {
+			f.procs["east-2"].kill()
+		}
+		if i == 2*calls/3 {
+			f.start("east-2")
+			f.list()
+		}
+		key := "pupil-" + strconv.Itoa(i)
+		for _, name := range f.names() {
+			url := f.procs[name].callers + "/confirm"
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for range 2 {
+					s, body, err := post(t.Context(), url, "calm", key, key)
+					switch {
+					case err == nil && s == http.StatusOK:
+						done.Add(1)
+						answered[i].Store(true)
+					case strings.Contains(body, `"outcome":"not run"`):
+						notRun.Add(1)
+					default:
+						unknown.Add(1)
+					}
+				}
+			}()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	wg.Wait()
+	t.Logf("%d answers done, %d not run, %d unknown or no answer", done.Load(), notRun.Load(), unknown.Load())
+	is.Equal(f.plain.Counts().Doubled, 0)
+	ran := 0
+	for i := range answered {
+		runs := f.plain.Runs("pupil-" + strconv.Itoa(i))
+		ran += runs
+		if answered[i].Load() && runs != 1 {
+			t.Errorf("pupil-%d: answered and run %d times", i, runs)
+		}
+	}
+	is.True(ran > 0)
+	f.await("east-2 ready", f.procs["east-2"].ready)
+}
+
 func entryDies(t *testing.T, f *fleet) {
 	is := is.New(t)
 	before := f.streams()
