replay: let refused callers come back when they were told to

Cause: whether the time in a refusal is of use was not measured. Change: the option Return; returned callers are counted apart.

--- a/replay/call.go
+++ b/replay/call.go
@@ -43,6 +43,7 @@
 	pieces  []uint64
 	arrived tick.Instant
 	entry   int
+	back    bool // its caller comes back after a refusal
 	inRate  bool // within its customer's limit when it arrived
 	ticket  pool.Ticket
 
@@ -133,6 +134,7 @@
 		c.code = v.refusal.Code()
 		c.lose()
 		c.end(refused)
+		c.comeBack(v.refusal.Retry())
 		return
 	}
 	c.epoch++
--- a/replay/ending.go
+++ b/replay/ending.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"time"
+
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/place"
 	"wasabidock.dev/dock/pool"
@@ -109,3 +111,17 @@
 		c.w.asked = true
 	})
 }
+
+// comeBack lets the caller of a refused request ask once more after the time
+// that it was told.
+func (c *call) comeBack(retry time.Duration) {
+	if !c.w.opt.Return || c.back || retry < 0 {
+		return
+	}
+	d := &call{w: c.w, req: c.req, class: c.class, pieces: c.pieces, entry: c.entry, back: true}
+	c.w.calls = append(c.w.calls, d)
+	c.w.after(retry, func() {
+		d.arrived = c.w.now
+		d.arrive()
+	})
+}
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -41,8 +41,12 @@
 	Waste float64 `json:"waste"`
 	// Worst is the least part of its weighted max-min share that a customer
 	// got of the cost served.
-	Worst    float64 `json:"worst"`
-	FirstP95 float64 `json:"first_p95_ms"` // interactive
+	Worst float64 `json:"worst"`
+	// Returned counts the callers that came back after a refusal, and
+	// ReturnedTaken those that were not refused again.
+	Returned      int     `json:"returned,omitempty"`
+	ReturnedTaken int     `json:"returned_taken,omitempty"`
+	FirstP95      float64 `json:"first_p95_ms"` // interactive
 	// RefusedP50 and RefusedP95 are the times after which refused requests
 	// were told.
 	RefusedP50 float64          `json:"refused_p50_ms"`
@@ -78,6 +82,13 @@
 	span := (w.trace.Length - warmTime).Seconds()
 	var firsts, refusals []time.Duration
 	for _, c := range w.calls {
+		if c.back {
+			r.Returned++
+			if c.outcome != refused {
+				r.ReturnedTaken++
+			}
+			continue
+		}
 		k := &r.Customers[index[c.req.Customer]]
 		r.Requests++
 		k.Requests++
@@ -179,6 +190,9 @@
 		set[i].level = c.Burst
 	}
 	for _, c := range w.calls {
+		if c.back {
+			continue
+		}
 		i := index[c.req.Customer]
 		b, k := &set[i], &w.trace.Customers[i]
 		b.level = min(k.Burst, b.level+k.Rate*(c.arrived-b.at).Seconds())
--- a/replay/world.go
+++ b/replay/world.go
@@ -37,6 +37,7 @@
 	ReportEvery time.Duration // 250 ms by default
 	NoCancels   bool          // callers never cancel
 	NoEvents    bool          // nothing fails
+	Return      bool          // refused callers come back once when they were told to
 	Pool        pool.Config   // parameters of the decisions
 }
 
