fair: tell refused callers to come back in turn

Cause: all refused callers were told when the next place in the queue comes free, and came back together. Change: each refusal promises its cost after those before it, at the measured service of the customer, at most 30 s; a prompt that cannot meet its target in an idle pool is told never to come back.

--- a/fair/customer.go
+++ b/fair/customer.go
@@ -10,6 +10,8 @@
 	lists   [ranks]list
 	pos     [ranks]int // index in the heap of the rank, -1 if absent
 	backlog int64
+	flow    meter // of all that is served
+	told    promise
 	meter   meter // of the waiting class
 	run     int64 // interactive cost served since the last waiting item
 }
--- a/fair/predict.go
+++ b/fair/predict.go
@@ -140,7 +140,7 @@
 		late := now + max(q.span(ahead), f[i].least) - f[i].item.StartBy
 		if late > 0 {
 			q.Remove(f[i].item.ID)
-			out = append(out, Refused{Item: f[i].item, Retry: max(late, minRetry)})
+			out = append(out, Refused{Item: f[i].item, Retry: q.Turn(f[i].item.Customer, f[i].item.Cost, late, now)})
 			continue
 		}
 		ahead += float64(f[i].item.Cost)
--- a/fair/queue.go
+++ b/fair/queue.go
@@ -28,8 +28,6 @@
 	// waitingPart is the number of parts of interactive cost of one customer
 	// after which one part of its waiting cost is due.
 	waitingPart = 3
-	// minRetry is the shortest time that a refused caller is told to stay away.
-	minRetry = 50 * time.Millisecond
 )
 
 // Config holds the parameters of a Queue. Zero fields take their defaults.
@@ -137,12 +135,13 @@
 // if the item cannot start in time or the customer has too many items.
 func (q *Queue) Push(it Item, now tick.Instant) (time.Duration, bool) {
 	c := q.customer(it.Customer)
+	q.beginFlow(c, now)
 	wait := q.wait(c, it.Rank)
 	if late := now + wait - it.StartBy; late > 0 {
-		return max(late, minRetry), false
+		return q.Turn(it.Customer, it.Cost, late, now), false
 	}
 	if c.lists[Interactive].n+c.lists[Waiting].n >= q.cfg.MaxItems {
-		return max(wait, minRetry), false
+		return q.Turn(it.Customer, it.Cost, wait, now), false
 	}
 	if q.Len() == 0 {
 		q.meter.begin(now)
@@ -203,6 +202,7 @@
 		c.run += it.Cost
 	}
 	q.meter.served(it.Cost, now)
+	c.flow.served(it.Cost, now)
 	q.drop(c, e)
 	q.fix(c)
 	q.advance(start)
--- a/fair/queue_test.go
+++ b/fair/queue_test.go
@@ -293,3 +293,27 @@
 	is.Equal(left, 51)
 	is.True(fill(now) <= 10) // about half as many may wait now
 }
+
+// TestCallersComeBackInTurn refuses several items of one customer and checks
+// that their callers are told to come back one after the other.
+func TestCallersComeBackInTurn(t *testing.T) {
+	is := is.New(t)
+	q := fair.New(fair.Config{Rate: 1000})
+	refuse := func(id uint64, now tick.Instant) time.Duration {
+		retry, ok := q.Push(fair.Item{ID: id, Customer: "a", Cost: 500, StartBy: now + time.Second}, now)
+		is.True(!ok)
+		return retry
+	}
+	for i := range 3 {
+		_, ok := q.Push(fair.Item{ID: uint64(i + 1), Customer: "a", Cost: 500, StartBy: time.Second}, 0)
+		is.True(ok)
+	}
+	is.Equal(refuse(10, 0), 500*time.Millisecond)
+	is.Equal(refuse(11, 0), time.Second)
+	is.Equal(refuse(12, 0), 1500*time.Millisecond)
+	// A second later the customer has been served what two were promised.
+	is.Equal(refuse(13, time.Second), time.Second)
+	for i := range 1000 {
+		is.True(refuse(uint64(100+i), time.Second) <= 30*time.Second)
+	}
+}
--- a/pool/decide.go
+++ b/pool/decide.go
@@ -32,6 +32,7 @@
 const (
 	ReasonNone    Reason = iota
 	ReasonTarget         // the first token would come after its target
+	ReasonLength         // the prompt is too long for the first-token target
 	ReasonQueue          // the customer's queue is too long for the target
 	ReasonServer         // no server may be used
 	ReasonRetries        // too many requests are being placed again
@@ -42,6 +43,8 @@
 	switch r {
 	case ReasonTarget:
 		return "the first token would come after its target"
+	case ReasonLength:
+		return "the prompt is too long for the first-token target of its class"
 	case ReasonQueue:
 		return "the queue is too long to meet the first-token target"
 	case ReasonRetries:
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -160,11 +160,12 @@
 }
 
 func (s *Scheduler) enqueue(w *waiter, now tick.Instant) {
+	least := s.pool.Least(&w.query)
 	w.item = fair.Item{
 		ID:       uint64(w.ticket),
 		Customer: w.ask.Customer,
 		Cost:     s.queue.Cost(w.ask.Prompt, w.output),
-		StartBy:  w.query.FirstBy - s.pool.Least(&w.query),
+		StartBy:  w.query.FirstBy - least,
 	}
 	if w.class.Patient {
 		w.item.Rank = fair.Waiting
@@ -172,8 +173,12 @@
 	if s.cfg.FIFO {
 		w.item.Customer, w.item.Rank = "", fair.Interactive
 	}
-	if w.item.StartBy < now {
-		s.refuse(w, fail.CodeDeadline, s.queueTime(), ReasonTarget, now)
+	switch {
+	case least > w.class.First:
+		s.refuse(w, fail.CodeDeadline, fail.Never, ReasonLength, now)
+		return
+	case w.item.StartBy < now:
+		s.refuse(w, fail.CodeDeadline, s.turn(w, now), ReasonTarget, now)
 		return
 	}
 	if s.cfg.FIFO {
@@ -216,6 +221,11 @@
 	s.recycle(w)
 }
 
+// turn returns the time after which the request may come back.
+func (s *Scheduler) turn(w *waiter, now tick.Instant) time.Duration {
+	return s.queue.Turn(w.item.Customer, w.item.Cost, 0, now)
+}
+
 // queueTime returns the time in which the pool serves its queue.
 func (s *Scheduler) queueTime() time.Duration {
 	if s.queue.Rate() <= 0 {
--- a/pool/step.go
+++ b/pool/step.go
@@ -62,7 +62,7 @@
 			s.place(w, &c, now)
 		case place.Late:
 			s.queue.Remove(it.ID)
-			s.refuse(w, fail.CodeDeadline, s.queueTime(), ReasonTarget, now)
+			s.refuse(w, fail.CodeDeadline, s.turn(w, now), ReasonTarget, now)
 		case place.NoServer:
 			s.queue.Remove(it.ID)
 			s.refuse(w, fail.CodeNoServer, noServerRetry, ReasonServer, now)
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -42,7 +42,8 @@
 	// Worst is the least part of its weighted max-min share that a customer
 	// got of the cost served.
 	Worst float64 `json:"worst"`
-	// Returned counts the callers that came back after a refusal, and
+	// Returned counts the callers that came back after a refusal before the
+	// end of the trace, and
 	// ReturnedTaken those that were not refused again.
 	Returned      int     `json:"returned,omitempty"`
 	ReturnedTaken int     `json:"returned_taken,omitempty"`
@@ -83,10 +84,7 @@
 	var firsts, refusals []time.Duration
 	for _, c := range w.calls {
 		if c.back {
-			r.Returned++
-			if c.outcome != refused {
-				r.ReturnedTaken++
-			}
+			r.countReturn(c, w.trace.Length)
 			continue
 		}
 		k := &r.Customers[index[c.req.Customer]]
@@ -145,6 +143,16 @@
 	return max(0, in.Seconds()) / (to - from).Seconds()
 }
 
+func (r *Result) countReturn(c *call, end tick.Instant) {
+	if c.arrived == 0 || c.arrived >= end {
+		return
+	}
+	r.Returned++
+	if c.outcome != refused {
+		r.ReturnedTaken++
+	}
+}
+
 func (w *world) count(c *call, r *Result, k *CustomerResult) {
 	switch {
 	case c.outcome == cancelled:
