--- a/replay/measure.go
+++ b/replay/measure.go
@@ -41,8 +41,13 @@
 	Waste float64 `json:"waste"`
 	// Worst is the least part of its weighted max-min share that a customer
 	// got of the cost served.
-	Worst    float64 `json:"worst"`
-	FirstP95 float64 `json:"first_p95_ms"` // interactive
+	Worst float64 `json:"worst"`
+	// Returned counts the callers that came back after a refusal before the
+	// end of the trace, and
+	// ReturnedTaken those that were not refused again.
+	Returned      int     `json:"returned,omitempty"`
+	ReturnedTaken int     `json:"returned_taken,omitempty"`
+	FirstP95      float64 `json:"first_p95_ms"` // interactive
 	// RefusedP50 and RefusedP95 are the times after which refused requests
 	// were told.
 	RefusedP50 float64          `json:"refused_p50_ms"`
@@ -78,6 +83,10 @@
 	span := (w.trace.Length - warmTime).Seconds()
 	var firsts, refusals []time.Duration
 	for _, c := range w.calls {
+		if c.back {
+			r.countReturn(c, w.trace.Length)
+			continue
+		}
 		k := &r.Customers[index[c.req.Customer]]
 		r.Requests++
 		k.Requests++
@@ -134,6 +143,16 @@
 	return max(0, in.Seconds()) / (to - from).Seconds()
 }
 
+func (r *Result) countReturn(c *call, end tick.Instant) {
+	if c.arrived == 0 || c.arrived >= end {
+		return
+	}
+	r.Returned++
+	if c.outcome != refused {
+		r.ReturnedTaken++
+	}
+}
+
 func (w *world) count(c *call, r *Result, k *CustomerResult) {
 	switch {
 	case c.outcome == cancelled:
@@ -179,6 +198,9 @@
 		set[i].level = c.Burst
 	}
 	for _, c := range w.calls {
+		if c.back {
+			continue
+		}
 		i := index[c.req.Customer]
 		b, k := &set[i], &w.trace.Customers[i]
 		b.level = min(k.Burst, b.level+k.Rate*(c.arrived-b.at).Seconds())
