--- a/once/world_test.go
+++ b/once/world_test.go
@@ -235,7 +235,7 @@
 
 // inTurn makes the copy to the second buddy wait for the one to the first, so
 // that faults at copies strike in a fixed order.
-func (l *link) inTurn(req *peerpb.CopyRequest) (end func()) {
+func (l *link) inTurn(ctx context.Context, req *peerpb.CopyRequest) (end func()) {
 	if len(req.GetEntries()) != 1 || req.GetWhole() {
 		return func() {}
 	}
@@ -263,13 +263,16 @@
 		}
 	}
 	if _, err := l.w.dial(l.from, buddies[0]); err == nil {
-		<-c
+		select {
+		case <-c:
+		case <-ctx.Done(): // the first copy was never sent
+		}
 	}
 	return func() {}
 }
 
 func (l *link) Copy(ctx context.Context, req *peerpb.CopyRequest) (*peerpb.CopyResponse, error) {
-	defer l.inTurn(req)()
+	defer l.inTurn(ctx, req)()
 	intent := len(req.GetEntries()) == 1 && !req.GetWhole()
 	answer := intent && (req.GetEntries()[0].GetAnswer() != nil || req.GetEntries()[0].GetDropped())
 	switch {
