--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,8 +17,42 @@
 	"wasabidock.dev/dock/tick"
 )
 
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countingConn{c, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// benchClient returns a client of a server, and reports the bytes of each
+// operation on its connections, without those of TCP and IP.
 func benchClient(b *testing.B, h http.HandlerFunc) *engine.Client {
-	srv := httptest.NewServer(h)
+	var bytes atomic.Int64
+	srv := httptest.NewUnstartedServer(h)
+	srv.Listener = countingListener{srv.Listener, &bytes}
+	srv.Start()
+	b.Cleanup(func() { b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op") })
 	c := engine.New(engine.Config{Timer: tick.NewReal(), Directory: fixed(srv.Listener.Addr().String()), Silence: time.Minute, Call: time.Minute})
 	b.Cleanup(func() {
 		c.Close()
@@ -46,6 +82,26 @@
 	}
 }
 
+// BenchmarkSweepCall asks for idle holds when there are none.
+func BenchmarkSweepCall(b *testing.B) {
+	c := benchClient(b, status(http.StatusOK, `[]`))
+	for b.Loop() {
+		if _, err := c.Holds(context.Background(), "d1", 10*time.Second); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkCancelCall releases an attempt.
+func BenchmarkCancelCall(b *testing.B) {
+	c := benchClient(b, status(http.StatusOK, `{"released":1}`))
+	for b.Loop() {
+		if _, err := c.Cancel(context.Background(), "d1", attempt, 0); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkStreamToken reads tokens as fast as they come.
 func BenchmarkStreamToken(b *testing.B) {
 	c := benchClient(b, func(w http.ResponseWriter, r *http.Request) {
