front: refuse what is more than the bound on requests in progress

Cause: -max-active had no effect. Change: a request beyond the bound gets overloaded, not run, and the time to come back; those in progress go on. No measurement was made.

--- a/front/config.go
+++ b/front/config.go
@@ -171,6 +171,8 @@
 	Body time.Duration
 	// Stall is how long a caller may take nothing of what was written.
 	Stall time.Duration
+	// MaxActive bounds the requests on their way; zero means no bound.
+	MaxActive int64
 	// Settle is how long Drain keeps accepting before it waits for the end.
 	Settle time.Duration
 }
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -93,8 +93,16 @@
 	x.s.leave()
 }
 
-// table takes the revision in force for the whole exchange.
+// retryActive is when a caller may come back to an instance that is full.
+const retryActive = time.Second
+
+// table takes the revision in force for the whole exchange, unless the instance
+// is full.
 func (x *exchange) table() bool {
+	if most := x.s.cfg.MaxActive; most > 0 && x.s.active.count.Load() > most {
+		x.refuse(fault{code: fail.CodeOverload, message: "the instance has too many requests in progress", outcome: ident.NotRun, retry: retryActive})
+		return false
+	}
 	v, ok := x.s.cfg.Table.View()
 	if !ok {
 		x.refuse(refused(fail.CodeNoTable, "no table is in force yet"))
--- a/front/live_test.go
+++ b/front/live_test.go
@@ -125,6 +125,30 @@
 	is.True(strings.Contains(w.log.String(), `"outcome":"unknown"`))
 }
 
+func TestFullInstanceRefuses(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	h := newHold(w)
+	h.started = make(chan struct{}, maxActive)
+	open := make([]io.Reader, maxActive)
+	for i := range open {
+		open[i], _ = w.send(chat(`,"stream":true`, auth))
+	}
+	for range open {
+		<-h.started
+	}
+	got := w.exchange(request("GET", "/open", ""))
+	is.True(strings.HasPrefix(got, "HTTP/1.1 503"))
+	is.True(strings.Contains(got, `"overloaded"`))
+	is.True(strings.Contains(got, `"not run"`))
+	is.True(strings.Contains(got, "Retry-After: 1"))
+	close(h.release)
+	for _, r := range open {
+		is.True(strings.Contains(readAll(t, r), "data: [DONE]")) // none of those in progress was cut
+	}
+	is.True(strings.HasPrefix(w.exchange(request("GET", "/open", "")), "HTTP/1.1 200"))
+}
+
 func TestDrainCutsNothing(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t)
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -25,6 +25,9 @@
 	"wasabidock.dev/dock/tick"
 )
 
+// maxActive is the bound on requests in progress of a world's server.
+const maxActive = 64
+
 const secret = "sk-0123456789abcdefghijklmnop"
 
 // world is a server with fakes behind it.
@@ -176,7 +179,7 @@
 		Meter: measures{w.meter}, Clock: w.clock, Log: zerolog.New(w.log), NewID: w.newID,
 		Wall:    func() time.Time { return time.Unix(1_700_000_000, 0) },
 		Explain: explain, Stall: 200 * time.Millisecond, Settle: time.Second,
-		Header: 200 * time.Millisecond, Body: 200 * time.Millisecond,
+		Header: 200 * time.Millisecond, Body: 200 * time.Millisecond, MaxActive: maxActive,
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -238,6 +238,7 @@
 		NewID:     func() ident.Request { return ident.Request(rand.Text()) },
 		TLS:       s.callerServer(),
 		Stall:     cfg.Slow(),
+		MaxActive: int64(cfg.MaxActive()),
 		Settle:    cfg.Notice(),
 	})
 	if err != nil {
