flow: tell the scheduler which server holds the KV cache, and blame no full engine

Cause: a request whose transfer failed was placed as if it had to be prefilled again, and three refusals for want of a place set a healthy engine aside. Change: the ask names the holder while the KV cache lives; a full engine ends the placement without blame. Conclusion: the scheduler looks for a decode place at once and for no prefill.

--- a/flow/run.go
+++ b/flow/run.go
@@ -125,10 +125,10 @@
 	return nil
 }
 
-// failed reports the end of a placement. An engine is not blamed for what the
-// caller or the router caused.
+// failed reports the end of a placement. An engine is not blamed for being
+// full, nor for what the caller or the router caused.
 func (n *run) failed(ctx context.Context, p place.Placement, s place.Stage, back *setback) {
-	if ctx.Err() != nil || back.server == "" || errors.Is(back.err, ErrCaller) || errors.Is(back.err, ErrStale) {
+	if ctx.Err() != nil || back.server == "" || errors.Is(back.err, ErrCaller) || errors.Is(back.err, ErrStale) || errors.Is(back.err, ErrFull) {
 		s = place.StageDone
 	}
 	n.cfg.Placer.Progress(p, s, n.sent)
@@ -146,6 +146,7 @@
 		Waited:    n.cfg.Timer.Now() - n.req.Arrived,
 		Avoid:     n.avoid,
 		Resumed:   n.ran,
+		Held:      n.held(),
 	})
 	if err != nil {
 		return p, &setback{step: "flow: place", err: err, final: true}
@@ -155,6 +156,15 @@
 	return p, nil
 }
 
+// held returns the prefill server that still exports the request's KV cache, so
+// that the scheduler looks for a decode place at once and for no prefill.
+func (n *run) held() ident.Server {
+	if n.kv == nil || n.cfg.Timer.Now() >= n.kv.until {
+		return ""
+	}
+	return n.kv.server
+}
+
 // reserve takes a place at the decode engine. A call whose answer is lost is
 // repeated once, with the same attempt.
 func (n *run) reserve(ctx context.Context, p place.Placement) (seat, *setback) {
--- a/flow/runner_test.go
+++ b/flow/runner_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/flow"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/stand"
 )
 
 func TestRunRelaysWholeAnswer(t *testing.T) {
@@ -59,3 +63,35 @@
 		})
 	}
 }
+
+func TestRunTellsTheSchedulerWhatIsHeld(t *testing.T) {
+	is := is.New(t)
+	w := newWorldOf(t, func(cfg *stand.EngineConfig) { cfg.KVLife = 5 * time.Second })
+	var asks []place.Ask
+	w.placer.before = func(ask place.Ask) { asks = append(asks, ask) }
+	w.engines["d1"].Inject(stand.Fault{Kind: stand.FaultStatus, Path: engine.PathImport, N: 10})
+	req := request("a dossier whose first decode engine fails")
+	sink := &textSink{t: t}
+	_, err := w.runner.Run(context.Background(), req, sink)
+	is.NoErr(err)
+	is.Equal(sink.text.String(), wanted(req))
+	is.Equal(len(asks), 2)
+	is.Equal(asks[0].Held, ident.Server(""))
+	is.Equal(asks[1].Held, ident.Server("p1"))
+	is.Equal(w.engines["p1"].Counts().Prefills+w.engines["p2"].Counts().Prefills, int64(1))
+}
+
+func TestRunBlamesNoFullEngine(t *testing.T) {
+	is := is.New(t)
+	w := newWorldOf(t, func(cfg *stand.EngineConfig) { cfg.Places = 1 })
+	other := ident.Attempt{Node: ident.Node{Instance: "b", Incarnation: 1}, Serial: 1}
+	_, err := w.client.Reserve(context.Background(), "d1", flow.Reservation{Attempt: other, Model: testModel, Hold: testHold, MaxOutput: 10})
+	is.NoErr(err)
+	req := request("a dossier that finds its engine full")
+	sink := &textSink{t: t}
+	res, err := w.runner.Run(context.Background(), req, sink)
+	is.NoErr(err)
+	is.Equal(sink.text.String(), wanted(req))
+	is.Equal(res.Decode, ident.Server("d2"))
+	is.True(!slices.Contains(w.placer.stages, place.StageFailedDecode))
+}
--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -161,7 +161,7 @@
 	return sched.NewService(sched.ServiceConfig{
 		Self:    n,
 		Clock:   t,
-		Log:     logs.Part(l, "place"),
+		Log:     logs.Part(l, "sched"),
 		Metrics: m.Registry(),
 		Pool:    pool.Config{Instance: n.Instance, Incarnation: n.Incarnation, Rand: mrand.NewPCG(n.Incarnation, randomPool)},
 	})
