--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -161,7 +161,7 @@
 	return sched.NewService(sched.ServiceConfig{
 		Self:    n,
 		Clock:   t,
-		Log:     logs.Part(l, "place"),
+		Log:     logs.Part(l, "sched"),
 		Metrics: m.Registry(),
 		Pool:    pool.Config{Instance: n.Instance, Incarnation: n.Incarnation, Rand: mrand.NewPCG(n.Incarnation, randomPool)},
 	})
@@ -238,6 +238,7 @@
 		NewID:     func() ident.Request { return ident.Request(rand.Text()) },
 		TLS:       s.callerServer(),
 		Stall:     cfg.Slow(),
+		MaxActive: int64(cfg.MaxActive()),
 		Settle:    cfg.Notice(),
 	})
 	if err != nil {
