--- a/front/chat.go
+++ b/front/chat.go
@@ -148,7 +148,9 @@
 	if o == ident.NotRun {
 		return
 	}
-	x.s.cfg.Meter.Ended(Ended{Customer: x.customer, Model: g.Model, Outcome: o, Result: res, Prompt: g.PromptTokens})
+	x.s.cfg.Meter.Ended(Ended{
+		Customer: x.customer, Model: g.Model, Outcome: o, Result: res, Prompt: g.PromptTokens, Gone: x.gone(),
+	})
 }
 
 // errShort reports a generator that claims more or fewer tokens than it gave.
--- a/front/config.go
+++ b/front/config.go
@@ -143,6 +143,7 @@
 	Outcome  ident.Outcome
 	Result   Result
 	Prompt   int64
+	Gone     bool // the caller left before the end
 }
 
 // Config holds what a Server needs.
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -34,6 +34,7 @@
 	keyed    bool // registered under sum
 	customer ident.Customer
 	admitted bool
+	left     bool // the caller left before the end
 	note     note
 }
 
@@ -193,6 +194,11 @@
 	return errors.Is(context.Cause(x.ctx), errWithdrawn)
 }
 
+// gone reports whether the caller left or stopped reading.
+func (x *exchange) gone() bool {
+	return x.c.Request.Context().Err() != nil || errors.Is(context.Cause(x.ctx), errCaller)
+}
+
 // withdrawn replaces the fault of a request whose key was withdrawn.
 func (x *exchange) withdrawn(f fault) fault {
 	return fault{code: fail.CodeWithdrawn, message: "the key was withdrawn while the request ran", outcome: f.outcome}
@@ -200,8 +206,9 @@
 
 // fail notes a fault for the decision line and the measures.
 func (x *exchange) fail(f fault) {
+	x.left = x.gone()
 	x.note.code, x.note.reason, x.note.outcome = f.code, f.message, f.outcome
-	if f.outcome == ident.NotRun {
+	if f.outcome == ident.NotRun && !x.left {
 		x.s.cfg.Meter.Refused(x.customer, f.code, x.admitted && f.code != fail.CodeWithdrawn)
 	}
 }
@@ -282,6 +289,9 @@
 	case n.code != "":
 		what = "front: request failed"
 	}
+	if x.left {
+		what = "front: caller left"
+	}
 	e.Int("status", n.status).Str("outcome", n.outcome.String()).
 		Dur("took_ms", x.s.cfg.Clock.Now()-x.started).Msg(what)
 }
--- a/front/export_test.go
+++ b/front/export_test.go
@@ -6,3 +6,9 @@
 	rest = takeQuery(query, &s)
 	return rest, s.all
 }
+
+// ParseChat returns the prompt of a request's body.
+func ParseChat(body string) (prompt string, err error) {
+	q, err := parseChat([]byte(body))
+	return q.prompt(), err
+}
--- a/front/key_test.go
+++ b/front/key_test.go
@@ -218,3 +218,21 @@
 		}
 	})
 }
+
+// FuzzChat checks that what a refusal says of a body repeats nothing of it but
+// names of fields, and that a body that is taken is complete.
+func FuzzChat(f *testing.F) {
+	f.Add(`{"model":"dossier","messages":[{"role":"user","content":"a"}]}`)
+	f.Add(`{"model":"dossier","messages":[{"role":"user","content":[{"type":"text","text":"a"}]}],"max_tokens":0}`)
+	f.Add(`{"model":7} {`)
+	f.Add(`[]`)
+	f.Fuzz(func(t *testing.T, body string) {
+		prompt, err := front.ParseChat(body)
+		if err == nil && !strings.HasSuffix(prompt, "assistant:\n") {
+			t.Errorf("the body %q gives the prompt %q", body, prompt)
+		}
+		if err != nil && len(err.Error()) > 200 {
+			t.Errorf("the body %q gives the error %q", body, err)
+		}
+	})
+}
--- a/front/live_test.go
+++ b/front/live_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -103,6 +104,9 @@
 	is.True(<-h.ended != nil)
 	w.idle()
 	is.Equal(w.s.Active(), int64(0))
+	is.True(strings.Contains(w.log.String(), "front: caller left"))
+	is.Equal(w.meter.Counter("requests_abandoned_total").Count(), int64(1))
+	is.Equal(w.meter.Counter("requests_total").Count(), int64(0))
 }
 
 func TestCallerThatStopsReading(t *testing.T) {
@@ -232,3 +236,27 @@
 		})
 	}
 }
+
+// BenchmarkChat measures what one request costs the front, over a connection
+// that stays open, without a model behind it.
+func BenchmarkChat(b *testing.B) {
+	w := newWorld(b)
+	c := w.dial()
+	in := strings.Replace(chat(`,"stream":true`, auth), "Connection: close\r\n", "", 1)
+	r := bufio.NewReader(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := io.WriteString(c, in); err != nil {
+			b.Fatal(err)
+		}
+		for line := ""; line != "0\r\n"; {
+			var err error
+			if line, err = r.ReadString('\n'); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if _, err := r.ReadString('\n'); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -38,6 +38,7 @@
 	Model      ident.Model
 	Outcome    ident.Outcome
 	Good       bool          // whole and within both latency targets
+	Gone       bool          // the caller left before the end
 	FirstToken time.Duration // zero if there was none
 	MaxGap     time.Duration
 	Prompt     int64 // tokens
@@ -51,8 +52,8 @@
 	customers atomic.Int64
 	shards    [shards]shard
 
-	ended, good, wasted, wrongful metrics.Counter
-	firstToken, maxGap            metrics.Histogram
+	ended, good, gone, wasted, wrongful metrics.Counter
+	firstToken, maxGap                  metrics.Histogram
 }
 
 type shard struct {
@@ -88,6 +89,7 @@
 	}
 	m.ended = m.Counter("requests_total")
 	m.good = m.Counter("requests_good_total")
+	m.gone = m.Counter("requests_abandoned_total")
 	m.wasted = m.Counter("prefill_wasted_tokens_total")
 	m.wrongful = m.Counter("refusals_within_rate_total")
 	m.firstToken = m.histogram("first_token_ms")
@@ -114,10 +116,15 @@
 	return metrics.GetOrRegisterHistogram(name, m.cfg.Registry, s)
 }
 
-// Ended counts a request that was admitted and has ended.
+// Ended counts a request that was admitted and has ended. One whose caller
+// left tells nothing about how its customer was served.
 func (m *Meter) Ended(s Sample) {
-	m.ended.Inc(1)
 	m.wasted.Inc(s.Wasted)
+	if s.Gone {
+		m.gone.Inc(1)
+		return
+	}
+	m.ended.Inc(1)
 	if s.Good {
 		m.good.Inc(1)
 	}
--- a/once/config.go
+++ b/once/config.go
@@ -27,7 +27,7 @@
 	retryHome      = 2 * time.Second
 	defaultKeep    = 10 * time.Minute
 	defaultLimit   = 30 * time.Second
-	minKeep        = 10 * time.Second // well above maxCopyAge
+	minKeep        = time.Second
 	maxWait        = 5 * time.Second  // of a call before it is passed on or noted in the journal
 	transit        = 2 * maxWait      // between a call's arrival and its entry in the journal
 	settleTime     = 15 * time.Second // until a changed table is in force everywhere
--- a/once/dispatch.go
+++ b/once/dispatch.go
@@ -30,7 +30,7 @@
 	var last error
 	for range maxTries {
 		at := s.cfg.Clock.Now()
-		if at-e.At >= r.keep()/2 {
+		if at-e.At >= r.hold()/2 {
 			return plain.Answer{}, fail.Refuse(fail.CodeDeadline, 0, "the call waited too long at its home")
 		}
 		if err := s.copyIntent(ctx, e); err != nil {
