front: serve and give up callers over TLS in both HTTP versions

Cause: limits on callers were tested on plain text only. Change: a test that streams over HTTP/1.1 and HTTP/2 with TLS and stops reading on either.

--- a/front/live_test.go
+++ b/front/live_test.go
@@ -109,20 +109,27 @@
 	is.Equal(w.meter.Counter("requests_total").Count(), int64(0))
 }
 
-func TestCallerThatStopsReading(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t)
+// endless lets the generator write until its caller is given up. The channel
+// gets the error once the work is cancelled as well.
+func endless(w *world) <-chan error {
 	ended := make(chan error, 1)
+	text := strings.Repeat("x", 64<<10)
 	w.generate = func(ctx context.Context, _ front.Generation, s front.Sink) (front.Result, error) {
-		text := strings.Repeat("x", 64<<10)
 		for i := int64(0); ; i++ {
 			if err := s.Token(i, text); err != nil {
-				<-ctx.Done() // the work is cancelled as well
+				<-ctx.Done()
 				ended <- err
 				return front.Result{Total: i}, err
 			}
 		}
 	}
+	return ended
+}
+
+func TestCallerThatStopsReading(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	ended := endless(w)
 	_, _ = w.send(chat(`,"stream":true`, auth))
 	is.True(<-ended != nil)
 	w.idle()
--- /dev/null
+++ b/front/tls_test.go
@@ -0,0 +1,75 @@
+package front_test
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"io"
+	"math/big"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func selfSigned(t *testing.T) tls.Certificate {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "dock"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	is.NoErr(err)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}
+}
+
+// TestOverTLS streams an answer over HTTP/1.1 and HTTP/2, and gives up a
+// caller that stops reading on either.
+func TestOverTLS(t *testing.T) {
+	cert := selfSigned(t)
+	for _, proto := range []string{"HTTP/1.1", "HTTP/2.0"} {
+		t.Run(proto, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}})
+			tr := &http.Transport{
+				TLSClientConfig:   &tls.Config{InsecureSkipVerify: true},
+				ForceAttemptHTTP2: proto == "HTTP/2.0",
+			}
+			defer tr.CloseIdleConnections()
+			resp, err := w.post(tr)
+			is.NoErr(err)
+			is.Equal(resp.Proto, proto)
+			b, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.NoErr(resp.Body.Close())
+			is.True(strings.HasSuffix(string(b), "data: [DONE]\n\n"))
+
+			ended := endless(w)
+			resp, err = w.post(tr)
+			is.NoErr(err)
+			is.True(<-ended != nil) // nobody reads the answer
+			is.NoErr(resp.Body.Close())
+		})
+	}
+}
+
+// post sends a request for a streamed answer.
+func (w *world) post(rt http.RoundTripper) (*http.Response, error) {
+	const body = `{"model":"dossier","stream":true,"messages":[{"role":"user","content":"Fits?"}]}`
+	req, err := http.NewRequestWithContext(context.Background(), "POST",
+		"https://"+w.addr+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+secret)
+	return rt.RoundTrip(req)
+}
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -156,8 +157,9 @@
 	})
 }
 
-// newWorld serves on loopback until the end of the test.
-func newWorld(t testing.TB) *world {
+// newWorld serves on loopback until the end of the test, over TLS if it is
+// given a configuration.
+func newWorld(t testing.TB, cfg ...*tls.Config) *world {
 	t.Helper()
 	w := &world{
 		t: t, clock: tick.NewFake(0), log: &buffer{},
@@ -171,7 +173,12 @@
 		return plain.Answer{Status: 200, Header: h, Body: []byte(c.Method + " " + c.Path), Server: "app-1", RunnerUp: "app-2"}, nil
 	}
 	w.keyed = func(ctx context.Context, c once.Call) (plain.Answer, error) { return w.call(ctx, c.Call) }
+	var secure *tls.Config
+	if len(cfg) > 0 {
+		secure = cfg[0]
+	}
 	s, err := front.New(front.Config{
+		TLS:   secure,
 		Table: w.view, Limiter: w, Generator: generator{w}, Plain: plainCaller{w}, Keyed: keyedCaller{w},
 		Meter: measures{w.meter}, Clock: w.clock, Log: zerolog.New(w.log), NewID: w.newID,
 		Wall:    func() time.Time { return time.Unix(1_700_000_000, 0) },
