once, front: carry header values that are no text

Cause: messages between instances hold text only; a header value with other bytes would have made a forward fail after the call had run, and its repeat too. Change: such values lose those bytes on the way between instances; an idempotency key that is not printable is refused.

--- a/front/golden_test.go
+++ b/front/golden_test.go
@@ -132,6 +132,8 @@
 		{"keyed_unknown", failKeyed(keyUnknown), request("POST", "/confirm", "pupil 7", auth, keyed)},
 		{"keyed_reused", failKeyed(fail.Refuse(fail.CodeKeyReused, fail.Never, "the key was used for another call")), request("POST", "/confirm", "pupil 8", auth, keyed)},
 		{"keyed_home_away", failKeyed(fail.Refuse(fail.CodeHomeAway, 2*time.Second, "the call's home can't be reached")), request("POST", "/confirm", "pupil 8", auth, keyed)},
+		{"keyed_long", nil, request("POST", "/confirm", "pupil 8", auth, "Idempotency-Key: "+strings.Repeat("k", 256))},
+		{"keyed_not_text", nil, request("POST", "/confirm", "pupil 8", auth, "Idempotency-Key: k\xff")},
 		{"keyed_open", nil, request("POST", "/open", "pupil 7", "Idempotency-Key: k-1")},
 		{"header_flood", nil, request("GET", "/open", "", "X-Flood: "+strings.Repeat("x", 40<<10))},
 		{"bad_http", nil, "HELLO\r\n\r\n"},
--- a/front/plain.go
+++ b/front/plain.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/gin-gonic/gin"
 
@@ -119,8 +120,9 @@
 	if call.Idempotent || key == "" {
 		return x.s.cfg.Plain.Call(x.ctx, call)
 	}
-	if len(key) > maxIdempotency {
-		return plain.Answer{}, fail.Refuse(fail.CodeBadRequest, fail.Never, "the idempotency key is too long")
+	if len(key) > maxIdempotency || !printable(key) || !utf8.ValidString(call.Path) {
+		return plain.Answer{}, fail.Refuse(fail.CodeBadRequest, fail.Never,
+			"the idempotency key is not one of up to 255 printable characters, or the query is not text")
 	}
 	if r.Open {
 		return plain.Answer{}, fail.Refuse(fail.CodeUnsupported, fail.Never,
@@ -129,6 +131,16 @@
 	return x.s.cfg.Keyed.Run(x.ctx, once.Call{Call: call, Key: key})
 }
 
+// printable reports whether v consists of printable ASCII characters.
+func printable(v string) bool {
+	for i := range len(v) {
+		if v[i] < ' ' || v[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // answer relays the whole answer of the service or the error.
 func (x *exchange) answer(a plain.Answer, err error) {
 	x.note.server, x.note.next, x.note.replay = a.Server, a.RunnerUp, a.Replayed
--- a/once/call_test.go
+++ b/once/call_test.go
@@ -250,10 +250,14 @@
 				Self: ident.Node{Instance: "b1", Incarnation: 1}, Table: w.at("b1"),
 				Dialer: connected{url}, Caller: w.at("b1"), Clock: w.clock, Log: zerolog.Nop(),
 			})
-			_, err := entry.Run(ctx, once.Call{Key: key, Call: plain.Call{
+			a, err := entry.Run(ctx, once.Call{Key: key, Call: plain.Call{
 				Request: "r1", Customer: "sur", Route: "confirm", Method: "POST", Path: "/confirm",
-				Header: http.Header{"Idempotency-Key": {key}}, Body: []byte("pupil 7"),
+				Header: http.Header{"Idempotency-Key": {key}, "X-Name": {"Mu\xf1oz"}}, Body: []byte("pupil 7\xff"),
 			}})
+			if err == nil {
+				is.Equal(a.Header.Get("X-Run"), "r1") // bytes that are no text spoil nothing
+				is.Equal(a.Header.Get("X-Name"), "Mu?oz")
+			}
 			is.Equal(fail.Outcome(err), tt.want)
 			is.Equal(codeOf(err), tt.code)
 		})
--- a/once/wire.go
+++ b/once/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"wasabidock.dev/dock/fail"
@@ -27,7 +28,7 @@
 			p.Partial = a.Partial
 			p.Answer = &peerpb.RunResponse{Status: int32(a.Status), Body: a.Body}
 			for _, h := range a.Headers {
-				p.Answer.Headers = append(p.Answer.Headers, &peerpb.Header{Name: h.Name, Value: h.Value})
+				p.Answer.Headers = append(p.Answer.Headers, &peerpb.Header{Name: text(h.Name), Value: text(h.Value)})
 			}
 		}
 		out = append(out, p)
@@ -155,12 +156,15 @@
 	var out []*peerpb.Header
 	for name, values := range h {
 		for _, v := range values {
-			out = append(out, &peerpb.Header{Name: name, Value: v})
+			out = append(out, &peerpb.Header{Name: text(name), Value: text(v)})
 		}
 	}
 	return out
 }
 
+// text replaces what messages can't carry: header values may hold any bytes.
+func text(s string) string { return strings.ToValidUTF8(s, "?") }
+
 func headerFromProto(in []*peerpb.Header) http.Header {
 	out := make(http.Header, len(in))
 	for _, h := range in {
--- a/once/world_test.go
+++ b/once/world_test.go
@@ -329,7 +329,7 @@
 	if broken || !w.alive(p) {
 		return plain.Answer{}, fail.New("call", "service", ident.Unknown, errLost)
 	}
-	return plain.Answer{Status: 201, Header: http.Header{"X-Run": {string(c.Request)}}, Body: []byte("ok")}, nil
+	return plain.Answer{Status: 201, Header: http.Header{"X-Run": {string(c.Request)}, "X-Name": {"Mu\xf1oz"}}, Body: []byte("ok")}, nil
 }
 
 // call sends a call with the key through the process in the seat, and returns
