front: cancel the work for a stalled caller over TLS at once

Cause: the TLS test took five seconds: after a write ran into its deadline, the closing TLS connection waited five more for its farewell, and the engine's work with it. Change: beneath TLS all writes fail once one has run into its deadline.

--- a/front/listen.go
+++ b/front/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -71,11 +72,30 @@
 	}
 	limitSendBuffer(c)
 	if !l.plain {
-		return c, nil
+		return &stalledConn{Conn: c}, nil
 	}
 	return &callerConn{Conn: c}, nil
 }
 
+// stalledConn lies beneath TLS. Once a write has run into its deadline, all
+// later ones fail at once: TLS would otherwise wait for its farewell to a
+// caller that takes nothing, and keep its request's work waiting as well.
+type stalledConn struct {
+	net.Conn
+	stalled atomic.Bool
+}
+
+func (c *stalledConn) Write(b []byte) (int, error) {
+	if c.stalled.Load() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.stalled.Store(true)
+	}
+	return n, err
+}
+
 // callerConn is a connection that says why it is closed when a request's
 // headers did not arrive in time, for net/http closes it without a word. Its
 // fields need no lock: net/http closes a connection only after its last read
--- a/front/tls_test.go
+++ b/front/tls_test.go
@@ -56,7 +56,9 @@
 			ended := endless(w)
 			resp, err = w.post(tr)
 			is.NoErr(err)
-			is.True(<-ended != nil) // nobody reads the answer
+			start := time.Now()
+			is.True(<-ended != nil)               // nobody reads the answer
+			is.True(time.Since(start) < 10*stall) // and TLS does not wait for its farewell
 			is.NoErr(resp.Body.Close())
 		})
 	}
--- a/front/world_test.go
+++ b/front/world_test.go
@@ -29,6 +29,9 @@
 // maxActive is the bound on requests in progress of a world's server.
 const maxActive = 64
 
+// stall is how long a caller of a world's server may take nothing.
+const stall = 200 * time.Millisecond
+
 const secret = "sk-0123456789abcdefghijklmnop"
 
 // world is a server with fakes behind it.
@@ -185,7 +188,7 @@
 		Table: w.view, Limiter: w, Generator: generator{w}, Plain: plainCaller{w}, Keyed: keyedCaller{w},
 		Meter: measures{w.meter}, Clock: w.clock, Log: zerolog.New(w.log), NewID: w.newID,
 		Wall:    func() time.Time { return time.Unix(1_700_000_000, 0) },
-		Explain: explain, Stall: 200 * time.Millisecond, Settle: time.Second,
+		Explain: explain, Stall: stall, Settle: time.Second,
 		Header: 200 * time.Millisecond, Body: 200 * time.Millisecond, MaxActive: maxActive,
 	})
 	if err != nil {
