once: bound the bodies that instances pass on

Cause: a route may allow bodies that are larger than a message between instances, and such a forward failed with an unknown outcome. Change: a keyed call with a body over 4 MB is refused as not run, answers have the same bound; the fake net of the tests has its own file.

--- a/once/call_test.go
+++ b/once/call_test.go
@@ -160,6 +160,11 @@
 	}})
 	is.Equal(codeOf(err), fail.CodeKeyReused)
 	is.Equal(fail.Outcome(err), notRun)
+	_, err = w.at("b2").svc.Run(ctx, once.Call{Key: "large", Call: plain.Call{
+		Request: "r3", Customer: "sur", Route: "confirm", Method: "POST", Body: make([]byte, 4<<20+1),
+	}})
+	is.Equal(codeOf(err), fail.CodeTooLarge) // more than instances pass on
+	is.Equal(fail.Outcome(err), notRun)
 }
 
 // TestTwoViews lets two instances call two seats the home of a key while the
--- a/once/config.go
+++ b/once/config.go
@@ -23,6 +23,7 @@
 	expirePerTick  = 4                      // journal shards
 	defaultEntries = 20_000
 	defaultBytes   = 8 << 20
+	maxBody        = 4 << 20 // bytes of a call or its answer that are passed between instances
 	defaultAnswer  = 16 << 10
 	retryHome      = 2 * time.Second
 	defaultKeep    = 10 * time.Minute
@@ -61,6 +62,14 @@
 	return r.Limit
 }
 
+// maxAnswer returns the bound on an answer's body.
+func (r Route) maxAnswer() int64 {
+	if r.MaxAnswer <= 0 {
+		return maxBody
+	}
+	return min(r.MaxAnswer, maxBody)
+}
+
 // whole returns the time after which the home has certainly decided.
 func (r Route) whole() time.Duration { return maxTries*(r.limit()+copyLimit) + maxWait }
 
--- a/once/dispatch.go
+++ b/once/dispatch.go
@@ -38,7 +38,7 @@
 		}
 		call := c.Call
 		call.Idempotent = false
-		call.Limit, call.MaxAnswer = r.limit(), r.MaxAnswer
+		call.Limit, call.MaxAnswer = r.limit(), r.maxAnswer()
 		call.Gate = func() error { return s.gate(at, r, e.ID) }
 		a, err := s.cfg.Caller.Call(ctx, call)
 		if err == nil || fail.Outcome(err) != ident.NotRun || !errors.Is(err, errStale) {
--- /dev/null
+++ b/once/net_test.go
@@ -0,0 +1,112 @@
+package once_test
+
+import (
+	"context"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/intent"
+	"wasabidock.dev/dock/peerpb"
+)
+
+// link carries messages between two processes while both live and are not cut
+// off from each other.
+type link struct {
+	w        *world
+	from, to *proc
+}
+
+func (l *link) up() bool {
+	l.w.mu.Lock()
+	defer l.w.mu.Unlock()
+	return !l.from.dead && !l.to.dead && !l.w.cut[[2]ident.Instance{l.from.node.Instance, l.to.node.Instance}]
+}
+
+func (l *link) Run(ctx context.Context, req *peerpb.RunRequest) (*peerpb.RunResponse, error) {
+	l.w.hit(atForward, l.from)
+	if !l.up() {
+		return nil, errLost
+	}
+	res, err := l.to.svc.Handler().Run(ctx, req)
+	l.w.hit(atReply, l.to)
+	if !l.up() {
+		return nil, errLost
+	}
+	return res, err
+}
+
+// turn names one copy of one entry, which goes to two buddies.
+type turn struct {
+	owner, serial uint64
+}
+
+// inTurn makes the copy to the second buddy wait for the one to the first, so
+// that faults at copies strike in a fixed order.
+func (l *link) inTurn(ctx context.Context, req *peerpb.CopyRequest) (end func()) {
+	if len(req.GetEntries()) != 1 || req.GetWhole() {
+		return func() {}
+	}
+	t := turn{req.GetOwner().GetIncarnation(), req.GetEntries()[0].GetSerial()}
+	buddies := intent.Buddies(l.from.table().seats, l.from.node.Instance)
+	if len(buddies) == 0 {
+		return func() {}
+	}
+	l.w.mu.Lock()
+	c, ok := l.w.turns[t]
+	if !ok {
+		c = make(chan struct{})
+		l.w.turns[t] = c
+	}
+	l.w.mu.Unlock()
+	if l.to.node.Instance == buddies[0] {
+		return func() {
+			l.w.mu.Lock()
+			defer l.w.mu.Unlock()
+			select {
+			case <-c: // the copy was sent once more
+			default:
+				close(c)
+			}
+		}
+	}
+	if _, err := l.w.dial(l.from, buddies[0]); err == nil {
+		select {
+		case <-c:
+		case <-ctx.Done(): // the first copy was never sent
+		}
+	}
+	return func() {}
+}
+
+func (l *link) Copy(ctx context.Context, req *peerpb.CopyRequest) (*peerpb.CopyResponse, error) {
+	defer l.inTurn(ctx, req)()
+	intent := len(req.GetEntries()) == 1 && !req.GetWhole()
+	answer := intent && (req.GetEntries()[0].GetAnswer() != nil || req.GetEntries()[0].GetDropped())
+	switch {
+	case answer:
+		l.w.hit(atFinishCopy, l.from)
+	case intent:
+		l.w.hit(atCopy, l.from)
+	}
+	if !l.up() {
+		return nil, errLost
+	}
+	res, err := l.to.svc.Handler().Copy(ctx, req)
+	if intent && !answer {
+		l.w.hit(afterCopy, l.from)
+	}
+	if !l.up() {
+		return nil, errLost
+	}
+	return res, err
+}
+
+func (l *link) Fetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
+	if !l.up() {
+		return nil, errLost
+	}
+	res, err := l.to.svc.Handler().Fetch(ctx, req)
+	if !l.up() {
+		return nil, errLost
+	}
+	return res, err
+}
--- a/once/service.go
+++ b/once/service.go
@@ -63,6 +63,9 @@
 	if !ok {
 		return plain.Answer{}, fail.Refuse(fail.CodeNoTable, retryHome, "no table is in force yet")
 	}
+	if len(c.Body) > maxBody {
+		return plain.Answer{}, fail.Refuse(fail.CodeTooLarge, fail.Never, "calls with an idempotency key take bodies of up to 4 MB")
+	}
 	r, ok := v.Route(c.Route)
 	if !ok {
 		return plain.Answer{}, fail.Refuse(fail.CodeRoute, fail.Never, "the table has no such route")
