--- a/front/world_test.go
+++ b/front/world_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -28,11 +29,14 @@
 // maxActive is the bound on requests in progress of a world's server.
 const maxActive = 64
 
+// stall is how long a caller of a world's server may take nothing.
+const stall = 200 * time.Millisecond
+
 const secret = "sk-0123456789abcdefghijklmnop"
 
 // world is a server with fakes behind it.
 type world struct {
-	t     *testing.T
+	t     testing.TB
 	clock *tick.Fake
 	view  *view
 	log   *buffer
@@ -153,14 +157,15 @@
 
 func (m measures) Ended(e front.Ended) {
 	m.Meter.Ended(meter.Sample{
-		Customer: e.Customer, Model: e.Model, Outcome: e.Outcome, Good: e.Result.OnTime,
+		Customer: e.Customer, Model: e.Model, Outcome: e.Outcome, Good: e.Result.OnTime, Gone: e.Gone,
 		FirstToken: e.Result.FirstToken, MaxGap: e.Result.MaxGap,
 		Prompt: e.Prompt, Output: e.Result.Total, Wasted: e.Result.Wasted,
 	})
 }
 
-// newWorld serves on loopback until the end of the test.
-func newWorld(t *testing.T) *world {
+// newWorld serves on loopback until the end of the test, over TLS if it is
+// given a configuration.
+func newWorld(t testing.TB, cfg ...*tls.Config) *world {
 	t.Helper()
 	w := &world{
 		t: t, clock: tick.NewFake(0), log: &buffer{},
@@ -174,11 +179,16 @@
 		return plain.Answer{Status: 200, Header: h, Body: []byte(c.Method + " " + c.Path), Server: "app-1", RunnerUp: "app-2"}, nil
 	}
 	w.keyed = func(ctx context.Context, c once.Call) (plain.Answer, error) { return w.call(ctx, c.Call) }
+	var secure *tls.Config
+	if len(cfg) > 0 {
+		secure = cfg[0]
+	}
 	s, err := front.New(front.Config{
+		TLS:   secure,
 		Table: w.view, Limiter: w, Generator: generator{w}, Plain: plainCaller{w}, Keyed: keyedCaller{w},
 		Meter: measures{w.meter}, Clock: w.clock, Log: zerolog.New(w.log), NewID: w.newID,
 		Wall:    func() time.Time { return time.Unix(1_700_000_000, 0) },
-		Explain: explain, Stall: 200 * time.Millisecond, Settle: time.Second,
+		Explain: explain, Stall: stall, Settle: time.Second,
 		Header: 200 * time.Millisecond, Body: 200 * time.Millisecond, MaxActive: maxActive,
 	})
 	if err != nil {
