flow: give the failure tests longer limits

Cause: with other work on all cores, calls of 150 ms without progress and KV caches that live 300 ms ended by themselves, and 4 of 244 cells of the failure tests and 1 of 12 of TestRouterGone failed. Change: silence 600 ms, calls 3 s, KV caches 1.5 s, holds 5 s; the stated endings, the injected faults and the checks stay. Tests run four packages at a time.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	go install connectrpc.com/connect/cmd/protoc-gen-connect-go@$(PROTOC_GEN_CONNECT_VERSION)
 
 test:
-	go test -race $(PACKAGES)
+	go test -race -p 4 -timeout 20m $(PACKAGES)
 
 vet:
 	go vet $(PACKAGES)
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -20,7 +20,7 @@
 
 const (
 	testModel = ident.Model("dossier")
-	testHold  = 2 * time.Second
+	testHold  = 5 * time.Second
 )
 
 // world is a few stand-in engines on loopback and the parts that talk to them.
@@ -65,7 +65,7 @@
 	for _, s := range []ident.Server{"d1", "d2"} {
 		w.addEngine(s, stand.RoleDecode, change)
 	}
-	w.client = engine.New(engine.Config{Timer: w.timer, Directory: w, Silence: 150 * time.Millisecond, Call: 500 * time.Millisecond})
+	w.client = engine.New(engine.Config{Timer: w.timer, Directory: w, Silence: 600 * time.Millisecond, Call: 3 * time.Second})
 	w.placer = &listPlacer{prefill: []ident.Server{"p1", "p2"}, decode: []ident.Server{"d1", "d2"}}
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
@@ -104,7 +104,7 @@
 		Timer:        w.timer,
 		PrefillToken: 20 * time.Microsecond,
 		TokenTime:    time.Millisecond,
-		KVLife:       300 * time.Millisecond,
+		KVLife:       1500 * time.Millisecond,
 		Link:         stand.NewLink(1 << 30),
 		HoldLife:     testHold,
 		Heartbeat:    20 * time.Millisecond,
