--- a/front/live_test.go
+++ b/front/live_test.go
@@ -1,6 +1,7 @@
 package front_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -103,22 +104,32 @@
 	is.True(<-h.ended != nil)
 	w.idle()
 	is.Equal(w.s.Active(), int64(0))
+	is.True(strings.Contains(w.log.String(), "front: caller left"))
+	is.Equal(w.meter.Counter("requests_abandoned_total").Count(), int64(1))
+	is.Equal(w.meter.Counter("requests_total").Count(), int64(0))
 }
 
-func TestCallerThatStopsReading(t *testing.T) {
-	is := is.New(t)
-	w := newWorld(t)
+// endless lets the generator write until its caller is given up. The channel
+// gets the error once the work is cancelled as well.
+func endless(w *world) <-chan error {
 	ended := make(chan error, 1)
+	text := strings.Repeat("x", 64<<10)
 	w.generate = func(ctx context.Context, _ front.Generation, s front.Sink) (front.Result, error) {
-		text := strings.Repeat("x", 64<<10)
 		for i := int64(0); ; i++ {
 			if err := s.Token(i, text); err != nil {
-				<-ctx.Done() // the work is cancelled as well
+				<-ctx.Done()
 				ended <- err
 				return front.Result{Total: i}, err
 			}
 		}
 	}
+	return ended
+}
+
+func TestCallerThatStopsReading(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	ended := endless(w)
 	_, _ = w.send(chat(`,"stream":true`, auth))
 	is.True(<-ended != nil)
 	w.idle()
@@ -256,3 +267,27 @@
 		})
 	}
 }
+
+// BenchmarkChat measures what one request costs the front, over a connection
+// that stays open, without a model behind it.
+func BenchmarkChat(b *testing.B) {
+	w := newWorld(b)
+	c := w.dial()
+	in := strings.Replace(chat(`,"stream":true`, auth), "Connection: close\r\n", "", 1)
+	r := bufio.NewReader(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := io.WriteString(c, in); err != nil {
+			b.Fatal(err)
+		}
+		for line := ""; line != "0\r\n"; {
+			var err error
+			if line, err = r.ReadString('\n'); err != nil {
+				b.Fatal(err)
+			}
+		}
+		if _, err := r.ReadString('\n'); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/once/call_test.go
+++ b/once/call_test.go
@@ -160,6 +160,11 @@
 	}})
 	is.Equal(codeOf(err), fail.CodeKeyReused)
 	is.Equal(fail.Outcome(err), notRun)
+	_, err = w.at("b2").svc.Run(ctx, once.Call{Key: "large", Call: plain.Call{
+		Request: "r3", Customer: "sur", Route: "confirm", Method: "POST", Body: make([]byte, 4<<20+1),
+	}})
+	is.Equal(codeOf(err), fail.CodeTooLarge) // more than instances pass on
+	is.Equal(fail.Outcome(err), notRun)
 }
 
 // TestTwoViews lets two instances call two seats the home of a key while the
@@ -250,10 +255,14 @@
 				Self: ident.Node{Instance: "b1", Incarnation: 1}, Table: w.at("b1"),
 				Dialer: connected{url}, Caller: w.at("b1"), Clock: w.clock, Log: zerolog.Nop(),
 			})
-			_, err := entry.Run(ctx, once.Call{Key: key, Call: plain.Call{
+			a, err := entry.Run(ctx, once.Call{Key: key, Call: plain.Call{
 				Request: "r1", Customer: "sur", Route: "confirm", Method: "POST", Path: "/confirm",
-				Header: http.Header{"Idempotency-Key": {key}}, Body: []byte("pupil 7"),
+				Header: http.Header{"Idempotency-Key": {key}, "X-Name": {"Mu\xf1oz"}}, Body: []byte("pupil 7\xff"),
 			}})
+			if err == nil {
+				is.Equal(a.Header.Get("X-Run"), "r1") // bytes that are no text spoil nothing
+				is.Equal(a.Header.Get("X-Name"), "Mu?oz")
+			}
 			is.Equal(fail.Outcome(err), tt.want)
 			is.Equal(codeOf(err), tt.code)
 		})
