--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -33,7 +33,7 @@
 	ghosts  []*proc // superseded processes that do not know it yet
 	born    uint64
 	tables  []revision // index is revision - 1
-	net     net
+	net     network
 	agenda  []event
 	traffic func(f *fleet)
 	depth   int
--- a/quota/network_test.go
+++ b/quota/network_test.go
@@ -15,9 +15,9 @@
 
 var errNet = errors.New("the network lost the call")
 
-// net carries calls between the processes of a fleet and loses, delays and
+// network carries calls between the processes of a fleet and loses, delays and
 // doubles them.
-type net struct {
+type network struct {
 	f     *fleet
 	cut   map[ident.Centre]bool   // data centres cut off from the others
 	alone map[ident.Instance]bool // instances cut off from all others
@@ -33,8 +33,8 @@
 
 type edge struct{ from, to ident.Instance }
 
-func newNet(f *fleet) net {
-	return net{
+func newNet(f *fleet) network {
+	return network{
 		f:     f,
 		cut:   make(map[ident.Centre]bool),
 		alone: make(map[ident.Instance]bool),
@@ -42,7 +42,7 @@
 	}
 }
 
-func (n *net) reaches(a, b ident.Instance) bool {
+func (n *network) reaches(a, b ident.Instance) bool {
 	if n.alone[a] || n.alone[b] {
 		return false
 	}
@@ -52,7 +52,7 @@
 
 // chance draws from a source of the edge, so that the order in which parallel
 // calls run changes nothing.
-func (n *net) chance(e edge, p float64) bool {
+func (n *network) chance(e edge, p float64) bool {
 	if p == 0 {
 		return false
 	}
