quota: tell a retry time also while the home has no leases

A home that had just lost its leases refused without a time to come back.

It now tells when leases return and the tokens accrue. The wire test checks that a retry time is true, that a settlement for another process credits nothing, and that a request above the burst is told never to come back. The steady tests cut a data centre off.

--- a/quota/borrow.go
+++ b/quota/borrow.go
@@ -14,6 +14,9 @@
 // estimateLife is how long the last answer of a lender counts.
 const estimateLife = 500 * time.Millisecond
 
+// maxRetry bounds the estimate of when tokens accrue.
+const maxRetry = time.Hour
+
 // lenders remembers what other holders had left of each customer's bucket, so
 // that a customer above its rate does not cause a call for each request.
 type lenders struct {
@@ -173,11 +176,18 @@
 	}
 }
 
-// short refuses a charge and tells when the holders will have the tokens.
+// short refuses a charge and tells when the holders will have the tokens. The
+// first of have is this instance.
 func (s *Service) short(t limit.Terms, have []limit.Holding, tokens int64) *peerpb.ChargeResponse {
 	retry, ok := limit.RetryAfter(t, have, tokens)
-	if !ok {
-		return &peerpb.ChargeResponse{Reason: "the customer's tokens are out of reach"}
+	switch {
+	case ok:
+	case have[0].Share == 0 && t.Rate > 0:
+		// The leases come back, and then the tokens accrue.
+		seconds := min(float64(tokens)/float64(t.Rate), maxRetry.Seconds())
+		retry = s.maxLife + time.Duration(seconds*float64(time.Second))
+	default:
+		return &peerpb.ChargeResponse{Reason: "a part of the customer's burst is out of reach that the request needs"}
 	}
 	ms := (retry + time.Millisecond - 1).Milliseconds()
 	return &peerpb.ChargeResponse{RetryMs: max(ms, 1), Reason: "the customer is above its rate"}
--- a/quota/service.go
+++ b/quota/service.go
@@ -36,8 +36,10 @@
 	// Current reports whether the process has not been superseded by another
 	// one in its seat.
 	Current(ident.Node) bool
-	// Everywhere reports whether every seat is known to have this revision or
-	// a later one in force.
+	// Everywhere reports whether this revision or a later one is in force at
+	// every seat: all of them said so, or one instance has had it in force for
+	// as long as a table takes to reach all. A fresh process whose View never
+	// says so leases its share only after Config.RaiseAfter.
 	Everywhere(revision uint64) bool
 }
 
--- a/quota/steady_test.go
+++ b/quota/steady_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"testing"
@@ -87,21 +88,24 @@
 	disturb  func(*fleet)
 	until    time.Duration
 	refusals time.Duration // time after the disturbance in which refusals may fall
+	fraction float64       // of the rate that is used, 0.9 if zero
 }
 
 var undisturbed = []disturbance{
-	{"all on one instance", onOne, nil, warm + 60*time.Second, 0},
-	{"hopping", hopping, nil, warm + 60*time.Second, 0},
-	{"spread", spread, nil, warm + 60*time.Second, 0},
+	{"all on one instance", onOne, nil, warm + 60*time.Second, 0, 0},
+	{"hopping", hopping, nil, warm + 60*time.Second, 0, 0},
+	{"spread", spread, nil, warm + 60*time.Second, 0, 0},
 }
 
 var disturbed = []disturbance{
-	{"crash of a home, all on another", onOther, crashHome, warm + 60*time.Second, 3 * time.Second},
-	{"crash of a home, spread", spread, crashHome, warm + 60*time.Second, 3 * time.Second},
-	{"crash of the entry instance, all on it", onOne, func(f *fleet) { f.crash(f.seats[0]) }, warm + 60*time.Second, 3 * time.Second},
-	{"pause of a home", onOther, func(f *fleet) { f.procs[home(f, "sur")].paused = f.now + 10*time.Second }, warm + 60*time.Second, 3 * time.Second},
-	{"restart of a home without notice", spread, func(f *fleet) { f.start(home(f, "sur")) }, warm + 60*time.Second, 3 * time.Second},
-	{"rolling restart", spread, rollingRestart, warm + 400*time.Second, 0},
+	{"crash of a home, all on another", onOther, crashHome, warm + 60*time.Second, 3 * time.Second, 0},
+	{"crash of a home, spread", spread, crashHome, warm + 60*time.Second, 3 * time.Second, 0},
+	{"crash of the entry instance, all on it", onOne, func(f *fleet) { f.crash(f.seats[0]) }, warm + 60*time.Second, 3 * time.Second, 0},
+	{"pause of a home", onOther, func(f *fleet) { f.procs[home(f, "sur")].paused = f.now + 10*time.Second }, warm + 60*time.Second, 3 * time.Second, 0},
+	{"restart of a home without notice", spread, func(f *fleet) { f.start(home(f, "sur")) }, warm + 60*time.Second, 3 * time.Second, 0},
+	{"data centre cut off, load on the others", onOne, cutLast, warm + 60*time.Second, 3 * time.Second, 0.6},
+	{"data centre cut off, load in it", onLast, cutLast, warm + 60*time.Second, 3 * time.Second, 0.3},
+	{"rolling restart", spread, rollingRestart, warm + 400*time.Second, 0, 0},
 }
 
 // TestWithinRateIsAdmitted uses 0.9 of a rate whose burst is ten seconds of it.
@@ -129,7 +133,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(7, 3, 3, steady(seconds))
-			l := &load{customer: "sur", fraction: 0.9, at: tt.send, from: warm}
+			l := &load{customer: "sur", fraction: cmp.Or(tt.fraction, 0.9), at: tt.send, from: warm}
 			f.traffic = l.send
 			f.net.quick = true
 			if tt.disturb != nil {
@@ -166,6 +170,10 @@
 	return f.seats[0]
 }
 
+func onLast(f *fleet) ident.Instance { return f.seats[len(f.seats)-1] }
+
+func cutLast(f *fleet) { f.net.cut[f.centres[len(f.centres)-1]] = true }
+
 func crashHome(f *fleet) { f.crash(home(f, "sur")) }
 
 // crash ends a process, and a fresh one takes the seat some time later.
--- a/quota/traffic_test.go
+++ b/quota/traffic_test.go
@@ -14,8 +14,10 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/limit"
+	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/peerpb/peerpbconnect"
 	"wasabidock.dev/dock/tick"
 )
@@ -188,6 +190,31 @@
 	}
 	c, err := w.services[0].Admit(ctx, "r", "sur", 9990)
 	is.NoErr(err) // everything was given back
+	p := c.parts[0]
+	req := &peerpb.SettleRequest{Incarnation: p.GetIncarnation() + 1, Charge: p.GetCharge(), Customer: "sur", Unused: 90}
+	resp, err := w.service(home).Settle(ctx, req)
+	is.NoErr(err)
+	is.Equal(resp.GetCredited(), int64(0)) // charged at another process
+	req.Incarnation--
+	resp, err = w.service(home).Settle(ctx, req)
+	is.NoErr(err)
+	is.Equal(resp.GetCredited(), int64(90))
 	w.clock.Advance(limit.GrantLife)
 	is.True(!c.Fresh())
+	w.renew(ctx)
+
+	_, err = w.services[0].Admit(ctx, "r", "sur", 10_001)
+	refusal, ok := fail.AsRefusal(err)
+	is.True(ok)
+	is.Equal(refusal.Retry(), fail.Never)
+	_, err = w.services[0].Admit(ctx, "r", "sur", 9_000)
+	refusal, ok = fail.AsRefusal(err)
+	is.True(ok)
+	is.Equal(refusal.Code(), fail.CodeRate)
+	is.True(refusal.Retry() > 8*time.Second)
+	for until := w.clock.Now() + refusal.Retry(); w.clock.Now() < until; {
+		w.renew(ctx)
+	}
+	_, err = w.services[0].Admit(ctx, "r", "sur", 9_000)
+	is.NoErr(err) // the retry time was true
 }
