--- a/quota/traffic_test.go
+++ b/quota/traffic_test.go
@@ -31,7 +31,7 @@
 	bytes    atomic.Int64
 }
 
-func newWire(t *testing.T, n int) *wire {
+func newWire(t testing.TB, n int) *wire {
 	w := &wire{clock: tick.NewFake(time.Hour)}
 	mux := http.NewServeMux()
 	for i := range n {
