quota: borrow within the data centre whatever the view

A home asked its neighbours for loans only if it held fewer leases than it saw live seats, so a view that missed a seat also missed the tokens leased there.

--- a/limit/holder.go
+++ b/limit/holder.go
@@ -90,19 +90,6 @@
 	return g.share
 }
 
-// Seats returns the seats whose leases of a group are in force.
-func (h *Holder) Seats(now tick.Instant, group uint32) []ident.Instance {
-	g := &h.groups[group]
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.expire(now)
-	seats := make([]ident.Instance, 0, len(g.leases))
-	for s := range g.leases {
-		seats = append(seats, s)
-	}
-	return seats
-}
-
 // Stop ends all leases for good and returns the groups that had one. What was
 // granted before is used within GrantLife.
 func (h *Holder) Stop(now tick.Instant) []uint32 {
--- a/quota/borrow.go
+++ b/quota/borrow.go
@@ -41,7 +41,8 @@
 	tokens := req.GetTokens()
 	from := s.lendersOf(limit.GroupOf(c))
 	have := []limit.Holding{{Share: own.Share, Level: own.Level}}
-	if expected := s.lenders.expect(s.time.Now(), c, own.Terms, from); hopeless(own.Level, expected, tokens) {
+	expected := s.lenders.expect(s.time.Now(), c, own.Terms, from)
+	if hopeless(own.Level, expected, tokens) {
 		return s.short(own.Terms, append(have, expected...), tokens)
 	}
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
@@ -53,10 +54,14 @@
 		missing -= g.Tokens
 		have[0].Level = g.Level + g.Tokens
 	}
-	for _, l := range from {
+	for i, l := range from {
 		if missing == 0 {
 			break
 		}
+		if expected[i] != unknown && expected[i].Level == 0 {
+			have = append(have, expected[i])
+			continue
+		}
 		lent, h := s.borrowFrom(ctx, l, req, missing)
 		have = append(have, h)
 		for _, p := range lent {
@@ -99,19 +104,15 @@
 }
 
 // lendersOf returns the holders to borrow from: the next ones in the own data
-// centre if some of its seats are leased elsewhere, then the homes of the other
-// data centres.
+// centre, which have leases while views differ, then the homes of the other data
+// centres.
 func (s *Service) lendersOf(group uint32) []ident.Instance {
 	now := s.time.Now()
 	var from []ident.Instance
 	for _, centre := range s.view.Centres() {
-		live := s.view.Live(centre)
-		ranked := s.peers.heard(now, limit.Rank(group, live))
+		ranked := s.peers.heard(now, limit.Rank(group, s.view.Live(centre)))
 		n := 1
 		if centre == s.centre {
-			if len(s.holder.Seats(now, group)) >= len(live) {
-				continue
-			}
 			n = 2
 		}
 		for _, i := range ranked {
