--- a/quota/service.go
+++ b/quota/service.go
@@ -36,8 +36,10 @@
 	// Current reports whether the process has not been superseded by another
 	// one in its seat.
 	Current(ident.Node) bool
-	// Everywhere reports whether every seat is known to have this revision or
-	// a later one in force.
+	// Everywhere reports whether this revision or a later one is in force at
+	// every seat: all of them said so, or one instance has had it in force for
+	// as long as a table takes to reach all. A fresh process whose View never
+	// says so leases its share only after Config.RaiseAfter.
 	Everywhere(revision uint64) bool
 }
 
@@ -95,10 +97,10 @@
 	draining atomic.Bool
 
 	terms atomic.Pointer[terms]
+	stood [limit.Groups]atomic.Int64 // instant until when this instance stands in
 
-	mu    sync.Mutex                 // guards the fields below and the replacement of terms
-	stood [limit.Groups]tick.Instant // until when this instance stands in
-	home  [limit.Groups]tick.Instant // when it was last home or stood in, zero for never
+	mu   sync.Mutex                 // guards the fields below and the replacement of terms
+	home [limit.Groups]tick.Instant // when it was last home or stood in, zero for never
 }
 
 // terms are the terms of all customers at one revision.
