meter: count what requests made the engines do

Cause: the bridge from flow to the measures dropped what a request's result told of computed and cached prompt tokens, prefills, transfers, resumes, restarts and stray events. No measurement. Conclusion: operators see work done in vain and engines that mix up streams.

--- a/front/config.go
+++ b/front/config.go
@@ -104,7 +104,14 @@
 	MaxGap     time.Duration
 	OnTime     bool  // whole and within both latency targets
 	Wasted     int64 // prompt tokens computed in vain
+	Computed   int64 // prompt tokens computed
+	Cached     int64 // prompt tokens found in prefix caches
 	Attempts   int
+	Prefills   int
+	Transfers  int
+	Resumes    int   // streams opened again
+	Restarts   int   // runs again after a part was sent
+	Stray      int64 // events that were not of the answer, dropped
 	Prefill    ident.Server
 	Decode     ident.Server
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -43,6 +43,13 @@
 	Prompt     int64 // tokens
 	Output     int64 // tokens
 	Wasted     int64 // tokens prefilled in vain
+	Computed   int64 // prompt tokens prefilled
+	Cached     int64 // prompt tokens found in prefix caches
+	Prefills   int
+	Transfers  int
+	Resumes    int   // streams opened again at the offset
+	Restarts   int   // runs again after a part was sent
+	Stray      int64 // events that were not of the answer, dropped
 }
 
 // Meter keeps the measures. Its zero value is not usable.
@@ -52,6 +59,9 @@
 	shards    [shards]shard
 
 	ended, good, wasted, wrongful metrics.Counter
+	computed, cached              metrics.Counter
+	prefills, transfers           metrics.Counter
+	resumes, restarts, stray      metrics.Counter
 	firstToken, maxGap            metrics.Histogram
 }
 
@@ -90,6 +100,13 @@
 	m.good = m.Counter("requests_good_total")
 	m.wasted = m.Counter("prefill_wasted_tokens_total")
 	m.wrongful = m.Counter("refusals_within_rate_total")
+	m.computed = m.Counter("prefill_computed_tokens_total")
+	m.cached = m.Counter("prefill_cached_tokens_total")
+	m.prefills = m.Counter("prefills_total")
+	m.transfers = m.Counter("transfers_total")
+	m.resumes = m.Counter("stream_resumes_total")
+	m.restarts = m.Counter("restarts_total")
+	m.stray = m.Counter("stray_events_total")
 	m.firstToken = m.histogram("first_token_ms")
 	m.maxGap = m.histogram("max_gap_ms")
 	return m
@@ -117,7 +134,7 @@
 // Ended counts a request that was admitted and has ended.
 func (m *Meter) Ended(s Sample) {
 	m.ended.Inc(1)
-	m.wasted.Inc(s.Wasted)
+	m.work(s)
 	if s.Good {
 		m.good.Inc(1)
 	}
@@ -135,6 +152,18 @@
 	})
 }
 
+// work counts what a request made the engines do.
+func (m *Meter) work(s Sample) {
+	m.wasted.Inc(s.Wasted)
+	m.computed.Inc(s.Computed)
+	m.cached.Inc(s.Cached)
+	m.prefills.Inc(int64(s.Prefills))
+	m.transfers.Inc(int64(s.Transfers))
+	m.resumes.Inc(int64(s.Resumes))
+	m.restarts.Inc(int64(s.Restarts))
+	m.stray.Inc(s.Stray)
+}
+
 // Refused counts a refusal. Within tells that the request was within its
 // customer's rate, so that the customer was served badly.
 func (m *Meter) Refused(name ident.Customer, code fail.Code, within bool) {
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -17,7 +17,10 @@
 )
 
 func sample(c ident.Customer, good bool) meter.Sample {
-	return meter.Sample{Customer: c, Good: good, FirstToken: 40 * time.Millisecond, MaxGap: time.Millisecond, Output: 10, Wasted: 3}
+	return meter.Sample{
+		Customer: c, Good: good, FirstToken: 40 * time.Millisecond, MaxGap: time.Millisecond,
+		Output: 10, Wasted: 3, Computed: 7, Cached: 2, Prefills: 2, Transfers: 3, Resumes: 4, Restarts: 1, Stray: 5,
+	}
 }
 
 func export(t *testing.T, m *meter.Meter) string {
@@ -46,6 +49,13 @@
 		"wasabidock_requests_good_total 3",
 		"wasabidock_prefill_wasted_tokens_total 18",
 		"wasabidock_refusals_within_rate_total 1",
+		"wasabidock_prefill_computed_tokens_total 42",
+		"wasabidock_prefill_cached_tokens_total 12",
+		"wasabidock_prefills_total 12",
+		"wasabidock_transfers_total 18",
+		"wasabidock_stream_resumes_total 24",
+		"wasabidock_restarts_total 6",
+		"wasabidock_stray_events_total 30",
 		`wasabidock_refusals_total{code="rate_limited"} 1`,
 		`wasabidock_refusals_total{code="invalid_key"} 1`,
 		`wasabidock_customer_requests_total{customer="norte"} 3`,
--- a/wasabid/app/bridge.go
+++ b/wasabid/app/bridge.go
@@ -121,7 +121,14 @@
 		MaxGap:     res.MaxGap,
 		OnTime:     res.OnTime,
 		Wasted:     res.Wasted,
+		Computed:   res.Computed,
+		Cached:     res.Cached,
 		Attempts:   res.Attempts,
+		Prefills:   res.Prefills,
+		Transfers:  res.Transfers,
+		Resumes:    res.Resumes,
+		Restarts:   res.Restarts,
+		Stray:      res.Dropped.Doubled + res.Dropped.Late + res.Dropped.Crossed,
 		Prefill:    res.Prefill,
 		Decode:     res.Decode,
 	}, err
@@ -146,6 +153,13 @@
 		Prompt:     e.Prompt,
 		Output:     e.Result.Total,
 		Wasted:     e.Result.Wasted,
+		Computed:   e.Result.Computed,
+		Cached:     e.Result.Cached,
+		Prefills:   e.Result.Prefills,
+		Transfers:  e.Result.Transfers,
+		Resumes:    e.Result.Resumes,
+		Restarts:   e.Result.Restarts,
+		Stray:      e.Result.Stray,
 	})
 }
 
