engine: let the watchdog of a call keep its limit

Cause: each call to an engine ran two goroutines with a context each, one for silence and one for the limit of the whole call. Change: the watchdog waits for both. The limit had no test: TestLimitOfCall has one, red when the limit is left out.

--- a/engine/call.go
+++ b/engine/call.go
@@ -16,7 +16,6 @@
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/flow"
 	"wasabidock.dev/dock/ident"
-	"wasabidock.dev/dock/tick"
 )
 
 const (
@@ -72,15 +71,13 @@
 type call struct {
 	step    string
 	server  ident.Server
-	limit   time.Duration // of the whole call
+	limit   time.Duration // of the whole call, 0 for none
 	silence time.Duration // without a byte
 	method  string
 	path    string
 }
 
 func (c *Client) call(ctx context.Context, t *http.Transport, cl call, in, out any) error {
-	ctx, stop := tick.WithTimeout(ctx, c.cfg.Timer, cl.limit, flow.ErrSilent)
-	defer stop()
 	resp, err := c.send(ctx, t, cl, in)
 	if err != nil {
 		return err
@@ -115,7 +112,7 @@
 	}
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	w := watch(ctx, c.cfg.Timer, cl.silence)
+	w := watch(ctx, c.cfg.Timer, cl.silence, cl.limit)
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(w.ctx, trace), cl.method, "http://"+addr+cl.path, body)
 	if err != nil {
 		w.stop()
--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -142,6 +142,34 @@
 	}
 }
 
+// trickle writes signs of life and ends without an answer after a while.
+func trickle(w http.ResponseWriter, r *http.Request) {
+	for range 300 {
+		if _, err := io.WriteString(w, "\n"); err != nil || r.Context().Err() != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// TestLimitOfCall ends a call whose answer shows signs of life and no end.
+func TestLimitOfCall(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(http.HandlerFunc(trickle))
+	defer srv.Close()
+	c := engine.New(engine.Config{
+		Timer:     tick.NewReal(),
+		Directory: fixed(srv.Listener.Addr().String()),
+		Silence:   time.Minute,
+		Call:      200 * time.Millisecond,
+	})
+	defer c.Close()
+	_, err := c.Reserve(context.Background(), "d1", flow.Reservation{Attempt: attempt})
+	is.True(errors.Is(err, flow.ErrSilent))
+	is.Equal(fail.Outcome(err), ident.Unknown)
+}
+
 func status(code int, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(code)
--- a/engine/fuzz_test.go
+++ b/engine/fuzz_test.go
@@ -17,7 +17,7 @@
 	f.Add("event: error\ndata: {\"code\":\"attempt\"}\n\n")
 	f.Add("data\n\n:\n\nevent:\n")
 	f.Fuzz(func(t *testing.T, body string) {
-		w := watch(context.Background(), tick.NewFake(0), 1)
+		w := watch(context.Background(), tick.NewFake(0), 1, 0)
 		defer w.stop()
 		s := &stream{events: newEvents(&answer{watchdog: w, body: strings.NewReader(body)})}
 		whole := strings.Count(body, "\n")
--- a/engine/watchdog.go
+++ b/engine/watchdog.go
@@ -17,7 +17,7 @@
 
 // watchdog ends a context when a wait for bytes has lasted too long. Time in
 // which nobody waits does not count, so that a slow reader is not taken for a
-// silent engine.
+// silent engine. It ends it too when the limit of the whole call has passed.
 type watchdog struct {
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -29,25 +29,38 @@
 // idle stands for no wait.
 const idle = -1
 
-// watch starts a watchdog with a wait under way. The caller must stop it.
-func watch(ctx context.Context, timer tick.Service, silence time.Duration) *watchdog {
+// watch starts a watchdog with a wait under way. A limit of zero stands for
+// none. The caller must stop it.
+func watch(ctx context.Context, timer tick.Service, silence, limit time.Duration) *watchdog {
 	ctx, cancel := context.WithCancelCause(ctx)
 	w := &watchdog{ctx: ctx, cancel: cancel, timer: timer, done: make(chan struct{})}
 	w.wait()
 	sub := timer.Every(max(silence/checksPerSilence, time.Millisecond))
+	var end tick.Timer
+	if limit > 0 {
+		end = timer.After(limit)
+	}
 	go func() {
 		defer close(w.done)
 		defer sub.Stop()
-		w.run(sub, silence)
+		if end == nil {
+			w.run(sub, nil, silence)
+			return
+		}
+		defer end.Stop()
+		w.run(sub, end.C(), silence)
 	}()
 	return w
 }
 
-func (w *watchdog) run(sub tick.Timer, silence time.Duration) {
+func (w *watchdog) run(sub tick.Timer, end <-chan tick.Instant, silence time.Duration) {
 	for {
 		select {
 		case <-w.ctx.Done():
 			return
+		case <-end:
+			w.cancel(flow.ErrSilent)
+			return
 		case <-sub.C():
 			if since := w.since.Load(); since != idle && w.timer.Now()-time.Duration(since) >= silence {
 				w.cancel(flow.ErrSilent)
