front: encode only the text of each token's event

Cause: each event of a stream was encoded whole by reflection and copied twice, though only the text differs from token to token. Change: the part up to the text is made once for each answer; the text is encoded by the standard library and written with it from one buffer.

--- a/front/chatwire.go
+++ b/front/chatwire.go
@@ -182,14 +182,21 @@
 
 // chatChunk is the JSON form of one piece of a streamed answer.
 type chatChunk struct {
-	ID      string       `json:"id"`
-	Object  string       `json:"object"`
-	Created int64        `json:"created"`
-	Model   ident.Model  `json:"model"`
+	chunkHead
 	Choices []chunkPiece `json:"choices"`
 	Usage   *chatUsage   `json:"usage,omitempty"`
 }
 
+// chunkHead is what all pieces of an answer begin with.
+type chunkHead struct {
+	ID      string      `json:"id"`
+	Object  string      `json:"object"`
+	Created int64       `json:"created"`
+	Model   ident.Model `json:"model"`
+}
+
+const chunkObject = "chat.completion.chunk"
+
 type chunkPiece struct {
 	Index        int       `json:"index"`
 	Delta        chatDelta `json:"delta"`
--- a/front/output.go
+++ b/front/output.go
@@ -25,9 +25,14 @@
 	stream  bool
 	next    int64 // offset of the token that comes next
 	text    strings.Builder
-	begun   bool // the head of a stream was written
+	begun   bool   // the head of a stream was written
+	lead    []byte // of each token's event, up to the text
+	buf     []byte // of the event that is written
 }
 
+// tail ends the event of a token after its text.
+const tail = `},"finish_reason":null}]}` + "\n\n"
+
 func newOutput(x *exchange, m ident.Model, stream bool) *output {
 	return &output{x: x, id: "chatcmpl-" + string(x.id), model: m, created: x.s.created(), stream: stream}
 }
@@ -45,13 +50,27 @@
 	if err := o.begin(); err != nil {
 		return err
 	}
-	if err := o.chunk(chatDelta{Content: text}, nil, nil); err != nil {
+	if err := o.piece(text); err != nil {
 		return err
 	}
 	o.next++
 	return nil
 }
 
+// piece writes the event of a token. It writes what chunk would, of which only
+// the text differs between the tokens of an answer.
+func (o *output) piece(text string) error {
+	if text == "" {
+		return o.chunk(chatDelta{}, nil, nil)
+	}
+	b, err := json.Marshal(text)
+	if err != nil {
+		return err
+	}
+	o.buf = append(append(append(o.buf[:0], o.lead...), b...), tail...)
+	return o.write(o.buf)
+}
+
 // complete reports whether exactly total tokens came.
 func (o *output) complete(total int64) bool { return o.next == total }
 
@@ -61,6 +80,11 @@
 		return nil
 	}
 	o.begun = true
+	head, err := json.Marshal(chunkHead{ID: o.id, Object: chunkObject, Created: o.created, Model: o.model})
+	if err != nil {
+		return err
+	}
+	o.lead = []byte("data: " + strings.TrimSuffix(string(head), "}") + `,"choices":[{"index":0,"delta":{"content":`)
 	h := o.x.c.Writer.Header()
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-cache")
@@ -87,7 +111,7 @@
 	if o.begin() != nil || o.chunk(chatDelta{}, &res.Reason, &usage) != nil {
 		return
 	}
-	_ = o.write("data: [DONE]\n\n")
+	_ = o.write([]byte("data: [DONE]\n\n"))
 }
 
 // abort ends an answer that is not whole: with an error status if nothing was
@@ -106,7 +130,7 @@
 	if err != nil {
 		return
 	}
-	_ = o.write("event: error\ndata: " + string(b) + "\n\n")
+	_ = o.write([]byte("event: error\ndata: " + string(b) + "\n\n"))
 }
 
 // worst returns the outcome of an answer of which a part was sent.
@@ -119,20 +143,20 @@
 
 func (o *output) chunk(d chatDelta, reason *string, usage *chatUsage) error {
 	b, err := json.Marshal(chatChunk{
-		ID: o.id, Object: "chat.completion.chunk", Created: o.created, Model: o.model,
-		Choices: []chunkPiece{{Delta: d, FinishReason: reason}},
-		Usage:   usage,
+		chunkHead: chunkHead{ID: o.id, Object: chunkObject, Created: o.created, Model: o.model},
+		Choices:   []chunkPiece{{Delta: d, FinishReason: reason}},
+		Usage:     usage,
 	})
 	if err != nil {
 		return err
 	}
-	return o.write("data: " + string(b) + "\n\n")
+	return o.write([]byte("data: " + string(b) + "\n\n"))
 }
 
-// write gives the caller the stall limit to take s.
-func (o *output) write(s string) error {
+// write gives the caller the stall limit to take b.
+func (o *output) write(b []byte) error {
 	o.x.progress()
-	if _, err := o.x.c.Writer.WriteString(s); err != nil {
+	if _, err := o.x.c.Writer.Write(b); err != nil {
 		return o.gone()
 	}
 	if err := o.x.rc.Flush(); err != nil {
