once, intent: give up copies of a seat whose buddy a process was not all the time

A key that ran in between was at the other buddies only, so the seat's next process took it for fresh and ran it again.

Change: the owner forgets seats that are its buddies no longer; a process whose own table does not name it a buddy all the time calls its copy incomplete and refuses further copies as unmet until the owner has joined it again. A fetch that meets this between two pages is told to begin again and not that it is superseded.

Two such edits within one round of 5 s with a loss right after stay uncovered.

--- a/intent/copies.go
+++ b/intent/copies.go
@@ -1,6 +1,8 @@
 package intent
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +37,7 @@
 	mu       sync.Mutex
 	current  uint64
 	met      map[uint64]bool
+	lapsed   bool // current must meet this buddy again before it may add copies
 	complete bool
 	since    tick.Instant // every call from then on is held, if complete
 	bytes    int64
@@ -65,6 +68,7 @@
 	defer h.mu.Unlock()
 	switch {
 	case h.current == n.Incarnation && h.met[n.Incarnation]:
+		h.lapsed = false
 		return Current, true
 	case h.met[n.Incarnation]:
 		return Superseded, false
@@ -74,6 +78,7 @@
 	}
 	h.met[n.Incarnation] = true
 	h.current = n.Incarnation
+	h.lapsed = false
 	for _, e := range h.entries {
 		e.Serial = 0
 	}
@@ -94,6 +99,8 @@
 		return Unmet
 	case h.current != n.Incarnation:
 		return Superseded
+	case h.lapsed:
+		return Unmet
 	default:
 		return Current
 	}
@@ -164,6 +171,23 @@
 	h.complete, h.since = true, since
 }
 
+// Lapse notes that the seat's calls may have been copied elsewhere: the copy is
+// complete no longer, and the process in the seat must meet this buddy again.
+// Earlier processes stay superseded.
+func (c *Copies) Lapse(seat ident.Instance) {
+	h := c.held(seat)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lapsed, h.complete = true, false
+}
+
+// Seats returns the seats of which anything is held, in no order.
+func (c *Copies) Seats() []ident.Instance {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.seats))
+}
+
 // Since returns for how long the copy holds every call of the seat, and false
 // if nothing is known for sure.
 func (c *Copies) Since(now tick.Instant, seat ident.Instance) (time.Duration, bool) {
--- a/intent/intent_test.go
+++ b/intent/intent_test.go
@@ -78,6 +78,33 @@
 	is.Equal(d, keep)
 }
 
+// TestLapse has a buddy that was none for a while take copies again only after
+// its owner has met it, and never from an earlier process of the seat.
+func TestLapse(t *testing.T) {
+	is := is.New(t)
+	c := intent.NewCopies(intent.Config{MaxEntries: 2, MaxBytes: 1 << 20})
+	first, second := ident.Node{Instance: "a1", Incarnation: 9}, ident.Node{Instance: "a1", Incarnation: 3}
+	c.Meet(first)
+	c.Meet(second)
+	c.Complete(second, 0)
+	is.Equal(c.Seats(), []ident.Instance{"a1"})
+	c.Lapse("a1")
+	_, sure := c.Since(keep, "a1")
+	is.True(!sure)
+	s, _ := c.Apply(0, second, nil)
+	is.Equal(s, intent.Unmet)
+	c.Complete(second, 0)
+	_, sure = c.Since(keep, "a1")
+	is.True(!sure) // not before they have met again
+	s, _ = c.Apply(0, first, nil)
+	is.Equal(s, intent.Superseded)
+	s, known := c.Meet(second)
+	is.Equal(s, intent.Current)
+	is.True(known)
+	s, _ = c.Apply(0, second, nil)
+	is.Equal(s, intent.Current)
+}
+
 // TestCopiesInAnyOrder applies the copies of one key's life in other orders.
 func TestCopiesInAnyOrder(t *testing.T) {
 	id := intent.NewID("sur", "confirm", "k")
--- a/once/copy.go
+++ b/once/copy.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
@@ -112,7 +114,18 @@
 	if !ok {
 		return nil
 	}
-	return intent.Buddies(v.Seats(), s.cfg.Self.Instance)
+	return s.buddiesBy(v)
+}
+
+// buddiesBy returns the buddies of this seat by v and forgets all others: they
+// get no copies, so they must be joined and sent the whole journal if they
+// become buddies again.
+func (s *Service) buddiesBy(v View) []ident.Instance {
+	names := intent.Buddies(v.Seats(), s.cfg.Self.Instance)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.buddies, func(name ident.Instance, _ *buddy) bool { return !slices.Contains(names, name) })
+	return names
 }
 
 func (s *Service) node() *peerpb.Node {
--- a/once/handler.go
+++ b/once/handler.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"connectrpc.com/connect"
+	"github.com/go-faster/errors"
+
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/intent"
@@ -12,6 +15,9 @@
 	"wasabidock.dev/dock/plain"
 )
 
+// errLapsed reports a fetch that must begin again with its first page.
+var errLapsed = errors.New("once: the asker has to meet this buddy again")
+
 // Handler returns the service that the other instances call.
 func (s *Service) Handler() peerpbconnect.OnceServiceHandler { return handler{s} }
 
@@ -49,7 +55,10 @@
 	if page == 0 {
 		standing, res.Known = s.copies.Meet(n)
 	}
-	if standing != intent.Current {
+	switch standing {
+	case intent.Unmet:
+		return nil, connect.NewError(connect.CodeAborted, errLapsed)
+	case intent.Superseded:
 		res.Superseded = true
 		return res, nil
 	}
--- a/once/join.go
+++ b/once/join.go
@@ -73,7 +73,7 @@
 		return errNoView
 	}
 	s.observe(v)
-	names := intent.Buddies(v.Seats(), s.cfg.Self.Instance)
+	names := s.buddiesBy(v)
 	if len(names) == 0 {
 		return nil
 	}
--- a/once/layout.go
+++ b/once/layout.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"time"
 
 	"wasabidock.dev/dock/ident"
@@ -35,6 +36,7 @@
 	next := newLayout(v)
 	if s.seen && !s.current.same(next) {
 		now := s.cfg.Clock.Now()
+		s.lapse(s.current.seats, next.seats)
 		s.current.until = now
 		s.earlier = append(s.earlier, s.current)
 		if len(s.earlier) > maxLayouts {
@@ -45,6 +47,17 @@
 	s.seen, s.revision, s.current = true, v.Revision(), next
 }
 
+// lapse gives up the copies of the seats whose buddy this process was not all
+// the time: their calls may have been copied to other buddies only.
+func (s *Service) lapse(was, next []intent.Seat) {
+	self := s.cfg.Self.Instance
+	for _, owner := range s.copies.Seats() {
+		if !slices.Contains(intent.Buddies(was, owner), self) || !slices.Contains(intent.Buddies(next, owner), self) {
+			s.copies.Lapse(owner)
+		}
+	}
+}
+
 func newLayout(v View) layout {
 	l := layout{seats: v.Seats(), homes: make(map[ident.Route]home)}
 	for _, r := range v.Routes() {
