once: refuse copies from a home whose buddy the new table does not name

Cause: a home that lags behind a table edit went on to run keyed calls with the help of buddies that had the new table already.

Change: a process takes copies and fetches only of seats whose buddy it is by its own table. TestTwoViews showed the old home running a call while all its buddies were at the new table; it now has a buddy at the old one, and TestOldHomeOfNewerBuddies states what happens otherwise.

Conclusion: the old home can run a key only with a buddy that lags as well. Price: keyed calls of a seat that gets two other buddies are refused as not run until these have the table.

--- a/once/call_test.go
+++ b/once/call_test.go
@@ -178,7 +178,11 @@
 	w.view = next
 	moved := w.homeOf(key)
 	is.True(moved != "a1")
-	w.at("a1").own, w.at("b1").own = old, old
+	for _, seat := range []ident.Instance{"a1", "a2", "a3", "b1"} {
+		if seat != moved {
+			w.at(seat).own = old
+		}
+	}
 	_, err := w.call("b1", "r1", key) // by the old view
 	is.NoErr(err)
 	_, err = w.call("b2", "r2", key) // by the new one, whose home can't know
@@ -190,6 +194,24 @@
 	is.Equal(w.ran(key), 1)
 }
 
+// TestOldHomeOfNewerBuddies calls a home that an edit has taken away and that
+// lags behind, while its buddies have the new table in force.
+func TestOldHomeOfNewerBuddies(t *testing.T) {
+	is := is.New(t)
+	w := newWorld()
+	key := w.keyAt("a1")
+	old := w.view
+	w.setView(&view{revision: 2, route: old.route, seats: append(seatsOf("a", "a2", "a3"), seatsOf("b", "b1", "b2")...)})
+	w.at("a1").own, w.at("b1").own = old, old
+	for range 2 {
+		_, err := w.call("b1", "r1", key)
+		is.Equal(codeOf(err), fail.CodeHomeAway)
+		is.Equal(fail.Outcome(err), notRun)
+		_ = w.at("a1").svc.Sync(ctx) // does not win them back
+	}
+	is.Equal(w.ran(key), 0)
+}
+
 func TestJournalBounds(t *testing.T) {
 	is := is.New(t)
 	j := intent.NewJournal(intent.Config{MaxEntries: 2, MaxBytes: 1 << 20, MaxAnswer: 4})
--- a/once/handler.go
+++ b/once/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,8 +16,12 @@
 	"wasabidock.dev/dock/plain"
 )
 
-// errLapsed reports a fetch that must begin again with its first page.
-var errLapsed = errors.New("once: the asker has to meet this buddy again")
+var (
+	// errLapsed reports a fetch that must begin again with its first page.
+	errLapsed = errors.New("once: the asker has to meet this buddy again")
+	// errNoBuddy reports an asker at another revision of the table.
+	errNoBuddy = errors.New("once: the table in force names other buddies for the asker's seat")
+)
 
 // Handler returns the service that the other instances call.
 func (s *Service) Handler() peerpbconnect.OnceServiceHandler { return handler{s} }
@@ -30,6 +35,10 @@
 	now := s.cfg.Clock.Now()
 	owner := owner(req.GetOwner())
 	res := &peerpb.CopyResponse{Buddy: s.node()}
+	if !s.buddyOf(owner.Instance) {
+		res.Unmet = true
+		return res, nil
+	}
 	standing, room := s.copies.Apply(now, owner, fromProto(now, req.GetEntries()))
 	res.Unmet = standing == intent.Unmet
 	res.Superseded = standing == intent.Superseded
@@ -51,6 +60,9 @@
 	if page >= intent.Shards {
 		return res, nil
 	}
+	if !s.buddyOf(n.Instance) {
+		return nil, connect.NewError(connect.CodeAborted, errNoBuddy)
+	}
 	standing := s.copies.Standing(n)
 	if page == 0 {
 		standing, res.Known = s.copies.Meet(n)
@@ -70,6 +82,13 @@
 	return res, nil
 }
 
+// buddyOf reports whether the table in force lets this process hold copies of
+// the seat's journal. Before there is a table nothing contradicts the owner.
+func (s *Service) buddyOf(owner ident.Instance) bool {
+	v, ok := s.cfg.Table.View()
+	return !ok || slices.Contains(intent.Buddies(v.Seats(), owner), s.cfg.Self.Instance)
+}
+
 // Run makes a call that another instance passed on to its home.
 func (h handler) Run(ctx context.Context, req *peerpb.RunRequest) (*peerpb.RunResponse, error) {
 	a, err := h.s.runForwarded(ctx, req)
