once: log nothing while there is no table yet

Change: the loop is quiet until there is a table.

Conclusion: a warning of once means that copies are lacking.

--- a/once/join.go
+++ b/once/join.go
@@ -44,8 +44,10 @@
 	for {
 		every := syncEvery
 		if err := s.Sync(ctx); err != nil {
-			s.cfg.Log.Warn().Err(err).Msg("once: the journal's copies are not whole")
 			every = joinEvery
+			if !errors.Is(err, errNoView) {
+				s.cfg.Log.Warn().Err(err).Msg("once: the journal's copies are not whole")
+			}
 		}
 		s.copies.Expire(s.cfg.Clock.Now())
 		for range expirePerTick {
