--- a/sweep/keeper_test.go
+++ b/sweep/keeper_test.go
@@ -160,6 +160,29 @@
 	}
 }
 
+func TestKeeperRenewsBetweenSlowReleases(t *testing.T) {
+	is := is.New(t)
+	k, engines, timer := startKeeper(t, 0, false)
+	live := attempt("a", 1, 1)
+	k.Keep("d1", live)
+	for n := range uint64(20) {
+		k.Release("d1", attempt("a", 1, 2+n))
+	}
+	for c := range engines.calls {
+		if c.name == "touch" {
+			is.Equal(c.attempts, []ident.Attempt{live})
+			engines.fail <- nil
+			break
+		}
+		if timer.Now() >= testLife {
+			t.Fatalf("%v passed without a renewal, the life of a hold is %v", timer.Now(), testLife)
+		}
+		timer.Advance(time.Second) // the engine takes so long for each cancel
+		engines.fail <- nil
+	}
+	is.True(timer.Now() < testLife)
+}
+
 func TestKeeperLeavesStreamsToThemselves(t *testing.T) {
 	for _, streams := range []bool{false, true} {
 		name := "streams are contact"
--- a/sweep/worker.go
+++ b/sweep/worker.go
@@ -129,9 +129,11 @@
 	return as
 }
 
-// releaseAll cancels until nothing is pending at the engine or a call fails.
+// releaseAll cancels until nothing is pending at the engine, a call fails or
+// live holds are due to be renewed: a slow engine with many releases must not
+// outlast the life of the others.
 func (k *Keeper) releaseAll(ctx context.Context, s ident.Server) error {
-	for {
+	for !k.renewalDue(s) {
 		r, ok := k.first(s)
 		if !ok {
 			return nil
@@ -141,6 +143,15 @@
 		}
 		k.settle(s, true)
 	}
+	return nil
+}
+
+// renewalDue reports whether live holds at an engine wait to be renewed.
+func (k *Keeper) renewalDue(s ident.Server) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	ac := k.servers[s]
+	return len(ac.live) > 0 && k.cfg.Timer.Now() >= ac.touch
 }
 
 // first returns the oldest pending release, without those whose hold has
