orders: let other loads go first when one has no effect

Cause: loads of one store take turns, in an order that depends on the reports alone. An engine that refuses its load for good stayed the first in turn, at every instance, so that no other engine of the store was ever loaded. Change: the Runner notes since when a load is planned without effect. After 30 s Plan puts it behind the others for 30 s, then it has its turn again. Conclusion: one broken engine does not stop the loads of the others. A load that an engine reports as going on for good still does.

--- a/orders/load.go
+++ b/orders/load.go
@@ -8,7 +8,7 @@
 )
 
 // planLoads orders what is missing. At each store, the models with the fewest
-// replicas come first, then the servers by name.
+// replicas come first, then the servers by name. Deferred loads come last.
 func (p *plan) planLoads() {
 	inFlight := make(map[string]int)
 	var missing []load
@@ -19,7 +19,7 @@
 		}
 		for _, m := range s.want.Models {
 			if !has(s.state.Models, m) && !has(s.state.Loading, m) {
-				missing = append(missing, load{server: s.want.Server, store: s.want.Store, model: m, replicas: p.replicas(m)})
+				missing = append(missing, load{server: s.want.Server, store: s.want.Store, model: m, replicas: p.replicas(m), deferred: slices.Contains(s.state.Deferred, m)})
 			}
 		}
 	}
@@ -49,9 +49,13 @@
 	store    string
 	model    Model
 	replicas int
+	deferred bool
 }
 
 func (l load) before(o load) bool {
+	if l.deferred != o.deferred {
+		return !l.deferred
+	}
 	if l.replicas != o.replicas {
 		return l.replicas < o.replicas
 	}
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -70,6 +70,7 @@
 	Role     string
 	Models   []Model
 	Loading  []Model
+	Deferred []Model // ordered to be loaded without effect, as seen by the Runner; other loads go first
 	Draining bool
 	Fence    uint64 // highest number that it has seen, 0 if it ignores them
 	Age      time.Duration
--- a/orders/runner.go
+++ b/orders/runner.go
@@ -34,6 +34,7 @@
 	Every   time.Duration             // period
 	Settle  time.Duration             // time after which a revision is in force everywhere
 	Repeat  time.Duration             // time after which an order without effect is repeated
+	Defer   time.Duration             // time after which a load without effect lets others go first, for as long again
 	Limits  Limits
 }
 
@@ -41,6 +42,7 @@
 	defaultEvery  = 2 * time.Second
 	defaultSettle = 25 * time.Second // in force everywhere, and all reports are younger
 	defaultRepeat = 10 * time.Second
+	defaultDefer  = 30 * time.Second
 	defaultFresh  = 10 * time.Second
 	defaultLoads  = 1
 )
@@ -52,6 +54,7 @@
 
 	mu    sync.Mutex // guards what follows
 	given map[Order]tick.Instant
+	loads map[Order]tick.Instant // loads without effect, by when they were first planned
 	kept  []Kept
 }
 
@@ -60,11 +63,17 @@
 	setDefault(&cfg.Every, defaultEvery)
 	setDefault(&cfg.Settle, defaultSettle)
 	setDefault(&cfg.Repeat, defaultRepeat)
+	setDefault(&cfg.Defer, defaultDefer)
 	setDefault(&cfg.Limits.Fresh, defaultFresh)
 	if cfg.Limits.Loads == 0 {
 		cfg.Limits.Loads = defaultLoads
 	}
-	return &Runner{cfg: cfg, done: make(chan struct{}), given: make(map[Order]tick.Instant)}
+	return &Runner{
+		cfg:   cfg,
+		done:  make(chan struct{}),
+		given: make(map[Order]tick.Instant),
+		loads: make(map[Order]tick.Instant),
+	}
 }
 
 func setDefault(d *time.Duration, def time.Duration) {
@@ -111,6 +120,7 @@
 	orders, kept := Plan(revision, wants, r.states(), r.cfg.Limits)
 	r.mu.Lock()
 	r.kept = kept
+	r.noteLoads(orders, planned)
 	r.mu.Unlock()
 	for _, o := range orders {
 		if ctx.Err() != nil {
@@ -134,8 +144,41 @@
 	return now == revision
 }
 
+// noteLoads notes since when each load is planned, whichever instance gives
+// the order. The caller holds mu.
+func (r *Runner) noteLoads(orders []Order, now tick.Instant) {
+	for _, o := range orders {
+		if _, ok := r.loads[o]; !ok && o.Kind == Load {
+			r.loads[o] = now
+		}
+	}
+}
+
+// deferLoads marks the loads that are without effect for too long, and forgets
+// those that have one or have waited for their next turn. The caller holds mu.
+func (r *Runner) deferLoads(states []State, now tick.Instant) {
+	for o, since := range r.loads {
+		if now-since >= 2*r.cfg.Defer {
+			delete(r.loads, o)
+		}
+	}
+	for i := range states {
+		s := &states[i]
+		s.Deferred = nil
+		for o, since := range r.loads {
+			switch {
+			case o.Server != s.Server:
+			case has(s.Models, o.Model) || has(s.Loading, o.Model):
+				delete(r.loads, o)
+			case now-since >= r.cfg.Defer:
+				s.Deferred = append(s.Deferred, o.Model)
+			}
+		}
+	}
+}
+
 // states returns the reports, with the loads that were ordered and are not
-// reported yet.
+// reported yet, and those that are deferred.
 func (r *Runner) states() []State {
 	states := slices.Clone(r.cfg.Source.States())
 	r.mu.Lock()
@@ -146,6 +189,7 @@
 			delete(r.given, o)
 		}
 	}
+	r.deferLoads(states, now)
 	for i := range states {
 		s := &states[i]
 		s.Loading = slices.Clone(s.Loading)
