--- a/probe/probe.go
+++ b/probe/probe.go
@@ -152,10 +152,11 @@
 }
 
 // follow passes on the cache events of s and opens the feed anew when it ends.
+// Each feed is read from its start: an engine that has restarted counts its
+// events anew and would hold back those up to the last number seen.
 func (p *Prober) follow(ctx context.Context, s ident.Server) {
-	var after uint64
 	for ctx.Err() == nil {
-		err := p.feed(ctx, s, &after)
+		err := p.feed(ctx, s)
 		if ctx.Err() != nil {
 			return
 		}
@@ -166,8 +167,8 @@
 	}
 }
 
-func (p *Prober) feed(ctx context.Context, s ident.Server, after *uint64) error {
-	f, err := p.cfg.Engines.Events(ctx, s, *after)
+func (p *Prober) feed(ctx context.Context, s ident.Server) error {
+	f, err := p.cfg.Engines.Events(ctx, s, 0)
 	if err != nil {
 		return err
 	}
@@ -177,7 +178,6 @@
 		if err != nil {
 			return err
 		}
-		*after = e.Seq
 		p.cfg.Sink.Events(place.Events{Server: s, Seq: e.Seq, Add: e.Add, Drop: e.Drop})
 	}
 }
