conf: set the longest life of a lease

Cause: a data centre of more than twelve seats needs longer leases to keep a holder's messages few, and nothing set them. No measurement was made. Conclusion: docs/design-limits.md has the traffic by seats.

--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -154,6 +154,8 @@
 		Dialer: p,
 		Time:   t,
 		Log:    logs.Part(l, "limit"),
+
+		MaxLife: cfg.LeaseLife(),
 	})
 }
 
--- a/wasabid/conf/conf.go
+++ b/wasabid/conf/conf.go
@@ -13,6 +13,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/limit"
 )
 
 const envPrefix = "WASABI"
@@ -36,6 +37,7 @@
 	peerCA      string
 	notice      time.Duration
 	slow        time.Duration
+	leaseLife   time.Duration
 	maxActive   int
 }
 
@@ -106,6 +108,10 @@
 // Slow returns the time after which a caller that reads nothing is given up.
 func (c *Config) Slow() time.Duration { return c.slow }
 
+// LeaseLife returns the longest life of a lease of shares. It must be the same
+// in the whole fleet.
+func (c *Config) LeaseLife() time.Duration { return c.leaseLife }
+
 // MaxActive returns the bound on requests in progress.
 func (c *Config) MaxActive() int { return c.maxActive }
 
@@ -154,6 +160,7 @@
 	fs.StringVar(&c.peerCA, "peer-ca", "", "authority that signs the peers' certificates, PEM or `file`")
 	fs.DurationVar(&c.notice, "drain-notice", 5*time.Second, "`time` to go on accepting after the signal to stop")
 	fs.DurationVar(&c.slow, "slow-caller", 30*time.Second, "`time` after which a caller that reads nothing is given up")
+	fs.DurationVar(&c.leaseLife, "lease-life", limit.DefaultMaxLife, "longest `life` of a lease of shares, the same in the whole fleet; 200ms for each seat of the largest data centre, and not less than the default")
 	fs.IntVar(&c.maxActive, "max-active", 4096, "largest `number` of requests in progress")
 	return fs
 }
@@ -196,6 +203,7 @@
 	checkTogether(add, []string{"peer-cert", "peer-key", "peer-ca"}, []string{c.peerCert, c.peerKey, c.peerCA})
 	checkRange(add, "drain-notice", c.notice, 0, 10*time.Minute)
 	checkRange(add, "slow-caller", c.slow, time.Second, time.Hour)
+	checkRange(add, "lease-life", c.leaseLife, limit.DefaultMaxLife, time.Minute)
 	if c.maxActive < 1 || c.maxActive > 1<<20 {
 		add("max-active", strconv.Itoa(c.maxActive)+" is not between 1 and 1048576")
 	}
