wasabid: let the test's stream wait for the fresh fleet's leases

Cause: the stream whose key is withdrawn was sent while its data centre had not leased its shares yet; it was refused, as it should be, and the test waited for it for ever (red once at a busy machine). Change: the test sends it again until it is admitted. What it checks is the same. Conclusion: no verdict depends on how soon a fleet has leases.

--- a/wasabid/fleet_test.go
+++ b/wasabid/fleet_test.go
@@ -58,8 +58,14 @@
 	}
 	got := make(chan answer, 1)
 	go func() {
-		s, b, err := chat(t.Context(), f.procs["west-2"], "gone", 60_000, true)
-		got <- answer{s, b, err}
+		for {
+			s, b, err := chat(t.Context(), f.procs["west-2"], "gone", 60_000, true)
+			if s != http.StatusTooManyRequests { // the fresh fleet has leased and accrued enough
+				got <- answer{s, b, err}
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
 	}()
 	f.await("stream runs", func() bool { return f.engines["west-decode"].Counts().Streams > 0 })
 	f.publish(2, customers, []string{"flood", "calm"})
