front: send head and end of a stream in one write each

Cause: a streamed answer made a write to its caller for the head, for each token, for the last event and for the end mark. Change: the head leaves with the first token, which it always came right before, and the last event with the end mark. Each token is still flushed at once. TestOneFlushForEachToken, red with the old code, holds the number.

--- a/front/output.go
+++ b/front/output.go
@@ -53,11 +53,14 @@
 	if err := o.piece(text); err != nil {
 		return err
 	}
+	if err := o.flush(); err != nil {
+		return err
+	}
 	o.next++
 	return nil
 }
 
-// piece writes the event of a token. It writes what chunk would, of which only
+// piece puts the event of a token. It puts what chunk would, of which only
 // the text differs between the tokens of an answer.
 func (o *output) piece(text string) error {
 	if text == "" {
@@ -68,13 +71,13 @@
 		return err
 	}
 	o.buf = append(append(append(o.buf[:0], o.lead...), b...), tail...)
-	return o.write(o.buf)
+	return o.put(o.buf)
 }
 
 // complete reports whether exactly total tokens came.
 func (o *output) complete(total int64) bool { return o.next == total }
 
-// begin writes the head of a stream once.
+// begin puts the head of a stream once. It leaves with what is flushed next.
 func (o *output) begin() error {
 	if o.begun {
 		return nil
@@ -111,7 +114,9 @@
 	if o.begin() != nil || o.chunk(chatDelta{}, &res.Reason, &usage) != nil {
 		return
 	}
-	_ = o.write([]byte("data: [DONE]\n\n"))
+	if o.put([]byte("data: [DONE]\n\n")) == nil {
+		_ = o.flush()
+	}
 }
 
 // abort ends an answer that is not whole: with an error status if nothing was
@@ -130,7 +135,9 @@
 	if err != nil {
 		return
 	}
-	_ = o.write([]byte("event: error\ndata: " + string(b) + "\n\n"))
+	if o.put([]byte("event: error\ndata: "+string(b)+"\n\n")) == nil {
+		_ = o.flush()
+	}
 }
 
 // worst returns the outcome of an answer of which a part was sent.
@@ -141,6 +148,7 @@
 	return o
 }
 
+// chunk puts an event of the stream.
 func (o *output) chunk(d chatDelta, reason *string, usage *chatUsage) error {
 	b, err := json.Marshal(chatChunk{
 		chunkHead: chunkHead{ID: o.id, Object: chunkObject, Created: o.created, Model: o.model},
@@ -150,15 +158,21 @@
 	if err != nil {
 		return err
 	}
-	return o.write([]byte("data: " + string(b) + "\n\n"))
+	return o.put([]byte("data: " + string(b) + "\n\n"))
 }
 
-// write gives the caller the stall limit to take b.
-func (o *output) write(b []byte) error {
+// put adds b to what the next flush sends. What does not fit the buffer is
+// sent at once, for which the caller has the stall limit.
+func (o *output) put(b []byte) error {
 	o.x.progress()
 	if _, err := o.x.c.Writer.Write(b); err != nil {
 		return o.gone()
 	}
+	return nil
+}
+
+// flush sends what was put, under the stall limit of the last put.
+func (o *output) flush() error {
 	if err := o.x.rc.Flush(); err != nil {
 		return o.gone()
 	}
--- a/front/output_test.go
+++ b/front/output_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"wasabidock.dev/dock/ident"
@@ -47,6 +48,28 @@
 	})
 }
 
+// counting counts the flushes of an answer.
+type counting struct {
+	*httptest.ResponseRecorder
+	flushes int
+}
+
+func (c *counting) Flush() { c.flushes++ }
+
+// TestOneFlushForEachToken counts the flushes of an answer: the head leaves
+// with the first token, and the end with the last event.
+func TestOneFlushForEachToken(t *testing.T) {
+	is := is.New(t)
+	w := &counting{ResponseRecorder: httptest.NewRecorder()}
+	o := outputTo(w)
+	for n := range int64(3) {
+		is.NoErr(o.Token(n, "letter "))
+		is.Equal(w.flushes, int(n)+1)
+	}
+	o.finish(Result{Total: 3, Reason: "stop"}, 1)
+	is.Equal(w.flushes, 4)
+}
+
 // BenchmarkToken relays a token to a caller that keeps nothing.
 func BenchmarkToken(b *testing.B) {
 	o := outputTo(discard{})
