spread, app: follow the table until a superseded process has ended

Cause: a process whose seat another one has taken stopped reading the table at once, but goes on with its requests however long they take. A key that was withdrawn meanwhile kept its requests there. Besides, nobody read the end of the peers' listener: a daemon without it would have gone on alone.

Change: Run follows the platform until its context ends and only leaves its peers alone; the daemon ends itself on Superseded. It also ends when the peers' listener does.

--- a/spread/exchange.go
+++ b/spread/exchange.go
@@ -26,7 +26,8 @@
 
 var errSilent = errors.New("no answer in time")
 
-// runRounds exchanges digests each period and after each change.
+// runRounds exchanges digests each period and after each change, unless the
+// instance is superseded: its peers would not take them.
 func (f *Fleet) runRounds(ctx context.Context) {
 	period := f.cfg.Timer.Every(roundPeriod)
 	defer period.Stop()
@@ -34,7 +35,7 @@
 	running := 0
 	start := func(targets []ident.Instance) {
 		for _, name := range targets {
-			if running == maxExchanges || !f.claim(name) {
+			if running == maxExchanges || f.isSuperseded() || !f.claim(name) {
 				continue
 			}
 			running++
--- a/spread/fleet.go
+++ b/spread/fleet.go
@@ -43,8 +43,7 @@
 	Active   func() int64 // requests in progress, shown by Status; may be nil
 }
 
-// ErrSuperseded is returned by Run when peers say that another process has
-// taken the seat.
+// ErrSuperseded reports that another process has taken the seat, as peers say.
 var ErrSuperseded = errors.New("spread: superseded by another process in the seat")
 
 // Fleet is one instance's part in the distribution of the table. It
@@ -106,7 +105,9 @@
 func (f *Fleet) Joined() <-chan struct{} { return f.joined }
 
 // Superseded is closed once a peer says that another process has taken the
-// seat.
+// seat. The owner should then finish its requests and end. Until it does, Run
+// follows the table by the platform alone, so that requests whose key is
+// withdrawn are still ended.
 func (f *Fleet) Superseded() <-chan struct{} { return f.superseded }
 
 // PlatformAge returns the time since any known instance read the head of the
@@ -133,11 +134,9 @@
 	}
 }
 
-// Run takes part in the distribution until ctx ends or the instance is
-// superseded. It returns when all that it started has ended.
+// Run takes part in the distribution until ctx ends. It returns when all that
+// it started has ended.
 func (f *Fleet) Run(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	loops := []func(context.Context){f.runRounds, f.runPulls}
 	for _, w := range f.values {
 		loops = append(loops, func(ctx context.Context) { f.runWatch(ctx, w) })
@@ -149,17 +148,19 @@
 			loop(ctx)
 		}()
 	}
-	var err error
-	select {
-	case <-ctx.Done():
-	case <-f.superseded:
-		err = ErrSuperseded
-		cancel()
-	}
 	for range loops {
 		<-done
 	}
-	return err
+	return nil
+}
+
+func (f *Fleet) isSuperseded() bool {
+	select {
+	case <-f.superseded:
+		return true
+	default:
+		return false
+	}
 }
 
 // notify leaves a notice in a channel that holds one.
--- a/wasabid/app/run.go
+++ b/wasabid/app/run.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"wasabidock.dev/dock/spread"
 	"wasabidock.dev/dock/wasabid/conf"
 )
 
@@ -42,8 +43,9 @@
 	return failure
 }
 
-// wait returns nil once stop is closed, or the reason for which a part has
-// ended by itself. The other parts go on, so that requests can be finished.
+// wait returns nil once stop is closed, or the reason why the daemon must end:
+// a part has ended by itself, or another process has taken the seat. The other
+// parts go on, so that requests can be finished.
 func (d *daemon) wait(stop <-chan struct{}) error {
 	select {
 	case <-stop:
@@ -52,7 +54,13 @@
 		d.group.taken++
 		d.log.Error().Str("loop", e.name).Err(e.err).Msg("app: part ended by itself")
 		return errors.Errorf("app: part %s ended: %v", e.name, e.err)
+	case <-d.p.Spread.Superseded():
+		d.log.Error().Msg("app: superseded by another process in the seat")
+		return errors.Wrap(spread.ErrSuperseded, "app")
+	case err := <-d.p.PeerSrv.Done():
+		d.log.Error().Err(err).Msg("app: peers' listener ended by itself")
+		return errors.Errorf("app: peers' listener ended: %v", err)
 	case err := <-d.served:
-		return errors.Wrap(err, "app: callers' listener ended")
+		return errors.Errorf("app: callers' listener ended: %v", err)
 	}
 }
