place: count only living servers when one is set aside

Cause: at most half of a role may be set aside, but the half was of all servers of the table. With two of four departing or draining, both others could be set aside at once and the pool had no server for a second or more. Change: servers that depart or drain count neither as a whole nor as aside. Conclusion: a rolling replacement together with failures keeps half of the living servers in use.

--- a/place/pool.go
+++ b/place/pool.go
@@ -259,12 +259,19 @@
 	return (r&RolePrefill == 0 || p.half(p.prefill)) && (r&RoleDecode == 0 || p.half(p.decode))
 }
 
+// half reports whether at most half of the servers that may be used would be
+// set aside with one more. Those that depart or drain don't count.
 func (p *Pool) half(set []int) bool {
-	aside := 1
+	live, aside := 0, 1
 	for _, i := range set {
-		if p.set[i].health.outlier() {
+		s := p.set[i]
+		if s.gone() {
+			continue
+		}
+		live++
+		if s.health.outlier() {
 			aside++
 		}
 	}
-	return 2*aside <= len(set)
+	return 2*aside <= live
 }
--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -225,6 +225,21 @@
 	is.True(uses("d4", 10*time.Second))
 }
 
+func TestDepartingServersAreNoSpares(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, 4)
+	p.Depart("d1", true)
+	p.Report(place.Report{Server: "d2", Seq: 1, Draining: true}, 0)
+	for _, name := range []ident.Server{"d3", "d4"} {
+		for range 10 {
+			p.Failed(name, time.Second)
+		}
+	}
+	c, v := p.Choose(query(100), time.Second)
+	is.Equal(v, place.Chosen)
+	is.Equal(c.Decode, ident.Server("d4")) // d3 is aside, d1 and d2 are leaving
+}
+
 // TestReservationsNeverExceedPlaces takes random placements and releases and
 // checks that no decode server is given more than it has room for.
 func TestReservationsNeverExceedPlaces(t *testing.T) {
