--- a/orders/runner.go
+++ b/orders/runner.go
@@ -87,15 +87,7 @@
 	sub := r.cfg.Timer.Every(r.cfg.Every)
 	go func() {
 		defer close(r.done)
-		defer sub.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-sub.C():
-				r.Step(ctx)
-			}
-		}
+		tick.Repeat(ctx, sub, r.Step)
 	}()
 }
 
--- a/sweep/sweeper.go
+++ b/sweep/sweeper.go
@@ -59,15 +59,7 @@
 	sub := s.cfg.Timer.Every(s.cfg.Every)
 	go func() {
 		defer close(s.done)
-		defer sub.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-sub.C():
-				s.Sweep(ctx)
-			}
-		}
+		tick.Repeat(ctx, sub, s.Sweep)
 	}()
 }
 
