--- a/place/pool_test.go
+++ b/place/pool_test.go
@@ -193,6 +193,47 @@
 	is.Equal(cold-least(), time.Duration(0)) // the first piece is unknown again
 }
 
+// churn adds n pieces of their own to the cache of p1, one an event, and
+// returns the sequence number of the last.
+func churn(p *place.Pool, seq uint64, n int, each func(i int)) uint64 {
+	for i := range n {
+		seq++
+		p.Events(place.Events{Server: "p1", Seq: seq, Add: []uint64{1000 + seq}})
+		if each != nil {
+			each(i)
+		}
+	}
+	return seq
+}
+
+func TestHintsKeepPiecesInUse(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, 1)
+	p.Events(place.Events{Server: "p1", Seq: 1, Add: []uint64{1, 2}})
+	churn(p, 1, 3000, func(i int) {
+		if i%500 == 0 {
+			_, h := put(t, p, query(2500, 1, 2), 0)
+			p.Release(&h, 0)
+		}
+	})
+	c, v := p.Choose(query(2500, 1, 2), 0)
+	is.Equal(v, place.Chosen)
+	is.Equal(c.Cached, int64(2000))
+}
+
+func TestHintsKeepPiecesThatCameBack(t *testing.T) {
+	is := is.New(t)
+	p := newPool(1, 1)
+	p.Events(place.Events{Server: "p1", Seq: 1, Add: []uint64{1}})
+	p.Events(place.Events{Server: "p1", Seq: 2, Drop: []uint64{1}})
+	seq := churn(p, 2, 1000, nil)
+	p.Events(place.Events{Server: "p1", Seq: seq + 1, Add: []uint64{1}})
+	churn(p, seq+1, 100, nil)
+	c, v := p.Choose(query(2500, 1), 0)
+	is.Equal(v, place.Chosen)
+	is.Equal(c.Cached, int64(1000))
+}
+
 func TestOutliersAreSetAsideAndTriedAgain(t *testing.T) {
 	is := is.New(t)
 	p := newPool(1, 4)
