orders: say which rows a Source must return; test it

Cause: a trial with the rows of one pool alone showed that Plan unloads a model of another pool from its last replica: no row wants it. Change: Source.Wants says that rows without a known report belong to it, and TestPlan has the case: the unload is withheld. Figures: go test -race -run TestPlan ./orders passes. Conclusion: Plan is right if it gets all rows; the daemon's Source gives those of its own pools only and has to be mended (reported).

--- a/orders/plan_test.go
+++ b/orders/plan_test.go
@@ -56,6 +56,12 @@
 			wants:  []orders.Want{want("a", both, m1)},
 			states: nil,
 		},
+		{
+			name:   "model wanted at a server without a report is kept elsewhere",
+			wants:  []orders.Want{want("a", both, mo), want("b", both, m1)},
+			states: []orders.State{state("a", both, m1, mo)},
+			kept:   []orders.Kept{{Server: "a", Kind: orders.Unload, Model: m1}},
+		},
 		{
 			name:   "stale report gets no order",
 			wants:  []orders.Want{want("a", both, m1)},
--- a/orders/runner.go
+++ b/orders/runner.go
@@ -13,6 +13,8 @@
 // Source tells what the table wants and what the engines report.
 type Source interface {
 	// Wants returns the rows of the revision in force and how long it has been.
+	// They include those of servers whose reports are not known here: a model
+	// that no row wants is unloaded even where it has its last replica.
 	Wants() (revision uint64, inForce time.Duration, wants []Want)
 	// States returns the latest reports.
 	States() []State
