fair: give up cancelled items behind one that waits

Cause: an entry that was cancelled stayed in its customer's list until it reached the head. Change: when the entries that are gone outnumber the others, they are given up. Conclusion: a list is at most about three times as long as what waits in it.

--- a/fair/list.go
+++ b/fair/list.go
@@ -41,8 +41,11 @@
 	return c
 }
 
+// minCompact is the number of entries that may be gone in any list.
+const minCompact = 16
+
 // list holds entries in the order of their arrival. Entries that are gone
-// stay until they reach the head.
+// stay until they reach the head or outnumber the others.
 type list struct {
 	set   []*entry
 	first int
@@ -60,8 +63,8 @@
 
 func (l *list) head() *entry { return l.set[l.first] }
 
-// trim gives up the entries at the head that are gone and appends them to
-// free.
+// trim gives up the entries at the head that are gone, or all that are gone if
+// they are many, and appends them to free.
 func (l *list) trim(free []*entry) []*entry {
 	for l.first < len(l.set) && l.set[l.first].gone {
 		free = append(free, l.set[l.first])
@@ -72,5 +75,23 @@
 		l.set = l.set[:0]
 		l.first = 0
 	}
+	if len(l.set)-l.first > 2*l.n+minCompact {
+		free = l.compact(free)
+	}
+	return free
+}
+
+// compact gives up all entries that are gone and appends them to free.
+func (l *list) compact(free []*entry) []*entry {
+	kept := l.set[:0]
+	for _, e := range l.set[l.first:] {
+		if e.gone {
+			free = append(free, e)
+			continue
+		}
+		kept = append(kept, e)
+	}
+	clear(l.set[len(kept):])
+	l.set, l.first = kept, 0
 	return free
 }
