slope: fit no line through points of one size

Cause: two points at the same size have no line; Write printed one of NaN. Change: Write prints the points alone then, and Fit says so. The comment on the retries of the demo's driver tells what it does. Figures: TestPointsOfOneSizeHaveNoFit fails before and passes now. Conclusion: the table has no figure that is none.

--- a/slope/slope.go
+++ b/slope/slope.go
@@ -14,6 +14,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 
 	"gonum.org/v1/gonum/stat"
 )
@@ -38,12 +39,18 @@
 }
 
 // Fit returns the cost at size zero, the cost of each unit of size and the
-// share of the variance that the line explains, by least squares.
+// share of the variance that the line explains, by least squares. They are not
+// numbers if all points are of one size.
 func (s *Series) Fit() (base, each, r2 float64) {
 	base, each = stat.LinearRegression(s.xs, s.ys, nil, false)
 	return base, each, stat.RSquared(s.xs, s.ys, nil, base, each)
 }
 
+// fits reports whether there are points at two different sizes.
+func (s *Series) fits() bool {
+	return slices.ContainsFunc(s.xs, func(x float64) bool { return x != s.xs[0] })
+}
+
 // Write prints the points, the fit, and the fit's value at the target size,
 // which is marked as extrapolated if it lies beyond the points.
 func (s *Series) Write(w io.Writer, target float64) error {
@@ -57,7 +64,7 @@
 			return err
 		}
 	}
-	if len(s.xs) < 2 {
+	if !s.fits() {
 		return nil
 	}
 	base, each, r2 := s.Fit()
--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
 
 	"wasabidock.dev/dock/slope"
 )
@@ -20,3 +24,13 @@
 	//             27  64
 	//   fit: 10 + 2 per daemons, R² 1.000; at 360: 730 (extrapolated)
 }
+
+func TestPointsOfOneSizeHaveNoFit(t *testing.T) {
+	is := is.New(t)
+	s := slope.New("bytes", "daemons", "B/s")
+	s.Add(3, 10)
+	s.Add(3, 12)
+	var b strings.Builder
+	is.NoErr(s.Write(&b, 360))
+	is.True(!strings.Contains(b.String(), "fit"))
+}
--- a/standin/drive.go
+++ b/standin/drive.go
@@ -118,8 +118,8 @@
 	}
 }
 
-// send sends the request and checks its answer. A refusal for a time is tried
-// again when the answer says so.
+// send sends the request and checks its answer. A refusal that time heals
+// is tried again after a second until driveLimit has passed.
 func (x exchange) send(ctx context.Context, entry string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, driveLimit)
 	defer cancel()
