sched: send sums of placements as heartbeats

Change: a heartbeat carries count and XOR sum by model; the scheduler answers that it wants the whole set when it does not know the process and differs, when it differs at two heartbeats in a row, or when an answer of its own has not been named for 500 ms. One sender for each scheduler sends changes and sums in order. A scheduler that becomes the first of its pool hears of the placements made elsewhere and of their changes. Output is reported at 256 tokens and whenever it has doubled, since sums do not carry it.

The replay carries no output before the end, so it does not judge the change to the reports of output.

--- a/pool/doc.go
+++ b/pool/doc.go
@@ -13,9 +13,10 @@
 //
 // # State
 //
-// All state is soft. Entry instances send their live placements each second
-// with Heartbeat, from which a new scheduler learns what runs; Expire drops
-// the placements of an entry instance that has been silent.
+// All state is soft. Entry instances sum up their live placements each second
+// with Beat and name them with Heartbeat when Beat asks for it, from which a new
+// scheduler learns what runs; Expire drops the placements of an entry instance
+// that has been silent.
 //
 // A Scheduler is not safe for concurrent use and reads no clock.
 package pool
--- a/pool/live.go
+++ b/pool/live.go
@@ -12,6 +12,10 @@
 // are dropped.
 const entryLife = 5 * time.Second
 
+// answerLife is the time after which an entry instance that does not name a
+// placement has not received it.
+const answerLife = 500 * time.Millisecond
+
 // live is a placement that has not ended.
 type live struct {
 	owner    ident.Instance
@@ -21,12 +25,14 @@
 	charged  int64 // output tokens that the customer's account holds
 	named    bool  // the entry instance has named the placement
 	missed   bool  // a heartbeat has not named it
+	missedAt tick.Instant
 }
 
 // entry is an entry instance and its live placements.
 type entry struct {
 	heard       tick.Instant
 	incarnation uint64
+	differs     int // beats in a row whose sum was another one
 	live        map[string]*live
 }
 
@@ -74,6 +80,7 @@
 		s.dropAll(e, now)
 	}
 	e.incarnation = incarnation
+	e.differs = 0
 	named := make(map[string]bool, len(all))
 	for i := range all {
 		named[all[i].ID] = true
@@ -82,9 +89,7 @@
 	for id, l := range e.live {
 		switch {
 		case named[id]:
-		case !l.named && !l.missed:
-			l.missed = true
-		default:
+		case l.named || l.miss(now):
 			s.end(id, l, now)
 		}
 	}
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -182,6 +182,53 @@
 	is.Equal(s.Live(), 0)
 }
 
+func TestBeatAsksForWhatDiffers(t *testing.T) {
+	p := pool.Progress{ID: "x", Stage: place.StageDecode, Decode: "d1", Customer: "a"}
+	var none, one, other pool.Sum
+	one.Add("x", place.StageDecode)
+	other.Add("x", place.StageTransfer)
+	tests := []struct {
+		name string
+		all  []pool.Progress // sent by incarnation 1, nil if it is unknown
+		inc  uint64
+		sums []pool.Sum
+		want []bool
+	}{
+		{"unknown and empty", nil, 1, []pool.Sum{none, none}, []bool{false, false}},
+		{"unknown", nil, 1, []pool.Sum{one, one}, []bool{true, true}},
+		{"the same", []pool.Progress{p}, 1, []pool.Sum{one, one}, []bool{false, false}},
+		{"differs once", []pool.Progress{p}, 1, []pool.Sum{none, one, none}, []bool{false, false, false}},
+		{"differs twice", []pool.Progress{p}, 1, []pool.Sum{none, none}, []bool{false, true}},
+		{"stage differs twice", []pool.Progress{p}, 1, []pool.Sum{other, other}, []bool{false, true}},
+		{"other incarnation", []pool.Progress{p}, 2, []pool.Sum{one}, []bool{true}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(4, 1)
+			if tt.all != nil {
+				s.Heartbeat("e1", 1, tt.all, 0)
+			}
+			for i, sum := range tt.sums {
+				is.Equal(s.Beat("e1", tt.inc, sum, tick.Instant(i)*time.Second), tt.want[i])
+			}
+		})
+	}
+}
+
+func TestSilenceAfterBeatsDropsPlacements(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(4, 1)
+	var one pool.Sum
+	one.Add("x", place.StageDecode)
+	s.Heartbeat("e1", 1, []pool.Progress{{ID: "x", Stage: place.StageDecode, Decode: "d1"}}, 0)
+	s.Beat("e1", 1, one, 4*time.Second)
+	s.Expire(9 * time.Second)
+	is.Equal(s.Live(), 1)
+	s.Expire(9*time.Second + 1)
+	is.Equal(s.Live(), 0)
+}
+
 func TestPlacementOnItsWaySurvivesOneHeartbeat(t *testing.T) {
 	is := is.New(t)
 	s := newScheduler(4, 1)
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -45,9 +45,11 @@
 	// Returned counts the callers that came back after a refusal before the
 	// end of the trace, and
 	// ReturnedTaken those that were not refused again.
-	Returned      int     `json:"returned,omitempty"`
-	ReturnedTaken int     `json:"returned_taken,omitempty"`
-	FirstP95      float64 `json:"first_p95_ms"` // interactive
+	Returned      int `json:"returned,omitempty"`
+	ReturnedTaken int `json:"returned_taken,omitempty"`
+	// Resends counts the sets of placements that the scheduler asked for.
+	Resends  int     `json:"resends,omitempty"`
+	FirstP95 float64 `json:"first_p95_ms"` // interactive
 	// RefusedP50 and RefusedP95 are the times after which refused requests
 	// were told.
 	RefusedP50 float64          `json:"refused_p50_ms"`
@@ -73,7 +75,7 @@
 }
 
 func (w *world) measure() Result {
-	r := Result{Trace: w.trace.Name, Policy: w.opt.Policy, Load: w.opt.Load, Seed: w.opt.Seed}
+	r := Result{Trace: w.trace.Name, Policy: w.opt.Policy, Load: w.opt.Load, Seed: w.opt.Seed, Resends: w.resends}
 	index := make(map[ident.Customer]int)
 	for i, c := range w.trace.Customers {
 		index[c.Name] = i
--- a/replay/outcome_test.go
+++ b/replay/outcome_test.go
@@ -127,6 +127,10 @@
 		tr.Events = append(tr.Events, replay.Event{At: 35 * time.Second, Kind: replay.EventLoss})
 		for _, load := range []float64{0.9, 1.5} {
 			r := replay.Run(tr, replay.Options{Load: load, Seed: seed})
+			t.Logf("%s at %.1f: goodput %.2f requests/s, all placements sent %d times", name, load, r.GoodRate, r.Resends)
+			if r.Resends == 0 || r.Resends > 8 { // once by each entry instance
+				t.Errorf("%s at %.1f: all placements were sent %d times", name, load, r.Resends)
+			}
 			if r.Waste > 0.01 || r.Worst < 0.9 {
 				t.Errorf("%s at %.1f: waste %.4f, worst %.3f", name, load, r.Waste, r.Worst)
 			}
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -47,6 +47,8 @@
 	cancel(c *call)
 	step(now tick.Instant) []verdict
 	progress(entry int, p *pool.Progress, now tick.Instant)
+	// beat reports whether the scheduler asks for all placements.
+	beat(entry int, sum pool.Sum, now tick.Instant) bool
 	heartbeat(entry int, all []pool.Progress, now tick.Instant)
 	report(r place.Report, now tick.Instant)
 	events(e place.Events)
@@ -181,10 +183,15 @@
 	s.set[s.of(entry)].Progress(entryName(entry), p, now)
 }
 
-func (s *scheduled) heartbeat(entry int, all []pool.Progress, now tick.Instant) {
+func (s *scheduled) beat(entry int, sum pool.Sum, now tick.Instant) bool {
 	sch := s.set[s.of(entry)]
-	sch.Heartbeat(entryName(entry), 1, all, now)
+	resend := sch.Beat(entryName(entry), 1, sum, now)
 	sch.Expire(now)
+	return resend
+}
+
+func (s *scheduled) heartbeat(entry int, all []pool.Progress, now tick.Instant) {
+	s.set[s.of(entry)].Heartbeat(entryName(entry), 1, all, now)
 }
 
 func (s *scheduled) report(r place.Report, now tick.Instant) {
@@ -286,6 +293,7 @@
 func (b *blind) cancel(*call)                                 {}
 func (b *blind) progress(int, *pool.Progress, tick.Instant)   {}
 func (b *blind) heartbeat(int, []pool.Progress, tick.Instant) {}
+func (b *blind) beat(int, pool.Sum, tick.Instant) bool        { return false }
 func (b *blind) events(place.Events)                          {}
 func (b *blind) report(r place.Report, _ tick.Instant)        { b.last[r.Server] = r }
 func (b *blind) depart(name ident.Server, departing bool)     { b.gone[name] = departing }
--- a/replay/world.go
+++ b/replay/world.go
@@ -74,6 +74,7 @@
 	calls   []*call
 	alive   []map[*call]bool // by entry instance
 	asked   bool             // the policy has something to decide
+	resends int              // sets of placements that the policy asked for
 }
 
 // action is something that happens at an instant.
@@ -228,14 +229,32 @@
 	w.after(eventLag, func() { w.policy.events(e) })
 }
 
+// beat sends the sum over the reported placements of each entry instance, and
+// all that are alive if the scheduler asks for them.
 func (w *world) beat() {
+	hop := w.policy.distance()
 	for entry, set := range w.alive {
-		items := make([]pool.Progress, 0, len(set))
-		for _, c := range w.calls {
-			if set[c] && c.placement.ID != "" {
-				items = append(items, c.progress())
+		var sum pool.Sum
+		for c := range set {
+			if c.placement.ID != "" && c.stage > place.StagePlaced {
+				sum.Add(c.placement.ID, c.stage)
 			}
 		}
-		w.after(w.policy.distance(), func() { w.policy.heartbeat(entry, items, w.now) })
+		w.after(hop, func() {
+			if w.policy.beat(entry, sum, w.now) {
+				w.resends++
+				w.after(hop, func() { w.resend(entry) })
+			}
+		})
+	}
+}
+
+func (w *world) resend(entry int) {
+	var items []pool.Progress
+	for _, c := range w.calls {
+		if w.alive[entry][c] && c.placement.ID != "" {
+			items = append(items, c.progress())
+		}
 	}
+	w.after(w.policy.distance(), func() { w.policy.heartbeat(entry, items, w.now) })
 }
--- a/sched/beat.go
+++ b/sched/beat.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/peerpb"
-	"wasabidock.dev/dock/place"
 	"wasabidock.dev/dock/pool"
+	"wasabidock.dev/dock/tick"
 )
 
 const (
@@ -16,19 +17,11 @@
 	beatEvery = time.Second
 	// sendTimeout bounds one message to a scheduler.
 	sendTimeout = 500 * time.Millisecond
-	// maxOutbox is the most changes that wait for one scheduler. The next
-	// heartbeat makes up for those that are dropped.
-	maxOutbox = 4096
+	// outputStep is the output in tokens from which on a placement is reported
+	// whenever its output has doubled.
+	outputStep = 256
 )
 
-// outbox holds the changes that one scheduler has yet to hear of.
-type outbox struct {
-	wake chan struct{}
-
-	mu    sync.Mutex // guards items
-	items []track
-}
-
 type outboxes struct {
 	mu    sync.Mutex // guards set and start
 	set   map[ident.Instance]*outbox
@@ -41,7 +34,7 @@
 	defer b.mu.Unlock()
 	o, ok := b.set[to]
 	if !ok {
-		o = &outbox{wake: make(chan struct{}, 1)}
+		o = newOutbox()
 		b.set[to] = o
 		if b.start != nil {
 			b.start(to, o)
@@ -50,26 +43,6 @@
 	return o
 }
 
-func (o *outbox) put(t track) {
-	o.mu.Lock()
-	if len(o.items) < maxOutbox {
-		o.items = append(o.items, t)
-	}
-	o.mu.Unlock()
-	select {
-	case o.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (o *outbox) take() []track {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	out := o.items
-	o.items = nil
-	return out
-}
-
 // Run sends changes and heartbeats until ctx ends. The channel that it returns
 // is closed when all senders have stopped.
 func (c *Client) Run(ctx context.Context) <-chan struct{} {
@@ -87,10 +60,12 @@
 		start(to, o)
 	}
 	c.boxes.mu.Unlock()
+	ticks := c.cfg.Clock.Every(beatEvery)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		c.beat(ctx)
+		defer ticks.Stop()
+		c.beat(ctx, ticks)
 		c.boxes.mu.Lock()
 		c.boxes.start = nil
 		c.boxes.mu.Unlock()
@@ -100,78 +75,84 @@
 }
 
 // drain sends the changes for one scheduler, those that gather during one call
-// with the next.
+// with the next. It alone sends, so that changes and sums arrive in order.
 func (c *Client) drain(ctx context.Context, to ident.Instance, o *outbox) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-o.wake:
-			if items := o.take(); len(items) > 0 {
-				c.deliver(ctx, to, items, false)
+			r := o.take()
+			if len(r.GetItems()) == 0 && !r.GetBeat() {
+				continue
+			}
+			if c.deliver(ctx, to, r) {
+				c.deliver(ctx, to, c.whole(to, o))
 			}
 		}
 	}
 }
 
-// deliver sends items to a scheduler. A message that is lost is made up for by
-// the next heartbeat, and the scheduler is asked after the others meanwhile.
-func (c *Client) deliver(ctx context.Context, to ident.Instance, items []track, whole bool) {
+// deliver sends a message to a scheduler and reports whether that asks for all
+// placements. A message that is lost is made up for after two heartbeats, and
+// the scheduler is asked after the others meanwhile.
+func (c *Client) deliver(ctx context.Context, to ident.Instance, r *peerpb.ProgressRequest) bool {
 	cl, err := c.cfg.Dialer.Place(to)
 	if err != nil {
-		return
-	}
-	r := &peerpb.ProgressRequest{Asker: nodeMessage(c.cfg.Self), Whole: whole}
-	for i := range items {
-		r.Items = append(r.Items, progressMessage(&items[i].progress, items[i].model))
+		return false
 	}
+	r.Asker = nodeMessage(c.cfg.Self)
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
-	_, err = cl.Progress(ctx, r)
+	a, err := cl.Progress(ctx, r)
 	c.doubt.note(to, err == nil, c.cfg.Clock.Now())
+	return err == nil && a.GetResend()
 }
 
-// beat sends the live placements each second to their schedulers.
-func (c *Client) beat(ctx context.Context) {
-	t := c.cfg.Clock.Every(beatEvery)
-	defer t.Stop()
+// whole returns the message that names all placements of a scheduler.
+func (c *Client) whole(to ident.Instance, o *outbox) *peerpb.ProgressRequest {
+	r := &peerpb.ProgressRequest{Whole: true}
+	for i := range c.lives {
+		ts := &c.lives[i]
+		ts.mu.Lock()
+		for _, t := range ts.set {
+			if t.scheduler == to || t.home == to {
+				o.tell(t)
+				r.Items = append(r.Items, progressMessage(&t.progress, t.model))
+			}
+		}
+		ts.mu.Unlock()
+	}
+	return r
+}
+
+// beat sums up the live placements each second for their schedulers.
+func (c *Client) beat(ctx context.Context, ticks tick.Timer) {
 	var known map[ident.Instance]bool
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C():
-			known = c.beatOnce(ctx, known)
+		case <-ticks.C():
+			known = c.beatOnce(known)
 		}
 	}
 }
 
-// beatOnce sends one heartbeat to each scheduler that has placements of this
+// beatOnce has one heartbeat sent to each scheduler that has placements of this
 // instance or had some at the last heartbeat, and returns the former.
-func (c *Client) beatOnce(ctx context.Context, before map[ident.Instance]bool) map[ident.Instance]bool {
-	sets := c.bySchedulers()
-	for i := range before {
-		if _, ok := sets[i]; !ok {
-			sets[i] = nil
-		}
-	}
-	var calls sync.WaitGroup
-	known := make(map[ident.Instance]bool, len(sets))
-	for to, items := range sets {
-		if len(items) > 0 {
-			known[to] = true
-		}
-		if to == c.cfg.Self.Instance && c.cfg.Local != nil {
-			c.beatLocal(items)
+func (c *Client) beatOnce(before map[ident.Instance]bool) map[ident.Instance]bool {
+	known, local := c.survey()
+	due := make(map[ident.Instance]bool, len(known))
+	maps.Copy(due, before)
+	maps.Copy(due, known)
+	for to := range due {
+		if c.isLocal(to) {
+			c.beatLocal(local)
 			continue
 		}
-		calls.Add(1)
-		go func() {
-			defer calls.Done()
-			c.deliver(ctx, to, items, true)
-		}()
+		c.boxes.get(to).beat()
 	}
-	calls.Wait()
 	return known
 }
 
@@ -189,42 +170,80 @@
 	}
 }
 
-// bySchedulers returns the live placements by scheduler: for each placement
-// the one that made it and the one that the pool has now.
-func (c *Client) bySchedulers() map[ident.Instance][]track {
-	type poolKey struct {
-		centre ident.Centre
-		model  ident.Model
-	}
+type poolKey struct {
+	centre ident.Centre
+	model  ident.Model
+}
+
+// survey walks the live placements. It returns the schedulers that have some
+// and the placements of the local one, and reports a placement to a scheduler
+// that has become the first of its pool.
+func (c *Client) survey() (known map[ident.Instance]bool, local []track) {
 	homes := make(map[poolKey]ident.Instance)
-	out := make(map[ident.Instance][]track)
+	known = make(map[ident.Instance]bool)
 	for i := range c.lives {
-		for _, t := range c.lives[i].all() {
-			k := poolKey{centre: t.centre, model: t.model}
-			home, ok := homes[k]
-			if !ok {
-				if r := Rank(c.cfg.Fleet.Live(t.centre), t.centre, t.model); len(r) > 0 {
-					home = r[0]
+		ts := &c.lives[i]
+		ts.mu.Lock()
+		for _, t := range ts.set {
+			c.moveHome(t, c.home(homes, t))
+			c.reportOutput(t)
+			for _, to := range t.schedulers() {
+				known[to] = true
+				if c.isLocal(to) {
+					local = append(local, *t)
 				}
-				homes[k] = home
-			}
-			out[t.scheduler] = append(out[t.scheduler], t)
-			if home != "" && home != t.scheduler {
-				out[home] = append(out[home], t)
 			}
 		}
+		ts.mu.Unlock()
+	}
+	return known, local
+}
+
+// home returns the first scheduler of a placement's pool, empty if none lives.
+func (c *Client) home(homes map[poolKey]ident.Instance, t *track) ident.Instance {
+	k := poolKey{centre: t.centre, model: t.model}
+	home, ok := homes[k]
+	if !ok {
+		if r := Rank(c.cfg.Fleet.Live(t.centre), t.centre, t.model); len(r) > 0 {
+			home = r[0]
+		}
+		homes[k] = home
 	}
-	return out
+	return home
 }
 
-func (ts *tracks) all() []track {
-	ts.mu.Lock()
-	defer ts.mu.Unlock()
-	out := make([]track, 0, len(ts.set))
-	for _, t := range ts.set {
-		if t.progress.Stage < place.StageDone {
-			out = append(out, *t)
+// moveHome has the scheduler that is now the first of the pool hear of the
+// placement beside the one that made it. The caller holds the track's lock.
+func (c *Client) moveHome(t *track, home ident.Instance) {
+	if home == t.scheduler {
+		home = ""
+	}
+	if home == t.home {
+		return
+	}
+	if t.home != "" && !c.isLocal(t.home) {
+		c.boxes.get(t.home).forget(t.progress.ID)
+	}
+	t.home = home
+	if home != "" && !c.isLocal(home) {
+		c.boxes.get(home).put(t)
+	}
+}
+
+// reportOutput reports a placement whose output has doubled since it was last
+// reported. The caller holds the track's lock.
+func (c *Client) reportOutput(t *track) {
+	if t.progress.Output < max(outputStep, 2*t.reported) {
+		return
+	}
+	t.reported = t.progress.Output
+	for _, to := range t.schedulers() {
+		if !c.isLocal(to) {
+			c.boxes.get(to).put(t)
 		}
 	}
-	return out
+}
+
+func (c *Client) isLocal(i ident.Instance) bool {
+	return i == c.cfg.Self.Instance && c.cfg.Local != nil
 }
--- a/sched/convert.go
+++ b/sched/convert.go
@@ -154,3 +154,19 @@
 		PromptTokens: p.Prompt,
 	}
 }
+
+func sumsOf(set []*peerpb.Beat) map[ident.Model]pool.Sum {
+	out := make(map[ident.Model]pool.Sum, len(set))
+	for _, b := range set {
+		out[ident.Model(b.GetModel())] = pool.Sum{Count: b.GetCount(), XOR: b.GetSum()}
+	}
+	return out
+}
+
+func beatMessages(sums map[ident.Model]pool.Sum) []*peerpb.Beat {
+	out := make([]*peerpb.Beat, 0, len(sums))
+	for m, s := range sums {
+		out = append(out, &peerpb.Beat{Model: string(m), Count: s.Count, Sum: s.XOR})
+	}
+	return out
+}
--- a/sched/handler.go
+++ b/sched/handler.go
@@ -48,5 +48,6 @@
 	for m, items := range byModel {
 		h.svc.Progress(owner, m, items, r.GetWhole())
 	}
-	return &peerpb.ProgressResponse{}, nil
+	resend := r.GetBeat() && h.svc.Beat(owner, sumsOf(r.GetBeats()))
+	return &peerpb.ProgressResponse{Resend: resend}, nil
 }
--- a/sched/service.go
+++ b/sched/service.go
@@ -142,6 +142,18 @@
 	}
 }
 
+// Beat takes in the sums over an instance's placements by model, and reports
+// whether the instance is to send all of them.
+func (s *Service) Beat(owner ident.Node, sums map[ident.Model]pool.Sum) bool {
+	resend := false
+	for _, m := range s.Models() {
+		if sh := s.shard(m); sh != nil {
+			resend = sh.beat(owner, sums[m]) || resend
+		}
+	}
+	return resend
+}
+
 // Models returns the models that have a pool.
 func (s *Service) Models() []ident.Model {
 	s.mu.RLock()
--- a/sched/shard.go
+++ b/sched/shard.go
@@ -118,6 +118,12 @@
 	sh.deliver(out)
 }
 
+func (sh *shard) beat(owner ident.Node, sum pool.Sum) bool {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return sh.sch.Beat(owner.Instance, owner.Incarnation, sum, sh.svc.cfg.Clock.Now())
+}
+
 // tick steps the scheduler and reports whether requests still wait.
 func (sh *shard) tick() bool {
 	now := sh.svc.cfg.Clock.Now()
--- a/sched/track.go
+++ b/sched/track.go
@@ -37,7 +37,17 @@
 	progress  pool.Progress
 	model     ident.Model
 	centre    ident.Centre
-	scheduler ident.Instance
+	scheduler ident.Instance // that made the placement
+	home      ident.Instance // first of the pool if that is another one
+	reported  int64          // output that the schedulers have heard of
+}
+
+// schedulers returns those that are to know of the placement.
+func (t *track) schedulers() []ident.Instance {
+	if t.home == "" {
+		return []ident.Instance{t.scheduler}
+	}
+	return []ident.Instance{t.scheduler, t.home}
 }
 
 type tracks struct {
@@ -87,10 +97,23 @@
 	if stage.Ended() {
 		delete(ts.set, p.ID)
 	}
-	now := *t
+	if !moved {
+		ts.mu.Unlock()
+		return
+	}
+	t.reported = output
+	here := false
+	for _, to := range t.schedulers() {
+		if c.isLocal(to) {
+			here = true
+			continue
+		}
+		c.boxes.get(to).put(t)
+	}
+	m, now := t.model, t.progress
 	ts.mu.Unlock()
-	if moved {
-		c.send(now.scheduler, &now)
+	if here {
+		c.cfg.Local.Progress(c.cfg.Self, m, []pool.Progress{now}, false)
 	}
 }
 
@@ -105,12 +128,3 @@
 	}
 	return n
 }
-
-// send reports a change to one scheduler.
-func (c *Client) send(to ident.Instance, t *track) {
-	if to == c.cfg.Self.Instance && c.cfg.Local != nil {
-		c.cfg.Local.Progress(c.cfg.Self, t.model, []pool.Progress{t.progress}, false)
-		return
-	}
-	c.boxes.get(to).put(*t)
-}
