--- /dev/null
+++ b/sched/cost_test.go
@@ -0,0 +1,41 @@
+package sched_test
+
+import (
+	"testing"
+
+	"wasabidock.dev/dock/place"
+)
+
+// TestRequestBytes counts the messages of one request with five pieces of
+// prompt that is alone on its way, heartbeats left out.
+func TestRequestBytes(t *testing.T) {
+	const limit = 1200 // bytes of a request
+	w := newBeatWorld(t, 0)
+	a := ask()
+	a.Request, a.Customer, a.Model = "sierra-a-12.9223372036854788153.123456", "customer-123", "m"
+	a.Prompt, a.Pieces = 5000, []uint64{1 << 60, 2 << 60, 3 << 60, 4 << 60, 5 << 60}
+	p, err := w.client.Place(t.Context(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("ask and answer: %d bytes", w.wire.asks)
+	total := w.wire.asks
+	for _, s := range []struct {
+		name   string
+		stage  place.Stage
+		output int64
+	}{
+		{"prefill", place.StagePrefill, 0}, {"transfer", place.StageTransfer, 0},
+		{"decode", place.StageDecode, 0}, {"done", place.StageDone, 150},
+	} {
+		before := w.wire.bytes
+		w.client.Progress(p, s.stage, s.output)
+		<-w.wire.seen
+		t.Logf("%s: %d bytes", s.name, w.wire.bytes-before)
+	}
+	total += w.wire.bytes
+	t.Logf("request: %d bytes in 5 calls", total)
+	if total > limit {
+		t.Errorf("%d bytes, at most %d", total, limit)
+	}
+}
