wasabid: plan orders with the rows of the whole data centre

Cause: a scheduler planned with the rows of its own pools; after two engines exchanged their models it unloaded the last replica of another pool's model. Reports of engines that are no longer followed were kept for ever, and two measures had a dot in their names. Change: the planner gets the rows of all engines of the data centre, and reports of followed engines only; the measures are placements_total and placements_refused_total. Conclusion: a replica stays until the scheduler that gives the order sees its substitute.

--- a/sched/service.go
+++ b/sched/service.go
@@ -62,8 +62,8 @@
 	}
 	return &Service{
 		cfg:     cfg,
-		placed:  metrics.NewRegisteredCounter("sched.placed", cfg.Metrics),
-		refused: metrics.NewRegisteredCounter("sched.refused", cfg.Metrics),
+		placed:  metrics.NewRegisteredCounter("placements_total", cfg.Metrics),
+		refused: metrics.NewRegisteredCounter("placements_refused_total", cfg.Metrics),
 		waiting: make(chan struct{}, 1),
 		shards:  make(map[ident.Model]*shard),
 		gone:    make(map[ident.Server]bool),
--- a/wasabid/app/order.go
+++ b/wasabid/app/order.go
@@ -69,8 +69,10 @@
 	o.states[s] = reported{load: l, at: o.timer.Now()}
 }
 
-// Wants returns the rows of the table for the engines that take orders, and
-// how long the revision has been in force.
+// Wants returns the rows of the table for all engines of the data centre, and
+// how long the revision has been in force. Engines of other schedulers' pools
+// are among them, since a model may move from one to another: without a report
+// of the engine that is to take it over, the last replica is not unloaded.
 func (o *orderers) Wants() (uint64, time.Duration, []orders.Want) {
 	t := o.watched.tables.table()
 	if t == nil {
@@ -80,14 +82,18 @@
 	if v.Revision != t.Revision() {
 		return 0, 0, nil
 	}
+	return t.Revision(), o.timer.Now() - since, wants(t, o.watched.centre)
+}
+
+// wants returns what the engines of a data centre are meant to run.
+func wants(t *table.Table, c ident.Centre) []orders.Want {
 	var list []orders.Want
-	for _, name := range o.watched.servers() {
-		srv, ok := t.Server(name)
-		if ok {
+	for _, srv := range t.Servers() {
+		if srv.Kind == table.Engine && srv.Centre == c {
 			list = append(list, want(t, srv))
 		}
 	}
-	return t.Revision(), o.timer.Now() - since, list
+	return list
 }
 
 // want returns what the server is meant to run: its order row, or else its own
@@ -108,11 +114,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []orders.State
+	kept := make(map[ident.Server]reported, len(names))
 	for _, s := range names {
 		if r, ok := o.states[s]; ok {
 			list = append(list, state(s, r, now))
+			kept[s] = r
 		}
 	}
+	o.states = kept
 	return list
 }
 
