--- a/wasabid/app/order_test.go
+++ b/wasabid/app/order_test.go
@@ -24,20 +24,17 @@
 customer,name,weight,rate,burst
 customer,calm,1,100,1000
 server,name,centre,kind,role,model,service,address,places,rate,link,fenced,orders
-server,d1,east,engine,decode,a,,127.0.0.1:1,20,100,1000,yes,yes
-server,d2,east,engine,decode,b,,127.0.0.1:2,20,100,1000,yes,yes
+server,d1,east,engine,decode,b,,127.0.0.1:1,20,100,1000,yes,yes
+server,d2,east,engine,decode,a,,127.0.0.1:2,20,100,1000,yes,yes
 server,p1,east,engine,prefill,a,,127.0.0.1:3,20,100,1000,yes,no
 server,p2,east,engine,prefill,b,,127.0.0.1:4,20,100,1000,yes,no
-order,server,model,adapter,version,role
-order,d1,b,,,decode
-order,d2,a,,,decode
 `
 
 func TestLastReplicaStaysWhileTheOtherPoolIsNotSeen(t *testing.T) {
 	is := is.New(t)
 	tab, faults := table.Parse(3, []table.File{{Name: "swapped", Data: []byte(swapped)}})
 	is.Equal(len(faults), 0)
-	// The scheduler of model a sees d1 only, which serves both models by now.
+	// The scheduler of model b sees d1 only, which serves both models by now.
 	seen := []orders.State{{
 		Server: "d1", Role: "decode", Fence: 3,
 		Models: []orders.Model{{Name: "a"}, {Name: "b"}},
