app: release the leases at the start of a drain

Cause: a draining daemon is in nobody's list of live instances, so the new holder of its customers can't borrow from it, but it kept its leases until its last request had ended or they ran out. Customers far within their rate were refused meanwhile.

Change: if another instance of the data centre is ready, the leases are released while requests go on.

Conclusion: better, not whole; the new holder should be able to borrow from a draining one.

--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -190,15 +190,38 @@
 func (d *daemon) drain(ctx context.Context) {
 	d.p.Members.SetState(roster.Draining)
 	d.log.Info().Int64("active", d.p.Front.Active()).Msg("app: draining")
+	released := d.releaseEarly(ctx)
 	if err := d.p.Front.Drain(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("app: drain failed")
 	}
 	d.step(ctx, "hand over the journal", leaveLimit, d.p.Once.Leave)
-	d.step(ctx, "release the leases", releaseLimit, d.p.Quota.Release)
+	if !<-released {
+		d.release(ctx)
+	}
 	d.step(ctx, "release what engines hold", releaseLimit, d.p.Keeper.Drain)
 	d.log.Info().Msg("app: drained")
 }
 
+// releaseEarly releases the leases while requests go on, if another ready
+// instance of the data centre can hold them: the others no longer charge at
+// this one. The channel delivers whether it did.
+func (d *daemon) releaseEarly(ctx context.Context) <-chan bool {
+	done := make(chan bool, 1)
+	if len(fleet{tables: d.p.Tables}.Live(d.p.Cfg.Centre())) == 0 {
+		done <- false
+		return done
+	}
+	go func() {
+		d.release(ctx)
+		done <- true
+	}()
+	return done
+}
+
+func (d *daemon) release(ctx context.Context) {
+	d.step(ctx, "release the leases", releaseLimit, d.p.Quota.Release)
+}
+
 func (d *daemon) step(ctx context.Context, name string, limit time.Duration, f func(context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
