--- a/wasabid/fleet_test.go
+++ b/wasabid/fleet_test.go
@@ -67,7 +67,14 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}()
-	f.await("stream runs", func() bool { return f.engines["west-decode"].Counts().Streams > 0 })
+	f.await("stream runs", func() bool {
+		select {
+		case a := <-got:
+			t.Fatalf("no stream: status %d, %v: %s", a.status, a.err, a.body)
+		default:
+		}
+		return f.engines["west-decode"].Counts().Streams > 0
+	})
 	f.publish(2, customers, []string{"flood", "calm"})
 	start := time.Now()
 	for _, name := range f.names() {
