limit: spread the groups of customers over at most four homes in a data centre

Cause: with fifteen seats in a data centre each of them was the home of a group and renewed leases at all others. Change: the groups have their homes among four instances by rendezvous; the others stand in. Nothing changes for data centres of up to four seats.

--- a/limit/group.go
+++ b/limit/group.go
@@ -46,15 +46,28 @@
 	return uint32(xxhash.Sum64String(string(c)) % Groups)
 }
 
+// maxHomes is the number of instances of a data centre among which the groups
+// are spread. Each home renews a lease at every seat, so the messages of a data
+// centre grow with homes times seats.
+const maxHomes = 4
+
 // Rank returns the instances in the order in which they are to hold a group:
-// the first is its home, the others stand in when those before them fail.
+// the first is its home, the others stand in when those before them fail. All
+// groups have their homes among the same few instances.
 func Rank(group uint32, live []ident.Instance) []ident.Instance {
+	homes := byScore("homes/", live)
+	n := min(maxHomes, len(homes))
+	prefix := strconv.FormatUint(uint64(group), 10) + "/"
+	return append(byScore(prefix, homes[:n]), homes[n:]...)
+}
+
+// byScore returns the instances by rendezvous hashing.
+func byScore(prefix string, live []ident.Instance) []ident.Instance {
 	type scored struct {
 		score uint64
 		name  ident.Instance
 	}
 	set := make([]scored, len(live))
-	prefix := strconv.FormatUint(uint64(group), 10) + "/"
 	for i, n := range live {
 		set[i] = scored{xxhash.Sum64String(prefix + string(n)), n}
 	}
--- /dev/null
+++ b/limit/rank_test.go
@@ -0,0 +1,55 @@
+package limit_test
+
+import (
+	"slices"
+	"strconv"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/limit"
+)
+
+func TestRank(t *testing.T) {
+	tests := []struct {
+		name  string
+		seats int
+		homes int // different homes of all groups, at most
+	}{
+		{"none", 0, 0},
+		{"one", 1, 1},
+		{"three", 3, 3},
+		{"fifteen", 15, 4},
+		{"sixty", 60, 4},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var live []ident.Instance
+			for i := range tt.seats {
+				live = append(live, ident.Instance("a-"+strconv.Itoa(i)))
+			}
+			homes := make(map[ident.Instance]bool)
+			for g := range uint32(limit.Groups) {
+				ranked := limit.Rank(g, live)
+				sorted := slices.Clone(ranked)
+				slices.Sort(sorted)
+				want := slices.Clone(live)
+				slices.Sort(want)
+				is.True(slices.Equal(sorted, want)) // each instance once
+				if len(ranked) > 0 {
+					homes[ranked[0]] = true
+				}
+				// Without its home, a group that had the second next goes there.
+				if len(ranked) > 1 && len(ranked) <= 4 {
+					is.Equal(limit.Rank(g, slices.DeleteFunc(slices.Clone(live), func(i ident.Instance) bool { return i == ranked[0] }))[0], ranked[1])
+				}
+			}
+			is.True(len(homes) <= tt.homes)
+			if tt.seats > 0 {
+				is.True(len(homes) > 0)
+			}
+		})
+	}
+}
