peer: leave a connection when a call on it ends by its limit, and probe less

Cause: each idle connection was probed every second from both sides, which grew with the number of peers; a call that ran into its own limit left the connection in use. Change: connections belong to one peer and are left when a call ends by its limit; probes after 5 s of silence from the client and 15 s from the server. Calls without a limit of their own notice a silent connection after 7 s, 2 s before.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -10,11 +10,12 @@
 //
 // # Connections
 //
-// Calls to one instance share one HTTP/2 connection. A connection on which
-// nothing arrives for PingAfter is probed, and closed if the probe is not
-// answered within PingTimeout, so that a connection that has gone silent fails
-// its calls within seconds and the next call dials anew. Idle connections are
-// closed, which bounds their number to the peers that an instance talks to.
+// Calls to one instance share one HTTP/2 connection. When a call ends by its own
+// limit, the next one dials anew, since the connection may have gone silent. A
+// connection on which nothing arrives for PingAfter is probed, and closed if the
+// probe is not answered within PingTimeout; that ends calls without a limit of
+// their own. Idle connections are closed, which bounds their number to the peers
+// that an instance talks to.
 //
 // # Outcomes
 //
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -13,6 +14,7 @@
 	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/peerpb/peerpbconnect"
+	"wasabidock.dev/dock/tick"
 )
 
 // fleet answers Status and fails on any other call.
@@ -120,6 +122,42 @@
 	is.Equal(got.GetSelf().GetInstance(), "b")
 }
 
+func TestCallThatTimesOutLeavesItsConnection(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit func(context.Context) (context.Context, func())
+	}{
+		{"deadline", func(ctx context.Context) (context.Context, func()) {
+			ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			return ctx, cancel
+		}},
+		{"limit of the timer service", func(ctx context.Context) (context.Context, func()) {
+			return tick.WithTimeout(ctx, tick.NewReal(), 50*time.Millisecond, io.ErrNoProgress)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := newRelay(t, serve(t, "b"))
+			pool := peer.NewPool(peer.Config{Address: func(ident.Instance) (string, bool) { return r.l.Addr().String(), true }})
+			defer pool.Close()
+			status := func(ctx context.Context) error {
+				c, err := pool.Fleet("b")
+				is.NoErr(err)
+				_, err = c.Status(ctx, &peerpb.StatusRequest{})
+				return err
+			}
+			is.NoErr(status(t.Context()))
+			r.mute()
+			ctx, stop := tt.limit(t.Context())
+			is.True(status(ctx) != nil)
+			stop()
+			// No deadline: on the silent connection this would end by the probe.
+			is.NoErr(status(t.Context()))
+		})
+	}
+}
+
 func TestUndialled(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -17,9 +17,9 @@
 
 const (
 	// PingAfter is the silence after which a connection is probed.
-	PingAfter = time.Second
+	PingAfter = 5 * time.Second
 	// PingTimeout is the time that a probe may stay unanswered.
-	PingTimeout = time.Second
+	PingTimeout = 2 * time.Second
 
 	dialTimeout     = 500 * time.Millisecond
 	idleTimeout     = 30 * time.Second
@@ -45,15 +45,15 @@
 type Pool struct {
 	address func(ident.Instance) (string, bool)
 	scheme  string
-	hc      *http.Client
-	tr      *http.Transport
+	tls     *tls.Config
 
 	mu    sync.Mutex
 	peers map[string]*clients // by address
 }
 
-// clients are the service clients of one address.
+// clients are the service clients of one address, with connections of its own.
 type clients struct {
+	tr    *http.Transport
 	fleet peerpbconnect.FleetServiceClient
 	limit peerpbconnect.LimitServiceClient
 	place peerpbconnect.PlaceServiceClient
@@ -62,7 +62,6 @@
 
 // NewPool returns a pool without connections.
 func NewPool(cfg Config) *Pool {
-	tr := newTransport(cfg.TLS)
 	scheme := "http://"
 	if cfg.TLS != nil {
 		scheme = "https://"
@@ -70,8 +69,7 @@
 	return &Pool{
 		address: cfg.Address,
 		scheme:  scheme,
-		hc:      &http.Client{Transport: tr},
-		tr:      tr,
+		tls:     cfg.TLS,
 		peers:   make(map[string]*clients),
 	}
 }
@@ -113,7 +111,14 @@
 }
 
 // Close drops the idle connections.
-func (p *Pool) Close() { p.tr.CloseIdleConnections() }
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.peers {
+		c.tr.CloseIdleConnections()
+	}
+	clear(p.peers)
+}
 
 func (p *Pool) get(i ident.Instance) (*clients, error) {
 	addr, ok := p.address(i)
@@ -126,13 +131,44 @@
 		return c, nil
 	}
 	if len(p.peers) >= maxPeers {
+		for _, c := range p.peers {
+			c.tr.CloseIdleConnections()
+		}
 		clear(p.peers)
 	}
-	c := newClients(p.hc, p.scheme+addr)
+	tr := newTransport(p.tls)
+	c := newClients(&http.Client{Transport: &watched{tr: tr, timedOut: func() { p.drop(addr, tr) }}}, p.scheme+addr)
+	c.tr = tr
 	p.peers[addr] = c
 	return c, nil
 }
 
+// drop forgets the connections of an address, so that the next call dials.
+// Calls that are still on them go on.
+func (p *Pool) drop(addr string, tr *http.Transport) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.peers[addr]; ok && c.tr == tr {
+		delete(p.peers, addr)
+	}
+	tr.CloseIdleConnections()
+}
+
+// watched reports calls that end by their own limit: their connection may have
+// gone silent.
+type watched struct {
+	tr       *http.Transport
+	timedOut func()
+}
+
+func (w *watched) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := w.tr.RoundTrip(r)
+	if err != nil && r.Context().Err() != nil && !errors.Is(context.Cause(r.Context()), context.Canceled) {
+		w.timedOut()
+	}
+	return resp, err
+}
+
 func newClients(hc *http.Client, base string) *clients {
 	opts := []connect.ClientOption{
 		connect.WithAcceptCompression("gzip", nil, nil),
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	headerTimeout  = 2 * time.Second
-	maxHeaderBytes = 16 << 10
+	headerTimeout = 2 * time.Second
+	// serverPingAfter is longer than PingAfter, so that only one side probes
+	// a connection that is well.
+	serverPingAfter = 3 * PingAfter
+	maxHeaderBytes  = 16 << 10
 )
 
 // Handlers answer the peers' calls. Each must be set.
@@ -56,7 +59,7 @@
 			Protocols:         protocols,
 			ReadHeaderTimeout: headerTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
-			HTTP2:             &http.HTTP2Config{SendPingTimeout: PingAfter, PingTimeout: PingTimeout},
+			HTTP2:             &http.HTTP2Config{SendPingTimeout: serverPingAfter, PingTimeout: PingTimeout},
 		},
 		done: make(chan error, 1),
 	}
