sched, wasabid: ask for one pool in place of listing all engines

Cause: for each engine that takes orders the daemon ranked the instances for every model and built the list of all engines that it follows, only to look the engine up; the admin listeners carried a logger that nothing used. Change: Client.Schedules answers for one model, and Mine uses it; the unused logger is gone. Behaviour is the same. No measurement was made. Conclusion: the work of a round of orders grows with the engines, and no longer with their square.

--- a/wasabid/app/daemon.go
+++ b/wasabid/app/daemon.go
@@ -86,13 +86,13 @@
 		return errors.Wrapf(err, "front: listen %s", d.p.Cfg.Listen())
 	}
 	d.callL = l
-	adm, err := newAdmin(d.p.Cfg.AdminListen(), d.unready, d.p.Meter.Handler(), logs.Part(d.p.Log, "admin"))
+	adm, err := newAdmin(d.p.Cfg.AdminListen(), d.unready, d.p.Meter.Handler())
 	if err != nil {
 		return err
 	}
 	loops := d.loops(adm)
 	if d.p.Cfg.DebugListen() != "" {
-		dbg, err := newDebug(d.p.Cfg.DebugListen(), logs.Part(d.p.Log, "debug"))
+		dbg, err := newDebug(d.p.Cfg.DebugListen())
 		if err != nil {
 			return err
 		}
--- a/wasabid/app/listen.go
+++ b/wasabid/app/listen.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/front"
 )
@@ -22,23 +21,22 @@
 type admin struct {
 	l   net.Listener
 	srv *http.Server
-	log zerolog.Logger
 }
 
 // newAdmin listens on addr. Ready returns an empty string while the process
 // wants new callers, or else the reason.
-func newAdmin(addr string, ready func() string, metrics http.Handler, log zerolog.Logger) (*admin, error) {
+func newAdmin(addr string, ready func() string, metrics http.Handler) (*admin, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "admin: listen %s", addr)
 	}
-	return &admin{l: l, srv: quietServer(front.Admin(ready, metrics)), log: log}, nil
+	return &admin{l: l, srv: quietServer(front.Admin(ready, metrics))}, nil
 }
 
 func (a *admin) run(ctx context.Context) error { return serveUntil(ctx, a.srv, a.l) }
 
 // newDebug listens on addr for the profiler.
-func newDebug(addr string, log zerolog.Logger) (*admin, error) {
+func newDebug(addr string) (*admin, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "debug: listen %s", addr)
@@ -51,7 +49,7 @@
 	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
 	srv := quietServer(mux)
 	srv.WriteTimeout = 0
-	return &admin{l: l, srv: srv, log: log}, nil
+	return &admin{l: l, srv: srv}, nil
 }
 
 func quietServer(h http.Handler) *http.Server {
--- a/wasabid/app/order.go
+++ b/wasabid/app/order.go
@@ -1,7 +1,6 @@
 package app
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -152,5 +151,5 @@
 		return false
 	}
 	s, ok := t.Server(name)
-	return ok && s.Orders && slices.Contains(o.watched.servers(), name)
+	return ok && s.Orders && s.Centre == o.watched.centre && o.watched.placer.Schedules(s.Model)
 }
