--- /dev/null
+++ b/admit/book.go
@@ -0,0 +1,306 @@
+// Package admit decides which backend servers run a model request, and which
+// request is next when not all can run.
+//
+// # Usage
+//
+//	b := admit.NewBook(admit.Config{Centre: "sierra-a", Region: "sierra"})
+//	p, ok := b.Place(want, servers, now)
+//	...
+//	b.Read(p, took, now)   // the prompt has been read
+//	b.Done(p, now)         // the request has ended, however
+//
+// Desk adds the waiting: it keeps requests that find no place, in the order in
+// which they are worth most, and tells at once which ones cannot be served.
+//
+// # Load
+//
+// Prompts queue at prefill servers, so the estimate for each is the backlog of
+// tokens divided by its measured speed. Decode servers are bounded by memory
+// well before their slots: a request takes blocks for its prompt and for all
+// output that it may make. What other instances have placed is told by Peers
+// and added.
+//
+// The package reads no clock and does no I/O. A Book is not safe for
+// concurrent use; a Desk is.
+package admit
+
+import (
+	"time"
+
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// blockTokens is the unit in which servers hand out memory.
+	blockTokens = 16
+	// speedDefault is the expected speed of reading prompts, in tokens per
+	// second, until answers tell.
+	speedDefault = 25_000
+	// speedWeight is the weight of a new measurement of speed.
+	speedWeight = 0.2
+	// readFixed is the time of reading a prompt that does not depend on its
+	// length.
+	readFixed = 20 * time.Millisecond
+	// selfFactor is how much longer a decode server takes to read a prompt.
+	selfFactor = 2.5
+	// farCost is added for a server in another data centre of the region, and
+	// abroadCost for one in another region, where the KV cache and every event
+	// travel a link that is slow and paid.
+	farCost    = 2 * time.Millisecond
+	abroadCost = 150 * time.Millisecond
+	// fullCost is the penalty of a decode server without a free block,
+	// proportional below: memory that is nearly used up preempts.
+	fullCost = 60 * time.Millisecond
+	// memoryShare is the part of a server's memory that is handed out. The
+	// rest covers what other instances place at the same time.
+	memoryShare = 0.95
+)
+
+// Want is a model request that asks for servers.
+type Want struct {
+	ID       uint64
+	Service  string
+	Customer string
+	Prompt   int // tokens
+	Output   int // most tokens that it may make
+	Priority int // 0 is the most urgent
+	// By is when the first event is due to be on time, Until when it is of no
+	// use any more.
+	By    tick.Instant
+	Until tick.Instant
+	Avoid []string // keys of servers that failed the request
+	Alone bool // the decode server reads the prompt itself
+	Read  bool // the prompt has been read, only a decode server is needed
+}
+
+// need returns the memory of the request in tokens.
+func (w *Want) need() int {
+	n := w.Prompt + w.Output + blockTokens - 1
+	return n - n%blockTokens
+}
+
+// Placement names the servers of one request. Prefill is nil if the decode
+// server reads the prompt itself.
+type Placement struct {
+	Prefill *route.Server
+	Decode  *route.Server
+	Start   time.Duration // expected time to the first event
+
+	want Want
+	read bool // the prompt is read
+	at   tick.Instant
+}
+
+// load is what runs on one server.
+type load struct {
+	reading int     // tokens of prompts being read, placed by this instance
+	memory  int     // tokens of memory taken, by this instance
+	running int     // requests, of this instance
+	peers   Sum     // of the other instances
+	speed   float64 // tokens of prompts read per second
+}
+
+// Sum is the load that instances have placed on a server.
+type Sum struct {
+	Reading int // tokens of prompts that are being read
+	Memory  int // tokens of memory
+	Running int // requests
+}
+
+// Config configures a Book.
+type Config struct {
+	Centre string
+	Region string
+	Usable func(key string, now tick.Instant) bool
+}
+
+// Book keeps the load that this instance knows of each server.
+type Book struct {
+	cfg   Config
+	loads map[string]*load // by server key
+}
+
+// NewBook returns an empty Book.
+func NewBook(cfg Config) *Book {
+	return &Book{cfg: cfg, loads: make(map[string]*load)}
+}
+
+func (b *Book) load(key string) *load {
+	l, ok := b.loads[key]
+	if !ok {
+		l = &load{speed: speedDefault}
+		b.loads[key] = l
+	}
+	return l
+}
+
+// Place chooses servers for a request and charges them. It returns false if no
+// server has room for it.
+func (b *Book) Place(w Want, servers []*route.Server, engine *route.Engine, now tick.Instant) (*Placement, bool) {
+	p := b.best(&w, servers, engine, now, true)
+	if p == nil {
+		p = b.best(&w, servers, engine, now, false)
+	}
+	if p == nil {
+		return nil, false
+	}
+	p.want, p.at = w, now
+	d := b.load(p.Decode.Key())
+	d.memory += w.need()
+	d.running++
+	p.read = w.Read
+	if !w.Read {
+		b.load(p.reader().Key()).reading += w.Prompt
+	}
+	return p, true
+}
+
+// reader returns the server that reads the prompt.
+func (p *Placement) reader() *route.Server {
+	if p.Prefill != nil {
+		return p.Prefill
+	}
+	return p.Decode
+}
+
+// best returns the pair with the earliest expected first event among the
+// servers, all of them or those alone that are not set aside.
+func (b *Book) best(w *Want, servers []*route.Server, engine *route.Engine, now tick.Instant, usable bool) *Placement {
+	var decode, prefill *route.Server
+	var dCost, pCost time.Duration
+	for _, s := range servers {
+		if avoided(w, s) || usable && b.cfg.Usable != nil && !b.cfg.Usable(s.Key(), now) {
+			continue
+		}
+		if s.Stage == route.StagePrefill {
+			if c := b.readCost(w, s); !w.Alone && (prefill == nil || c < pCost) {
+				prefill, pCost = s, c
+			}
+			continue
+		}
+		c, ok := b.decodeCost(w, s, engine)
+		if ok && (decode == nil || c < dCost) {
+			decode, dCost = s, c
+		}
+	}
+	if decode == nil {
+		return nil
+	}
+	if w.Read {
+		return &Placement{Decode: decode, Start: dCost}
+	}
+	self := b.selfCost(w, decode)
+	if prefill == nil || decode.Stage == route.StageBoth || self < pCost {
+		return &Placement{Decode: decode, Start: dCost + self}
+	}
+	return &Placement{Prefill: prefill, Decode: decode, Start: dCost + pCost}
+}
+
+func avoided(w *Want, s *route.Server) bool {
+	for _, k := range w.Avoid {
+		if k == s.Key() {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *Book) distance(s *route.Server) time.Duration {
+	switch {
+	case s.Centre == b.cfg.Centre:
+		return 0
+	case s.Region == b.cfg.Region:
+		return farCost
+	}
+	return abroadCost
+}
+
+// readCost returns the expected time until a prefill server has read the
+// prompt.
+func (b *Book) readCost(w *Want, s *route.Server) time.Duration {
+	l := b.load(s.Key())
+	tokens := l.reading + l.peers.Reading + w.Prompt
+	return b.distance(s) + readFixed + span(float64(tokens)/l.speed)
+}
+
+// selfCost returns the expected time until a decode server has read the prompt
+// itself, between the tokens of what runs there.
+func (b *Book) selfCost(w *Want, s *route.Server) time.Duration {
+	l := b.load(s.Key())
+	tokens := l.reading + l.peers.Reading + w.Prompt
+	factor := selfFactor
+	if s.Stage == route.StageBoth {
+		factor = 1
+	}
+	return readFixed + span(float64(tokens)/l.speed*factor)
+}
+
+// decodeCost returns the penalty of a decode server, false if it has no room.
+func (b *Book) decodeCost(w *Want, s *route.Server, engine *route.Engine) (time.Duration, bool) {
+	l := b.load(s.Key())
+	room := float64(engine.KVTokens) * memoryShare
+	used := float64(l.memory + l.peers.Memory)
+	if used > 0 && used+float64(w.need()) > room || l.running+l.peers.Running >= engine.Slots {
+		return 0, false
+	}
+	return b.distance(s) + time.Duration(float64(fullCost)*used/room), true
+}
+
+func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
+
+// Read says that the prompt of a placement has been read, and how long the
+// server took.
+func (b *Book) Read(p *Placement, took time.Duration) {
+	if p.read {
+		return
+	}
+	p.read = true
+	l := b.load(p.reader().Key())
+	alone := l.reading == p.want.Prompt
+	l.reading -= p.want.Prompt
+	if alone && took > readFixed && p.Prefill != nil {
+		got := float64(p.want.Prompt) / (took - readFixed).Seconds()
+		l.speed += speedWeight * (got - l.speed)
+	}
+}
+
+// Done says that a placement has ended, however it did.
+func (b *Book) Done(p *Placement) {
+	b.Read(p, 0)
+	d := b.load(p.Decode.Key())
+	d.memory -= p.want.need()
+	d.running--
+}
+
+// Peers sets the load that other instances have placed, by server key.
+func (b *Book) Peers(sums map[string]Sum) {
+	for k, l := range b.loads {
+		if _, ok := sums[k]; !ok {
+			l.peers = Sum{}
+		}
+	}
+	for k, s := range sums {
+		b.load(k).peers = s
+	}
+}
+
+// Own returns the load that this instance has placed, by server key.
+func (b *Book) Own() map[string]Sum {
+	own := make(map[string]Sum)
+	for k, l := range b.loads {
+		if l.reading != 0 || l.memory != 0 || l.running != 0 {
+			own[k] = Sum{Reading: l.reading, Memory: l.memory, Running: l.running}
+		}
+	}
+	return own
+}
+
+// Forget drops the servers that are gone and run nothing.
+func (b *Book) Forget(here func(key string) bool) {
+	for k, l := range b.loads {
+		if l.running == 0 && l.reading == 0 && !here(k) {
+			delete(b.loads, k)
+		}
+	}
+}
--- /dev/null
+++ b/entry/app.go
@@ -0,0 +1,138 @@
+package main
+
+import (
+	"context"
+	"io"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/platform"
+	"wasabidock.dev/dock/relay"
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/share"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// sweepEvery is the period of the upkeep of queues and connections.
+	sweepEvery = 50 * time.Millisecond
+	// upkeepEvery is the period of what may wait.
+	upkeepEvery = time.Second
+	// unusedConns is how long the connections to an address are remembered.
+	unusedConns = 30 * time.Second
+	// startLimit and stopLimit bound the hooks of the parts.
+	startLimit = 10 * time.Second
+	stopLimit  = 30 * time.Second
+	// quotaMargin is the part of the published tolerance of limits that is
+	// used where some instances are not heard.
+	quotaMargin = 0.6
+)
+
+// settingsPath returns the path of the settings that the platform gives.
+func settingsPath() string {
+	if p := os.Getenv(platform.SettingsEnv); p != "" {
+		return p
+	}
+	return defaultSettings
+}
+
+// runApp runs the daemon until stop is closed and its requests have ended.
+func runApp(ctx context.Context, f flags, set *platform.Settings, out io.Writer, stop <-chan struct{}) error {
+	root, err := logs.New(out, f.logLevel)
+	if err != nil {
+		return err
+	}
+	var d *daemon
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startLimit),
+		fx.StopTimeout(stopLimit),
+		fx.Supply(set, root),
+		fx.Provide(
+			func() tick.Service { return tick.NewReal() },
+			route.NewLive, health.NewBook, newLink, newStore, newLimits, newRepeats, newDesk, newHandler, newDaemon,
+		),
+		fx.Populate(&d),
+	)
+	if err := app.Start(ctx); err != nil {
+		return errors.Wrap(err, "start")
+	}
+	d.wait(stop)
+	stopCtx, cancel := context.WithTimeout(ctx, stopLimit)
+	defer cancel()
+	return app.Stop(stopCtx)
+}
+
+func newLink(clock tick.Service) *link.Client {
+	return link.New(link.Config{Clock: clock, IDHeader: platform.AttemptHeader})
+}
+
+func newStore(set *platform.Settings, c *link.Client, clock tick.Service, live *route.Live, log zerolog.Logger) *platform.Store {
+	return platform.NewStore(platform.StoreConfig{
+		Address: set.Store(), Link: c, Clock: clock, Live: live, Region: set.Region,
+		Log: logs.Part(log, "platform"),
+	})
+}
+
+func newLimits(set *platform.Settings, clock tick.Service) *share.Limits {
+	excess, _, _ := set.Quota()
+	return share.NewLimits(clock, quotaMargin*excess)
+}
+
+func newRepeats(set *platform.Settings, clock tick.Service, l *share.Limits) *share.Repeats {
+	ratio, extra, window := set.Retries()
+	return share.NewRepeats(share.RepeatConfig{Ratio: ratio, Extra: extra, Window: window}, clock, l.Members)
+}
+
+// models tells the desk the model servers in force.
+type models struct{ live *route.Live }
+
+// Servers returns the servers of a service and what they are.
+func (m models) Servers(service string) ([]*route.Server, *route.Engine) {
+	t := m.live.Table()
+	if t == nil {
+		return nil, nil
+	}
+	s, ok := t.Service(service)
+	if !ok {
+		return nil, nil
+	}
+	return m.live.Fleet().Of(service), s.Engine
+}
+
+func newDesk(set *platform.Settings, clock tick.Service, live *route.Live, h *health.Book) *admit.Desk {
+	return admit.NewDesk(admit.Config{
+		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable,
+	}, models{live}, clock)
+}
+
+// handlerParts are what a Handler is made of.
+type handlerParts struct {
+	fx.In
+
+	Set     *platform.Settings
+	Clock   tick.Service
+	Live    *route.Live
+	Link    *link.Client
+	Limits  *share.Limits
+	Repeats *share.Repeats
+	Desk    *admit.Desk
+	Health  *health.Book
+	Log     zerolog.Logger
+}
+
+func newHandler(p handlerParts) *relay.Handler {
+	return relay.New(relay.Config{
+		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
+		Live: p.Live, Wire: platform.Names{}, Link: p.Link, Limiter: p.Limits, Budget: p.Repeats,
+		Placer: p.Desk, Health: p.Health, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
+	})
+}
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/platform"
+	"wasabidock.dev/dock/relay"
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/share"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// noticeTime is how long requests are taken after the start of a drain:
+	// the balancer asks each second and needs two misses.
+	noticeTime = 2500 * time.Millisecond
+	// graceMargin is kept of the time to SIGKILL for the end of the process.
+	graceMargin = 400 * time.Millisecond
+	// headerTime and headerBytes bound the head of a request until the
+	// operator's limits are known, and idleTime an idle connection.
+	headerTime  = 10 * time.Second
+	headerBytes = 64 << 10
+	idleTime    = 2 * time.Minute
+	// activePoll is the period at which a drain looks for its end.
+	activePoll = 20 * time.Millisecond
+)
+
+// daemon runs the parts.
+type daemon struct {
+	p     daemonParts
+	log   zerolog.Logger
+	front *http.Server
+	ready *http.Server
+	stop  context.CancelFunc
+	ends  sync.WaitGroup
+	drain atomic.Bool
+}
+
+// daemonParts are what a daemon starts and stops.
+type daemonParts struct {
+	fx.In
+
+	Set     *platform.Settings
+	Clock   tick.Service
+	Live    *route.Live
+	Link    *link.Client
+	Store   *platform.Store
+	Limits  *share.Limits
+	Desk    *admit.Desk
+	Health  *health.Book
+	Handler *relay.Handler
+	Log     zerolog.Logger
+}
+
+func newDaemon(lc fx.Lifecycle, p daemonParts) *daemon {
+	d := &daemon{p: p, log: logs.Part(p.Log, "entry")}
+	gin.SetMode(gin.ReleaseMode)
+	callers := gin.New()
+	callers.RedirectTrailingSlash = false
+	callers.HandleMethodNotAllowed = false
+	callers.NoRoute(func(c *gin.Context) {
+		c.Status(http.StatusOK)
+		p.Handler.ServeHTTP(c.Writer, c.Request)
+	})
+	d.front = &http.Server{
+		Handler: callers, ReadHeaderTimeout: headerTime, MaxHeaderBytes: headerBytes, IdleTimeout: idleTime,
+	}
+	checks := gin.New()
+	checks.GET("/api/readyz", d.serveReady)
+	d.ready = &http.Server{Handler: checks, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.end})
+	return d
+}
+
+// start opens the listeners and starts the parts.
+func (d *daemon) start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	for _, s := range []struct {
+		addr string
+		srv  *http.Server
+	}{{d.p.Set.Front(), d.front}, {d.p.Set.Ready(), d.ready}} {
+		l, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			cancel()
+			return errors.Wrap(err, "listen")
+		}
+		d.ends.Go(func() { d.serve(s.srv, l) })
+	}
+	store := make(chan struct{})
+	go d.p.Store.Run(ctx, store)
+	d.ends.Go(func() { <-store })
+	d.ends.Go(func() { d.upkeep(ctx) })
+	d.log.Info().Str("instance", d.p.Set.Instance()).Msg("entry: started")
+	return nil
+}
+
+func (d *daemon) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error().Err(err).Str("address", l.Addr().String()).Msg("entry: listener ended")
+	}
+}
+
+// upkeep looks after queues, connections and records.
+func (d *daemon) upkeep(ctx context.Context) {
+	var last tick.Instant
+	tick.Repeat(ctx, d.p.Clock.Every(sweepEvery), func(context.Context) {
+		d.p.Desk.Sweep()
+		now := d.p.Clock.Now()
+		if now-last < upkeepEvery {
+			return
+		}
+		last = now
+		d.p.Link.Sweep(unusedConns)
+		d.p.Health.Sweep(now)
+		d.p.Limits.Sweep(now)
+	})
+}
+
+// serveReady tells the balancer whether to send new connections.
+func (d *daemon) serveReady(c *gin.Context) {
+	if d.drain.Load() || d.p.Live.Table() == nil || d.p.Live.Fleet().Len() == 0 {
+		c.Status(http.StatusServiceUnavailable)
+		return
+	}
+	c.Status(http.StatusOK)
+}
+
+// wait blocks until stop is closed and the requests have ended.
+func (d *daemon) wait(stop <-chan struct{}) {
+	<-stop
+	start := d.p.Clock.Now()
+	d.drain.Store(true)
+	d.p.Handler.Leave()
+	d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: draining")
+	t := d.p.Clock.Every(activePoll)
+	defer t.Stop()
+	for range t.C() {
+		passed := d.p.Clock.Now() - start
+		if passed >= d.p.Set.Grace()-graceMargin || passed >= noticeTime && d.p.Handler.Active() == 0 {
+			return
+		}
+	}
+}
+
+// end stops the parts in the reverse of their order.
+func (d *daemon) end(ctx context.Context) error {
+	// What is still active now would be cut by SIGKILL in any case.
+	err := errors.Join(d.front.Close(), d.ready.Close())
+	d.stop()
+	d.ends.Wait()
+	d.log.Info().Msg("entry: stopped")
+	return err
+}
--- /dev/null
+++ b/relay/handler.go
@@ -0,0 +1,271 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// unknownRetry is when a caller may come back while nothing is configured.
+	unknownRetry = time.Second
+	// defaultTimeout bounds requests where neither the caller nor the route does.
+	defaultTimeout = 30 * time.Second
+	// defaultBody bounds bodies until the operator's limit is known, in bytes.
+	defaultBody = 1 << 20
+)
+
+// Limiter bounds what customers use.
+type Limiter interface {
+	// Charge takes tokens of a customer, or tells when to come back.
+	Charge(c *route.Customer, tokens int) (wait time.Duration, ok bool)
+	// Return gives tokens back that were charged and not used.
+	Return(c *route.Customer, tokens int)
+}
+
+// Budget bounds the repeats of requests.
+type Budget interface {
+	// Asked notes a request for a service.
+	Asked(service string)
+	// Spend takes one repeat to a service, and tells whether there was one.
+	Spend(service string) bool
+}
+
+// Placer finds servers for model requests.
+type Placer interface {
+	Place(ctx context.Context, w admit.Want) (*admit.Placement, error)
+	Read(p *admit.Placement, took time.Duration)
+	Done(p *admit.Placement)
+}
+
+// Config configures a Handler.
+type Config struct {
+	Centre  string
+	Region  string
+	Live    *route.Live
+	Wire    Wire
+	Link    *link.Client
+	Limiter Limiter
+	Budget  Budget
+	Placer  Placer
+	Health  *health.Book
+	Clock   tick.Service
+	Log     zerolog.Logger
+}
+
+// Handler serves callers.
+type Handler struct {
+	cfg    Config
+	serial atomic.Uint64
+	active atomic.Int64
+	last   atomic.Bool // answers end their connections
+	counts loads
+}
+
+// New returns a Handler.
+func New(cfg Config) *Handler {
+	return &Handler{cfg: cfg, counts: newLoads()}
+}
+
+// Active returns the number of requests that are being served.
+func (h *Handler) Active() int64 { return h.active.Load() }
+
+// Leave makes each answer the last one of its connection.
+func (h *Handler) Leave() { h.last.Store(true) }
+
+// job is one request of a caller.
+type job struct {
+	h       *Handler
+	w       http.ResponseWriter
+	r       *http.Request
+	ask     Ask
+	table   *route.Table
+	route   *route.Route
+	service *route.Service
+	cust    *route.Customer
+	body    []byte
+	start   tick.Instant
+	until   tick.Instant // when the answer is of no use any more
+	charged int          // tokens taken from the customer's limit
+	sent    bool         // a server may have run it
+	runs    int          // servers that may have run it
+	writes  int          // servers to which it was written
+	began   bool         // the head of the answer was written
+	saved   *reply       // a server's failure, passed on if nothing better comes
+	note    string       // what happened, for the decision line
+}
+
+// ServeHTTP serves one request.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	h.active.Add(1)
+	defer h.active.Add(-1)
+	if h.last.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	j := &job{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
+	if !j.admit() || !j.read() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), j.until-h.cfg.Clock.Now())
+	defer cancel()
+	defer j.settle()
+	j.limitWrite()
+	h.cfg.Budget.Asked(j.service.Name)
+	switch {
+	case j.service.Engine != nil && j.ask.Sized:
+		j.model(ctx)
+	default:
+		j.plain(ctx)
+	}
+}
+
+// admit finds the route, the service and the customer.
+func (j *job) admit() bool {
+	j.table = j.h.cfg.Live.Table()
+	if j.table == nil {
+		j.refuse(fail.Refuse(fail.CodeNoTable, unknownRetry, "no configuration is known yet"))
+		return false
+	}
+	var ok bool
+	if j.route, ok = j.table.Match(j.r.Host, j.r.URL.Path); !ok {
+		j.deny(http.StatusNotFound, fail.CodeRoute, "no route takes this host and path")
+		return false
+	}
+	j.ask = j.h.cfg.Wire.Ask(j.r.Header)
+	if j.table.Keyed() && !j.route.Open {
+		if j.cust, ok = j.table.Customer(route.HashKey(j.ask.Key)); !ok || j.ask.Key == "" {
+			j.deny(http.StatusUnauthorized, fail.CodeKey, "the key is not known")
+			return false
+		}
+	}
+	name := j.route.Pick(rand.Float64())
+	if j.service, ok = j.table.Service(name); !ok {
+		j.service = &route.Service{Name: name}
+	}
+	limit := j.route.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if j.ask.Deadline > 0 {
+		limit = min(limit, j.ask.Deadline)
+	}
+	j.until = j.start + limit
+	return true
+}
+
+// read reads the body and charges the customer.
+func (j *job) read() bool {
+	most := int64(j.table.Limits().BodyBytes)
+	if most <= 0 {
+		most = defaultBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, most))
+	if err != nil {
+		if _, ok := errors.Into[*http.MaxBytesError](err); ok {
+			j.deny(http.StatusRequestEntityTooLarge, fail.CodeTooLarge, "the body is too large")
+			return false
+		}
+		if j.r.Context().Err() == nil {
+			j.deny(http.StatusBadRequest, fail.CodeBadRequest, "the body cannot be read")
+		}
+		return false
+	}
+	j.body = body
+	if j.cust == nil {
+		return true
+	}
+	tokens := j.cust.PlainTokens
+	if j.ask.Sized {
+		tokens = j.ask.Prompt + j.ask.Output
+	}
+	wait, ok := j.h.cfg.Limiter.Charge(j.cust, tokens)
+	if !ok {
+		j.refuse(fail.Refuse(fail.CodeRate, wait, "the customer's limit is reached"))
+		return false
+	}
+	j.charged = tokens
+	return true
+}
+
+// limitWrite ends writes to a caller that does not read.
+func (j *job) limitWrite() {
+	left := j.until - j.h.cfg.Clock.Now()
+	// Not every writer has a deadline; those in tests do without.
+	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Now().Add(left + time.Second))
+}
+
+// settle ends the request's accounts and writes its decision line.
+func (j *job) settle() {
+	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Time{})
+	if j.charged > 0 && !j.sent {
+		j.h.cfg.Limiter.Return(j.cust, j.charged)
+	}
+	customer := ""
+	if j.cust != nil {
+		customer = j.cust.Name
+	}
+	logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Str("route", j.route.Name).Str("service", j.service.Name).
+		Str("customer", customer).Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).
+		Int("writes", j.writes).Dur("took", j.h.cfg.Clock.Now()-j.start).Msg("relay: " + j.note)
+}
+
+// left returns how long the answer is still of use.
+func (j *job) left() time.Duration { return j.until - j.h.cfg.Clock.Now() }
+
+// gone tells whether the caller has left.
+func (j *job) gone() bool { return j.r.Context().Err() != nil }
+
+// mayRepeat takes a repeat from the budget if the request may be written to
+// one more server. The first write is free.
+func (j *job) mayRepeat() bool {
+	if j.sent && (!j.route.Repeatable() || j.runs >= j.route.MaxTries) {
+		return false
+	}
+	return j.writes == 0 || j.h.cfg.Budget.Spend(j.service.Name)
+}
+
+// send returns what a server is told.
+func (j *job) send(s *route.Server) Send {
+	out := newSend(s)
+	out.Left = j.left()
+	out.After = j.ask.After
+	if j.cust != nil {
+		out.Customer = j.cust.Name
+	}
+	return out
+}
+
+// call returns the request as it goes to a server.
+func (j *job) call(s *route.Server, out Send) *link.Call {
+	return &link.Call{
+		Addr:   s.Addr,
+		Method: j.r.Method,
+		Path:   j.path(),
+		Host:   j.r.Host,
+		Header: j.h.cfg.Wire.Forward(j.r.Header, out),
+		Body:   j.body,
+		ID:     j.ask.ID,
+	}
+}
+
+// path returns the path and query as the caller sent them.
+func (j *job) path() string {
+	if p := j.r.RequestURI; p != "" && p[0] == '/' {
+		return p
+	}
+	return j.r.URL.RequestURI()
+}
--- /dev/null
+++ b/relay/plain.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/route"
+)
+
+const (
+	// plainBytes bounds an answer that is kept whole before it is passed on.
+	plainBytes = 4 << 20
+	// abroadLoad is how many requests more a server of the own region may have
+	// before one abroad is preferred.
+	abroadLoad = 8
+	// hedgeShare is the part of the objective after which an idempotent
+	// request that was not answered is repeated elsewhere.
+	hedgeShare = 0.6
+	// noServerRetry is when a caller may come back while no server is known.
+	noServerRetry = 500 * time.Millisecond
+	// shedRetry is when a caller may come back after all servers were full.
+	shedRetry = 400 * time.Millisecond
+)
+
+// errTooLong reports an answer over plainBytes.
+var errTooLong = errors.New("answer is too long")
+
+// errUnsealed reports a success without the server's seal.
+var errUnsealed = errors.New("answer bears no seal")
+
+// loads counts the requests of this instance at plain servers.
+type loads struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func newLoads() loads { return loads{n: make(map[string]int)} }
+
+func (l *loads) add(key string, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.n[key] += n; l.n[key] == 0 {
+		delete(l.n, key)
+	}
+}
+
+func (l *loads) of(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.n[key]
+}
+
+// plain serves a request of a plain service.
+func (j *job) plain(ctx context.Context) {
+	avoid := make(map[string]bool)
+	for {
+		s := j.pick(avoid)
+		if s == nil {
+			j.giveUp(noServerRetry, "no server of "+j.service.Name+" is left to try")
+			return
+		}
+		if !j.mayRepeat() {
+			j.giveUp(shedRetry, "no repeat is left")
+			return
+		}
+		if j.plainTry(ctx, s) {
+			return
+		}
+		if ctx.Err() != nil {
+			j.giveUp(shedRetry, "time is up")
+			return
+		}
+		avoid[s.Key()] = true
+	}
+}
+
+// pick returns the server with the least load, nil if all were tried. Servers
+// that are set aside come last.
+func (j *job) pick(avoid map[string]bool) *route.Server {
+	now := j.h.cfg.Clock.Now()
+	var best *route.Server
+	var cost float64
+	for _, s := range j.h.cfg.Live.Fleet().Of(j.service.Name) {
+		if avoid[s.Key()] {
+			continue
+		}
+		c := float64(j.h.counts.of(s.Key())) + rand.Float64()
+		if s.Region != j.h.cfg.Region {
+			c += abroadLoad
+		}
+		if !j.h.cfg.Health.Usable(s.Key(), now) {
+			c += plainBytes // after all others
+		}
+		if best == nil || c < cost {
+			best, cost = s, c
+		}
+	}
+	return best
+}
+
+// plainTry writes the request to a server. It returns true if the request is
+// answered.
+func (j *job) plainTry(ctx context.Context, s *route.Server) bool {
+	h := j.h
+	key := s.Key()
+	h.counts.add(key, 1)
+	defer h.counts.add(key, -1)
+	h.cfg.Health.Chosen(key, h.cfg.Clock.Now())
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if j.route.Kind == route.Idempotent && j.runs+1 < j.route.MaxTries && j.route.Objective > 0 {
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(hedgeShare*float64(j.route.Objective)))
+		defer cancel()
+	}
+	a, err := h.cfg.Link.Do(ctx, j.call(s, j.send(s)))
+	if err != nil {
+		j.lost(s, err)
+		return false
+	}
+	defer a.Close()
+	j.writes++
+	if h.cfg.Wire.Disowned(a.Status, a.Header) {
+		j.drop(a)
+		return false
+	}
+	j.sent = true
+	j.runs++
+	b, err := whole(a)
+	if err == nil && a.Status < http.StatusMultipleChoices && !h.cfg.Wire.Sealed(a.Header) {
+		err = errUnsealed
+	}
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", j.ask.ID).Msg("relay: answer is not whole")
+		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+		return false
+	}
+	if a.Status >= http.StatusInternalServerError {
+		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+		if j.route.Kind == route.Idempotent && j.runs < j.route.MaxTries {
+			j.saved = &reply{status: a.Status, header: a.Header, body: b}
+			return false
+		}
+	} else {
+		h.cfg.Health.Served(key)
+	}
+	j.pass(&reply{status: a.Status, header: a.Header, body: b})
+	return true
+}
+
+// lost takes note of a write that brought no answer.
+func (j *job) lost(s *route.Server, err error) {
+	h := j.h
+	h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", j.ask.ID).Msg("relay: no answer")
+	if fail.Outcome(err) != ident.NotRun {
+		j.writes++
+		j.sent = true
+		j.runs++
+	}
+	if !j.gone() {
+		h.cfg.Health.Failed(s.Key(), fail.Outcome(err) == ident.NotRun, h.cfg.Clock.Now())
+	}
+}
+
+// drop reads the rest of an answer that is not passed on.
+func (j *job) drop(a *link.Answer) {
+	// An answer that cannot be read costs its connection, which Close sees.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, plainBytes))
+}
+
+// whole reads an answer to its end.
+func whole(a *link.Answer) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(a.Body, plainBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(b) > plainBytes {
+		return nil, errTooLong
+	}
+	return b, nil
+}
+
+// reply is a whole answer of a server.
+type reply struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// pass gives a whole answer to the caller.
+func (j *job) pass(a *reply) {
+	j.head(a.header)
+	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	j.began = true
+	j.note = "answered " + strconv.Itoa(a.status)
+	j.w.WriteHeader(a.status)
+	_, _ = j.w.Write(a.body) // a caller that has left needs no answer
+}
--- /dev/null
+++ b/relay/wire.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"wasabidock.dev/dock/event"
+	"wasabidock.dev/dock/route"
+)
+
+// Ask is what the headers of a caller's request say.
+type Ask struct {
+	ID       string        // the caller's name of the request
+	Key      string        // API key, empty if there is none
+	Deadline time.Duration // how long the caller waits, 0 if it does not tell
+	Model    string
+	Sized    bool  // Prompt and Output are told
+	Prompt   int   // tokens of the prompt
+	Output   int   // most tokens to be generated
+	After    int64 // event after which a resumed stream goes on, event.NoID for none
+}
+
+// Send is what a server is told beside the caller's own headers.
+type Send struct {
+	Server   string        // ID of the server that shall take the request
+	Left     time.Duration // how long the caller still waits
+	Customer string        // name of the customer, empty on open routes
+	Urgency  int           // 0 to 9, 0 is first
+	Ranked   bool          // Urgency is told
+	After    int64         // event after which the stream goes on, event.NoID for none
+	Prefill  bool          // read the prompt only
+	KVFrom   string        // address and handle of the KV cache to fetch, empty for none
+}
+
+// newSend returns a Send to a server.
+func newSend(s *route.Server) Send { return Send{Server: s.ID, After: event.NoID} }
+
+// Wire translates headers between callers, the router and servers.
+type Wire interface {
+	// Ask reads the headers of a caller's request.
+	Ask(h http.Header) Ask
+	// Forward returns the headers to send to a server.
+	Forward(h http.Header, s Send) http.Header
+	// Disowned tells whether an answer says that the server did not run the
+	// request.
+	Disowned(status int, h http.Header) bool
+	// Sealed tells whether an answer carries a server's seal.
+	Sealed(h http.Header) bool
+	// Handle returns the handle in the answer of a server that has read a
+	// prompt.
+	Handle(body []byte) (string, error)
+	// FreePath returns the path at which a handle is freed by DELETE.
+	FreePath(handle string) string
+}
--- /dev/null
+++ b/route/fleet.go
@@ -0,0 +1,131 @@
+package route
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+)
+
+// Stage is the part of a model request that a backend server does.
+type Stage uint8
+
+// The stages.
+const (
+	StageBoth    Stage = iota // prefills and decodes, or a plain server
+	StagePrefill              // prefills only
+	StageDecode               // decodes, and prefills at reduced speed
+)
+
+// Server is a backend server that takes requests.
+type Server struct {
+	ID      string
+	Service string
+	Addr    string // host:port
+	Centre  string
+	Region  string
+	Stage   Stage
+	Models  []string
+	Slots   int
+	Born    int64 // Unix milliseconds of its start, 0 if it does not tell
+}
+
+// Key names one start of a server at one address.
+func (s *Server) Key() string { return s.ID + "@" + s.Addr }
+
+// Fleet is the set of backend servers at one revision of the store.
+type Fleet struct {
+	revision int64
+	byID     map[string]*Server
+	of       map[string][]*Server
+}
+
+// NewFleet returns the fleet of the given servers, which must not be draining.
+func NewFleet(revision int64, servers []*Server) *Fleet {
+	f := &Fleet{
+		revision: revision,
+		byID:     make(map[string]*Server, len(servers)),
+		of:       make(map[string][]*Server),
+	}
+	for _, s := range servers {
+		f.byID[s.ID] = s
+		f.of[s.Service] = append(f.of[s.Service], s)
+	}
+	for _, list := range f.of {
+		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	}
+	return f
+}
+
+// Revision returns the store's revision up to which the fleet is known.
+func (f *Fleet) Revision() int64 { return f.revision }
+
+// Len returns the number of servers.
+func (f *Fleet) Len() int { return len(f.byID) }
+
+// Of returns the servers of a service, ordered by ID. The caller must not
+// change the slice.
+func (f *Fleet) Of(service string) []*Server { return f.of[service] }
+
+// Server returns a server by ID.
+func (f *Fleet) Server(id string) (*Server, bool) {
+	s, ok := f.byID[id]
+	return s, ok
+}
+
+// Live is the table and the fleet in force at this instance.
+type Live struct {
+	table atomic.Pointer[Table]
+	fleet atomic.Pointer[Fleet]
+
+	mu      sync.Mutex
+	changed chan struct{} // closed and replaced at each change
+}
+
+// NewLive returns a Live that knows nothing.
+func NewLive() *Live {
+	l := &Live{changed: make(chan struct{})}
+	l.fleet.Store(NewFleet(0, nil))
+	return l
+}
+
+// Table returns the table in force, nil before the first one.
+func (l *Live) Table() *Table { return l.table.Load() }
+
+// Fleet returns the fleet in force, which is empty at first.
+func (l *Live) Fleet() *Fleet { return l.fleet.Load() }
+
+// Changed returns a channel that is closed at the next change.
+func (l *Live) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+// SetTable puts a table in force, unless one that is as new is there.
+func (l *Live) SetTable(t *Table) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if old := l.table.Load(); old != nil && old.revision >= t.revision {
+		return false
+	}
+	l.table.Store(t)
+	l.announce()
+	return true
+}
+
+// SetFleet puts a fleet in force, unless a newer one is there.
+func (l *Live) SetFleet(f *Fleet) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.fleet.Load().revision > f.revision {
+		return false
+	}
+	l.fleet.Store(f)
+	l.announce()
+	return true
+}
+
+func (l *Live) announce() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
