--- a/admit/book.go
+++ b/admit/book.go
@@ -27,6 +27,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -70,8 +72,8 @@
 	By    tick.Instant
 	Until tick.Instant
 	Avoid []string // keys of servers that failed the request
-	Alone bool // the decode server reads the prompt itself
-	Read  bool // the prompt has been read, only a decode server is needed
+	Alone bool     // the decode server reads the prompt itself
+	Read  bool     // the prompt has been read, only a decode server is needed
 }
 
 // need returns the memory of the request in tokens.
@@ -118,19 +120,24 @@
 // Book keeps the load that this instance knows of each server.
 type Book struct {
 	cfg   Config
-	loads map[string]*load // by server key
+	loads map[uint64]*load // by Hash of the server's key
 }
 
 // NewBook returns an empty Book.
 func NewBook(cfg Config) *Book {
-	return &Book{cfg: cfg, loads: make(map[string]*load)}
+	return &Book{cfg: cfg, loads: make(map[uint64]*load)}
 }
 
-func (b *Book) load(key string) *load {
-	l, ok := b.loads[key]
+// Hash names a server among instances.
+func Hash(key string) uint64 { return xxhash.Sum64String(key) }
+
+func (b *Book) load(s *route.Server) *load { return b.byHash(Hash(s.Key())) }
+
+func (b *Book) byHash(h uint64) *load {
+	l, ok := b.loads[h]
 	if !ok {
 		l = &load{speed: speedDefault}
-		b.loads[key] = l
+		b.loads[h] = l
 	}
 	return l
 }
@@ -146,12 +153,12 @@
 		return nil, false
 	}
 	p.want, p.at = w, now
-	d := b.load(p.Decode.Key())
+	d := b.load(p.Decode)
 	d.memory += w.need()
 	d.running++
 	p.read = w.Read
 	if !w.Read {
-		b.load(p.reader().Key()).reading += w.Prompt
+		b.load(p.reader()).reading += w.Prompt
 	}
 	return p, true
 }
@@ -219,7 +226,7 @@
 // readCost returns the expected time until a prefill server has read the
 // prompt.
 func (b *Book) readCost(w *Want, s *route.Server) time.Duration {
-	l := b.load(s.Key())
+	l := b.load(s)
 	tokens := l.reading + l.peers.Reading + w.Prompt
 	return b.distance(s) + readFixed + span(float64(tokens)/l.speed)
 }
@@ -227,7 +234,7 @@
 // selfCost returns the expected time until a decode server has read the prompt
 // itself, between the tokens of what runs there.
 func (b *Book) selfCost(w *Want, s *route.Server) time.Duration {
-	l := b.load(s.Key())
+	l := b.load(s)
 	tokens := l.reading + l.peers.Reading + w.Prompt
 	factor := selfFactor
 	if s.Stage == route.StageBoth {
@@ -238,7 +245,7 @@
 
 // decodeCost returns the penalty of a decode server, false if it has no room.
 func (b *Book) decodeCost(w *Want, s *route.Server, engine *route.Engine) (time.Duration, bool) {
-	l := b.load(s.Key())
+	l := b.load(s)
 	room := float64(engine.KVTokens) * memoryShare
 	used := float64(l.memory + l.peers.Memory)
 	if used > 0 && used+float64(w.need()) > room || l.running+l.peers.Running >= engine.Slots {
@@ -256,7 +263,7 @@
 		return
 	}
 	p.read = true
-	l := b.load(p.reader().Key())
+	l := b.load(p.reader())
 	alone := l.reading == p.want.Prompt
 	l.reading -= p.want.Prompt
 	if alone && took > readFixed && p.Prefill != nil {
@@ -268,39 +275,39 @@
 // Done says that a placement has ended, however it did.
 func (b *Book) Done(p *Placement) {
 	b.Read(p, 0)
-	d := b.load(p.Decode.Key())
+	d := b.load(p.Decode)
 	d.memory -= p.want.need()
 	d.running--
 }
 
-// Peers sets the load that other instances have placed, by server key.
-func (b *Book) Peers(sums map[string]Sum) {
-	for k, l := range b.loads {
-		if _, ok := sums[k]; !ok {
+// Peers sets the load that other instances have placed, by Hash of the key.
+func (b *Book) Peers(sums map[uint64]Sum) {
+	for h, l := range b.loads {
+		if _, ok := sums[h]; !ok {
 			l.peers = Sum{}
 		}
 	}
-	for k, s := range sums {
-		b.load(k).peers = s
+	for h, s := range sums {
+		b.byHash(h).peers = s
 	}
 }
 
-// Own returns the load that this instance has placed, by server key.
-func (b *Book) Own() map[string]Sum {
-	own := make(map[string]Sum)
-	for k, l := range b.loads {
+// Own returns the load that this instance has placed, by Hash of the key.
+func (b *Book) Own() map[uint64]Sum {
+	own := make(map[uint64]Sum)
+	for h, l := range b.loads {
 		if l.reading != 0 || l.memory != 0 || l.running != 0 {
-			own[k] = Sum{Reading: l.reading, Memory: l.memory, Running: l.running}
+			own[h] = Sum{Reading: l.reading, Memory: l.memory, Running: l.running}
 		}
 	}
 	return own
 }
 
 // Forget drops the servers that are gone and run nothing.
-func (b *Book) Forget(here func(key string) bool) {
-	for k, l := range b.loads {
-		if l.running == 0 && l.reading == 0 && !here(k) {
-			delete(b.loads, k)
+func (b *Book) Forget(here func(hash uint64) bool) {
+	for h, l := range b.loads {
+		if l.running == 0 && l.reading == 0 && l.peers == (Sum{}) && !here(h) {
+			delete(b.loads, h)
 		}
 	}
 }
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -181,16 +181,16 @@
 	d.sweep(d.clock.Now())
 }
 
-// Peers takes in what other instances have placed, by server key.
-func (d *Desk) Peers(sums map[string]Sum) {
+// Peers takes in what other instances have placed, by Hash of the key.
+func (d *Desk) Peers(sums map[uint64]Sum) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.book.Peers(sums)
 	d.sweep(d.clock.Now())
 }
 
-// Own returns what this instance has placed, by server key.
-func (d *Desk) Own() map[string]Sum {
+// Own returns what this instance has placed, by Hash of the key.
+func (d *Desk) Own() map[uint64]Sum {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.book.Own()
--- a/entry/app.go
+++ b/entry/app.go
@@ -14,6 +14,7 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/news"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/relay"
 	"wasabidock.dev/dock/route"
@@ -58,7 +59,7 @@
 		fx.Supply(set, root),
 		fx.Provide(
 			func() tick.Service { return tick.NewReal() },
-			route.NewLive, health.NewBook, newLink, newStore, newLimits, newRepeats, newDesk, newHandler, newDaemon,
+			route.NewLive, health.NewBook, newLink, newStore, newLimits, newRepeats, newDesk, newHandler, newNews, newDaemon,
 		),
 		fx.Populate(&d),
 	)
@@ -136,3 +137,32 @@
 		Placer: p.Desk, Health: p.Health, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
 	})
 }
+
+// newsParts are what a news.Service is made of.
+type newsParts struct {
+	fx.In
+
+	Set    *platform.Settings
+	Clock  tick.Service
+	Store  *platform.Store
+	Desk   *admit.Desk
+	Limits *share.Limits
+	Log    zerolog.Logger
+}
+
+func newNews(p newsParts) *news.Service {
+	return news.New(news.Config{
+		Self: news.Member{
+			Instance: p.Set.Instance(),
+			// The time of day grows from one start to the next, but for clocks
+			// that jump back over a restart; the low bits then still differ.
+			Incarnation: uint64(time.Now().UnixMicro()),
+			Address:     p.Set.Peers(),
+			Datagrams:   p.Set.Datagrams(),
+			Centre:      p.Set.Centre(),
+			Region:      p.Set.Region(p.Set.Centre()),
+		},
+		Seeds: p.Set.Seeds(), Book: p.Store, Loads: p.Desk, Charges: p.Limits, Clock: p.Clock,
+		Log: logs.Part(p.Log, "news"),
+	})
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,8 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/news"
+	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/relay"
 	"wasabidock.dev/dock/route"
@@ -35,6 +37,8 @@
 	headerTime  = 10 * time.Second
 	headerBytes = 64 << 10
 	idleTime    = 2 * time.Minute
+	// peersEnd bounds the wait for calls of peers at the end.
+	peersEnd = 100 * time.Millisecond
 	// activePoll is the period at which a drain looks for its end.
 	activePoll = 20 * time.Millisecond
 )
@@ -45,6 +49,8 @@
 	log   zerolog.Logger
 	front *http.Server
 	ready *http.Server
+	peers *peer.Server
+	loads net.PacketConn
 	stop  context.CancelFunc
 	ends  sync.WaitGroup
 	drain atomic.Bool
@@ -63,6 +69,7 @@
 	Desk    *admit.Desk
 	Health  *health.Book
 	Handler *relay.Handler
+	News    *news.Service
 	Log     zerolog.Logger
 }
 
@@ -101,6 +108,10 @@
 		}
 		d.ends.Go(func() { d.serve(s.srv, l) })
 	}
+	if err := d.startNews(ctx); err != nil {
+		cancel()
+		return err
+	}
 	store := make(chan struct{})
 	go d.p.Store.Run(ctx, store)
 	d.ends.Go(func() { <-store })
@@ -109,6 +120,29 @@
 	return nil
 }
 
+// startNews opens what other instances reach.
+func (d *daemon) startNews(ctx context.Context) error {
+	l, err := net.Listen("tcp", d.p.Set.Peers())
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	d.peers = peer.NewServer(peer.Handlers{News: d.p.News}, nil)
+	d.peers.Serve(ctx, l)
+	if d.loads, err = net.ListenPacket("udp", d.p.Set.Datagrams()); err != nil {
+		return errors.Wrap(err, "listen for datagrams")
+	}
+	run, send, receive := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go d.p.News.Run(ctx, run)
+	go d.p.News.Send(ctx, d.loads, send)
+	go d.p.News.Receive(d.loads, receive)
+	d.ends.Go(func() {
+		<-run
+		<-send
+		<-receive
+	})
+	return nil
+}
+
 func (d *daemon) serve(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		d.log.Error().Err(err).Str("address", l.Addr().String()).Msg("entry: listener ended")
@@ -146,6 +180,7 @@
 	start := d.p.Clock.Now()
 	d.drain.Store(true)
 	d.p.Handler.Leave()
+	d.p.News.Leave()
 	d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: draining")
 	t := d.p.Clock.Every(activePoll)
 	defer t.Stop()
@@ -160,8 +195,13 @@
 // end stops the parts in the reverse of their order.
 func (d *daemon) end(ctx context.Context) error {
 	// What is still active now would be cut by SIGKILL in any case.
-	err := errors.Join(d.front.Close(), d.ready.Close())
+	err := errors.Join(d.front.Close(), d.ready.Close(), d.loads.Close())
 	d.stop()
+	short, cancel := context.WithTimeout(ctx, peersEnd)
+	defer cancel()
+	if perr := d.peers.Shutdown(short); perr != nil {
+		d.log.Info().Err(perr).Msg("entry: calls of peers were cut")
+	}
 	d.ends.Wait()
 	d.log.Info().Msg("entry: stopped")
 	return err
--- /dev/null
+++ b/news/load.go
@@ -0,0 +1,205 @@
+package news
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"google.golang.org/protobuf/proto"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// loadEvery is the period of datagrams while the state changes.
+	loadEvery = 40 * time.Millisecond
+	// loadPerPeer lengthens the period with the number of peers, so that what
+	// an instance receives stays bounded.
+	loadPerPeer = 2 * time.Millisecond
+	// loadQuiet is the period while nothing changes and to other regions.
+	loadQuiet = 400 * time.Millisecond
+	// staleAfter is how long the state of a silent peer counts.
+	staleAfter = time.Second
+	// datagramBytes bounds a datagram that is read.
+	datagramBytes = 60 << 10
+)
+
+// heardLoad is the last state of a peer.
+type heardLoad struct {
+	incarnation uint64
+	serial      uint64
+	at          tick.Instant
+	sums        map[uint64]admit.Sum
+}
+
+// Send tells the others this instance's state until ctx ends, and closes done
+// then.
+func (s *Service) Send(ctx context.Context, pc net.PacketConn, done chan<- struct{}) {
+	defer close(done)
+	var serial uint64
+	var last []byte
+	var lastAll, lastNear tick.Instant
+	t := s.cfg.Clock.Every(loadEvery)
+	tick.Repeat(ctx, t, func(context.Context) {
+		now := s.cfg.Clock.Now()
+		s.merge(now)
+		peers := s.members.list()
+		if now-lastNear < time.Duration(len(peers))*loadPerPeer {
+			return
+		}
+		state := s.load()
+		plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+		if err != nil {
+			s.cfg.Log.Error().Err(err).Msg("news: encode load")
+			return
+		}
+		all := now-lastAll >= loadQuiet
+		if !all && bytes.Equal(plain, last) {
+			return
+		}
+		last, lastNear = plain, now
+		if all {
+			lastAll = now
+		}
+		serial++
+		state.Serial = serial
+		b, err := proto.Marshal(state)
+		if err != nil {
+			s.cfg.Log.Error().Err(err).Msg("news: encode load")
+			return
+		}
+		for i := range peers {
+			if all || peers[i].Region == s.cfg.Self.Region {
+				s.write(pc, &peers[i], b)
+			}
+		}
+	})
+}
+
+// write sends a datagram. One that is lost is made up for by the next.
+func (s *Service) write(pc net.PacketConn, m *Member, b []byte) {
+	addr, err := net.ResolveUDPAddr("udp", m.Datagrams)
+	if err != nil {
+		s.cfg.Log.Warn().Err(err).Str("peer", m.Instance).Msg("news: address of a peer")
+		return
+	}
+	if _, err := pc.WriteTo(b, addr); err != nil {
+		s.cfg.Log.Debug().Err(err).Str("peer", m.Instance).Msg("news: send load")
+	}
+}
+
+func (s *Service) load() *peerpb.Load {
+	l := &peerpb.Load{
+		Instance: s.cfg.Self.Instance, Incarnation: s.cfg.Self.Incarnation, Leaving: s.leaving.Load(),
+	}
+	for h, sum := range s.cfg.Loads.Own() {
+		l.Placed = append(l.Placed, &peerpb.Placed{
+			Server: h, Reading: int64(sum.Reading), Memory: int64(sum.Memory), Running: int64(sum.Running),
+		})
+	}
+	for c, n := range s.cfg.Charges.Used() {
+		l.Used = append(l.Used, &peerpb.Used{Customer: c, Tokens: n})
+	}
+	sortLoad(l)
+	return l
+}
+
+// Receive takes in the datagrams of the others until the connection is closed,
+// and closes done then.
+func (s *Service) Receive(pc net.PacketConn, done chan<- struct{}) {
+	defer close(done)
+	b := make([]byte, datagramBytes)
+	for {
+		n, from, err := pc.ReadFrom(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.cfg.Log.Warn().Err(err).Msg("news: receive load")
+			continue
+		}
+		var l peerpb.Load
+		if err := proto.Unmarshal(b[:n], &l); err != nil {
+			s.cfg.Log.Warn().Err(err).Stringer("peer", from).Msg("news: load cannot be read")
+			continue
+		}
+		s.take(&l)
+	}
+}
+
+// take takes in the state of a peer, unless a newer one is known.
+func (s *Service) take(l *peerpb.Load) {
+	now := s.cfg.Clock.Now()
+	if l.GetInstance() == s.cfg.Self.Instance ||
+		!s.members.heard(l.GetInstance(), l.GetIncarnation(), l.GetLeaving(), now) {
+		return
+	}
+	if !s.keep(l, now) {
+		return
+	}
+	name := l.GetInstance() + "/" + strconv.FormatUint(l.GetIncarnation(), 10)
+	used := make(map[string]int64, len(l.GetUsed()))
+	for _, u := range l.GetUsed() {
+		used[u.GetCustomer()] = u.GetTokens()
+	}
+	s.cfg.Charges.Heard(name, used, now)
+}
+
+// keep stores the load of a peer. A process that was replaced no longer counts.
+func (s *Service) keep(l *peerpb.Load, now tick.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.loads[l.GetInstance()]
+	switch {
+	case !ok:
+	case old.incarnation > l.GetIncarnation(),
+		old.incarnation == l.GetIncarnation() && old.serial >= l.GetSerial():
+		return false
+	case old.incarnation < l.GetIncarnation():
+		s.cfg.Charges.Gone(l.GetInstance() + "/" + strconv.FormatUint(old.incarnation, 10))
+	}
+	h := &heardLoad{incarnation: l.GetIncarnation(), serial: l.GetSerial(), at: now, sums: make(map[uint64]admit.Sum)}
+	for _, p := range l.GetPlaced() {
+		h.sums[p.GetServer()] = admit.Sum{
+			Reading: int(p.GetReading()), Memory: int(p.GetMemory()), Running: int(p.GetRunning()),
+		}
+	}
+	s.loads[l.GetInstance()] = h
+	return true
+}
+
+// merge adds up what the others have placed.
+func (s *Service) merge(now tick.Instant) {
+	s.mu.Lock()
+	sums := make(map[uint64]admit.Sum)
+	for name, l := range s.loads {
+		if now-l.at > staleAfter {
+			if now-l.at > forgetAfter {
+				delete(s.loads, name)
+			}
+			continue
+		}
+		for h, o := range l.sums {
+			sum := sums[h]
+			sum.Reading += o.Reading
+			sum.Memory += o.Memory
+			sum.Running += o.Running
+			sums[h] = sum
+		}
+	}
+	s.mu.Unlock()
+	s.cfg.Loads.Peers(sums)
+}
+
+// sortLoad puts a load into the one order that equal loads share.
+func sortLoad(l *peerpb.Load) {
+	slices.SortFunc(l.Placed, func(a, b *peerpb.Placed) int { return cmp.Compare(a.GetServer(), b.GetServer()) })
+	slices.SortFunc(l.Used, func(a, b *peerpb.Used) int { return cmp.Compare(a.GetCustomer(), b.GetCustomer()) })
+}
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -58,6 +58,7 @@
 	limit peerpbconnect.LimitServiceClient
 	place peerpbconnect.PlaceServiceClient
 	once  peerpbconnect.OnceServiceClient
+	news  peerpbconnect.NewsServiceClient
 }
 
 // NewPool returns a pool without connections.
@@ -110,6 +111,15 @@
 	return c.once, nil
 }
 
+// News returns the client for members and what is published.
+func (p *Pool) News(i ident.Instance) (peerpbconnect.NewsServiceClient, error) {
+	c, err := p.get(i)
+	if err != nil {
+		return nil, err
+	}
+	return c.news, nil
+}
+
 // Close drops the idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -180,6 +190,7 @@
 		limit: peerpbconnect.NewLimitServiceClient(hc, base, opts...),
 		place: peerpbconnect.NewPlaceServiceClient(hc, base, opts...),
 		once:  peerpbconnect.NewOnceServiceClient(hc, base, opts...),
+		news:  peerpbconnect.NewNewsServiceClient(hc, base, opts...),
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -21,12 +21,13 @@
 	maxHeaderBytes  = 16 << 10
 )
 
-// Handlers answer the peers' calls. Each must be set.
+// Handlers answer the peers' calls. Services that are not set are not served.
 type Handlers struct {
 	Fleet peerpbconnect.FleetServiceHandler
 	Limit peerpbconnect.LimitServiceHandler
 	Place peerpbconnect.PlaceServiceHandler
 	Once  peerpbconnect.OnceServiceHandler
+	News  peerpbconnect.NewsServiceHandler
 }
 
 // Server answers the peers of one instance.
@@ -44,10 +45,21 @@
 		connect.WithReadMaxBytes(maxMessageBytes),
 		connect.WithSendMaxBytes(maxMessageBytes),
 	}
-	mux.Handle(peerpbconnect.NewFleetServiceHandler(h.Fleet, opts...))
-	mux.Handle(peerpbconnect.NewLimitServiceHandler(h.Limit, opts...))
-	mux.Handle(peerpbconnect.NewPlaceServiceHandler(h.Place, opts...))
-	mux.Handle(peerpbconnect.NewOnceServiceHandler(h.Once, opts...))
+	if h.Fleet != nil {
+		mux.Handle(peerpbconnect.NewFleetServiceHandler(h.Fleet, opts...))
+	}
+	if h.Limit != nil {
+		mux.Handle(peerpbconnect.NewLimitServiceHandler(h.Limit, opts...))
+	}
+	if h.Place != nil {
+		mux.Handle(peerpbconnect.NewPlaceServiceHandler(h.Place, opts...))
+	}
+	if h.Once != nil {
+		mux.Handle(peerpbconnect.NewOnceServiceHandler(h.Once, opts...))
+	}
+	if h.News != nil {
+		mux.Handle(peerpbconnect.NewNewsServiceHandler(h.News, opts...))
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(cfg != nil)
--- a/share/limits.go
+++ b/share/limits.go
@@ -22,11 +22,11 @@
 
 // bucket is this instance's copy of a customer's bucket, in tokens.
 type bucket struct {
-	level   float64
-	at      tick.Instant
-	own     int64 // tokens that this instance has charged since its start
-	rate    float64
-	burst   float64
+	level float64
+	at    tick.Instant
+	own   int64 // tokens that this instance has charged since its start
+	rate  float64
+	burst float64
 }
 
 // peer is what is known of another instance.
