admit: charge half of the expected output instead of the most tokens

Requests say that they may make 2,080 to 2,210 tokens and make about 900; charging all of it left half of the memory unused and let requests wait. The estimate is the caller's hint, cut at the most tokens.

--- a/admit/book.go
+++ b/admit/book.go
@@ -54,6 +54,10 @@
 	// fullCost is the penalty of a decode server without a free block,
 	// proportional below: memory that is nearly used up preempts.
 	fullCost = 60 * time.Millisecond
+	// outputShare is the part of the expected output that is charged from the
+	// start: the requests of a server are at different points of theirs, so
+	// that their outputs are never all there at once.
+	outputShare = 0.5
 	// memoryShare is the part of a server's memory that is handed out. The
 	// rest covers what other instances place at the same time.
 	memoryShare = 0.95
@@ -65,7 +69,7 @@
 	Service  string
 	Customer string
 	Prompt   int // tokens
-	Output   int // most tokens that it may make
+	Output   int // tokens that it is expected to make
 	Priority int // 0 is the most urgent
 	// By is when the first event is due to be on time, Until when it is of no
 	// use any more.
@@ -78,7 +82,7 @@
 
 // need returns the memory of the request in tokens.
 func (w *Want) need() int {
-	n := w.Prompt + w.Output + blockTokens - 1
+	n := w.Prompt + int(outputShare*float64(w.Output)) + blockTokens - 1
 	return n - n%blockTokens
 }
 
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -106,6 +106,7 @@
 	writes  int          // servers to which it was written
 	began   bool         // the head of the answer was written
 	saved   *reply       // a server's failure, passed on if nothing better comes
+	lastID  int64        // event that the caller has got last
 	note    string       // what happened, for the decision line
 }
 
@@ -219,7 +220,7 @@
 		customer = j.cust.Name
 	}
 	logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Str("route", j.route.Name).Str("service", j.service.Name).
-		Str("customer", customer).Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).
+		Str("customer", customer).Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).Int("hint", j.ask.Hint).Int64("last", j.lastID).
 		Int("writes", j.writes).Dur("took", j.h.cfg.Clock.Now()-j.start).Msg("relay: " + j.note)
 }
 
--- a/relay/model.go
+++ b/relay/model.go
@@ -34,6 +34,9 @@
 	patience = 3.6
 	// freeLimit bounds the call that frees a KV cache.
 	freeLimit = time.Second
+	// unhintedShare is the part of the most tokens that a request without an
+	// estimate is expected to make.
+	unhintedShare = 0.5
 	// urgencyMost is the least urgent rank that servers know.
 	urgencyMost = 9
 )
@@ -48,7 +51,8 @@
 
 // model serves a request of a model.
 func (j *job) model(ctx context.Context) {
-	m := &modelJob{job: j, want: j.want(), last: j.ask.After}
+	j.lastID = j.ask.After
+	m := &modelJob{job: j, want: j.want()}
 	defer m.release()
 	for range maxRounds {
 		p, err := j.h.cfg.Placer.Place(ctx, m.want)
@@ -72,7 +76,6 @@
 	want  admit.Want
 	kv    *cache
 	reads int   // prefills that were asked for
-	last  int64 // event that the caller has got last
 }
 
 func (j *job) want() admit.Want {
@@ -80,7 +83,7 @@
 		ID:       j.h.serial.Add(1),
 		Service:  j.service.Name,
 		Prompt:   j.ask.Prompt,
-		Output:   j.ask.Output,
+		Output:   j.expect(),
 		Priority: j.priority(),
 		By:       j.start + j.route.Objective,
 		Until:    min(j.until, j.start+time.Duration(patience*float64(j.route.Objective))),
@@ -91,6 +94,14 @@
 	return w
 }
 
+// expect returns the tokens that a request is likely to make.
+func (j *job) expect() int {
+	if j.ask.Hint > 0 {
+		return min(j.ask.Hint, j.ask.Output)
+	}
+	return int(unhintedShare * float64(j.ask.Output))
+}
+
 func (j *job) priority() int {
 	if j.cust != nil && j.cust.HasPriority {
 		return j.cust.Priority
@@ -124,7 +135,7 @@
 		return true
 	}
 	out := m.send(p.Decode)
-	out.After = m.last
+	out.After = m.lastID
 	out.Ranked, out.Urgency = true, min(max(m.want.Priority, 0), urgencyMost)
 	if m.kv != nil {
 		out.KVFrom = m.kv.server.Addr + "/" + m.kv.handle
@@ -199,7 +210,7 @@
 	defer cancel()
 	out := m.send(s)
 	out.Prefill = true
-	out.After = m.last
+	out.After = m.lastID
 	start := h.cfg.Clock.Now()
 	h.cfg.Health.Chosen(s.Key(), start)
 	handle, err := m.readPrompt(ctx, s, out)
@@ -290,7 +301,7 @@
 		m.note = "answered in full"
 		return true
 	}
-	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.ask.ID).Int64("event", m.last).
+	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.ask.ID).Int64("event", m.lastID).
 		Msg("relay: stream broke")
 	if !m.gone() {
 		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
@@ -311,10 +322,10 @@
 	s := event.NewScanner(a.Body, maxEvent)
 	for s.Scan() {
 		if id := s.ID(); id != event.NoID {
-			if m.last != event.NoID && id <= m.last {
+			if m.lastID != event.NoID && id <= m.lastID {
 				return errOrder
 			}
-			m.last = id
+			m.lastID = id
 		}
 		if !m.began {
 			m.h.cfg.Placer.Read(p, 0)
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -17,6 +17,7 @@
 	Sized    bool  // Prompt and Output are told
 	Prompt   int   // tokens of the prompt
 	Output   int   // most tokens to be generated
+	Hint     int   // the caller's estimate of the tokens to be generated, 0 for none
 	After    int64 // event after which a resumed stream goes on, event.NoID for none
 }
 
