relay, entry: refuse what would not end before a stopping process

Ruled out: the answer of the second server, which was cut by the same end. A request is now taken only if it can end in time, by its kind and expected tokens, and refused with a Retry-After of 50 ms otherwise.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -23,6 +23,14 @@
 const (
 	// unknownRetry is when a caller may come back while nothing is configured.
 	unknownRetry = time.Second
+	// plainEnd is the time before the end of the process after which a request
+	// of a plain service is not begun. A model request takes modelEnd and
+	// tokenEnd for each token that it is expected to make.
+	plainEnd = 1500 * time.Millisecond
+	modelEnd = 2 * time.Second
+	tokenEnd = 6 * time.Millisecond
+	// drainRetry is when a caller may come back to another instance.
+	drainRetry = 50 * time.Millisecond
 	// defaultTimeout bounds requests where neither the caller nor the route does.
 	defaultTimeout = 30 * time.Second
 	// defaultBody bounds bodies until the operator's limit is known, in bytes.
@@ -72,7 +80,7 @@
 	cfg    Config
 	serial atomic.Uint64
 	active atomic.Int64
-	last   atomic.Bool // answers end their connections
+	end    atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
 	counts loads
 }
 
@@ -84,8 +92,24 @@
 // Active returns the number of requests that are being served.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
-// Leave makes each answer the last one of its connection.
-func (h *Handler) Leave() { h.last.Store(true) }
+// Leave says that the process ends at the instant given: each answer is the
+// last one of its connection, and requests that would not end before it are
+// refused at once.
+func (h *Handler) Leave(end tick.Instant) { h.end.Store(int64(end)) }
+
+// tooLate tells whether a request that comes now would be cut by the end of
+// the process.
+func (j *job) tooLate() bool {
+	end := tick.Instant(j.h.end.Load())
+	if end == 0 {
+		return false
+	}
+	need := plainEnd
+	if j.ask.Sized {
+		need = modelEnd + time.Duration(j.expect())*tokenEnd
+	}
+	return j.h.cfg.Clock.Now()+need > end
+}
 
 // job is one request of a caller.
 type job struct {
@@ -114,7 +138,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.last.Load() {
+	if h.end.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
@@ -153,6 +177,10 @@
 			return false
 		}
 	}
+	if j.tooLate() {
+		j.refuse(fail.Refuse(fail.CodeDraining, drainRetry, "this instance ends, another one takes the request"))
+		return false
+	}
 	name := j.route.Pick(rand.Float64())
 	if j.service, ok = j.table.Service(name); !ok {
 		j.service = &route.Service{Name: name}
--- a/relay/model.go
+++ b/relay/model.go
@@ -75,7 +75,7 @@
 	*job
 	want  admit.Want
 	kv    *cache
-	reads int   // prefills that were asked for
+	reads int // prefills that were asked for
 }
 
 func (j *job) want() admit.Want {
