relay: reserve memory at the decode server before the prompt is read

A placement by the view of one instance can meet a server that is full or dark, and the prompt is then read in vain. The server itself now sets a slot and the memory aside first, and is passed over if it does not.

--- a/admit/book.go
+++ b/admit/book.go
@@ -58,6 +58,8 @@
 	// start: the requests of a server are at different points of theirs, so
 	// that their outputs are never all there at once.
 	outputShare = 0.5
+	// fullPause is how long a server that had no room is passed over.
+	fullPause = 100 * time.Millisecond
 	// memoryShare is the part of a server's memory that is handed out. The
 	// rest covers what other instances place at the same time.
 	memoryShare = 0.95
@@ -80,8 +82,8 @@
 	Read  bool     // the prompt has been read, only a decode server is needed
 }
 
-// need returns the memory of the request in tokens.
-func (w *Want) need() int {
+// Need returns the memory that the request is charged, in tokens.
+func (w *Want) Need() int {
 	n := w.Prompt + int(outputShare*float64(w.Output)) + blockTokens - 1
 	return n - n%blockTokens
 }
@@ -100,11 +102,12 @@
 
 // load is what runs on one server.
 type load struct {
-	reading int     // tokens of prompts being read, placed by this instance
-	memory  int     // tokens of memory taken, by this instance
-	running int     // requests, of this instance
-	peers   Sum     // of the other instances
-	speed   float64 // tokens of prompts read per second
+	reading int          // tokens of prompts being read, placed by this instance
+	memory  int          // tokens of memory taken, by this instance
+	running int          // requests, of this instance
+	peers   Sum          // of the other instances
+	speed   float64      // tokens of prompts read per second
+	full    tick.Instant // it takes nothing until then
 }
 
 // Sum is the load that instances have placed on a server.
@@ -158,7 +161,7 @@
 	}
 	p.want, p.at = w, now
 	d := b.load(p.Decode)
-	d.memory += w.need()
+	d.memory += w.Need()
 	d.running++
 	p.read = w.Read
 	if !w.Read {
@@ -190,7 +193,7 @@
 			}
 			continue
 		}
-		c, ok := b.decodeCost(w, s, engine)
+		c, ok := b.decodeCost(w, s, engine, now)
 		if ok && (decode == nil || c < dCost) {
 			decode, dCost = s, c
 		}
@@ -248,11 +251,14 @@
 }
 
 // decodeCost returns the penalty of a decode server, false if it has no room.
-func (b *Book) decodeCost(w *Want, s *route.Server, engine *route.Engine) (time.Duration, bool) {
+func (b *Book) decodeCost(w *Want, s *route.Server, engine *route.Engine, now tick.Instant) (time.Duration, bool) {
 	l := b.load(s)
 	room := float64(engine.KVTokens) * memoryShare
+	if now < l.full {
+		return 0, false
+	}
 	used := float64(l.memory + l.peers.Memory)
-	if used > 0 && used+float64(w.need()) > room || l.running+l.peers.Running >= engine.Slots {
+	if used > 0 && used+float64(w.Need()) > room || l.running+l.peers.Running >= engine.Slots {
 		return 0, false
 	}
 	return b.distance(s) + time.Duration(float64(fullCost)*used/room), true
@@ -260,6 +266,9 @@
 
 func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
+// Full says that a server had no room for a request.
+func (b *Book) Full(s *route.Server, now tick.Instant) { b.load(s).full = now + fullPause }
+
 // Read says that the prompt of a placement has been read, and how long the
 // server took.
 func (b *Book) Read(p *Placement, took time.Duration) {
@@ -280,7 +289,7 @@
 func (b *Book) Done(p *Placement) {
 	b.Read(p, 0)
 	d := b.load(p.Decode)
-	d.memory -= p.want.need()
+	d.memory -= p.want.Need()
 	d.running--
 }
 
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -181,6 +181,13 @@
 	d.sweep(d.clock.Now())
 }
 
+// Full says that a server had no room for a request.
+func (d *Desk) Full(s *route.Server) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book.Full(s, d.clock.Now())
+}
+
 // Peers takes in what other instances have placed, by Hash of the key.
 func (d *Desk) Peers(sums map[uint64]Sum) {
 	d.mu.Lock()
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -57,6 +57,8 @@
 type Placer interface {
 	Place(ctx context.Context, w admit.Want) (*admit.Placement, error)
 	Read(p *admit.Placement, took time.Duration)
+	// Full says that a server had no room for a request.
+	Full(s *route.Server)
 	Done(p *admit.Placement)
 }
 
--- a/relay/model.go
+++ b/relay/model.go
@@ -32,6 +32,8 @@
 	// patience is the part of the objective for which callers wait for the
 	// first event: they leave after a multiple of the objective.
 	patience = 3.6
+	// holdLimit bounds the call that reserves memory.
+	holdLimit = 400 * time.Millisecond
 	// freeLimit bounds the call that frees a KV cache.
 	freeLimit = time.Second
 	// unhintedShare is the part of the most tokens that a request without an
@@ -49,6 +51,12 @@
 	tries  int          // decode servers that did not fetch it
 }
 
+// hold is a reservation at a decode server.
+type hold struct {
+	server *route.Server
+	name   string
+}
+
 // model serves a request of a model.
 func (j *job) model(ctx context.Context) {
 	j.lastID = j.ask.After
@@ -75,6 +83,7 @@
 	*job
 	want  admit.Want
 	kv    *cache
+	held  *hold
 	reads int // prefills that were asked for
 }
 
@@ -127,6 +136,10 @@
 // try runs the request on the servers of a placement. It returns true if
 // nothing more is to be tried.
 func (m *modelJob) try(ctx context.Context, p *admit.Placement) bool {
+	if !m.reserve(ctx, p) {
+		return m.gone()
+	}
+	defer m.drop()
 	if p.Prefill != nil && !m.prefill(ctx, p) {
 		return m.gone()
 	}
@@ -140,6 +153,9 @@
 	if m.kv != nil {
 		out.KVFrom = m.kv.server.Addr + "/" + m.kv.handle
 	}
+	if m.held != nil {
+		out.Hold = m.held.name
+	}
 	c := m.call(p.Decode, out)
 	if m.route.Resumable && m.runs+1 < m.route.MaxTries {
 		c.HeadLimit = max(m.want.By-m.h.cfg.Clock.Now(), silentLimit)
@@ -155,11 +171,12 @@
 	defer a.Close()
 	m.writes++
 	if m.h.cfg.Wire.Disowned(a.Status, a.Header) {
-		m.drop(a)
+		m.job.drop(a)
 		m.disowned(p)
 		return false
 	}
-	m.kv = nil // it was fetched, or the server runs without it
+	m.kv = nil   // it was fetched, or the server runs without it
+	m.held = nil // it was used
 	m.sent = true
 	m.runs++
 	return m.answer(a, p)
@@ -253,6 +270,62 @@
 	return handle, nil
 }
 
+// reserve has the placement's decode server set memory aside, so that the
+// prompt is not read in vain. A server that has none, or that does not answer,
+// is passed over.
+func (m *modelJob) reserve(ctx context.Context, p *admit.Placement) bool {
+	engine := m.service.Engine
+	if engine.HoldTTL <= 0 {
+		return true
+	}
+	h := m.h
+	ctx, cancel := context.WithTimeout(ctx, holdLimit)
+	defer cancel()
+	s := p.Decode
+	path, body, err := h.cfg.Wire.HoldCall(m.want.Need(), engine.HoldTTL)
+	if err != nil {
+		h.cfg.Log.Error().Err(err).Msg("relay: encode reservation")
+		return true
+	}
+	a, err := h.cfg.Link.Do(ctx, &link.Call{
+		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body,
+	})
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
+		if !m.gone() {
+			h.cfg.Health.Failed(s.Key(), true, h.cfg.Clock.Now())
+		}
+		m.avoid(s)
+		return false
+	}
+	defer a.Close()
+	b, err := whole(a)
+	if err != nil || a.Status != http.StatusOK {
+		h.cfg.Placer.Full(s)
+		m.avoid(s)
+		return false
+	}
+	name, err := h.cfg.Wire.Hold(b)
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Msg("relay: reservation cannot be read")
+		return true
+	}
+	m.held = &hold{server: s, name: name}
+	return true
+}
+
+// jsonHeader goes with the calls of the router itself.
+var jsonHeader = http.Header{"Content-Type": {"application/json"}}
+
+// drop gives up a reservation that was not used.
+func (m *modelJob) drop() {
+	if m.held == nil {
+		return
+	}
+	m.discard(m.held.server, m.h.cfg.Wire.DropPath(m.held.name))
+	m.held = nil
+}
+
 // release frees a KV cache that nobody will fetch.
 func (m *modelJob) release() {
 	kv := m.kv
@@ -260,17 +333,21 @@
 	if kv == nil || m.h.cfg.Clock.Now()-kv.at > m.service.Engine.HandleTTL {
 		return
 	}
+	m.discard(kv.server, m.h.cfg.Wire.FreePath(kv.handle))
+}
+
+// discard has a server free what it keeps for this request. If that fails, it
+// lapses.
+func (m *modelJob) discard(s *route.Server, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 	defer cancel()
-	a, err := m.h.cfg.Link.Do(ctx, &link.Call{
-		Addr: kv.server.Addr, Method: http.MethodDelete, Path: m.h.cfg.Wire.FreePath(kv.handle), Host: m.r.Host,
-	})
+	a, err := m.h.cfg.Link.Do(ctx, &link.Call{Addr: s.Addr, Method: http.MethodDelete, Path: path, Host: m.r.Host})
 	if err != nil {
-		m.h.cfg.Log.Info().Err(err).Str("server", kv.server.ID).Msg("relay: KV cache was not freed, it lapses")
+		m.h.cfg.Log.Info().Err(err).Str("server", s.ID).Msg("relay: not freed, it lapses")
 		return
 	}
 	defer a.Close()
-	m.drop(a)
+	m.job.drop(a)
 }
 
 // answer passes the answer of a decode server on. It returns true if nothing
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -31,6 +31,7 @@
 	After    int64         // event after which the stream goes on, event.NoID for none
 	Prefill  bool          // read the prompt only
 	KVFrom   string        // address and handle of the KV cache to fetch, empty for none
+	Hold     string        // reservation to use, empty for none
 }
 
 // newSend returns a Send to a server.
@@ -50,6 +51,13 @@
 	// Handle returns the handle in the answer of a server that has read a
 	// prompt.
 	Handle(body []byte) (string, error)
+	// HoldCall returns the path and the body of the POST that reserves a slot
+	// and memory at a server.
+	HoldCall(tokens int, ttl time.Duration) (path string, body []byte, err error)
+	// Hold returns the name of the reservation in the answer to that call.
+	Hold(body []byte) (string, error)
+	// DropPath returns the path at which a reservation is given up by DELETE.
+	DropPath(hold string) string
 	// FreePath returns the path at which a handle is freed by DELETE.
 	FreePath(handle string) string
 }
