--- a/admit/desk.go
+++ b/admit/desk.go
@@ -84,7 +84,7 @@
 // before orders requests: those that can still be on time first, the more
 // urgent of them first, then those that are due first.
 func before(a, b *Want, now tick.Instant) bool {
-	if la, lb := now >= a.By, now >= b.By; la != lb {
+	if la, lb := a.late(now), b.late(now); la != lb {
 		return lb
 	}
 	if a.Priority != b.Priority {
@@ -93,6 +93,12 @@
 	return a.By < b.By
 }
 
+// late tells whether a request that starts now has its first event after it is
+// due.
+func (w *Want) late(now tick.Instant) bool {
+	return now+readFixed+span(float64(w.Prompt)/speedDefault) >= w.By
+}
+
 func (d *Desk) try(w *Want, now tick.Instant) (*Placement, bool) {
 	servers, engine := d.src.Servers(w.Service)
 	if engine == nil {
