--- a/relay/handler.go
+++ b/relay/handler.go
@@ -133,7 +133,18 @@
 	began   bool         // the head of the answer was written
 	saved   *reply       // a server's failure, passed on if nothing better comes
 	lastID  int64        // event that the caller has got last
-	note    string       // what happened, for the decision line
+	steps   steps
+	note    string // what happened, for the decision line
+}
+
+// steps tells where the time of a model request went and which servers had it
+// last.
+type steps struct {
+	placed  time.Duration // from the request to the last placement
+	read    time.Duration // to the end of the prefill
+	first   time.Duration // to the first event
+	prefill string
+	decode  string
 }
 
 // ServeHTTP serves one request.
@@ -249,9 +260,15 @@
 	if j.cust != nil {
 		customer = j.cust.Name
 	}
-	logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Str("route", j.route.Name).Str("service", j.service.Name).
-		Str("customer", customer).Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).Int("hint", j.ask.Hint).Int64("last", j.lastID).
-		Int("writes", j.writes).Dur("took", j.h.cfg.Clock.Now()-j.start).Msg("relay: " + j.note)
+	e := logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Str("route", j.route.Name).
+		Str("service", j.service.Name).Str("customer", customer).Int("writes", j.writes).
+		Dur("took", j.h.cfg.Clock.Now()-j.start)
+	if j.ask.Sized {
+		e = e.Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).Int("hint", j.ask.Hint).
+			Int64("last", j.lastID).Str("prefill", j.steps.prefill).Str("decode", j.steps.decode).
+			Dur("placed", j.steps.placed).Dur("read", j.steps.read).Dur("first", j.steps.first)
+	}
+	e.Msg("relay: " + j.note)
 }
 
 // left returns how long the answer is still of use.
--- a/relay/model.go
+++ b/relay/model.go
@@ -130,6 +130,11 @@
 // round runs the request once and gives its places back.
 func (m *modelJob) round(ctx context.Context, p *admit.Placement) bool {
 	defer m.h.cfg.Placer.Done(p)
+	m.steps.placed = m.h.cfg.Clock.Now() - m.start
+	m.steps.decode, m.steps.prefill = p.Decode.ID, ""
+	if p.Prefill != nil {
+		m.steps.prefill = p.Prefill.ID
+	}
 	return m.try(ctx, p)
 }
 
@@ -243,6 +248,7 @@
 	}
 	h.cfg.Health.Served(s.Key())
 	h.cfg.Placer.Read(p, took)
+	m.steps.read = h.cfg.Clock.Now() - m.start
 	m.kv = &cache{server: s, handle: handle, at: h.cfg.Clock.Now()}
 	m.want.Read = true
 	return true
@@ -406,6 +412,7 @@
 		}
 		if !m.began {
 			m.h.cfg.Placer.Read(p, 0)
+			m.steps.first = m.h.cfg.Clock.Now() - m.start
 			m.head(a.Header)
 			m.began = true
 			m.w.WriteHeader(a.Status)
