--- a/link/link.go
+++ b/link/link.go
@@ -64,6 +64,7 @@
 	Body   []byte
 	ID     string // the caller's name of the call, empty if answers carry none
 
+	DialLimit time.Duration // longest wait for a connection, 0 for dialLimit
 	HeadLimit time.Duration // longest wait for the head of the answer, 0 for none
 	IdleLimit time.Duration // longest wait for more of its body, 0 for none
 }
@@ -87,7 +88,7 @@
 // Do writes the call once and returns the head of its answer. The connection
 // is closed when ctx ends before the Answer is closed.
 func (c *Client) Do(ctx context.Context, call *Call) (*Answer, error) {
-	cn, err := c.connect(ctx, call.Addr)
+	cn, err := c.connect(ctx, call)
 	if err != nil {
 		return nil, fail.New("link: connect", call.Addr, ident.NotRun, err)
 	}
@@ -113,15 +114,19 @@
 	return p
 }
 
-func (c *Client) connect(ctx context.Context, addr string) (*conn, error) {
+func (c *Client) connect(ctx context.Context, call *Call) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if cn := c.pool(addr).take(c.cfg.Clock.Now()); cn != nil {
+	if cn := c.pool(call.Addr).take(c.cfg.Clock.Now()); cn != nil {
 		return cn, nil
 	}
 	c.dials.Add(1)
-	return dial(ctx, addr)
+	limit := call.DialLimit
+	if limit <= 0 {
+		limit = dialLimit
+	}
+	return dial(ctx, call.Addr, limit)
 }
 
 // Dials returns the number of connections that were opened.
--- a/link/pool.go
+++ b/link/pool.go
@@ -125,9 +125,9 @@
 }
 
 // dial opens a connection that notices a silent peer.
-func dial(ctx context.Context, addr string) (*conn, error) {
+func dial(ctx context.Context, addr string, limit time.Duration) (*conn, error) {
 	d := net.Dialer{
-		Timeout: dialLimit,
+		Timeout: limit,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable:   true,
 			Idle:     keepAliveEvery,
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -29,6 +29,11 @@
 	plainEnd = 1500 * time.Millisecond
 	modelEnd = 2 * time.Second
 	tokenEnd = 6 * time.Millisecond
+	// reachNear and reachAbroad bound the opening of a connection to a server
+	// of the own region and of another one: some round trips. A server that
+	// takes longer is cut off, or loses packets.
+	reachNear   = 150 * time.Millisecond
+	reachAbroad = 350 * time.Millisecond
 	// drainRetry is when a caller may come back to another instance.
 	drainRetry = 50 * time.Millisecond
 	// defaultTimeout bounds requests where neither the caller nor the route does.
@@ -307,7 +312,18 @@
 		Header: j.h.cfg.Wire.Forward(j.r.Header, out),
 		Body:   j.body,
 		ID:     j.ask.ID,
+
+		DialLimit: j.reach(s),
+	}
+}
+
+// reach returns how long a server that is alive may take to answer a call that
+// costs it no work.
+func (j *job) reach(s *route.Server) time.Duration {
+	if s.Region == j.h.cfg.Region {
+		return reachNear
 	}
+	return reachAbroad
 }
 
 // path returns the path and query as the caller sent them.
--- a/relay/model.go
+++ b/relay/model.go
@@ -21,8 +21,8 @@
 	maxRounds = 5
 	// prefillLeast and prefillFactor bound the wait for a prefill: a multiple
 	// of what was expected, and no less than the least.
-	prefillLeast  = 500 * time.Millisecond
-	prefillFactor = 3
+	prefillLeast  = 300 * time.Millisecond
+	prefillFactor = 2.5
 	// handleShare is the part of the life of a KV cache within which a second
 	// server may still be in time to fetch it.
 	handleShare = 0.5
@@ -32,8 +32,6 @@
 	// patience is the part of the objective for which callers wait for the
 	// first event: they leave after a multiple of the objective.
 	patience = 3.6
-	// holdLimit bounds the call that reserves memory.
-	holdLimit = 400 * time.Millisecond
 	// freeLimit bounds the call that frees a KV cache.
 	freeLimit = time.Second
 	// unhintedShare is the part of the most tokens that a request without an
@@ -228,7 +226,7 @@
 		return false
 	}
 	m.reads++
-	ctx, cancel := context.WithTimeout(ctx, max(prefillLeast, prefillFactor*p.Start))
+	ctx, cancel := context.WithTimeout(ctx, max(prefillLeast, time.Duration(prefillFactor*float64(p.Start))))
 	defer cancel()
 	out := m.send(s)
 	out.Prefill = true
@@ -285,9 +283,9 @@
 		return true
 	}
 	h := m.h
-	ctx, cancel := context.WithTimeout(ctx, holdLimit)
-	defer cancel()
 	s := p.Decode
+	ctx, cancel := context.WithTimeout(ctx, 2*m.reach(s))
+	defer cancel()
 	path, body, err := h.cfg.Wire.HoldCall(m.want.Need(), engine.HoldTTL)
 	if err != nil {
 		h.cfg.Log.Error().Err(err).Msg("relay: encode reservation")
@@ -295,6 +293,7 @@
 	}
 	a, err := h.cfg.Link.Do(ctx, &link.Call{
 		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body,
+		DialLimit: m.reach(s),
 	})
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
