--- a/admit/book.go
+++ b/admit/book.go
@@ -170,6 +170,20 @@
 	return p, true
 }
 
+// Possible tells whether a server that is there could run the request, if it
+// were idle.
+func (w *Want) Possible(servers []*route.Server, engine *route.Engine) bool {
+	if float64(w.Need()) > float64(engine.KVTokens) {
+		return false
+	}
+	for _, s := range servers {
+		if s.Stage != route.StagePrefill && !avoided(w, s) {
+			return true
+		}
+	}
+	return false
+}
+
 // reader returns the server that reads the prompt.
 func (p *Placement) reader() *route.Server {
 	if p.Prefill != nil {
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -16,6 +16,10 @@
 	maxWaiting = 512
 	// retryMin is the least time after which a refused caller is asked back.
 	retryMin = 300 * time.Millisecond
+	// paceWeight is the weight of a new measurement of the pace of the queue,
+	// and paceMost the longest one that counts.
+	paceWeight = 0.2
+	paceMost   = 500 * time.Millisecond
 )
 
 // Source tells the servers of a service as they are now.
@@ -33,6 +37,8 @@
 	mu      sync.Mutex
 	book    *Book
 	waiting []*waiter
+	pace    time.Duration // time from one place given to the next, while requests wait
+	last    tick.Instant  // when a place was given last, 0 if none waited since
 }
 
 // waiter is a request that waits.
@@ -57,17 +63,16 @@
 			return p, nil
 		}
 	}
-	if len(d.waiting) >= maxWaiting {
-		d.mu.Unlock()
-		return nil, fail.Refuse(fail.CodeOverload, time.Second, "too many requests wait")
-	}
 	wt := &waiter{want: w, got: make(chan *Placement, 1)}
-	d.insert(wt, now)
+	err := d.push(wt, now)
 	d.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
 	select {
 	case p := <-wt.got:
 		if p == nil {
-			return nil, fail.Refuse(fail.CodeOverload, retryMin, "no server has room in time")
+			return nil, fail.Refuse(fail.CodeOverload, d.Wait(), "no server has room in time")
 		}
 		return p, nil
 	case <-ctx.Done():
@@ -107,11 +112,38 @@
 	return d.book.Place(*w, servers, engine, now)
 }
 
-func (d *Desk) insert(wt *waiter, now tick.Instant) {
+// push adds a waiter, or refuses it if its turn comes too late.
+func (d *Desk) push(wt *waiter, now tick.Instant) error {
+	if servers, engine := d.src.Servers(wt.want.Service); engine == nil || !wt.want.Possible(servers, engine) {
+		return fail.Refuse(fail.CodeNoServer, retryMin, "no server can take the request")
+	}
 	i := sort.Search(len(d.waiting), func(i int) bool { return before(&wt.want, &d.waiting[i].want, now) })
+	if eta := d.eta(i); len(d.waiting) >= maxWaiting || now+eta > wt.want.Until {
+		return fail.Refuse(fail.CodeOverload, max(eta, retryMin), "too many requests wait")
+	}
 	d.waiting = append(d.waiting, nil)
 	copy(d.waiting[i+1:], d.waiting[i:])
 	d.waiting[i] = wt
+	return nil
+}
+
+// eta returns the expected wait of the request at a place in the queue.
+func (d *Desk) eta(place int) time.Duration { return time.Duration(place) * d.pace }
+
+// Wait returns the time after which a refused caller may come back: the queue
+// of now will have been served.
+func (d *Desk) Wait() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return max(d.eta(len(d.waiting)), retryMin)
+}
+
+// granted measures the pace at which those that wait are given places.
+func (d *Desk) granted(now tick.Instant) {
+	if d.last > 0 {
+		d.pace += time.Duration(paceWeight * float64(min(now-d.last, paceMost)-d.pace))
+	}
+	d.last = now
 }
 
 // leave takes a waiter out. A place that it was given meanwhile is given back.
@@ -143,6 +175,7 @@
 
 func (d *Desk) sweep(now tick.Instant) {
 	if len(d.waiting) == 0 {
+		d.last = 0
 		return
 	}
 	sort.SliceStable(d.waiting, func(i, j int) bool {
@@ -158,6 +191,7 @@
 		if !full {
 			if p, ok := d.try(&wt.want, now); ok {
 				wt.got <- p
+				d.granted(now)
 				continue
 			}
 			// The next ones must not take the room for which this one waits.
--- a/relay/model.go
+++ b/relay/model.go
@@ -83,6 +83,9 @@
 	kv    *cache
 	held  *hold
 	reads int // prefills that were asked for
+	// blamed is the number of servers in want.Avoid before the first one that
+	// did not fetch kv.
+	blamed int
 }
 
 func (j *job) want() admit.Want {
@@ -202,10 +205,14 @@
 // which.
 func (m *modelJob) disowned(p *admit.Placement) {
 	now := m.h.cfg.Clock.Now()
-	m.avoid(p.Decode)
 	if m.kv == nil {
+		m.avoid(p.Decode)
 		return
 	}
+	if m.kv.tries == 0 {
+		m.blamed = len(m.want.Avoid)
+	}
+	m.avoid(p.Decode)
 	m.kv.tries++
 	life := time.Duration(handleShare * float64(m.service.Engine.HandleTTL))
 	if m.kv.tries == 1 && now-m.kv.at < life {
@@ -215,6 +222,8 @@
 	m.release()
 	m.want.Read = false
 	m.want.Alone = true
+	// The decode servers could not fetch what was not there.
+	m.want.Avoid = m.want.Avoid[:m.blamed]
 }
 
 // prefill has the prompt read at the placement's prefill server.
