news, platform: one instance of a data centre reads the store for all

The first instance by name that hears the others and can read does it now; its datagrams tell revisions, and who is behind asks it for what has changed. An entry that lapsed around an outage is passed on with the time for which it may come back.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -126,6 +126,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	d.p.Store.Delegate(d.p.News.Watches)
 	d.peers = peer.NewServer(peer.Handlers{News: d.p.News}, nil)
 	d.peers.Serve(ctx, l)
 	if d.loads, err = net.ListenPacket("udp", d.p.Set.Datagrams()); err != nil {
--- a/news/load.go
+++ b/news/load.go
@@ -36,6 +36,9 @@
 	incarnation uint64
 	serial      uint64
 	at          tick.Instant
+	centre      string
+	cut         bool // it cannot read what is published
+	leaving     bool
 	sums        map[uint64]admit.Sum
 }
 
@@ -96,8 +99,10 @@
 }
 
 func (s *Service) load() *peerpb.Load {
+	table, fleet := s.cfg.Book.Revisions()
 	l := &peerpb.Load{
 		Instance: s.cfg.Self.Instance, Incarnation: s.cfg.Self.Incarnation, Leaving: s.leaving.Load(),
+		Table: table, Fleet: fleet, Cut: s.cfg.Book.Cut(),
 	}
 	for h, sum := range s.cfg.Loads.Own() {
 		l.Placed = append(l.Placed, &peerpb.Placed{
@@ -137,13 +142,14 @@
 // take takes in the state of a peer, unless a newer one is known.
 func (s *Service) take(l *peerpb.Load) {
 	now := s.cfg.Clock.Now()
-	if l.GetInstance() == s.cfg.Self.Instance ||
-		!s.members.heard(l.GetInstance(), l.GetIncarnation(), l.GetLeaving(), now) {
+	if l.GetInstance() == s.cfg.Self.Instance {
 		return
 	}
-	if !s.keep(l, now) {
+	from, ok := s.members.heard(l.GetInstance(), l.GetIncarnation(), l.GetLeaving(), now)
+	if !ok || !s.keep(l, from.Centre, now) {
 		return
 	}
+	s.compare(from.Address, l.GetTable(), l.GetFleet())
 	name := l.GetInstance() + "/" + strconv.FormatUint(l.GetIncarnation(), 10)
 	used := make(map[string]int64, len(l.GetUsed()))
 	for _, u := range l.GetUsed() {
@@ -153,7 +159,7 @@
 }
 
 // keep stores the load of a peer. A process that was replaced no longer counts.
-func (s *Service) keep(l *peerpb.Load, now tick.Instant) bool {
+func (s *Service) keep(l *peerpb.Load, centre string, now tick.Instant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.loads[l.GetInstance()]
@@ -165,7 +171,10 @@
 	case old.incarnation < l.GetIncarnation():
 		s.cfg.Charges.Gone(l.GetInstance() + "/" + strconv.FormatUint(old.incarnation, 10))
 	}
-	h := &heardLoad{incarnation: l.GetIncarnation(), serial: l.GetSerial(), at: now, sums: make(map[uint64]admit.Sum)}
+	h := &heardLoad{
+		incarnation: l.GetIncarnation(), serial: l.GetSerial(), at: now, centre: centre,
+		cut: l.GetCut(), leaving: l.GetLeaving(), sums: make(map[uint64]admit.Sum),
+	}
 	for _, p := range l.GetPlaced() {
 		h.sums[p.GetServer()] = admit.Sum{
 			Reading: int(p.GetReading()), Memory: int(p.GetMemory()), Running: int(p.GetRunning()),
--- a/news/members.go
+++ b/news/members.go
@@ -59,18 +59,18 @@
 	}
 }
 
-// heard notes a datagram of a member. It returns false if the member is not
-// known or was replaced.
-func (m *members) heard(instance string, incarnation uint64, leaving bool, now tick.Instant) bool {
+// heard notes a datagram of a member and returns the member. It returns false
+// if the member is not known or was replaced.
+func (m *members) heard(instance string, incarnation uint64, leaving bool, now tick.Instant) (Member, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.byID[instance]
 	if !ok || o.Incarnation != incarnation {
-		return !ok
+		return Member{}, false
 	}
 	o.heard = now
 	o.Leaving = o.Leaving || leaving
-	return true
+	return *o, true
 }
 
 // list returns the members, ordered by name.
--- a/news/service.go
+++ b/news/service.go
@@ -23,6 +23,9 @@
 	// urgentEvery while the store cannot be read or nobody is known.
 	exchangeEvery = time.Second
 	urgentEvery   = 250 * time.Millisecond
+	// silentAfter is how long an instance relies on another one that it does
+	// not hear.
+	silentAfter = 700 * time.Millisecond
 	// exchangeLimit bounds a call.
 	exchangeLimit = 800 * time.Millisecond
 )
@@ -32,6 +35,8 @@
 	Key      string
 	Value    []byte
 	Revision int64
+	Removed  bool
+	Keep     time.Duration // how long a removed key may still come back
 }
 
 // Book holds what is published.
@@ -41,12 +46,13 @@
 	Revisions() (table, fleet int64)
 	// Config returns the published form of the configuration in force.
 	Config() ([]byte, int64)
-	// Entries returns the published entries of the backend servers.
-	Entries() ([]Item, int64)
+	// Entries returns what has changed with the backend servers since a
+	// revision, and whether that is all that there is.
+	Entries(since int64) (items []Item, revision int64, whole bool)
 	// Take puts a configuration in force if it is newer.
 	Take(raw []byte, revision int64)
-	// TakeEntries takes over the entries of a peer if they are newer.
-	TakeEntries(items []Item, revision int64)
+	// TakeEntries takes over what a peer knows if it is newer.
+	TakeEntries(items []Item, revision int64, whole bool)
 	// Cut tells whether the store cannot be read.
 	Cut() bool
 }
@@ -81,7 +87,7 @@
 	members *members
 	pool    *peer.Pool
 	leaving atomic.Bool
-	behind  atomic.Bool // a peer has something newer in force
+	pull    chan string // addresses of peers that have something newer in force
 
 	mu    sync.Mutex
 	loads map[string]*heardLoad // by instance
@@ -97,6 +103,7 @@
 		// Peers are called by address: that of a seed is known before its name.
 		pool:  peer.NewPool(peer.Config{Address: func(i ident.Instance) (string, bool) { return string(i), true }}),
 		loads: make(map[string]*heardLoad),
+		pull:  make(chan string, 1),
 	}
 }
 
@@ -113,23 +120,53 @@
 	for ctx.Err() == nil {
 		s.round(ctx)
 		every := exchangeEvery
-		if s.cfg.Book.Cut() || s.behind.Load() || len(s.members.list()) == 0 {
+		if s.cfg.Book.Cut() || len(s.members.list()) == 0 {
 			every = urgentEvery
 		}
 		// Jitter keeps instances that start together apart.
-		if tick.Sleep(ctx, s.cfg.Clock, every/2+rand.N(every)) != nil {
+		if s.rest(ctx, every/2+rand.N(every)) != nil {
 			return
 		}
 	}
 }
 
+// rest waits for d, and meanwhile asks the peers that have something newer.
+func (s *Service) rest(ctx context.Context, d time.Duration) error {
+	t := s.cfg.Clock.After(d)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-t.C():
+			return nil
+		case addr := <-s.pull:
+			if err := s.exchange(ctx, addr, true); err != nil && ctx.Err() == nil {
+				s.cfg.Log.Info().Err(err).Str("peer", addr).Msg("news: newer state was not got")
+			}
+		}
+	}
+}
+
+// compare asks a peer that has something newer in force than this instance.
+func (s *Service) compare(addr string, table, fleet int64) {
+	ownTable, ownFleet := s.cfg.Book.Revisions()
+	if table <= ownTable && fleet <= ownFleet {
+		return
+	}
+	select {
+	case s.pull <- addr:
+	default: // another one is being asked
+	}
+}
+
 // round calls the seeds and one other member.
 func (s *Service) round(ctx context.Context) {
 	s.members.sweep(s.cfg.Clock.Now())
 	var calls sync.WaitGroup
 	for _, addr := range s.targets() {
 		calls.Go(func() {
-			if err := s.exchange(ctx, addr); err != nil && ctx.Err() == nil {
+			if err := s.exchange(ctx, addr, s.cfg.Book.Cut()); err != nil && ctx.Err() == nil {
 				s.cfg.Log.Debug().Err(err).Str("peer", addr).Msg("news: exchange failed")
 			}
 		})
@@ -166,8 +203,9 @@
 	}
 }
 
-// exchange calls one instance and takes in what it says.
-func (s *Service) exchange(ctx context.Context, addr string) error {
+// exchange calls one instance and takes in what it says. With want set it asks
+// for what is newer there.
+func (s *Service) exchange(ctx context.Context, addr string, want bool) error {
 	c, err := s.pool.News(ident.Instance(addr))
 	if err != nil {
 		return err
@@ -175,10 +213,8 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
 	table, fleet := s.cfg.Book.Revisions()
-	cut := s.cfg.Book.Cut()
 	resp, err := c.Exchange(ctx, &peerpb.ExchangeRequest{
-		Self: s.self(), Members: s.members.wire(s.cfg.Clock.Now()),
-		Table: table, Fleet: fleet, Want: cut || s.behind.Load(),
+		Self: s.self(), Members: s.members.wire(s.cfg.Clock.Now()), Table: table, Fleet: fleet, Want: want,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "exchange with %s", addr)
@@ -188,18 +224,23 @@
 	for _, m := range resp.GetMembers() {
 		s.members.take(m, now)
 	}
+	if !want {
+		s.compare(addr, resp.GetTable(), resp.GetFleet())
+		return nil
+	}
 	if raw := resp.GetConfig(); len(raw) > 0 {
 		s.cfg.Book.Take(raw, resp.GetTable())
 	}
-	if list := resp.GetEntries(); cut && len(list) > 0 {
-		items := make([]Item, 0, len(list))
-		for _, e := range list {
-			items = append(items, Item{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision()})
-		}
-		s.cfg.Book.TakeEntries(items, resp.GetFleet())
+	items := make([]Item, 0, len(resp.GetEntries()))
+	for _, e := range resp.GetEntries() {
+		items = append(items, Item{
+			Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved(),
+			Keep: time.Duration(e.GetKeepMs()) * time.Millisecond,
+		})
+	}
+	if resp.GetFleet() > fleet {
+		s.cfg.Book.TakeEntries(items, resp.GetFleet(), resp.GetWhole())
 	}
-	table, _ = s.cfg.Book.Revisions()
-	s.behind.Store(resp.GetTable() > table)
 	return nil
 }
 
@@ -211,9 +252,7 @@
 		s.members.take(m, now)
 	}
 	table, fleet := s.cfg.Book.Revisions()
-	if r.GetTable() > table {
-		s.behind.Store(true)
-	}
+	s.compare(r.GetSelf().GetAddress(), r.GetTable(), r.GetFleet())
 	resp := &peerpb.ExchangeResponse{
 		Self: s.self(), Members: s.members.wire(now), Table: table, Fleet: fleet,
 	}
@@ -223,13 +262,31 @@
 	if raw, rev := s.cfg.Book.Config(); rev > r.GetTable() {
 		resp.Config, resp.Table = raw, rev
 	}
-	// An instance that is cut off itself may have older entries than the
-	// caller, whose revision tells.
-	if items, rev := s.cfg.Book.Entries(); rev > r.GetFleet() {
-		resp.Fleet = rev
-		for _, it := range items {
-			resp.Entries = append(resp.Entries, &peerpb.Item{Key: it.Key, Value: it.Value, Revision: it.Revision})
-		}
+	items, rev, whole := s.cfg.Book.Entries(r.GetFleet())
+	if rev <= r.GetFleet() {
+		return resp, nil
+	}
+	resp.Fleet, resp.Whole = rev, whole
+	for _, it := range items {
+		resp.Entries = append(resp.Entries, &peerpb.Item{
+			Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed,
+			KeepMs: it.Keep.Milliseconds(),
+		})
 	}
 	return resp, nil
 }
+
+// Watches tells whether this instance reads what is published itself: the
+// first by name of those of its data centre that hear each other and can read
+// it does, and the others are told by it.
+func (s *Service) Watches() bool {
+	now := s.cfg.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, l := range s.loads {
+		if name < s.cfg.Self.Instance && l.centre == s.cfg.Self.Centre && !l.cut && !l.leaving && now-l.at <= silentAfter {
+			return false
+		}
+	}
+	return true
+}
