--- /dev/null
+++ b/admit/book_test.go
@@ -0,0 +1,130 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+func server(id, centre, region string, st route.Stage) *route.Server {
+	return &route.Server{ID: id, Service: "m", Addr: id + ":1", Centre: centre, Region: region, Stage: st}
+}
+
+var engine = &route.Engine{Slots: 8, KVTokens: 10_000}
+
+func names(p *Placement) (prefill, decode string) {
+	if p == nil {
+		return "", ""
+	}
+	if p.Prefill != nil {
+		prefill = p.Prefill.ID
+	}
+	return prefill, p.Decode.ID
+}
+
+func TestPlace(t *testing.T) {
+	p1, p2 := server("p1", "a", "r", route.StagePrefill), server("p2", "b", "r", route.StagePrefill)
+	d1, d2 := server("d1", "a", "r", route.StageDecode), server("d2", "b", "r", route.StageDecode)
+	d3 := server("d3", "c", "abroad", route.StageDecode)
+	both := server("x", "a", "r", route.StageBoth)
+	all := []*route.Server{p1, p2, d1, d2, d3}
+	const small = 1_000
+	tests := []struct {
+		name    string
+		servers []*route.Server
+		before  func(b *Book)
+		want    Want
+		prefill string
+		decode  string // "" for no place
+	}{
+		{name: "near", servers: all, prefill: "p1", decode: "d1"},
+		{name: "prefill queue", servers: all, before: func(b *Book) { b.load(p1).peers.Reading = 9_000 }, prefill: "p2", decode: "d1"},
+		{name: "both prefill queues", servers: all, before: func(b *Book) {
+			b.load(p1).peers.Reading = 50_000
+			b.load(p2).peers.Reading = 50_000
+		}, decode: "d1"},
+		{name: "memory of peers", servers: all, before: func(b *Book) { b.load(d1).peers.Memory = 9_000 }, prefill: "p1", decode: "d2"},
+		{name: "full", servers: all, before: func(b *Book) { b.Full(d1, 0) }, prefill: "p1", decode: "d2"},
+		{name: "abroad last", servers: all, before: func(b *Book) {
+			b.Full(d1, 0)
+			b.Full(d2, 0)
+		}, prefill: "p1", decode: "d3"},
+		{name: "slots", servers: []*route.Server{p1, d1}, before: func(b *Book) { b.load(d1).peers.Running = 8 }},
+		{name: "no room", servers: []*route.Server{p1, d1}, before: func(b *Book) { b.load(d1).peers.Memory = 9_500 }},
+		{name: "avoided", servers: all, want: Want{Avoid: []string{d1.Key(), p1.Key()}}, prefill: "p2", decode: "d2"},
+		{name: "reads itself", servers: all, want: Want{Alone: true}, decode: "d1"},
+		{name: "prompt is read", servers: all, want: Want{Read: true}, decode: "d1"},
+		{name: "one stage", servers: []*route.Server{both}, decode: "x"},
+		{name: "no decode server", servers: []*route.Server{p1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBook(Config{Centre: "a", Region: "r"})
+			if tt.before != nil {
+				tt.before(b)
+			}
+			w := tt.want
+			w.Prompt, w.Output = small, 100
+			p, _ := b.Place(w, tt.servers, engine, 0)
+			prefill, decode := names(p)
+			is.Equal(prefill, tt.prefill)
+			is.Equal(decode, tt.decode)
+		})
+	}
+}
+
+// TestUnusableServersAreTheLastResort prefers a server that failed over none.
+func TestUnusableServersAreTheLastResort(t *testing.T) {
+	is := is.New(t)
+	d1, d2 := server("d1", "a", "r", route.StageDecode), server("d2", "a", "r", route.StageDecode)
+	b := NewBook(Config{Centre: "a", Region: "r", Usable: func(k string, _ tick.Instant) bool { return k == d2.Key() }})
+	p, ok := b.Place(Want{Prompt: 100}, []*route.Server{d1, d2}, engine, 0)
+	is.True(ok)
+	is.Equal(p.Decode, d2)
+	p, ok = b.Place(Want{Prompt: 100}, []*route.Server{d1}, engine, 0)
+	is.True(ok)
+	is.Equal(p.Decode, d1)
+}
+
+func TestChargesAreGivenBack(t *testing.T) {
+	is := is.New(t)
+	p1, d1 := server("p1", "a", "r", route.StagePrefill), server("d1", "a", "r", route.StageDecode)
+	b := NewBook(Config{Centre: "a", Region: "r"})
+	w := Want{Prompt: 1_000, Output: 100}
+	p, ok := b.Place(w, []*route.Server{p1, d1}, engine, 0)
+	is.True(ok)
+	is.Equal(b.Own()[Hash(p1.Key())], Sum{Reading: 1_000})
+	is.Equal(b.Own()[Hash(d1.Key())], Sum{Memory: w.Need(), Running: 1})
+	b.Read(p, 100*time.Millisecond)
+	b.Read(p, 100*time.Millisecond) // twice is harmless
+	is.Equal(b.load(p1).reading, 0)
+	is.True(b.load(p1).speed != speedDefault) // measured
+	b.Done(p)
+	is.Equal(len(b.Own()), 0)
+	b.Forget(func(uint64) bool { return false })
+	is.Equal(len(b.loads), 0)
+}
+
+func TestNeedIsWholeBlocks(t *testing.T) {
+	for _, tt := range []struct{ prompt, output, want int }{{0, 0, 0}, {1, 0, 16}, {16, 0, 16}, {17, 0, 32}, {100, 200, 208}} {
+		w := Want{Prompt: tt.prompt, Output: tt.output}
+		if got := w.Need(); got != tt.want {
+			t.Errorf("%+v: need %d, want %d", tt, got, tt.want)
+		}
+	}
+}
+
+func TestPossible(t *testing.T) {
+	is := is.New(t)
+	d1 := server("d1", "a", "r", route.StageDecode)
+	p1 := server("p1", "a", "r", route.StagePrefill)
+	is.True((&Want{Prompt: 9_000}).Possible([]*route.Server{d1}, engine))
+	is.True(!(&Want{Prompt: 11_000}).Possible([]*route.Server{d1}, engine)) // larger than any memory
+	is.True(!(&Want{Prompt: 100}).Possible([]*route.Server{p1}, engine))
+	is.True(!(&Want{Prompt: 100, Avoid: []string{d1.Key()}}).Possible([]*route.Server{d1}, engine))
+}
--- /dev/null
+++ b/news/news_test.go
@@ -0,0 +1,278 @@
+package news
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/peer"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/tick"
+)
+
+// book is a Book of a few values.
+type book struct {
+	mu      sync.Mutex
+	config  string
+	table   int64
+	entries []Item
+	fleet   int64
+	cut     bool
+}
+
+func (b *book) Revisions() (table, fleet int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.table, b.fleet
+}
+
+func (b *book) Config() ([]byte, int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return []byte(b.config), b.table
+}
+
+func (b *book) Entries(since int64) ([]Item, int64, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Item
+	for _, e := range b.entries {
+		if e.Revision > since {
+			list = append(list, e)
+		}
+	}
+	return list, b.fleet, false
+}
+
+func (b *book) Take(raw []byte, revision int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if revision > b.table {
+		b.config, b.table = string(raw), revision
+	}
+}
+
+func (b *book) TakeEntries(items []Item, revision int64, _ bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.entries, b.fleet = append(b.entries, items...), revision
+}
+
+func (b *book) Cut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.cut
+}
+
+// shared is the Loads and Charges of one instance.
+type shared struct {
+	mu    sync.Mutex
+	own   map[uint64]admit.Sum
+	peers map[uint64]admit.Sum
+	used  map[string]int64
+	heard map[string]map[string]int64
+}
+
+func (s *shared) Own() map[uint64]admit.Sum { return s.own }
+
+func (s *shared) Peers(sums map[uint64]admit.Sum) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peers = sums
+}
+
+func (s *shared) Used() map[string]int64 { return s.used }
+
+func (s *shared) Heard(peer string, used map[string]int64, _ tick.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heard[peer] = used
+}
+
+func (s *shared) Gone(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.heard, peer)
+}
+
+func (s *shared) of(hash uint64) admit.Sum {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peers[hash]
+}
+
+// node is one instance on the loopback.
+type node struct {
+	*Service
+	book   *book
+	shared *shared
+	stop   func()
+}
+
+func listen(t *testing.T) (net.Listener, net.PacketConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pc, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l, pc
+}
+
+// start runs an instance that knows the first one.
+func start(t *testing.T, name string, seeds ...string) *node {
+	t.Helper()
+	l, pc := listen(t)
+	n := &node{book: &book{}, shared: &shared{
+		own: map[uint64]admit.Sum{7: {Reading: 100, Memory: 200, Running: 1}}, heard: make(map[string]map[string]int64),
+		used: map[string]int64{"sur": 10},
+	}}
+	n.Service = New(Config{
+		Self: Member{
+			Instance: name, Incarnation: 1, Address: l.Addr().String(), Datagrams: pc.LocalAddr().String(),
+			Centre: "a", Region: "r",
+		},
+		Seeds: seeds, Book: n.book, Loads: n.shared, Charges: n.shared, Clock: tick.NewReal(), Log: zerolog.Nop(),
+	})
+	srv := peer.NewServer(peer.Handlers{News: n.Service}, nil)
+	ctx, cancel := context.WithCancel(context.Background())
+	srv.Serve(ctx, l)
+	run, send, receive := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	go n.Run(ctx, run)
+	go n.Send(ctx, pc, send)
+	go n.Receive(pc, receive)
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		_ = pc.Close()
+		short, done := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer done()
+		_ = srv.Shutdown(short)
+		<-run
+		<-send
+		<-receive
+	})
+	t.Cleanup(n.stop)
+	return n
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+func TestInstancesFindEachOther(t *testing.T) {
+	is := is.New(t)
+	a := start(t, "a")
+	var nodes []*node
+	for i := range 3 {
+		nodes = append(nodes, start(t, fmt.Sprint("b", i), a.cfg.Self.Address))
+	}
+	all := append(nodes, a)
+	for _, n := range all {
+		eventually(t, "all members are known", func() bool { return len(n.Members()) == 3 })
+		eventually(t, "loads are added up", func() bool { return n.shared.of(7).Memory == 600 })
+	}
+	is.True(a.Watches()) // the first by name reads for all
+	for _, n := range nodes {
+		eventually(t, "the others rely on it", func() bool { return !n.Watches() })
+	}
+	a.stop()
+	eventually(t, "the next one takes over", nodes[0].Watches)
+	eventually(t, "its load no longer counts", func() bool { return nodes[0].shared.of(7).Memory == 400 })
+}
+
+func TestNewsGoRound(t *testing.T) {
+	is := is.New(t)
+	a := start(t, "a")
+	b := start(t, "b", a.cfg.Self.Address)
+	eventually(t, "they know each other", func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
+	a.book.Take([]byte("config"), 7)
+	a.book.TakeEntries([]Item{{Key: "k", Value: []byte("v"), Revision: 9}}, 9, false)
+	began := time.Now()
+	eventually(t, "the other one has it", func() bool {
+		table, fleet := b.book.Revisions()
+		return table == 7 && fleet == 9
+	})
+	is.True(time.Since(began) < 2*time.Second) // far below what a change may take
+	// And the other way round, where the called one is behind.
+	b.book.Take([]byte("newer"), 11)
+	eventually(t, "the first one has it", func() bool {
+		raw, rev := a.book.Config()
+		return rev == 11 && string(raw) == "newer"
+	})
+}
+
+func TestCutInstanceDoesNotRead(t *testing.T) {
+	a := start(t, "a")
+	b := start(t, "b", a.cfg.Self.Address)
+	eventually(t, "the second relies on the first", func() bool { return !b.Watches() })
+	a.book.mu.Lock()
+	a.book.cut = true
+	a.book.mu.Unlock()
+	eventually(t, "the second reads itself", b.Watches)
+}
+
+func TestMembers(t *testing.T) {
+	const now = time.Minute
+	mk := func(incarnation uint64, age int64, addr string) *peerpb.Member {
+		return &peerpb.Member{Instance: "i", Incarnation: incarnation, AgeMs: age, Address: addr}
+	}
+	tests := []struct {
+		name string
+		said []*peerpb.Member
+		want string // address
+	}{
+		{name: "new", said: []*peerpb.Member{mk(1, 0, "x")}, want: "x"},
+		{name: "newer incarnation", said: []*peerpb.Member{mk(1, 0, "x"), mk(2, 5000, "y")}, want: "y"},
+		{name: "older incarnation", said: []*peerpb.Member{mk(2, 5000, "x"), mk(1, 0, "y")}, want: "x"},
+		{name: "older account", said: []*peerpb.Member{mk(1, 10, "x"), mk(1, 20, "y")}, want: "x"},
+		{name: "too old", said: []*peerpb.Member{mk(1, 20_000, "x")}},
+		{name: "no address", said: []*peerpb.Member{mk(1, 0, "")}},
+		{name: "self", said: []*peerpb.Member{{Instance: "me", Address: "x"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newMembers("me")
+			for _, s := range tt.said {
+				m.take(s, now)
+			}
+			got := ""
+			if l := m.list(); len(l) > 0 {
+				got = l[0].Address
+			}
+			is.Equal(got, tt.want)
+			m.sweep(now + time.Minute)
+			is.Equal(len(m.list()), 0)
+		})
+	}
+}
+
+func TestDatagramsOfReplacedProcesses(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{
+		Self: Member{Instance: "me"}, Book: &book{}, Clock: tick.NewFake(0),
+		Charges: &shared{heard: make(map[string]map[string]int64)}, Log: zerolog.Nop(),
+	})
+	s.members.take(&peerpb.Member{Instance: "i", Incarnation: 2, Address: "x"}, 0)
+	s.take(&peerpb.Load{Instance: "i", Incarnation: 2, Serial: 5})
+	s.take(&peerpb.Load{Instance: "i", Incarnation: 2, Serial: 4, Cut: true})
+	s.take(&peerpb.Load{Instance: "i", Incarnation: 1, Serial: 9, Cut: true})
+	s.take(&peerpb.Load{Instance: "nobody", Incarnation: 1, Serial: 9})
+	is.Equal(len(s.loads), 1)
+	is.True(!s.loads["i"].cut) // late and replaced ones are dropped
+}
