--- a/relay/model.go
+++ b/relay/model.go
@@ -60,7 +60,7 @@
 	j.lastID = j.ask.After
 	m := &modelJob{job: j, want: j.want()}
 	defer m.release()
-	for range maxRounds {
+	for ; m.rounds < maxRounds; m.rounds++ {
 		p, err := j.h.cfg.Placer.Place(ctx, m.want)
 		if err != nil {
 			m.unplaced(err)
@@ -79,10 +79,11 @@
 // modelJob is a model request on its way through servers.
 type modelJob struct {
 	*job
-	want  admit.Want
-	kv    *cache
-	held  *hold
-	reads int // prefills that were asked for
+	want   admit.Want
+	kv     *cache
+	held   *hold
+	rounds int // placements that were tried, without those at servers that were full
+	reads  int // prefills that were asked for
 	// blamed is the number of servers in want.Avoid before the first one that
 	// did not fetch kv.
 	blamed int
@@ -315,8 +316,8 @@
 	defer a.Close()
 	b, err := whole(a)
 	if err != nil || a.Status != http.StatusOK {
-		h.cfg.Placer.Full(s)
-		m.avoid(s)
+		h.cfg.Placer.Full(s) // it may have room again later
+		m.rounds--
 		return false
 	}
 	name, err := h.cfg.Wire.Hold(b)
