--- a/news/load.go
+++ b/news/load.go
@@ -42,50 +42,72 @@
 	sums        map[uint64]admit.Sum
 }
 
+// sender is the state of Send.
+type sender struct {
+	s      *Service
+	pc     net.PacketConn
+	serial uint64
+	last   []byte       // the state as it was sent last
+	near   tick.Instant // when it was sent last, to the own region
+	all    tick.Instant // and to all
+}
+
 // Send tells the others this instance's state until ctx ends, and closes done
 // then.
 func (s *Service) Send(ctx context.Context, pc net.PacketConn, done chan<- struct{}) {
 	defer close(done)
-	var serial uint64
-	var last []byte
-	var lastAll, lastNear tick.Instant
-	t := s.cfg.Clock.Every(loadEvery)
-	tick.Repeat(ctx, t, func(context.Context) {
+	d := &sender{s: s, pc: pc}
+	tick.Repeat(ctx, s.cfg.Clock.Every(loadEvery), func(context.Context) {
 		now := s.cfg.Clock.Now()
 		s.merge(now)
-		peers := s.members.list()
-		if now-lastNear < time.Duration(len(peers))*loadPerPeer {
-			return
-		}
-		state := s.load()
-		plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
-		if err != nil {
-			s.cfg.Log.Error().Err(err).Msg("news: encode load")
-			return
-		}
-		all := now-lastAll >= loadQuiet
-		if !all && bytes.Equal(plain, last) {
-			return
-		}
-		last, lastNear = plain, now
-		if all {
-			lastAll = now
-		}
-		serial++
-		state.Serial = serial
-		b, err := proto.Marshal(state)
-		if err != nil {
+		if err := d.send(now); err != nil {
 			s.cfg.Log.Error().Err(err).Msg("news: encode load")
-			return
-		}
-		for i := range peers {
-			if all || peers[i].Region == s.cfg.Self.Region {
-				s.write(pc, &peers[i], b)
-			}
 		}
 	})
 }
 
+// send tells the state if it is due.
+func (d *sender) send(now tick.Instant) error {
+	peers := d.s.members.list()
+	if now-d.near < time.Duration(len(peers))*loadPerPeer {
+		return nil
+	}
+	state := d.s.load()
+	plain, err := proto.MarshalOptions{Deterministic: true}.Marshal(state)
+	if err != nil {
+		return err
+	}
+	all := now-d.all >= loadQuiet
+	if !all && bytes.Equal(plain, d.last) {
+		return nil
+	}
+	d.last, d.near = plain, now
+	d.serial++
+	state.Serial = d.serial
+	full, err := proto.Marshal(state)
+	if err != nil {
+		return err
+	}
+	// Requests are hardly ever placed abroad, and the link is paid.
+	state.Placed = nil
+	short, err := proto.Marshal(state)
+	if err != nil {
+		return err
+	}
+	if all {
+		d.all = now
+	}
+	for i := range peers {
+		switch {
+		case peers[i].Region == d.s.cfg.Self.Region:
+			d.s.write(d.pc, &peers[i], full)
+		case all:
+			d.s.write(d.pc, &peers[i], short)
+		}
+	}
+	return nil
+}
+
 // write sends a datagram. One that is lost is made up for by the next.
 func (s *Service) write(pc net.PacketConn, m *Member, b []byte) {
 	addr, err := net.ResolveUDPAddr("udp", m.Datagrams)
