relay, entry, health: avoid full servers again; bounds on headers, bodies, idle time

The operator's limits on headers and idle connections hold, and bodies share a bounded part of the memory.

--- a/entry/app.go
+++ b/entry/app.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -29,6 +30,11 @@
 	upkeepEvery = time.Second
 	// unusedConns is how long the connections to an address are remembered.
 	unusedConns = 30 * time.Second
+	// memoryShare is the part of the process's memory at which the garbage
+	// collector works harder. The rest is for stacks and unread sockets.
+	memoryShare = 0.7
+	// bodyShare is the part of it that bodies of requests may take together.
+	bodyShare = 0.3
 	// startLimit and stopLimit bound the hooks of the parts.
 	startLimit = 10 * time.Second
 	stopLimit  = 30 * time.Second
@@ -48,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory())))
 	var d *daemon
 	app := fx.New(
 		fx.NopLogger,
@@ -126,7 +133,7 @@
 	return relay.New(relay.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Wire: platform.Names{}, Link: p.Link, Limiter: p.Limits, Budget: p.Repeats,
-		Placer: p.Desk, Health: p.Health, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
+		Bodies: int64(bodyShare * float64(p.Set.Memory())), Placer: p.Desk, Health: p.Health, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
 	})
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -37,6 +37,9 @@
 	headerTime  = 10 * time.Second
 	headerBytes = 64 << 10
 	idleTime    = 2 * time.Minute
+	// idleMargin is added to the operator's limit of idle connections, so that
+	// none is closed as its next request comes.
+	idleMargin = 2 * time.Second
 	// peersEnd bounds the wait for calls of peers at the end.
 	peersEnd = 100 * time.Millisecond
 	// activePoll is the period at which a drain looks for its end.
@@ -54,6 +57,7 @@
 	stop  context.CancelFunc
 	ends  sync.WaitGroup
 	drain atomic.Bool
+	idle  *idleConns
 }
 
 // daemonParts are what a daemon starts and stops.
@@ -74,7 +78,7 @@
 }
 
 func newDaemon(lc fx.Lifecycle, p daemonParts) *daemon {
-	d := &daemon{p: p, log: logs.Part(p.Log, "entry")}
+	d := &daemon{p: p, log: logs.Part(p.Log, "entry"), idle: newIdleConns(p.Clock)}
 	gin.SetMode(gin.ReleaseMode)
 	callers := gin.New()
 	callers.RedirectTrailingSlash = false
@@ -85,6 +89,7 @@
 	})
 	d.front = &http.Server{
 		Handler: callers, ReadHeaderTimeout: headerTime, MaxHeaderBytes: headerBytes, IdleTimeout: idleTime,
+		ConnState: d.idle.note,
 	}
 	checks := gin.New()
 	checks.GET("/api/readyz", d.serveReady)
@@ -116,7 +121,8 @@
 	go d.p.Store.Run(ctx, store)
 	d.ends.Go(func() { <-store })
 	d.ends.Go(func() { d.upkeep(ctx) })
-	d.log.Info().Str("instance", d.p.Set.Instance()).Msg("entry: started")
+	d.log.Info().Str("instance", d.p.Set.Instance()).Str("front", d.p.Set.Front()).Str("peers", d.p.Set.Peers()).
+		Msg("entry: started")
 	return nil
 }
 
@@ -163,6 +169,9 @@
 		d.p.Link.Sweep(unusedConns)
 		d.p.Health.Sweep(now)
 		d.p.Limits.Sweep(now)
+		if t := d.p.Live.Table(); t != nil && t.Limits().IdleTime > 0 {
+			d.idle.close(t.Limits().IdleTime + idleMargin)
+		}
 	})
 }
 
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform"
+	"wasabidock.dev/dock/platform/mimic"
+)
+
+// config is what operators publish in these tests.
+const config = `{"version":%d,"routes":[
+	{"name":"file","host":"h.example","pathPrefix":"/file/","kind":"mutating","timeoutMs":2000,"sloMs":400,"service":"app","maxAttempts":1},
+	{"name":"ask","host":"h.example","pathPrefix":"/ask/","kind":"streaming","timeoutMs":5000,"sloMs":900,"service":"llm","maxAttempts":2,"sticky":true,"resumable":true,"gapTargetMs":300}],
+	"services":[{"name":"app","maxConns":10},
+	{"name":"llm","maxConns":10,"engine":{"slots":8,"kvTokens":10000,"handleTtlS":0.5,"holdMs":2000}}],
+	"limits":{"maxBodyBytes":10000},
+	"tenants":[{"name":"sur","apiKeys":["%s"],"plainTokens":200,"ratePerS":1000000,"burst":1000000}]}`
+
+// lockedBuffer takes the log of a daemon.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// daemonUnderTest is one daemon in this process.
+type daemonUnderTest struct {
+	front, ready string
+	log          lockedBuffer
+	stop         func()
+	done         chan error
+}
+
+// startDaemon runs a daemon with the settings that the platform would give.
+func startDaemon(t *testing.T, name, store string, seeds ...string) *daemonUnderTest {
+	t.Helper()
+	d := &daemonUnderTest{front: mimic.FreeAddr(), ready: mimic.FreeAddr(), done: make(chan error, 1)}
+	peers := mimic.FreeAddr()
+	if len(seeds) == 0 {
+		seeds = []string{peers}
+	}
+	_, port, err := net.SplitHostPort(mimic.FreeAddr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := fmt.Sprintf("node=%s\nzone=a\nzones.a=r\nip=127.0.0.1\nlisten.front=%s\nlisten.ready=%s\n"+
+		"listen.control=%s\nportRange=%s,%s\nseeds=%s\nplatform.address=%s\nbounds.graceS=4\n",
+		name, d.front, d.ready, peers, port, port, strings.Join(seeds, ","), store)
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set, err := platform.ReadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	d.stop = sync.OnceFunc(func() { close(stop) })
+	go func() { d.done <- runApp(context.Background(), flags{logLevel: "info"}, set, &d.log, stop) }()
+	t.Cleanup(func() {
+		d.stop()
+		if err := <-d.done; err != nil {
+			t.Error(err)
+		}
+	})
+	return d
+}
+
+func (d *daemonUnderTest) isReady() bool {
+	resp, err := http.Get("http://" + d.ready + "/api/readyz")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (d *daemonUnderTest) ask(t *testing.T, key, path string, model bool) (int, string, error) {
+	t.Helper()
+	r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+d.front+path, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set(platform.AttemptHeader, "a1")
+	r.Header.Set("Authorization", "Token "+key)
+	if model {
+		r.Header.Set("Wasabidock-Token-Count", "100,50")
+	}
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(b), err
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached: " + what)
+		}
+	}
+}
+
+// startFleet runs a store and one server of each role.
+func startFleet(t *testing.T) (*mimic.Store, map[string]*mimic.Server) {
+	t.Helper()
+	st := mimic.NewStore()
+	t.Cleanup(st.Close)
+	servers := make(map[string]*mimic.Server)
+	for id, role := range map[string]mimic.Role{"app1": mimic.Plain, "p1": mimic.Prefill, "d1": mimic.Decode} {
+		s := mimic.NewServer(id, role)
+		s.Register()
+		t.Cleanup(s.Close)
+		servers[id] = s
+		service := "llm"
+		if role == mimic.Plain {
+			service = "app"
+		}
+		st.Put("servers/"+id, s.Entry(service, "a"))
+	}
+	return st, servers
+}
+
+func TestDaemonServes(t *testing.T) {
+	is := is.New(t)
+	st, servers := startFleet(t)
+	d := startDaemon(t, "a-1", st.Addr())
+	time.Sleep(300 * time.Millisecond)
+	is.True(!d.isReady()) // nothing is published
+	status, _, err := d.ask(t, "k1", "/file/1", false)
+	is.NoErr(err)
+	is.Equal(status, 503) // not 401 or 404: nothing is known yet
+	st.Put("op/config", fmt.Appendf(nil, config, 1, "k1"))
+	eventually(t, "ready", d.isReady)
+
+	status, body, err := d.ask(t, "k1", "/file/1", false)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, "answer of app1")
+	status, body, err = d.ask(t, "k1", "/ask/1", true)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, mimic.Event(1)+mimic.Event(2)+mimic.Event(3)+mimic.Event(4))
+	is.True(servers["d1"].Runs()[0].Header.Get("Wasabidock-Kv-Source") != "")
+
+	// A withdrawn key, and a new one, take hold.
+	st.Put("op/config", fmt.Appendf(nil, config, 5, "k2"))
+	eventually(t, "the key is withdrawn", func() bool {
+		status, _, _ := d.ask(t, "k1", "/file/1", false)
+		return status == 401
+	})
+	status, _, err = d.ask(t, "k2", "/file/1", false)
+	is.NoErr(err)
+	is.Equal(status, 200)
+	log := d.log.String()
+	for _, secret := range []string{"k1", "k2"} {
+		is.True(!strings.Contains(log, `"`+secret+`"`)) // no key in the log
+	}
+	is.True(strings.Contains(log, `"decision":true`))
+}
+
+// TestPeersTellTheCutOff has the store refuse everyone after one daemon has
+// read a change.
+func TestPeersTellTheCutOff(t *testing.T) {
+	st, _ := startFleet(t)
+	refusing := mimic.NewStore()
+	t.Cleanup(refusing.Close)
+	refusing.Refuse(503)
+	st.Put("op/config", fmt.Appendf(nil, config, 1, "k1"))
+	first := startDaemon(t, "a-1", st.Addr())
+	eventually(t, "the first is ready", first.isReady)
+	// The second never reads a store that answers it.
+	second := startDaemon(t, "a-2", refusing.Addr(), peersOf(t, first))
+	eventually(t, "the second is ready", second.isReady)
+	st.Put("op/config", fmt.Appendf(nil, config, 2, "k2"))
+	eventually(t, "the second knows of the withdrawn key", func() bool {
+		status, _, _ := second.ask(t, "k1", "/file/1", false)
+		return status == 401
+	})
+}
+
+// peersOf returns the address at which a daemon answers its peers, from the
+// log line of its start.
+func peersOf(t *testing.T, d *daemonUnderTest) string {
+	t.Helper()
+	var addr string
+	eventually(t, "the start is logged", func() bool {
+		_, rest, ok := strings.Cut(d.log.String(), `"peers":"`)
+		addr, _, _ = strings.Cut(rest, `"`)
+		return ok
+	})
+	return addr
+}
+
+// TestStopCutsNothing stops a daemon in the middle of a stream.
+func TestStopCutsNothing(t *testing.T) {
+	is := is.New(t)
+	st, servers := startFleet(t)
+	st.Put("op/config", fmt.Appendf(nil, config, 1, "k1"))
+	d := startDaemon(t, "a-1", st.Addr())
+	eventually(t, "ready", d.isReady)
+	servers["d1"].Pace(20, 50*time.Millisecond)
+	type got struct {
+		status int
+		body   string
+		err    error
+	}
+	out := make(chan got, 1)
+	go func() {
+		status, body, err := d.ask(t, "k1", "/ask/1", true)
+		out <- got{status, body, err}
+	}()
+	eventually(t, "the stream runs", func() bool { return len(servers["d1"].Runs()) == 1 })
+	d.stop()
+	eventually(t, "not ready", func() bool { return !d.isReady() })
+	status, _, err := d.ask(t, "k1", "/file/1", false)
+	is.NoErr(err)
+	is.Equal(status, 200) // the balancer may not have noticed yet
+	g := <-out
+	is.NoErr(g.err)
+	is.Equal(strings.Count(g.body, "id: "), 20) // the whole stream
+}
+
+func TestFlags(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		env  string
+		want string
+		bad  bool
+	}{
+		{name: "default", want: defaultSettings},
+		{name: "platform's variable", env: "/x", want: "/x"},
+		{name: "flag", args: []string{"-settings", "/y"}, env: "/x", want: "/y"},
+		{name: "unknown", args: []string{"-what"}, bad: true},
+		{name: "argument", args: []string{"what"}, bad: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			t.Setenv(platform.SettingsEnv, tt.env)
+			f, err := parseFlags(tt.args, io.Discard)
+			is.Equal(err != nil, tt.bad)
+			is.Equal(f.settings, tt.want)
+		})
+	}
+}
--- a/health/health.go
+++ b/health/health.go
@@ -30,8 +30,8 @@
 	// Strikes is the number of failures in a row that set a server aside.
 	Strikes = 3
 	// pauseMin and pauseMax bound the time for which a server is set aside.
-	pauseMin = 500 * time.Millisecond
-	pauseMax = 4 * time.Second
+	pauseMin = time.Second
+	pauseMax = 8 * time.Second
 	// forget is the time after which an unused record is dropped.
 	forget = time.Minute
 )
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -38,6 +38,9 @@
 	drainRetry = 50 * time.Millisecond
 	// defaultTimeout bounds requests where neither the caller nor the route does.
 	defaultTimeout = 30 * time.Second
+	// unknownBody is what a body of unknown length is expected to have, in
+	// bytes.
+	unknownBody = 64 << 10
 	// defaultBody bounds bodies until the operator's limit is known, in bytes.
 	defaultBody = 1 << 20
 )
@@ -77,6 +80,7 @@
 	Limiter Limiter
 	Budget  Budget
 	Placer  Placer
+	Bodies  int64 // bytes that the bodies of requests may take together, 0 for no bound
 	Health  *health.Book
 	Clock   tick.Service
 	Log     zerolog.Logger
@@ -87,6 +91,7 @@
 	cfg    Config
 	serial atomic.Uint64
 	active atomic.Int64
+	bodies atomic.Int64 // bytes that are promised to bodies
 	end    atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
 	counts loads
 }
@@ -160,7 +165,21 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
-	if !j.admit() || !j.read() {
+	if !j.admit() {
+		return
+	}
+	if r.ContentLength > j.mostBody() {
+		j.w.Header().Set("Connection", "close")
+		j.deny(http.StatusRequestEntityTooLarge, fail.CodeTooLarge, "the body is too large")
+		return
+	}
+	size := j.bodyBytes()
+	defer h.bodies.Add(-size)
+	if h.bodies.Add(size) > h.cfg.Bodies && h.cfg.Bodies > 0 {
+		j.refuse(fail.Refuse(fail.CodeOverload, shedRetry, "this instance has no memory left for the body"))
+		return
+	}
+	if !j.read() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), j.until-h.cfg.Clock.Now())
@@ -188,6 +207,11 @@
 		j.deny(http.StatusNotFound, fail.CodeRoute, "no route takes this host and path")
 		return false
 	}
+	if most := j.table.Limits().HeaderBytes; most > 0 && headerBytes(j.r.Header) > most {
+		j.w.Header().Set("Connection", "close")
+		j.deny(http.StatusRequestHeaderFieldsTooLarge, fail.CodeTooLarge, "the header is too large")
+		return false
+	}
 	j.ask = j.h.cfg.Wire.Ask(j.r.Header)
 	if j.table.Keyed() && !j.route.Open {
 		if j.cust, ok = j.table.Customer(route.HashKey(j.ask.Key)); !ok || j.ask.Key == "" {
@@ -214,13 +238,37 @@
 	return true
 }
 
+// mostBody returns the bytes that a body may have.
+func (j *job) mostBody() int64 {
+	if n := j.table.Limits().BodyBytes; n > 0 {
+		return int64(n)
+	}
+	return defaultBody
+}
+
+// bodyBytes returns the bytes that the body may take. One of unknown length
+// counts as a common one.
+func (j *job) bodyBytes() int64 {
+	if j.r.ContentLength < 0 {
+		return min(unknownBody, j.mostBody())
+	}
+	return min(j.r.ContentLength, j.mostBody())
+}
+
+// headerBytes returns the size of the request's header fields.
+func headerBytes(h http.Header) int {
+	n := 0
+	for k, vs := range h {
+		for _, v := range vs {
+			n += len(k) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // read reads the body and charges the customer.
 func (j *job) read() bool {
-	most := int64(j.table.Limits().BodyBytes)
-	if most <= 0 {
-		most = defaultBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, most))
+	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, j.mostBody()))
 	if err != nil {
 		if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 			j.deny(http.StatusRequestEntityTooLarge, fail.CodeTooLarge, "the body is too large")
--- a/relay/model.go
+++ b/relay/model.go
@@ -82,7 +82,7 @@
 	want   admit.Want
 	kv     *cache
 	held   *hold
-	rounds int // placements that were tried, without those at servers that were full
+	rounds int // placements that came to more than a reservation
 	reads  int // prefills that were asked for
 	// blamed is the number of servers in want.Avoid before the first one that
 	// did not fetch kv.
@@ -311,13 +311,14 @@
 			h.cfg.Health.Failed(s.Key(), true, h.cfg.Clock.Now())
 		}
 		m.avoid(s)
+		m.rounds-- // it is not asked again, so that this ends by itself
 		return false
 	}
 	defer a.Close()
 	b, err := whole(a)
 	if err != nil || a.Status != http.StatusOK {
-		h.cfg.Placer.Full(s) // it may have room again later
-		m.rounds--
+		h.cfg.Placer.Full(s)
+		m.avoid(s)
 		return false
 	}
 	name, err := h.cfg.Wire.Hold(b)
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -121,6 +121,13 @@
 	}
 }
 
+func TestBodiesAreBounded(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, map[string]mimic.Role{"s1": mimic.Plain})
+	is.Equal(w.ask(t, http.MethodPost, "/file/1", strings.Repeat("x", 600)).status, 503) // over the memory for bodies
+	is.Equal(w.ask(t, http.MethodPost, "/file/1", strings.Repeat("x", 400)).status, 200)
+}
+
 func TestForwarded(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, map[string]mimic.Role{"s1": mimic.Plain})
@@ -158,6 +165,7 @@
 		{name: "other key", path: "/file/1", change: header("Authorization", "Token none"), status: 401},
 		{name: "other scheme", path: "/file/1", change: header("Authorization", "Bearer "+testKey), status: 401},
 		{name: "body too large", path: "/file/1", body: strings.Repeat("x", 1001), status: 413},
+		{name: "header too large", path: "/file/1", change: header("X-Long", strings.Repeat("x", 3000)), status: 431},
 		{name: "open route", path: "/open/1", change: func(r *http.Request) { r.Header.Del("Authorization") }, status: 200},
 	}
 	for _, tt := range tests {
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strconv"
 	"sync"
 	"sync/atomic"
 )
@@ -30,7 +31,7 @@
 }
 
 // Key names one start of a server at one address.
-func (s *Server) Key() string { return s.ID + "@" + s.Addr }
+func (s *Server) Key() string { return s.ID + "@" + s.Addr + "@" + strconv.FormatInt(s.Born, 10) }
 
 // Fleet is the set of backend servers at one revision of the store.
 type Fleet struct {
