--- a/news/load.go
+++ b/news/load.go
@@ -84,13 +84,7 @@
 	d.last, d.near = plain, now
 	d.serial++
 	state.Serial = d.serial
-	full, err := proto.Marshal(state)
-	if err != nil {
-		return err
-	}
-	// Requests are hardly ever placed abroad, and the link is paid.
-	state.Placed = nil
-	short, err := proto.Marshal(state)
+	b, err := proto.Marshal(state)
 	if err != nil {
 		return err
 	}
@@ -98,11 +92,8 @@
 		d.all = now
 	}
 	for i := range peers {
-		switch {
-		case peers[i].Region == d.s.cfg.Self.Region:
-			d.s.write(d.pc, &peers[i], full)
-		case all:
-			d.s.write(d.pc, &peers[i], short)
+		if all || peers[i].Region == d.s.cfg.Self.Region {
+			d.s.write(d.pc, &peers[i], b)
 		}
 	}
 	return nil
--- a/news/members.go
+++ b/news/members.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -9,8 +10,13 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// forgetAfter is the time after which a member that nobody hears is forgotten.
-const forgetAfter = 10 * time.Second
+const (
+	// forgetAfter is the time after which a member that nobody hears is
+	// forgotten.
+	forgetAfter = 10 * time.Second
+	// mostTold bounds the members that one message tells.
+	mostTold = 16
+)
 
 // Member is another instance.
 type Member struct {
@@ -96,9 +102,13 @@
 	}
 }
 
-// wire returns the members as they are told to others.
+// wire returns members as they are told to others: all, or some of many.
 func (m *members) wire(now tick.Instant) []*peerpb.Member {
 	all := m.list()
+	if len(all) > mostTold {
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		all = all[:mostTold]
+	}
 	out := make([]*peerpb.Member, 0, len(all))
 	for i := range all {
 		o := &all[i]
--- a/news/service.go
+++ b/news/service.go
@@ -23,6 +23,8 @@
 	// urgentEvery while the store cannot be read or nobody is known.
 	exchangeEvery = time.Second
 	urgentEvery   = 250 * time.Millisecond
+	// fewMembers is the number of members below which all seeds are called.
+	fewMembers = 3
 	// silentAfter is how long an instance relies on another one that it does
 	// not hear.
 	silentAfter = 700 * time.Millisecond
@@ -174,21 +176,26 @@
 	calls.Wait()
 }
 
+// targets returns the addresses to call: one seed and one other member, and
+// more while few are known or the store cannot be read.
 func (s *Service) targets() []string {
-	var out []string
+	all := s.members.list()
+	urgent := len(all) < fewMembers || s.cfg.Book.Cut()
 	picked := map[string]bool{s.cfg.Self.Address: true}
+	var out []string
 	add := func(addr string) {
 		if !picked[addr] {
 			picked[addr] = true
 			out = append(out, addr)
 		}
 	}
-	for _, a := range s.cfg.Seeds {
-		add(a)
+	for _, i := range rand.Perm(len(s.cfg.Seeds)) {
+		if urgent || len(out) == 0 {
+			add(s.cfg.Seeds[i])
+		}
 	}
-	if all := s.members.list(); len(all) > 0 {
-		add(all[rand.IntN(len(all))].Address)
-		if s.cfg.Book.Cut() {
+	for range 2 {
+		if len(all) > 0 && (urgent || len(out) < 2) {
 			add(all[rand.IntN(len(all))].Address)
 		}
 	}
