--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -31,7 +31,7 @@
 	// the balancer asks each second and needs two misses.
 	noticeTime = 2500 * time.Millisecond
 	// graceMargin is kept of the time to SIGKILL for the end of the process.
-	graceMargin = 400 * time.Millisecond
+	graceMargin = 800 * time.Millisecond
 	// headerTime and headerBytes bound the head of a request until the
 	// operator's limits are known, and idleTime an idle connection.
 	headerTime  = 10 * time.Second
--- a/plain/call.go
+++ b/plain/call.go
@@ -53,9 +53,8 @@
 // keyHeaders may carry a customer's key.
 var keyHeaders = []string{"Authorization", "X-Api-Key", "Proxy-Authorization"}
 
-// StripHeaders returns a copy of h without the headers of one connection and
-// without those that may carry a customer's key.
-func StripHeaders(h http.Header) http.Header {
+// EndToEnd returns a copy of h without the headers of one connection.
+func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
 		return http.Header{}
@@ -68,6 +67,13 @@
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
+	return out
+}
+
+// StripHeaders returns a copy of h without the headers of one connection and
+// without those that may carry a customer's key.
+func StripHeaders(h http.Header) http.Header {
+	out := EndToEnd(h)
 	for _, name := range keyHeaders {
 		out.Del(name)
 	}
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -3,13 +3,13 @@
 import (
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/goccy/go-json"
 
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/plain"
 )
 
 // problem is the body of the router's own answers.
@@ -81,30 +81,10 @@
 	}
 }
 
-// hopByHop are the fields that concern one connection only.
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// EndToEnd returns a copy of h without the fields that concern one connection.
-func EndToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, v := range h.Values("Connection") {
-		for _, f := range strings.Split(v, ",") {
-			out.Del(strings.TrimSpace(f))
-		}
-	}
-	for _, f := range hopByHop {
-		out.Del(f)
-	}
-	return out
-}
-
 // head copies the head of a server's answer.
 func (j *job) head(h http.Header) {
 	dst := j.w.Header()
-	for k, v := range EndToEnd(h) {
+	for k, v := range plain.EndToEnd(h) {
 		if k == "Content-Length" {
 			continue
 		}
--- /dev/null
+++ b/relay/engine.go
@@ -0,0 +1,154 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/route"
+)
+
+// prefill has the prompt read at the placement's prefill server.
+func (m *modelJob) prefill(ctx context.Context, p *admit.Placement) bool {
+	h := m.h
+	s := p.Prefill
+	if m.reads > 0 && !h.cfg.Budget.Spend(m.service.Name) {
+		m.want.Alone = true
+		return false
+	}
+	m.reads++
+	ctx, cancel := context.WithTimeout(ctx, max(prefillLeast, time.Duration(prefillFactor*float64(p.Start))))
+	defer cancel()
+	out := m.send(s)
+	out.Prefill = true
+	out.After = m.lastID
+	start := h.cfg.Clock.Now()
+	h.cfg.Health.Chosen(s.Key(), start)
+	handle, err := m.readPrompt(ctx, s, out)
+	took := h.cfg.Clock.Now() - start
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: prompt was not read")
+		if !m.gone() {
+			h.cfg.Health.Failed(s.Key(), fail.Outcome(err) == ident.NotRun, h.cfg.Clock.Now())
+		}
+		m.avoid(s)
+		m.want.Alone = m.reads > 1
+		return false
+	}
+	h.cfg.Health.Served(s.Key())
+	h.cfg.Placer.Read(p, took)
+	m.steps.read = h.cfg.Clock.Now() - m.start
+	m.kv = &cache{server: s, handle: handle, at: h.cfg.Clock.Now()}
+	m.want.Read = true
+	return true
+}
+
+func (m *modelJob) readPrompt(ctx context.Context, s *route.Server, out Send) (string, error) {
+	c := m.call(s, out)
+	c.ID = ""
+	a, err := m.h.cfg.Link.Do(ctx, c)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := whole(a)
+	if err != nil {
+		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
+	}
+	if a.Status != http.StatusOK {
+		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errors.Errorf("status %d", a.Status))
+	}
+	handle, err := m.h.cfg.Wire.Handle(b)
+	if err != nil {
+		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
+	}
+	return handle, nil
+}
+
+// reserve has the placement's decode server set memory aside, so that the
+// prompt is not read in vain. A server that has none, or that does not answer,
+// is passed over.
+func (m *modelJob) reserve(ctx context.Context, p *admit.Placement) bool {
+	engine := m.service.Engine
+	if engine.HoldTTL <= 0 {
+		return true
+	}
+	h := m.h
+	s := p.Decode
+	ctx, cancel := context.WithTimeout(ctx, 2*m.reach(s))
+	defer cancel()
+	path, body, err := h.cfg.Wire.HoldCall(m.want.Need(), engine.HoldTTL)
+	if err != nil {
+		h.cfg.Log.Error().Err(err).Msg("relay: encode reservation")
+		return true
+	}
+	a, err := h.cfg.Link.Do(ctx, &link.Call{
+		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body,
+		DialLimit: m.reach(s),
+	})
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
+		if !m.gone() {
+			h.cfg.Health.Failed(s.Key(), true, h.cfg.Clock.Now())
+		}
+		m.avoid(s)
+		m.rounds-- // it is not asked again, so that this ends by itself
+		return false
+	}
+	defer a.Close()
+	b, err := whole(a)
+	if err != nil || a.Status != http.StatusOK {
+		h.cfg.Placer.Full(s)
+		m.avoid(s)
+		return false
+	}
+	name, err := h.cfg.Wire.Hold(b)
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Msg("relay: reservation cannot be read")
+		return true
+	}
+	m.held = &hold{server: s, name: name}
+	return true
+}
+
+// jsonHeader goes with the calls of the router itself.
+var jsonHeader = http.Header{"Content-Type": {"application/json"}}
+
+// drop gives up a reservation that was not used.
+func (m *modelJob) drop() {
+	if m.held == nil {
+		return
+	}
+	m.discard(m.held.server, m.h.cfg.Wire.DropPath(m.held.name))
+	m.held = nil
+}
+
+// release frees a KV cache that nobody will fetch.
+func (m *modelJob) release() {
+	kv := m.kv
+	m.kv = nil
+	if kv == nil || m.h.cfg.Clock.Now()-kv.at > m.service.Engine.HandleTTL {
+		return
+	}
+	m.discard(kv.server, m.h.cfg.Wire.FreePath(kv.handle))
+}
+
+// discard has a server free what it keeps for this request. If that fails, it
+// lapses.
+func (m *modelJob) discard(s *route.Server, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
+	defer cancel()
+	a, err := m.h.cfg.Link.Do(ctx, &link.Call{Addr: s.Addr, Method: http.MethodDelete, Path: path, Host: m.r.Host})
+	if err != nil {
+		m.h.cfg.Log.Info().Err(err).Str("server", s.ID).Msg("relay: not freed, it lapses")
+		return
+	}
+	defer a.Close()
+	m.job.drop(a)
+}
--- /dev/null
+++ b/relay/stream.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/event"
+	"wasabidock.dev/dock/link"
+)
+
+// answer passes the answer of a decode server on. It returns true if nothing
+// more is to be tried.
+func (m *modelJob) answer(a *link.Answer, p *admit.Placement) bool {
+	h := m.h
+	key := p.Decode.Key()
+	if a.Status != http.StatusOK {
+		b, err := whole(a)
+		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+		m.avoid(p.Decode)
+		if m.runs < m.route.MaxTries && m.route.Repeatable() {
+			if err == nil {
+				m.saved = &reply{status: a.Status, header: a.Header, body: b}
+			}
+			return false
+		}
+		if err != nil || m.began {
+			m.giveUp(shedRetry, "the server failed")
+			return true
+		}
+		m.pass(&reply{status: a.Status, header: a.Header, body: b})
+		return true
+	}
+	err := m.stream(a, p)
+	if err == nil {
+		h.cfg.Health.Served(key)
+		m.note = "answered in full"
+		return true
+	}
+	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.ask.ID).Int64("event", m.lastID).
+		Msg("relay: stream broke")
+	if !m.gone() {
+		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+	}
+	m.avoid(p.Decode)
+	return !m.repeatable()
+}
+
+// errOrder reports an event whose id does not follow.
+var errOrder = errors.New("event does not follow the one before it")
+
+// stream passes events on, each one whole, until the stream ends.
+func (m *modelJob) stream(a *link.Answer, p *admit.Placement) error {
+	if !m.began && !m.h.cfg.Wire.Sealed(a.Header) {
+		return errUnsealed
+	}
+	rc := http.NewResponseController(m.w)
+	s := event.NewScanner(a.Body, maxEvent)
+	for s.Scan() {
+		if id := s.ID(); id != event.NoID {
+			if m.lastID != event.NoID && id <= m.lastID {
+				return errOrder
+			}
+			m.lastID = id
+		}
+		if !m.began {
+			m.h.cfg.Placer.Read(p, 0)
+			m.steps.first = m.h.cfg.Clock.Now() - m.start
+			m.head(a.Header)
+			m.began = true
+			m.w.WriteHeader(a.Status)
+		}
+		if _, err := m.w.Write(s.Bytes()); err != nil {
+			return err
+		}
+		if s.Buffered() {
+			continue
+		}
+		if err := rc.Flush(); err != nil {
+			return err
+		}
+	}
+	if err := s.Err(); err != nil {
+		return err
+	}
+	if !m.began {
+		m.head(a.Header)
+		m.began = true
+		m.w.WriteHeader(a.Status)
+	}
+	return rc.Flush()
+}
+
+// maxEvent bounds an event of a stream, in bytes.
+const maxEvent = 1 << 20
