--- a/relay/handler.go
+++ b/relay/handler.go
@@ -151,6 +151,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
+	defer j.settle()
 	if !j.admit() {
 		return
 	}
@@ -170,7 +171,6 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), j.until-h.cfg.Clock.Now())
 	defer cancel()
-	defer j.settle()
 	j.limitWrite()
 	h.cfg.Budget.Asked(j.service.Name)
 	switch {
@@ -267,13 +267,17 @@
 	if j.charged > 0 && !j.sent {
 		j.h.cfg.Limiter.Return(j.cust, j.charged)
 	}
-	customer := ""
+	e := logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Int("writes", j.writes).
+		Dur("took", j.h.cfg.Clock.Now()-j.start)
+	if j.route != nil {
+		e = e.Str("route", j.route.Name)
+	}
+	if j.service != nil {
+		e = e.Str("service", j.service.Name)
+	}
 	if j.cust != nil {
-		customer = j.cust.Name
+		e = e.Str("customer", j.cust.Name)
 	}
-	e := logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Str("route", j.route.Name).
-		Str("service", j.service.Name).Str("customer", customer).Int("writes", j.writes).
-		Dur("took", j.h.cfg.Clock.Now()-j.start)
 	if j.ask.Sized {
 		e = e.Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).Int("hint", j.ask.Hint).
 			Int64("last", j.lastID).Str("prefill", j.steps.prefill).Str("decode", j.steps.decode).
--- a/relay/model.go
+++ b/relay/model.go
@@ -27,7 +27,7 @@
 	// first event: they leave after a multiple of the objective.
 	patience = 3.6
 	// freeLimit bounds the call that frees a KV cache.
-	freeLimit = time.Second
+	freeLimit = 200 * time.Millisecond
 	// unhintedShare is the part of the most tokens that a request without an
 	// estimate is expected to make.
 	unhintedShare = 0.5
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -181,6 +181,7 @@
 			if tt.status != 200 {
 				is.Equal(w.runs(), 0)
 			}
+			eventually(t, "one decision line", func() bool { return w.log.decisions() == 1 })
 		})
 	}
 }
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -35,6 +35,26 @@
 	limiter *limiter
 	clock   tick.Service
 	source  models
+	log     lockedBuffer
+}
+
+// lockedBuffer takes the log.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// decisions returns the number of decision lines.
+func (l *lockedBuffer) decisions() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.b.String(), `"decision":true`)
 }
 
 // budget counts repeats.
@@ -155,7 +175,7 @@
 	w.handler = relay.New(relay.Config{
 		Centre: "a", Region: "r", Live: w.live, Wire: platform.Names{},
 		Link:    link.New(link.Config{Clock: w.clock, IDHeader: platform.AttemptHeader}),
-		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Health: h, Clock: w.clock, Log: zerolog.Nop(),
+		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Health: h, Clock: w.clock, Log: zerolog.New(&w.log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
