--- a/admit/desk.go
+++ b/admit/desk.go
@@ -14,8 +14,8 @@
 const (
 	// maxWaiting bounds the requests that wait at one instance.
 	maxWaiting = 512
-	// retryMin is the least time after which a refused caller is asked back.
-	retryMin = 300 * time.Millisecond
+	// retryLeast is the least time after which a refused caller is asked back.
+	retryLeast = 300 * time.Millisecond
 	// paceWeight is the weight of a new measurement of the pace of the queue,
 	// and paceMost the longest one that counts.
 	paceWeight = 0.2
@@ -115,11 +115,11 @@
 // push adds a waiter, or refuses it if its turn comes too late.
 func (d *Desk) push(wt *waiter, now tick.Instant) error {
 	if servers, engine := d.src.Servers(wt.want.Service); engine == nil || !wt.want.Possible(servers, engine) {
-		return fail.Refuse(fail.CodeNoServer, retryMin, "no server can take the request")
+		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
 	}
 	i := sort.Search(len(d.waiting), func(i int) bool { return before(&wt.want, &d.waiting[i].want, now) })
 	if eta := d.eta(i); len(d.waiting) >= maxWaiting || now+eta > wt.want.Until {
-		return fail.Refuse(fail.CodeOverload, max(eta, retryMin), "too many requests wait")
+		return fail.Refuse(fail.CodeOverload, max(eta, retryLeast), "too many requests wait")
 	}
 	d.waiting = append(d.waiting, nil)
 	copy(d.waiting[i+1:], d.waiting[i:])
@@ -135,7 +135,7 @@
 func (d *Desk) Wait() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return max(d.eta(len(d.waiting)), retryMin)
+	return max(d.eta(len(d.waiting)), retryLeast)
 }
 
 // granted measures the pace at which those that wait are given places.
--- a/health/health.go
+++ b/health/health.go
@@ -29,9 +29,9 @@
 const (
 	// Strikes is the number of failures in a row that set a server aside.
 	Strikes = 3
-	// pauseMin and pauseMax bound the time for which a server is set aside.
-	pauseMin = time.Second
-	pauseMax = 8 * time.Second
+	// pauseLeast and pauseMost bound the time for which a server is set aside.
+	pauseLeast = time.Second
+	pauseMost  = 8 * time.Second
 	// forget is the time after which an unused record is dropped.
 	forget = time.Minute
 )
@@ -99,7 +99,7 @@
 	if r.strikes < Strikes {
 		return
 	}
-	r.pause = min(max(2*r.pause, pauseMin), pauseMax)
+	r.pause = min(max(2*r.pause, pauseLeast), pauseMost)
 	r.until = now + r.pause
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -75,14 +75,13 @@
 	Header http.Header
 	Body   io.Reader
 
-	c       *Client
-	addr    string
-	conn    *conn
-	resp    *http.Response
-	wrote   <-chan error // result of a write that goes on, nil if it is over
-	stop    func() bool
-	clean   bool // the body was read to its end
-	resumed bool
+	c     *Client
+	addr  string
+	conn  *conn
+	resp  *http.Response
+	wrote <-chan error // result of a write that goes on, nil if it is over
+	stop  func() bool
+	clean bool // the body was read to its end
 }
 
 // Do writes the call once and returns the head of its answer. The connection
@@ -164,6 +163,7 @@
 func (a *Answer) readHead(call *Call, idHeader string) error {
 	a.limitRead(call.HeadLimit)
 	for range strayAnswers {
+		//nolint:bodyclose // Close ends the connection, or the body was read to its end.
 		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: call.Method})
 		if err != nil {
 			return err
