soak: faults on real daemons, promises checked from outside

A tool of its own (soak/): daemons as processes, proxies between them and the stand-ins of the store and the backend servers, a plan from a seed, clients that keep their connections, a judge of eleven promises over what callers and servers saw.

Found by it: (1) answers of the stand-in did not name their request, so a mixed-up answer could not be seen; they do now, and the tests of relay check it.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,8 @@
 PROTOC_GEN_CONNECT_VERSION := v1.19.1
 
 GOBIN := $(shell go env GOPATH)/bin
-MODULES := . ./entry ./standin ./wasabi ./wasabid
-PACKAGES := ./... ./entry/... ./standin/... ./wasabi/... ./wasabid/...
+MODULES := . ./entry ./soak ./standin ./wasabi ./wasabid
+PACKAGES := ./... ./entry/... ./soak/... ./standin/... ./wasabi/... ./wasabid/...
 
 export PATH := $(GOBIN):$(PATH)
 
@@ -20,7 +20,7 @@
 all: build
 
 build:
-	go build -o bin/ ./entry ./standin ./wasabi ./wasabid
+	go build -o bin/ ./entry ./soak ./standin ./wasabi ./wasabid
 
 demo: build
 	@sh standin/demo.sh bin
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -164,7 +164,7 @@
 	status, body, err := d.ask(t, "k1", "/file/1", false)
 	is.NoErr(err)
 	is.Equal(status, 200)
-	is.Equal(body, "answer of app1")
+	is.Equal(body, mimic.Answer("app1", "a1"))
 	status, body, err = d.ask(t, "k1", "/ask/1", true)
 	is.NoErr(err)
 	is.Equal(status, 200)
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -33,18 +33,18 @@
 		notRun   bool
 		canRetry bool
 	}{
-		{name: "mutating whole", path: "/file/1", status: 200, body: "answer of s1", runs: 1, sealed: true},
+		{name: "mutating whole", path: "/file/1", status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
 		{name: "mutating shed", path: "/file/1", fault: mimic.Shed, status: 503, notRun: true, canRetry: true},
 		{name: "mutating reset", path: "/file/1", fault: mimic.Reset, status: 502, runs: 1},
 		{name: "mutating torn", path: "/file/1", fault: mimic.TornPlain, status: 502, runs: 1},
 		{name: "mutating error", path: "/file/1", fault: mimic.Error, status: 500, runs: 1, sealed: true},
 		{name: "mutating unsealed", path: "/file/1", fault: mimic.Unsealed, status: 502, runs: 1},
 		{name: "mutating encoded", path: "/file/1", fault: mimic.Encoded, status: 502, runs: 1},
-		{name: "mutating stray", path: "/file/1", fault: mimic.Stray, status: 200, body: "yours", runs: 1, sealed: true},
-		{name: "mutating extra", path: "/file/1", fault: mimic.Extra, status: 200, body: "yours", runs: 1, sealed: true},
-		{name: "mutating unframed", path: "/file/1", fault: mimic.Unframed, status: 200, body: "whole", runs: 1, sealed: true},
+		{name: "mutating stray", path: "/file/1", fault: mimic.Stray, status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
+		{name: "mutating extra", path: "/file/1", fault: mimic.Extra, status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
+		{name: "mutating unframed", path: "/file/1", fault: mimic.Unframed, status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
 		{name: "mutating mute", path: "/file/1", fault: mimic.Mute, status: 504, runs: 1},
-		{name: "idempotent whole", path: "/read/1", status: 200, body: "answer of s1", runs: 1, sealed: true},
+		{name: "idempotent whole", path: "/read/1", status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
 		{name: "idempotent reset", path: "/read/1", fault: mimic.Reset, status: 502, runs: 1},
 		{name: "idempotent error", path: "/read/1", fault: mimic.Error, status: 500, runs: 1, sealed: true},
 	}
@@ -79,7 +79,7 @@
 				got := w.ask(t, http.MethodGet, "/read/1", "")
 				is.NoErr(got.err)
 				is.Equal(got.status, 200)
-				is.Equal(got.body, "answer of s2")
+				is.Equal(got.body, mimic.Answer("s2", "a1"))
 			}
 		})
 	}
@@ -117,7 +117,7 @@
 	for range 4 {
 		got := w.ask(t, http.MethodPost, "/file/1", "body")
 		is.Equal(got.status, 200)
-		is.Equal(got.body, "answer of s2")
+		is.Equal(got.body, mimic.Answer("s2", "a1"))
 	}
 }
 
--- /dev/null
+++ b/soak/judge.go
@@ -0,0 +1,396 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"wasabidock.dev/dock/platform/mimic"
+)
+
+// The bounds of the promises, as the platform's pages set them for its sites.
+const (
+	// contactTime is how long after its trouble a daemon is not held to times.
+	contactTime = 5 * time.Second
+	// applyTime is the time for a change of the configuration to take hold.
+	applyTime = 4 * time.Second
+	// backTime is how much later than the effect of a change a daemon may
+	// still handle requests as before it.
+	backTime = 250 * time.Millisecond
+	// drainTime is the time for a departing server to be left alone.
+	drainTime = 4 * time.Second
+	// goneTime is how long a server may work for a client that has left.
+	goneTime = 500 * time.Millisecond
+
+	repeatWindow = 10 * time.Second
+	repeatRatio  = 0.2
+	repeatExtra  = 20.0
+
+	limitWindow = 8 * time.Second
+	limitExcess = 0.25
+	// limitSlack is a fraction of the tokens of a window.
+	limitSlack = 0.5
+
+	// recoverShare of the calls must be served once all trouble is over.
+	recoverShare = 0.95
+	// settleTime is the time for that.
+	settleTime = 15 * time.Second
+)
+
+// judge returns the promises that a record breaks, each with a case of it.
+func judge(r *record) []string {
+	var broken []string
+	for _, check := range []func(*record) string{
+		whole, refusals, askedFor, repeats, limits, departures, withdrawals, lostAnswers, leavers, recovery,
+	} {
+		if b := check(r); b != "" {
+			broken = append(broken, b)
+		}
+	}
+	if len(r.exits) > 0 {
+		broken = append(broken, "exit: "+strings.Join(r.exits, "; "))
+	}
+	return broken
+}
+
+// whole checks that a success is the whole answer of a server that ran the
+// request, and that a stream has each event once, in order, to the last.
+func whole(r *record) string {
+	for _, o := range r.calls {
+		if o.status != 200 {
+			continue
+		}
+		if !o.sealed {
+			return fmt.Sprintf("whole: %s: a success without a server's seal", o.call.ID)
+		}
+		if o.call.Kind == mimic.Ask {
+			if why := stream(o); why != "" {
+				return fmt.Sprintf("whole: stream %s: %s: %q", o.call.ID, why, o.body)
+			}
+			continue
+		}
+		if o.complete && !r.answered(o) {
+			return fmt.Sprintf("whole: %s: not the answer of a server: %q", o.call.ID, o.body)
+		}
+	}
+	return ""
+}
+
+func (r *record) answered(o *outcome) bool {
+	for id, runs := range r.runs {
+		if o.body == mimic.Answer(id, o.call.ID) {
+			return slices.ContainsFunc(runs, func(u mimic.Run) bool { return u.ID == o.call.ID })
+		}
+	}
+	return false
+}
+
+// stream tells what is wrong with the events of a stream.
+func stream(o *outcome) string {
+	rest := o.body
+	n := int64(0)
+	for {
+		after, ok := strings.CutPrefix(rest, mimic.Event(n+1))
+		if !ok {
+			break
+		}
+		rest = after
+		n++
+	}
+	switch {
+	case strings.Contains(rest, "\n\n"):
+		return "an event is missing, comes twice or is not the server's"
+	case o.complete && n < streamEvents:
+		return "it ends as complete before its last event"
+	}
+	return ""
+}
+
+// refusals checks that what must not run twice has not, and that what was
+// refused has not run.
+func refusals(r *record) string {
+	count := make(map[string]int)
+	for _, runs := range r.runs {
+		for _, u := range runs {
+			count[u.ID]++
+		}
+	}
+	for _, o := range r.calls {
+		if o.call.Kind != mimic.File {
+			continue
+		}
+		n := count[o.call.ID]
+		if n > 1 {
+			return fmt.Sprintf("twice: %s ran %d times", o.call.ID, n)
+		}
+		if n > 0 && (o.status == 429 || o.status == 503 || o.status == 408 || o.status == 421) {
+			return fmt.Sprintf("refused: %s was answered %d and has run", o.call.ID, o.status)
+		}
+	}
+	return ""
+}
+
+// askedFor checks that servers run what clients sent, for its customer.
+func askedFor(r *record) string {
+	calls := make(map[string]*outcome, len(r.calls))
+	for _, o := range r.calls {
+		calls[o.call.ID] = o
+	}
+	for id, runs := range r.runs {
+		for _, u := range runs {
+			o := calls[u.ID]
+			switch {
+			case o == nil:
+				return fmt.Sprintf("unasked: %s ran %q, which no client sent", id, u.ID)
+			case u.Path != o.call.Path() || u.Body != o.call.Body() || u.Method != "POST":
+				return fmt.Sprintf("unasked: %s ran %s as %s %s %q", id, u.ID, u.Method, u.Path, u.Body)
+			case u.Customer() != o.customer:
+				return fmt.Sprintf("unasked: %s ran %s of %q for %q", id, u.ID, o.customer, u.Customer())
+			}
+		}
+	}
+	return ""
+}
+
+// repeats checks the bound on what servers get beyond the first of each
+// request, over sliding windows.
+func repeats(r *record) string {
+	for _, plain := range []bool{true, false} {
+		var sent, extra []time.Time
+		for _, o := range r.calls {
+			if (o.call.Kind != mimic.Ask) == plain {
+				sent = append(sent, o.sent)
+			}
+		}
+		seen := make(map[string]bool)
+		for _, a := range r.ordered(plain) {
+			if seen[a.ID] {
+				extra = append(extra, a.At)
+			}
+			seen[a.ID] = true
+		}
+		for i := range extra {
+			from := extra[i]
+			to := from.Add(repeatWindow)
+			bound := repeatRatio*float64(max(within(sent, from, to), within(sent, from.Add(-repeatWindow), from),
+				within(sent, from.Add(-repeatWindow/2), to.Add(-repeatWindow/2)))) + repeatExtra
+			if n := within(extra, from, to); float64(n) > bound {
+				return fmt.Sprintf("repeats: %d in a window, %.0f are allowed", n, bound)
+			}
+		}
+	}
+	return ""
+}
+
+// ordered returns the arrivals at the plain or the model servers by time,
+// without those that only have the prompt read.
+func (r *record) ordered(plain bool) []mimic.Arrival {
+	var all []mimic.Arrival
+	for id, list := range r.arrivals {
+		if strings.HasPrefix(id, mimic.PlainService) != plain {
+			continue
+		}
+		for _, a := range list {
+			if !a.Prompt {
+				all = append(all, a)
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b mimic.Arrival) int { return a.At.Compare(b.At) })
+	return all
+}
+
+// within counts the instants in [from, to).
+func within(at []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range at {
+		if !t.Before(from) && t.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// limits checks each customer's rate and burst over sliding windows.
+func limits(r *record) string {
+	type use struct {
+		at     time.Time
+		tokens float64
+	}
+	uses := make(map[string][]use)
+	for id, runs := range r.runs {
+		for _, u := range runs {
+			tokens := float64(mimic.PlainTokens)
+			if !strings.HasPrefix(id, mimic.PlainService) {
+				prompt, output := mimic.Call{}.Tokens()
+				tokens = float64(prompt + output)
+			}
+			uses[u.Customer()] = append(uses[u.Customer()], use{u.At, tokens})
+		}
+	}
+	for name, list := range uses {
+		slices.SortFunc(list, func(a, b use) int { return a.at.Compare(b.at) })
+		c := r.customers[name]
+		owed := c.Rate*limitWindow.Seconds() + c.Burst
+		bound := owed*(1+limitExcess) + owed*limitSlack
+		sum, first := 0.0, 0
+		for _, u := range list {
+			sum += u.tokens
+			for u.at.Sub(list[first].at) > limitWindow {
+				sum -= list[first].tokens
+				first++
+			}
+			if sum > bound {
+				return fmt.Sprintf("limits: %s ran %.0f tokens in a window, %.0f are allowed", name, sum, bound)
+			}
+		}
+	}
+	return ""
+}
+
+// departures checks that departing servers are left alone.
+func departures(r *record) string {
+	for _, d := range r.departed {
+		to := r.end
+		for _, b := range r.returned {
+			if b.what == d.what && b.at.After(d.at) && b.at.Before(to) {
+				to = b.at
+			}
+		}
+		late := r.settled(d.at).Add(drainTime)
+		for _, a := range r.arrivals[d.what] {
+			if a.At.After(late) && a.At.Before(to) && r.bound(a.ID, d.at) {
+				return fmt.Sprintf("drain: %s came to %s %v after it departed", a.ID, d.what, a.At.Sub(d.at))
+			}
+		}
+	}
+	return ""
+}
+
+// settled returns the instant from which on a change made at an instant is
+// owed: trouble of the store draws it out.
+func (r *record) settled(at time.Time) time.Time {
+	for _, s := range r.store {
+		if s.overlaps(at, at.Add(applyTime), contactTime) && s.to.Add(contactTime).After(at) {
+			at = s.to.Add(contactTime)
+		}
+	}
+	return at
+}
+
+// bound reports whether the daemon that took a call was sound from an instant
+// on.
+func (r *record) bound(id string, from time.Time) bool {
+	i := slices.IndexFunc(r.calls, func(o *outcome) bool { return o.call.ID == id })
+	return i >= 0 && r.sound(r.calls[i].daemon, from, r.calls[i].sent, true)
+}
+
+// withdrawals checks that withdrawn keys are refused in time, and for good once
+// a daemon has refused one.
+func withdrawals(r *record) string {
+	for _, w := range r.withdrawn {
+		due := r.settled(w.at).Add(applyTime)
+		type start struct{ daemon, started int }
+		known := make(map[start]time.Time)
+		for _, o := range r.calls {
+			if o.call.Key == w.what && o.status == 401 {
+				s := start{o.daemon, o.started}
+				if at, ok := known[s]; !ok || o.ended.Before(at) {
+					known[s] = o.ended
+				}
+			}
+		}
+		for _, o := range r.calls {
+			if o.call.Key != w.what || !o.sealed {
+				continue
+			}
+			if o.sent.After(due) && r.sound(o.daemon, w.at, o.sent, true) {
+				return fmt.Sprintf("key: %s ran %v after its key was withdrawn", o.call.ID, o.sent.Sub(w.at))
+			}
+			if at, ok := known[start{o.daemon, o.started}]; ok && o.sent.After(at.Add(backTime)) {
+				return fmt.Sprintf("key: %s ran after daemon %d had refused its key", o.call.ID, o.daemon)
+			}
+		}
+	}
+	return ""
+}
+
+// lostAnswers checks that a planned stop of a daemon cuts nothing.
+func lostAnswers(r *record) string {
+	for _, o := range r.calls {
+		if o.complete || !o.left.IsZero() || !r.sound(o.daemon, o.sent, o.ended, false) {
+			continue
+		}
+		if o.ended.Sub(o.sent) > mimic.CallTime*9/10 {
+			continue // the time-out of its route
+		}
+		for id, list := range r.arrivals {
+			i := slices.IndexFunc(list, func(a mimic.Arrival) bool { return a.ID == o.call.ID && !a.Prompt })
+			if i >= 0 && r.calmServers(o, id) {
+				return fmt.Sprintf("lost: %s had no whole answer, it came to %s", o.call.ID, id)
+			}
+		}
+	}
+	return ""
+}
+
+// calmServers reports whether no server was in trouble while a call ran: any of
+// them may have broken its answer off.
+func (r *record) calmServers(o *outcome, _ string) bool {
+	for _, spans := range r.servers {
+		if !clear(spans, o.sent, o.ended, time.Second) {
+			return false
+		}
+	}
+	return true
+}
+
+// leavers checks that servers stop working for clients that have left.
+func leavers(r *record) string {
+	left := make(map[string]*outcome)
+	for _, o := range r.calls {
+		if !o.left.IsZero() && r.sound(o.daemon, o.sent, o.left.Add(goneTime), true) {
+			left[o.call.ID] = o
+		}
+	}
+	worked, last := 0, ""
+	for id, runs := range r.runs {
+		for _, u := range runs {
+			o := left[u.ID]
+			if o == nil || !clear(r.servers[id], o.sent, o.left.Add(goneTime), time.Second) {
+				continue
+			}
+			if end := u.End; end.IsZero() || end.After(o.left.Add(goneTime)) {
+				worked++
+				last = u.ID + " at " + id
+			}
+		}
+	}
+	if worked > max(3, len(left)/4) {
+		return fmt.Sprintf("gone: servers worked on for %d of %d clients that had left, the last %s", worked, len(left), last)
+	}
+	return ""
+}
+
+// recovery checks that calls are served once all trouble is over, but for what
+// lies beyond a customer's limit or has no key.
+func recovery(r *record) string {
+	asked, served := 0, 0
+	for _, o := range r.calls {
+		if o.sent.Before(r.calm.Add(settleTime)) || !o.left.IsZero() || o.status == 401 || o.customer == floodName {
+			continue
+		}
+		asked++
+		if o.served() {
+			served++
+		}
+	}
+	if asked == 0 {
+		return "recovery: nothing was asked for after the trouble"
+	}
+	if float64(served) < recoverShare*float64(asked) {
+		return fmt.Sprintf("recovery: %d of %d calls were served after the trouble", served, asked)
+	}
+	return ""
+}
--- /dev/null
+++ b/soak/judge_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/mimic"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time {
+	return epoch.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// soundRecord is a run in which every promise is kept: a call of each kind each
+// half second for a minute.
+func soundRecord() *record {
+	r := newRecord()
+	for _, c := range customers() {
+		r.customers[c.Name] = c
+	}
+	r.calm, r.end = at(30), at(60)
+	for i := range 120 {
+		for k := mimic.File; k <= mimic.Ask; k++ {
+			r.serve(mimic.Call{ID: fmt.Sprintf("%d-%d", k, i), Kind: k, Key: "calm"}, float64(i)/2)
+		}
+	}
+	return r
+}
+
+func (r *record) serve(c mimic.Call, sent float64) *outcome {
+	id := mimic.PlainService + "-0"
+	o := &outcome{call: c, customer: customerOf(c.Key), sent: at(sent), ended: at(sent + 0.1), status: 200, sealed: true, complete: true}
+	o.body = mimic.Answer(id, c.ID)
+	if c.Kind == mimic.Ask {
+		id, o.body = mimic.ModelService+"-5", ""
+		for n := range int64(streamEvents) {
+			o.body += mimic.Event(n + 1)
+		}
+	}
+	r.calls = append(r.calls, o)
+	r.ran(id, o, sent+0.01)
+	return o
+}
+
+func (r *record) ran(id string, o *outcome, when float64) {
+	h := http.Header{}
+	mimic.SetCustomer(h, o.customer)
+	r.runs[id] = append(r.runs[id], mimic.Run{
+		ID: o.call.ID, Method: "POST", Path: o.call.Path(), Body: o.call.Body(), Header: h, At: at(when), End: at(when + 0.02),
+	})
+	r.arrivals[id] = append(r.arrivals[id], mimic.Arrival{ID: o.call.ID, At: at(when)})
+}
+
+// TestJudge breaks each promise in a sound record.
+func TestJudge(t *testing.T) {
+	file := func(r *record) *outcome { return r.calls[30] }
+	ask := func(r *record) *outcome { return r.calls[32] }
+	tests := []struct {
+		name  string
+		spoil func(r *record)
+		want  string // the promise that is broken, empty for none
+	}{
+		{"nothing", func(*record) {}, ""},
+		{"no seal", func(r *record) { file(r).sealed = false }, "whole"},
+		{"half a body", func(r *record) { file(r).body = "answer of" }, "whole"},
+		{"body of another call", func(r *record) { file(r).body = r.calls[33].body }, "whole"},
+		{"answer of a server that did not run it", func(r *record) { file(r).body = mimic.Answer("app-1", file(r).call.ID) }, "whole"},
+		{"answer cut", func(r *record) { file(r).body, file(r).complete = "ans", false }, "lost"},
+		{"event missing", func(r *record) { ask(r).body = strings.Replace(ask(r).body, mimic.Event(2), "", 1) }, "whole"},
+		{"event twice", func(r *record) {
+			ask(r).body = strings.Replace(ask(r).body, mimic.Event(2), mimic.Event(2)+mimic.Event(2), 1)
+		}, "whole"},
+		{"stream ends early", func(r *record) { ask(r).body = mimic.Event(1) }, "whole"},
+		{"ran twice", func(r *record) { r.ran("app-1", file(r), 5.5) }, "twice"},
+		{"refused and ran", func(r *record) { file(r).status = 503 }, "refused"},
+		{"limited and ran", func(r *record) { file(r).status = 429 }, "refused"},
+		{"failed and ran", func(r *record) { file(r).status, file(r).sealed = 504, false }, ""},
+		{"nobody sent it", func(r *record) {
+			o := *file(r)
+			o.call.ID = "other"
+			r.ran("app-0", &o, 5)
+		}, "unasked"},
+		{"for another customer", func(r *record) { file(r).customer = floodName }, "unasked"},
+		{"other body", func(r *record) { r.runs["app-0"][3].Body = "other" }, "unasked"},
+		{"many repeats", func(r *record) {
+			for i := range 40 {
+				r.ran("app-1", r.calls[i*3+1], 20+float64(i)/100)
+			}
+		}, "repeats"},
+		{"few repeats", func(r *record) {
+			for i := range 20 {
+				r.ran("app-1", r.calls[i*3+1], 20+float64(i)/100)
+			}
+		}, ""},
+		{"beyond a limit", func(r *record) {
+			for i := range 400 {
+				r.serve(mimic.Call{ID: fmt.Sprintf("f%d", i), Kind: mimic.Look, Key: floodName}, 10+float64(i)/100)
+			}
+		}, "limits"},
+		{"departed server is used", func(r *record) { r.departed = []event{{at(10), "app-0"}} }, "drain"},
+		{"departed server is left alone", func(r *record) { r.departed = []event{{at(10), "app-1"}} }, ""},
+		{"departed server comes back", func(r *record) {
+			r.departed, r.returned = []event{{at(10), "app-0"}}, []event{{at(13), "app-0"}}
+		}, ""},
+		{"withdrawn key is served", func(r *record) {
+			r.withdrawn = []event{{at(10), "spare1"}}
+			r.serve(mimic.Call{ID: "late", Key: "spare1"}, 15)
+		}, "key"},
+		{"withdrawn key is served soon after", func(r *record) {
+			r.withdrawn = []event{{at(10), "spare1"}}
+			r.serve(mimic.Call{ID: "soon", Key: "spare1"}, 13)
+		}, ""},
+		{"store in trouble draws it out", func(r *record) {
+			r.withdrawn = []event{{at(10), "spare1"}}
+			r.store = []span{{from: at(9), to: at(12)}}
+			r.serve(mimic.Call{ID: "late", Key: "spare1"}, 15)
+		}, ""},
+		{"configuration steps back", func(r *record) {
+			r.withdrawn = []event{{at(10), "spare1"}}
+			o := r.serve(mimic.Call{ID: "first", Key: "spare1"}, 10.2)
+			o.status, o.sealed = 401, false
+			r.runs["app-0"] = r.runs["app-0"][:len(r.runs["app-0"])-1]
+			r.serve(mimic.Call{ID: "second", Key: "spare1"}, 11)
+		}, "key"},
+		{"cut by a planned stop", func(r *record) {
+			r.daemons[0] = []span{{at(4), at(6), true}}
+			file(r).complete, file(r).status, file(r).body = false, 0, ""
+		}, "lost"},
+		{"cut by a kill", func(r *record) {
+			r.daemons[0] = []span{{at(4), at(6), false}}
+			file(r).complete, file(r).status, file(r).body = false, 0, ""
+		}, ""},
+		{"cut by its server", func(r *record) {
+			r.servers["app-0"] = []span{{from: at(4), to: at(6)}}
+			file(r).complete, file(r).status, file(r).body = false, 0, ""
+		}, ""},
+		{"servers work on", func(r *record) {
+			for i := range 40 {
+				o := r.calls[i*3+2]
+				o.left, o.complete = o.sent.Add(20*time.Millisecond), false
+				r.runs["llm-5"][i].End = time.Time{}
+			}
+		}, "gone"},
+		{"no recovery", func(r *record) {
+			for _, o := range r.calls[len(r.calls)-60:] {
+				o.status, o.sealed = 502, false
+			}
+		}, "recovery"},
+		{"daemon ended", func(r *record) { r.exited("a-1 stopped with code 2") }, "exit"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			r := soundRecord()
+			tt.spoil(r)
+			var broken []string
+			for _, b := range judge(r) {
+				name, _, _ := strings.Cut(b, ":")
+				broken = append(broken, name)
+			}
+			is.Equal(strings.Join(broken, " "), tt.want)
+		})
+	}
+}
--- /dev/null
+++ b/soak/load.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/platform/mimic"
+)
+
+const (
+	// streamEvents and streamPause make a stream of a model server last longer
+	// than most calls.
+	streamEvents = 12
+	streamPause  = 25 * time.Millisecond
+	// clients use kept connections, each its own; floods belong to a customer
+	// that asks for more than its limit.
+	clients = 10
+	floods  = 4
+	// thinkTime is the mean pause of a client between calls.
+	thinkTime = 25 * time.Millisecond
+	// leaveChance is how often a client leaves early, in percent.
+	leaveChance = 6
+	// clientTime is how long a client waits for an answer.
+	clientTime = 6 * time.Second
+	// spareKeys is the number of keys that may be withdrawn.
+	spareKeys = 6
+	floodName = "flood"
+)
+
+func spareKey(i int) string { return fmt.Sprintf("spare%d", i) }
+
+// customers returns the customers of a run: one that stays far within its rate
+// and one that does not.
+func customers() []mimic.Customer {
+	calm := mimic.Customer{Name: "calm", Keys: []string{"calm"}, Rate: 1e6, Burst: 1e6}
+	for i := range spareKeys {
+		calm.Keys = append(calm.Keys, spareKey(i))
+	}
+	return []mimic.Customer{calm, {Name: floodName, Keys: []string{floodName}, Rate: 4000, Burst: 8000}}
+}
+
+// client sends one call after the other.
+type client struct {
+	n      int
+	rnd    *rand.Rand
+	fleet  *fleet
+	rec    *record
+	http   http.RoundTripper
+	daemon int
+	serial int
+}
+
+// newClient returns a client that keeps its connections. Plant may be nil.
+func newClient(n int, seed uint64, f *fleet, rec *record, plant func(*fleet, http.RoundTripper) http.RoundTripper) *client {
+	c := &client{n: n, rnd: rand.New(rand.NewPCG(seed, uint64(n)+2)), fleet: f, rec: rec}
+	c.http = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	if plant != nil {
+		c.http = plant(f, c.http)
+	}
+	c.daemon = c.rnd.IntN(len(f.daemons))
+	return c
+}
+
+// run sends calls until ctx ends.
+func (c *client) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		o := c.call(ctx)
+		if o.status == 0 || !c.fleet.daemons[o.daemon].ready() {
+			c.daemon = c.fleet.anyReady(c.rnd, c.daemon)
+		}
+		pause := time.Duration(c.rnd.ExpFloat64() * float64(thinkTime))
+		if o.status == http.StatusTooManyRequests && o.customer != floodName {
+			pause = time.Second
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// call sends one call and notes what comes of it. It outlasts ctx.
+func (c *client) call(ctx context.Context) *outcome {
+	c.serial++
+	o := &outcome{daemon: c.daemon, customer: "calm", call: mimic.Call{
+		ID: fmt.Sprintf("c%d-%d", c.n, c.serial), Kind: mimic.Kind(c.rnd.IntN(3)), Key: "calm",
+	}}
+	if c.rnd.IntN(4) == 0 {
+		o.call.Key = spareKey(c.rnd.IntN(spareKeys))
+	}
+	if c.n >= clients {
+		o.customer, o.call.Key, o.call.Kind = floodName, floodName, mimic.Look
+	}
+	d := c.fleet.daemons[c.daemon]
+	o.started = d.starts()
+	reqCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), clientTime)
+	defer cancel()
+	var left chan time.Time
+	if c.rnd.IntN(100) < leaveChance {
+		left = make(chan time.Time, 1)
+		leave := time.AfterFunc(time.Duration(c.rnd.Int64N(int64(streamEvents*streamPause))), func() {
+			left <- time.Now()
+			cancel()
+		})
+		defer leave.Stop()
+	}
+	o.sent = time.Now()
+	c.exchange(reqCtx, d.front, o)
+	o.ended = time.Now()
+	if left != nil && !o.complete {
+		select {
+		case o.left = <-left:
+		default:
+		}
+	}
+	c.rec.add(o)
+	return o
+}
+
+func (c *client) exchange(ctx context.Context, addr string, o *outcome) {
+	r, err := o.call.Request(ctx, addr)
+	if err != nil {
+		panic(err) // the address is one of ours
+	}
+	resp, err := c.http.RoundTrip(r)
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	o.status, o.sealed = resp.StatusCode, mimic.Sealed(resp.Header)
+	var b strings.Builder
+	_, err = io.Copy(&b, resp.Body)
+	o.body, o.complete = b.String(), err == nil
+}
+
+// load runs all clients until ctx ends.
+func load(ctx context.Context, seed uint64, f *fleet, rec *record, plant func(*fleet, http.RoundTripper) http.RoundTripper) {
+	var ends sync.WaitGroup
+	for n := range clients + floods {
+		c := newClient(n, seed, f, rec, plant)
+		ends.Go(func() { c.run(ctx) })
+	}
+	ends.Wait()
+}
--- /dev/null
+++ b/soak/plan_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"io"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var testShape = shape{daemons: 3, servers: len(roles), trouble: 12 * time.Second, gap: 300 * time.Millisecond}
+
+// TestPlans checks plans of many seeds: the same each time, ordered, with all
+// acts, and with steps that overlap.
+func TestPlans(t *testing.T) {
+	is := is.New(t)
+	seen := make(map[act]int)
+	overlaps := 0
+	for seed := range uint64(50) {
+		p := newPlan(seed, testShape)
+		is.True(reflect.DeepEqual(p, newPlan(seed, testShape)))
+		keys := 0
+		for i, s := range p {
+			seen[s.act]++
+			is.True(s.at < testShape.trouble && s.target < testShape.targets(s.act))
+			if i > 0 {
+				is.True(p[i-1].at <= s.at)
+				if p[i-1].at+p[i-1].lasts > s.at {
+					overlaps++
+				}
+			}
+			if s.act == withdraw {
+				keys++
+			}
+		}
+		is.True(keys <= maxWithdrawn)
+	}
+	is.Equal(len(seen), len(acts))
+	is.True(overlaps > 1000)
+	is.True(!reflect.DeepEqual(newPlan(1, testShape), newPlan(2, testShape)))
+}
+
+func TestFlags(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		bad  bool
+	}{
+		{"default", nil, false},
+		{"seeds", []string{"-first", "4", "-seeds", "50"}, false},
+		{"plant", []string{"-plant", "twice"}, false},
+		{"unknown plant", []string{"-plant", "what"}, true},
+		{"no daemon", []string{"-daemons", "0"}, true},
+		{"no time", []string{"-trouble", "0s"}, true},
+		{"too short to recover", []string{"-quiet", "1s"}, true},
+		{"argument", []string{"what"}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := parseFlags(tt.args, io.Discard)
+			is.New(t).Equal(err != nil, tt.bad)
+		})
+	}
+}
--- /dev/null
+++ b/soak/plant.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/platform/mimic"
+)
+
+// plants are faults that stand between the clients and the daemons, for each
+// promise one that the judge must see. They show that its checks can fail.
+var plants = map[string]func(f *fleet, next http.RoundTripper) http.RoundTripper{
+	"whole":    answers(cutBody),
+	"seal":     answers(func(r *http.Response, _ string) error { mimic.Unseal(r.Header); return nil }),
+	"order":    answers(dropEvent),
+	"refused":  answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusServiceUnavailable; return nil }),
+	"recovery": answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusBadGateway; return nil }),
+	"lost":     answers(func(*http.Response, string) error { return errPlanted }),
+	"twice":    runs(func(p planted) bool { return p.call.Kind == mimic.File && p.status == http.StatusOK }),
+	"unasked":  runs(func(p planted) bool { p.call.ID += "x"; p.f.servers[0].Plant(p.call, "calm", true); return false }),
+	"repeats":  runs(func(p planted) bool { return p.call.Kind == mimic.Look }),
+	"limits":   runs(func(p planted) bool { return p.status == http.StatusTooManyRequests }),
+	"key":      withdrawnKeys,
+	"drain":    runs(toDeparted),
+	"gone":     workOn,
+}
+
+var errPlanted = errors.New("planted")
+
+// tamper is a RoundTripper that does wrong with what another one does.
+type tamper struct {
+	next http.RoundTripper
+	do   func(*http.Request, *http.Response, error) (*http.Response, error)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t tamper) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.next.RoundTrip(r)
+	return t.do(r, resp, err)
+}
+
+// answers changes one in ten successes.
+func answers(change func(*http.Response, string) error) func(*fleet, http.RoundTripper) http.RoundTripper {
+	return func(_ *fleet, next http.RoundTripper) http.RoundTripper {
+		return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+			if err != nil || resp.StatusCode != http.StatusOK || !strings.HasSuffix(r.URL.Path, "7") {
+				return resp, err
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close() // it was read
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewReader(body))
+			if err := change(resp, string(body)); err != nil {
+				return nil, err
+			}
+			return resp, nil
+		}}
+	}
+}
+
+func cutBody(resp *http.Response, body string) error {
+	resp.Body = io.NopCloser(strings.NewReader(body[:len(body)/2]))
+	return nil
+}
+
+func dropEvent(resp *http.Response, body string) error {
+	resp.Body = io.NopCloser(strings.NewReader(strings.Replace(body, mimic.Event(2), "", 1)))
+	return nil
+}
+
+// planted is a call that a fault may have run once more.
+type planted struct {
+	f      *fleet
+	call   mimic.Call
+	status int // 0 without an answer
+}
+
+// runs has a server run the calls that are chosen once more.
+func runs(chosen func(planted) bool) func(*fleet, http.RoundTripper) http.RoundTripper {
+	return func(f *fleet, next http.RoundTripper) http.RoundTripper {
+		return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+			p := planted{f: f, call: mimic.CallOf(r)}
+			if err == nil {
+				p.status = resp.StatusCode
+			}
+			if chosen(p) {
+				f.servers[0].Plant(p.call, customerOf(p.call.Key), true)
+			}
+			return resp, err
+		}}
+	}
+}
+
+func customerOf(key string) string {
+	if key == floodName {
+		return floodName
+	}
+	return "calm"
+}
+
+// toDeparted runs calls at servers that have departed.
+func toDeparted(p planted) bool {
+	p.f.rec.mu.Lock()
+	defer p.f.rec.mu.Unlock()
+	for _, s := range p.f.servers {
+		if s.departed() && s.service == mimic.PlainService && p.call.Kind == mimic.Look {
+			s.Plant(p.call, customerOf(p.call.Key), true)
+		}
+	}
+	return false
+}
+
+// workOn has a server work for each stream without an end.
+func workOn(f *fleet, next http.RoundTripper) http.RoundTripper {
+	return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+		if c := mimic.CallOf(r); c.Kind == mimic.Ask {
+			f.servers[0].Plant(c, customerOf(c.Key), false)
+		}
+		return resp, err
+	}}
+}
+
+// withdrawnKeys serves calls with keys that were withdrawn.
+func withdrawnKeys(_ *fleet, next http.RoundTripper) http.RoundTripper {
+	return tamper{next, func(_ *http.Request, resp *http.Response, err error) (*http.Response, error) {
+		if err == nil && resp.StatusCode == http.StatusUnauthorized {
+			mimic.Seal(resp.Header)
+		}
+		return resp, err
+	}}
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// buildEntry builds the daemon's program.
+func buildEntry(t *testing.T) string {
+	t.Helper()
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	bin := filepath.Join(t.TempDir(), "entry")
+	cmd := exec.CommandContext(t.Context(), "go", "build", "-o", bin, "../entry")
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return bin
+}
+
+// TestSoak plays one seed on real daemons.
+func TestSoak(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	code := run(t.Context(), []string{"-entry", buildEntry(t), "-first", "7", "-trouble", "8s", "-quiet", "16s"}, &out)
+	t.Log(out.String())
+	is.Equal(code, 0)
+}
+
+// TestPlanted has a call run at a server that departed, and has the whole tool
+// see it.
+func TestPlanted(t *testing.T) {
+	is := is.New(t)
+	f := flags{entry: buildEntry(t), daemons: 2, quiet: time.Second, plant: "drain"}
+	rec, err := play(t.Context(), f, 1, t.TempDir(), []step{{act: depart, target: 0, lasts: departTime}})
+	is.NoErr(err)
+	is.True(strings.Contains(strings.Join(judge(rec), "\n"), "drain: "))
+}
