entry: measures, a log that never waits, settings that may change

Log lines go to standard output through a bounded queue: a reader that has stopped holds nothing up, the oldest decision lines are dropped first and counted; one write takes many lines. The settings file is followed: the bound on repeats, the memory and the grace time take a change, a faulty file is told once and left.

--- a/entry/app.go
+++ b/entry/app.go
@@ -15,6 +15,7 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/meter"
 	"wasabidock.dev/dock/news"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/relay"
@@ -37,7 +38,11 @@
 	bodyShare = 0.3
 	// startLimit and stopLimit bound the hooks of the parts.
 	startLimit = 10 * time.Second
-	stopLimit  = 30 * time.Second
+	// logBytes bounds the log lines that wait for their reader.
+	logBytes = 1 << 20
+	// logEnd bounds the wait for a reader that has stopped, at the end.
+	logEnd    = 100 * time.Millisecond
+	stopLimit = 30 * time.Second
 )
 
 // settingsPath returns the path of the settings that the platform gives.
@@ -50,20 +55,31 @@
 
 // runApp runs the daemon until stop is closed and its requests have ended.
 func runApp(ctx context.Context, f flags, set *platform.Settings, out io.Writer, stop <-chan struct{}) error {
-	root, err := logs.New(out, f.logLevel)
+	lines := logs.NewQueue(out, logBytes)
+	root, err := logs.New(lines, f.logLevel)
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory())))
+	logCtx, endLog := context.WithCancel(context.Background())
+	written := make(chan struct{})
+	go lines.Run(logCtx, written)
+	defer func() {
+		endLog()
+		select {
+		case <-written:
+		case <-time.After(logEnd):
+		}
+	}()
+	setMemory(set)
 	var d *daemon
 	app := fx.New(
 		fx.NopLogger,
 		fx.StartTimeout(startLimit),
 		fx.StopTimeout(stopLimit),
-		fx.Supply(set, root),
+		fx.Supply(set, root, lines, f),
 		fx.Provide(
 			func() tick.Service { return tick.NewReal() },
-			route.NewLive, health.NewBook, newLink, newStore, share.NewLimits, newRepeats, newDesk, newHandler, newNews, newDaemon,
+			route.NewLive, health.NewBook, newLink, newStore, share.NewLimits, newRepeats, newDesk, newHandler, newNews, newMeter, newMeasures, newDaemon,
 		),
 		fx.Populate(&d),
 	)
@@ -76,6 +92,10 @@
 	return app.Stop(stopCtx)
 }
 
+func setMemory(set *platform.Settings) {
+	debug.SetMemoryLimit(int64(memoryShare * float64(set.Memory())))
+}
+
 func newLink(clock tick.Service) *link.Client {
 	return link.New(link.Config{Clock: clock, IDHeader: platform.AttemptHeader})
 }
@@ -126,6 +146,7 @@
 	Repeats *share.Repeats
 	Desk    *admit.Desk
 	Health  *health.Book
+	Meter   *meter.Meter
 	Log     zerolog.Logger
 }
 
@@ -133,7 +154,7 @@
 	return relay.New(relay.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Wire: platform.Names{}, Link: p.Link, Limiter: p.Limits, Budget: p.Repeats,
-		Bodies: int64(bodyShare * float64(p.Set.Memory())), Placer: p.Desk, Health: p.Health, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
+		Bodies: int64(bodyShare * float64(p.Set.Memory())), Placer: p.Desk, Health: p.Health, Meter: p.Meter, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
 	})
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -58,6 +58,8 @@
 	ends  sync.WaitGroup
 	drain atomic.Bool
 	idle  *idleConns
+
+	unread int // tries to read the settings that failed in a row; upkeep's
 }
 
 // daemonParts are what a daemon starts and stops.
@@ -71,9 +73,12 @@
 	Store   *platform.Store
 	Limits  *share.Limits
 	Desk    *admit.Desk
+	Repeats *share.Repeats
 	Health  *health.Book
 	Handler *relay.Handler
 	News    *news.Service
+	Flags   flags
+	Shown   *measures
 	Log     zerolog.Logger
 }
 
@@ -93,6 +98,7 @@
 	}
 	checks := gin.New()
 	checks.GET("/api/readyz", d.serveReady)
+	checks.GET(measuresPath, gin.WrapH(p.Shown))
 	d.ready = &http.Server{Handler: checks, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
 	lc.Append(fx.Hook{OnStart: d.start, OnStop: d.end})
 	return d
@@ -102,16 +108,9 @@
 func (d *daemon) start(context.Context) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
-	for _, s := range []struct {
-		addr string
-		srv  *http.Server
-	}{{d.p.Set.Front(), d.front}, {d.p.Set.Ready(), d.ready}} {
-		l, err := net.Listen("tcp", s.addr)
-		if err != nil {
-			cancel()
-			return errors.Wrap(err, "listen")
-		}
-		d.ends.Go(func() { d.serve(s.srv, l) })
+	if err := d.listen(); err != nil {
+		cancel()
+		return err
 	}
 	if err := d.startNews(ctx); err != nil {
 		cancel()
@@ -126,6 +125,35 @@
 	return nil
 }
 
+// listen opens the listeners for callers, for the balancer and for those who
+// read the measures. Nobody is kept from serving because the last one fails.
+func (d *daemon) listen() error {
+	for _, s := range []struct {
+		addr string
+		srv  *http.Server
+	}{{d.p.Set.Front(), d.front}, {d.p.Set.Ready(), d.ready}} {
+		l, err := net.Listen("tcp", s.addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		d.ends.Go(func() { d.serve(s.srv, l) })
+	}
+	if d.p.Flags.measures == "" {
+		return nil
+	}
+	addr, err := measuresAddr(d.p.Set.Ready(), d.p.Flags.measures)
+	if err != nil {
+		return errors.Wrap(err, "measures")
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		d.log.Warn().Err(err).Msg("entry: the measures have no port of their own")
+		return nil
+	}
+	d.ends.Go(func() { d.serve(d.ready, l) })
+	return nil
+}
+
 // startNews opens what other instances reach.
 func (d *daemon) startNews(ctx context.Context) error {
 	l, err := net.Listen("tcp", d.p.Set.Peers())
@@ -169,12 +197,33 @@
 		d.p.Link.Sweep(unusedConns)
 		d.p.Health.Sweep(now)
 		d.p.Limits.Sweep(now)
+		d.reload()
 		if t := d.p.Live.Table(); t != nil && t.Limits().IdleTime > 0 {
 			d.idle.close(t.Limits().IdleTime + idleMargin)
 		}
 	})
 }
 
+// reload follows the settings file, which changes with a signal or without.
+// Addresses and names stay those of the start.
+func (d *daemon) reload() {
+	changed, err := d.p.Set.Reload()
+	if err != nil {
+		if d.unread++; d.unread == 1 {
+			d.log.Warn().Err(err).Msg("entry: settings cannot be read, the last ones stay")
+		}
+		return
+	}
+	d.unread = 0
+	if !changed {
+		return
+	}
+	ratio, extra, _ := d.p.Set.Retries()
+	d.p.Repeats.SetTerms(ratio, extra)
+	setMemory(d.p.Set)
+	d.log.Info().Float64("repeats", ratio).Float64("extra", extra).Dur("grace", d.p.Set.Grace()).Msg("entry: settings changed")
+}
+
 // serveReady tells the balancer whether to send new connections.
 func (d *daemon) serveReady(c *gin.Context) {
 	if d.drain.Load() || d.p.Live.Table() == nil || d.p.Live.Fleet().Len() == 0 {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -50,6 +50,7 @@
 // daemonUnderTest is one daemon in this process.
 type daemonUnderTest struct {
 	front, ready string
+	settings     string
 	log          lockedBuffer
 	stop         func()
 	done         chan error
@@ -71,6 +72,7 @@
 		"listen.control=%s\nportRange=%s,%s\nseeds=%s\nplatform.address=%s\nbounds.graceS=4\n",
 		name, d.front, d.ready, peers, port, port, strings.Join(seeds, ","), store)
 	path := filepath.Join(t.TempDir(), "settings.conf")
+	d.settings = path
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -260,6 +262,8 @@
 		{name: "default", want: defaultSettings},
 		{name: "platform's variable", env: "/x", want: "/x"},
 		{name: "flag", args: []string{"-settings", "/y"}, env: "/x", want: "/y"},
+		{name: "port", args: []string{"-measures", "9464"}, want: defaultSettings},
+		{name: "no port", args: []string{"-measures", "what"}, bad: true},
 		{name: "unknown", args: []string{"-what"}, bad: true},
 		{name: "argument", args: []string{"what"}, bad: true},
 	}
--- a/entry/main.go
+++ b/entry/main.go
@@ -53,7 +53,7 @@
 			}
 		}
 	}()
-	if err := runApp(context.Background(), cfg, set, os.Stderr, stop); err != nil {
+	if err := runApp(context.Background(), cfg, set, os.Stdout, stop); err != nil {
 		fmt.Fprintln(os.Stderr, "entry:", err)
 		return exitFailed
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -120,6 +120,11 @@
 	return metrics.GetOrRegisterCounter(name, m.cfg.Registry)
 }
 
+// Count adds to the series of a counter with one label.
+func (m *Meter) Count(name, label, value string, n int64) {
+	m.Counter(series(name, label, value)).Inc(n)
+}
+
 // Gauge returns the gauge with the name, made at the first use.
 func (m *Meter) Gauge(name string) metrics.Gauge {
 	return metrics.GetOrRegisterGauge(name, m.cfg.Registry)
@@ -159,6 +164,9 @@
 	})
 }
 
+// Worked counts what a request made the engines do that was refused in the end.
+func (m *Meter) Worked(s Sample) { m.work(s) }
+
 // work counts what a request made the engines do.
 func (m *Meter) work(s Sample) {
 	m.wasted.Inc(s.Wasted)
--- a/relay/answer.go
+++ b/relay/answer.go
@@ -58,7 +58,10 @@
 	hd := j.w.Header()
 	hd.Set("Content-Type", "application/json")
 	hd.Set("Content-Length", strconv.Itoa(len(b)))
-	j.began = true
+	j.began, j.status = true, status
+	if o == ident.NotRun {
+		j.code = code
+	}
 	j.note = strconv.Itoa(status) + " " + reason
 	j.w.WriteHeader(status)
 	_, _ = j.w.Write(b) // a caller that has left needs no answer
--- /dev/null
+++ b/relay/count_test.go
@@ -0,0 +1,80 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/mimic"
+)
+
+// TestRequestsAreCounted checks what the measures tell of one request each.
+func TestRequestsAreCounted(t *testing.T) {
+	plain := map[string]mimic.Role{"s1": mimic.Plain}
+	model := map[string]mimic.Role{"p1": mimic.Prefill, "d1": mimic.Decode}
+	tests := []struct {
+		name    string
+		servers map[string]mimic.Role
+		fault   mimic.Fault // of all servers
+		path    string
+		sized   bool
+		limited time.Duration
+		want    map[string]int64
+	}{
+		{
+			name: "plain", servers: plain, path: "/file/1",
+			want: map[string]int64{"requests_total": 1, "requests_good_total": 1, `answers_total{status="200"}`: 1, `writes_total{service="app"}`: 1},
+		},
+		{
+			name: "model", servers: model, path: "/once/1", sized: true,
+			want: map[string]int64{
+				"requests_total": 1, "requests_good_total": 1, "prefills_total": 1, "transfers_total": 1,
+				"prefill_wasted_tokens_total": 0, `writes_total{service="model"}`: 1,
+			},
+		},
+		{
+			name: "handles lapse", servers: model, fault: mimic.Lapsed, path: "/once/1", sized: true,
+			want: map[string]int64{"prefills_total": 1, "transfers_total": 0, "prefill_wasted_tokens_total": 100},
+		},
+		{
+			name: "server fails", servers: plain, fault: mimic.Error, path: "/file/1",
+			want: map[string]int64{"requests_total": 1, "requests_good_total": 0, `answers_total{status="500"}`: 1},
+		},
+		{
+			name: "all full", servers: plain, fault: mimic.Shed, path: "/file/1",
+			want: map[string]int64{"requests_total": 0, `refusals_total{code="no_server"}`: 1, `answers_total{status="503"}`: 1},
+		},
+		{
+			name: "no route", servers: plain, path: "/what/1",
+			want: map[string]int64{"requests_total": 0, `refusals_total{code="unknown_route"}`: 1, `answers_total{status="404"}`: 1},
+		},
+		{
+			name: "beyond the limit", servers: plain, path: "/file/1", limited: time.Second,
+			want: map[string]int64{`refusals_total{code="rate_limited"}`: 1, "refusals_within_rate_total": 0, `answers_total{status="429"}`: 1},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, tt.servers)
+			w.limiter.refuse = tt.limited
+			for _, s := range w.servers {
+				s.Fail(tt.fault)
+			}
+			w.ask(t, http.MethodPost, tt.path, "body", func(r *http.Request) {
+				if tt.sized {
+					sized(r)
+				}
+			})
+			w.front.Close() // waits for the end of the request's accounts
+			for name, n := range tt.want {
+				if got := w.count(name); got != n {
+					t.Errorf("%s is %d, want %d", name, got, n)
+				}
+			}
+			is.True(w.log.decisions() == 1)
+		})
+	}
+}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -18,7 +18,7 @@
 func (m *modelJob) prefill(ctx context.Context, p *admit.Placement) bool {
 	h := m.h
 	s := p.Prefill
-	if m.reads > 0 && !h.cfg.Budget.Spend(m.service.Name) {
+	if m.reads > 0 && !m.repeat() {
 		m.want.Alone = true
 		return false
 	}
@@ -44,6 +44,7 @@
 	h.cfg.Health.Served(s.Key())
 	h.cfg.Placer.Read(p, took)
 	m.steps.read = h.cfg.Clock.Now() - m.start
+	m.steps.reads++
 	m.kv = &cache{server: s, handle: handle, at: h.cfg.Clock.Now()}
 	m.want.Read = true
 	return true
@@ -133,9 +134,13 @@
 func (m *modelJob) release() {
 	kv := m.kv
 	m.kv = nil
-	if kv == nil || m.h.cfg.Clock.Now()-kv.at > m.service.Engine.HandleTTL {
+	if kv == nil {
 		return
 	}
+	m.steps.wasted++
+	if m.h.cfg.Clock.Now()-kv.at > m.service.Engine.HandleTTL {
+		return // it has lapsed
+	}
 	m.discard(kv.server, m.h.cfg.Wire.FreePath(kv.handle))
 }
 
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -82,6 +82,7 @@
 	Placer  Placer
 	Bodies  int64 // bytes that the bodies of requests may take together, 0 for no bound
 	Health  *health.Book
+	Meter   Meter
 	Clock   tick.Service
 	Log     zerolog.Logger
 }
@@ -130,17 +131,10 @@
 	saved   *reply       // a server's failure, passed on if nothing better comes
 	lastID  int64        // event that the caller has got last
 	steps   steps
-	note    string // what happened, for the decision line
-}
-
-// steps tells where the time of a model request went and which servers had it
-// last.
-type steps struct {
-	placed  time.Duration // from the request to the last placement
-	read    time.Duration // to the end of the prefill
-	first   time.Duration // to the first event
-	prefill string
-	decode  string
+	note    string    // what happened, for the decision line
+	status  int       // of the answer, 0 before it began
+	code    fail.Code // why it was refused or denied, empty if it was not
+	done    bool      // a server's whole answer was passed on
 }
 
 // ServeHTTP serves one request.
@@ -261,12 +255,18 @@
 	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Now().Add(left + time.Second))
 }
 
-// settle ends the request's accounts and writes its decision line.
+// settle ends the request's accounts, counts it and writes its decision line.
 func (j *job) settle() {
 	_ = http.NewResponseController(j.w).SetWriteDeadline(time.Time{})
 	if j.charged > 0 && !j.sent {
 		j.h.cfg.Limiter.Return(j.cust, j.charged)
 	}
+	j.measure()
+	j.tell()
+}
+
+// tell writes the decision line.
+func (j *job) tell() {
 	e := logs.Decision(j.h.cfg.Log).Str("id", j.ask.ID).Int("writes", j.writes).
 		Dur("took", j.h.cfg.Clock.Now()-j.start)
 	if j.route != nil {
@@ -298,7 +298,10 @@
 	if j.sent && (!j.route.Repeatable() || j.runs >= j.route.MaxTries) {
 		return false
 	}
-	return j.writes == 0 || j.h.cfg.Budget.Spend(j.service.Name)
+	if j.writes == 0 {
+		return true
+	}
+	return j.repeat()
 }
 
 // send returns what a server is told.
--- a/relay/model.go
+++ b/relay/model.go
@@ -173,6 +173,9 @@
 		m.disowned(p)
 		return false
 	}
+	if m.kv != nil {
+		m.steps.fetched++
+	}
 	m.kv = nil   // it was fetched, or the server runs without it
 	m.held = nil // it was used
 	m.sent = true
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -200,7 +200,7 @@
 func (j *job) pass(a *reply) {
 	j.head(a.header)
 	j.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
-	j.began = true
+	j.began, j.status, j.done = true, a.status, true
 	j.note = "answered " + strconv.Itoa(a.status)
 	j.w.WriteHeader(a.status)
 	_, _ = j.w.Write(a.body) // a caller that has left needs no answer
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -8,6 +8,7 @@
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/event"
 	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/tick"
 )
 
 // answer passes the answer of a decode server on. It returns true if nothing
@@ -35,7 +36,7 @@
 	err := m.stream(a, p)
 	if err == nil {
 		h.cfg.Health.Served(key)
-		m.note = "answered in full"
+		m.note, m.done = "answered in full", true
 		return true
 	}
 	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.ask.ID).Int64("event", m.lastID).
@@ -56,6 +57,7 @@
 		return errUnsealed
 	}
 	rc := http.NewResponseController(m.w)
+	var last tick.Instant // of the last event that was passed on
 	s := event.NewScanner(a.Body, maxEvent)
 	for s.Scan() {
 		if id := s.ID(); id != event.NoID {
@@ -67,9 +69,7 @@
 		if !m.began {
 			m.h.cfg.Placer.Read(p, 0)
 			m.steps.first = m.h.cfg.Clock.Now() - m.start
-			m.head(a.Header)
-			m.began = true
-			m.w.WriteHeader(a.Status)
+			m.begin(a)
 		}
 		if _, err := m.w.Write(s.Bytes()); err != nil {
 			return err
@@ -80,17 +80,33 @@
 		if err := rc.Flush(); err != nil {
 			return err
 		}
+		last = m.pause(last)
 	}
 	if err := s.Err(); err != nil {
 		return err
 	}
 	if !m.began {
-		m.head(a.Header)
-		m.began = true
-		m.w.WriteHeader(a.Status)
+		m.begin(a)
 	}
 	return rc.Flush()
 }
 
+// begin writes the head of a stream's answer.
+func (m *modelJob) begin(a *link.Answer) {
+	m.head(a.Header)
+	m.began, m.status = true, a.Status
+	m.w.WriteHeader(a.Status)
+}
+
+// pause notes the time since the last event was passed on, and returns the
+// instant of this one.
+func (m *modelJob) pause(last tick.Instant) tick.Instant {
+	now := m.h.cfg.Clock.Now()
+	if last != 0 {
+		m.steps.gap = max(m.steps.gap, now-last)
+	}
+	return now
+}
+
 // maxEvent bounds an event of a stream, in bytes.
 const maxEvent = 1 << 20
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -13,11 +13,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	metrics "github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/meter"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/platform/mimic"
 	"wasabidock.dev/dock/relay"
@@ -36,6 +38,13 @@
 	clock   tick.Service
 	source  models
 	log     lockedBuffer
+
+	measures metrics.Registry
+}
+
+// count returns a counter of the handler.
+func (w *world) count(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, w.measures).Count()
 }
 
 // lockedBuffer takes the log.
@@ -148,7 +157,7 @@
 	t.Helper()
 	w := &world{
 		live: route.NewLive(), servers: make(map[string]*mimic.Server), clock: tick.NewReal(),
-		budget: &budget{left: 10}, limiter: &limiter{},
+		budget: &budget{left: 10}, limiter: &limiter{}, measures: metrics.NewRegistry(),
 	}
 	w.live.SetTable(testTable())
 	stages := map[mimic.Role]route.Stage{
@@ -175,7 +184,8 @@
 	w.handler = relay.New(relay.Config{
 		Centre: "a", Region: "r", Live: w.live, Wire: platform.Names{},
 		Link:    link.New(link.Config{Clock: w.clock, IDHeader: platform.AttemptHeader}),
-		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Health: h, Clock: w.clock, Log: zerolog.New(&w.log),
+		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Health: h, Clock: w.clock,
+		Meter: meter.New(meter.Config{Registry: w.measures, Clock: w.clock}), Log: zerolog.New(&w.log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -73,6 +73,15 @@
 	return s, ok
 }
 
+// All returns the servers, in no order.
+func (f *Fleet) All() []*Server {
+	list := make([]*Server, 0, len(f.byID))
+	for _, s := range f.byID {
+		list = append(list, s)
+	}
+	return list
+}
+
 // Live is the table and the fleet in force at this instance.
 type Live struct {
 	table atomic.Pointer[Table]
--- a/share/repeats.go
+++ b/share/repeats.go
@@ -62,6 +62,13 @@
 	return ring, s
 }
 
+// SetTerms changes the ratio and the extra of the bound.
+func (r *Repeats) SetTerms(ratio, extra float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cfg.Ratio, r.cfg.Extra = ratio, extra
+}
+
 // Asked notes a request for a service.
 func (r *Repeats) Asked(service string) {
 	r.mu.Lock()
