--- a/relay/handler.go
+++ b/relay/handler.go
@@ -177,6 +177,7 @@
 
 // admit finds the route, the service and the customer.
 func (j *job) admit() bool {
+	j.ask = j.h.cfg.Wire.Ask(j.r.Header)
 	j.table = j.h.cfg.Live.Table()
 	if j.table == nil {
 		j.refuse(fail.Refuse(fail.CodeNoTable, unknownRetry, "no configuration is known yet"))
@@ -192,7 +193,6 @@
 		j.deny(http.StatusRequestHeaderFieldsTooLarge, fail.CodeTooLarge, "the header is too large")
 		return false
 	}
-	j.ask = j.h.cfg.Wire.Ask(j.r.Header)
 	if j.table.Keyed() && !j.route.Open {
 		if j.cust, ok = j.table.Customer(route.HashKey(j.ask.Key)); !ok || j.ask.Key == "" {
 			j.deny(http.StatusUnauthorized, fail.CodeKey, "the key is not known")
@@ -281,6 +281,7 @@
 	if j.ask.Sized {
 		e = e.Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).Int("hint", j.ask.Hint).
 			Int64("last", j.lastID).Str("prefill", j.steps.prefill).Str("decode", j.steps.decode).
+			Int("reads", j.steps.reads).Int("fetched", j.steps.fetched).Int("runs", j.runs).
 			Dur("placed", j.steps.placed).Dur("read", j.steps.read).Dur("first", j.steps.first)
 	}
 	e.Msg("relay: " + j.note)
