--- a/wasabi/explain.go
+++ b/wasabi/explain.go
@@ -20,7 +20,8 @@
 		ShortUsage: "wasabi explain REQUEST [FILE...]",
 		ShortHelp:  "tell how one request was decided",
 		LongHelp: "Reads log lines of any number of instances from the files or from standard input and prints all\n" +
-			"decisions about the request in the order of their times, as sentences.",
+			"decisions about the request as sentences, in the order of their times within a file or an instance, and what is\n" +
+			"missing. Clocks of different instances are not compared: each file and instance has a part of its own.",
 		FlagSet: a.flags("explain"),
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) == 0 {
@@ -33,9 +34,7 @@
 			if len(decisions) == 0 {
 				return &exitError{code: exitFaults, err: errors.Errorf("no decision about request %q", args[0])}
 			}
-			for _, d := range decisions {
-				a.printf("%s\n", d.sentence())
-			}
+			a.story(decisions)
 			return nil
 		},
 	}
@@ -47,7 +46,7 @@
 		return readDecisions(a.in, request)
 	}
 	var all []decision
-	for _, name := range files {
+	for n, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
 			return nil, err
@@ -57,12 +56,39 @@
 		if err != nil {
 			return nil, errors.Wrap(err, name)
 		}
+		for i := range found {
+			found[i].file = n
+		}
 		all = append(all, found...)
 	}
-	sort.SliceStable(all, func(i, j int) bool { return all[i].micros < all[j].micros })
 	return all, nil
 }
 
+// story prints the decisions, those of each file and instance by themselves.
+func (a *app) story(all []decision) {
+	sort.SliceStable(all, func(i, j int) bool {
+		x, y := all[i], all[j]
+		if x.file != y.file {
+			return x.file < y.file
+		}
+		if x.writer != y.writer {
+			return x.writer < y.writer
+		}
+		return x.micros < y.micros
+	})
+	last := all[0].writer
+	for i, d := range all {
+		if d.writer != "" && (i == 0 || d.writer != last || d.file != all[i-1].file) {
+			a.printf("%s:\n", d.writer)
+		}
+		last = d.writer
+		a.printf("%s\n", d.sentence())
+		if d.partial() && (i+1 == len(all) || all[i+1].writer != d.writer || all[i+1].file != d.file) {
+			a.printf("Missing: how it ended there. The process ended before it, the lines were dropped, or it goes on.\n")
+		}
+	}
+}
+
 const maxLineBytes = 1 << 20
 
 func readDecisions(r io.Reader, request string) ([]decision, error) {
@@ -70,19 +96,36 @@
 	s := bufio.NewScanner(r)
 	s.Buffer(nil, maxLineBytes)
 	for s.Scan() {
+		writer, text := splitLine(s.Text())
 		// Most lines are about other requests: look before decoding.
-		if !strings.Contains(s.Text(), request) {
+		if !strings.Contains(text, request) {
 			continue
 		}
-		if d, ok := parseDecision(s.Bytes()); ok && d.request == request {
+		if d, ok := parseDecision([]byte(text)); ok && d.request == request {
+			d.writer = writer
 			out = append(out, d)
 		}
 	}
 	return out, s.Err()
 }
 
-// decision is one decision line.
+// splitLine takes apart a line that begins with a time and the name of the
+// instance that wrote it, as collectors of several logs print it. A line that
+// does not is returned as it is.
+func splitLine(s string) (writer, text string) {
+	before, after, ok := strings.Cut(s, "{")
+	f := strings.Fields(before)
+	if !ok || len(f) != 2 {
+		return "", s
+	}
+	return f[1], "{" + after
+}
+
+// decision is one line about a request.
 type decision struct {
+	file    int
+	writer  string // instance, empty if the line does not tell
+	step    bool   // something on the way, not an end
 	request string
 	micros  int64
 	message string
@@ -93,20 +136,24 @@
 	var known struct {
 		Decision bool   `json:"decision"`
 		Request  string `json:"request"`
+		ID       string `json:"id"` // of the request, in lines of package relay
 		Time     int64  `json:"time"`
 		Message  string `json:"message"`
 	}
-	if json.Unmarshal(line, &known) != nil || !known.Decision {
+	if json.Unmarshal(line, &known) != nil || !known.Decision && known.ID == "" {
 		return decision{}, false
 	}
+	if known.Request == "" {
+		known.Request = known.ID
+	}
 	var raw map[string]json.RawMessage
 	if json.Unmarshal(line, &raw) != nil {
 		return decision{}, false
 	}
-	d := decision{request: known.Request, micros: known.Time, message: known.Message, fields: make(map[string]string)}
+	d := decision{request: known.Request, micros: known.Time, message: known.Message, step: !known.Decision, fields: make(map[string]string)}
 	for name, value := range raw {
 		switch name {
-		case "decision", "request", "time", "message", "level", "part":
+		case "decision", "request", "id", "time", "message", "level", "part":
 			continue
 		}
 		if text := fieldText(value); text != "" {
@@ -116,6 +163,10 @@
 	return d, true
 }
 
+// partial reports whether more must follow: a step of a request is followed by
+// the decision that ends it.
+func (d decision) partial() bool { return d.step }
+
 // fieldText returns a field for people; empty and null fields say nothing.
 func fieldText(raw json.RawMessage) string {
 	var s string
@@ -147,6 +198,19 @@
 	{"reason", "because ", ""},
 	{"retry_ms", "to come back after ", " ms"},
 	{"outcome", "outcome ", ""},
+	{"service", "to service ", ""},
+	{"writes", "written to ", " servers"},
+	{"runs", "run by ", " of them"},
+	{"reads", "with ", " prompts read apart"},
+	{"fetched", "with ", " KV caches fetched"},
+	{"hint", "with ", " tokens expected"},
+	{"output", "with ", " tokens at most"},
+	{"placed", "with a place after ", " ms"},
+	{"read", "the prompt read after ", " ms"},
+	{"first", "the first event after ", " ms"},
+	{"last", "the last event being ", ""},
+	{"took", "all in ", " ms"},
+	{"error", "because of ", ""},
 }
 
 // sentence tells the decision in one line.
