health, news: what shows that a server is not there goes round

Now the datagrams tell servers whose address refused or belongs to another (one teller is enough) and silent ones (two of the own data centre); who hears it sets the server aside for a second, unless it has just answered. 421 sets aside at once. Ruled out: more rounds for a request (trial beside it).

--- a/admit/book.go
+++ b/admit/book.go
@@ -27,8 +27,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -126,7 +124,7 @@
 // Book keeps the load that this instance knows of each server.
 type Book struct {
 	cfg   Config
-	loads map[uint64]*load // by Hash of the server's key
+	loads map[uint64]*load // by route.Hash of the server's key
 }
 
 // NewBook returns an empty Book.
@@ -134,10 +132,7 @@
 	return &Book{cfg: cfg, loads: make(map[uint64]*load)}
 }
 
-// Hash names a server among instances.
-func Hash(key string) uint64 { return xxhash.Sum64String(key) }
-
-func (b *Book) load(s *route.Server) *load { return b.byHash(Hash(s.Key())) }
+func (b *Book) load(s *route.Server) *load { return b.byHash(route.Hash(s.Key())) }
 
 func (b *Book) byHash(h uint64) *load {
 	l, ok := b.loads[h]
@@ -306,7 +301,7 @@
 	d.running--
 }
 
-// Peers sets the load that other instances have placed, by Hash of the key.
+// Peers sets the load that other instances have placed, by route.Hash of the key.
 func (b *Book) Peers(sums map[uint64]Sum) {
 	for h, l := range b.loads {
 		if _, ok := sums[h]; !ok {
@@ -318,7 +313,7 @@
 	}
 }
 
-// Own returns the load that this instance has placed, by Hash of the key.
+// Own returns the load that this instance has placed, by route.Hash of the key.
 func (b *Book) Own() map[uint64]Sum {
 	own := make(map[uint64]Sum)
 	for h, l := range b.loads {
--- a/admit/book_test.go
+++ b/admit/book_test.go
@@ -98,8 +98,8 @@
 	w := Want{Prompt: 1_000, Output: 100}
 	p, ok := b.Place(w, []*route.Server{p1, d1}, engine, 0)
 	is.True(ok)
-	is.Equal(b.Own()[Hash(p1.Key())], Sum{Reading: 1_000})
-	is.Equal(b.Own()[Hash(d1.Key())], Sum{Memory: w.Need(), Running: 1})
+	is.Equal(b.Own()[route.Hash(p1.Key())], Sum{Reading: 1_000})
+	is.Equal(b.Own()[route.Hash(d1.Key())], Sum{Memory: w.Need(), Running: 1})
 	b.Read(p, 100*time.Millisecond)
 	b.Read(p, 100*time.Millisecond) // twice is harmless
 	is.Equal(b.load(p1).reading, 0)
--- a/entry/app.go
+++ b/entry/app.go
@@ -167,6 +167,7 @@
 	Store  *platform.Store
 	Desk   *admit.Desk
 	Limits *share.Limits
+	Health *health.Book
 	Log    zerolog.Logger
 }
 
@@ -182,7 +183,7 @@
 			Centre:      p.Set.Centre(),
 			Region:      p.Set.Region(p.Set.Centre()),
 		},
-		Seeds: p.Set.Seeds(), Book: p.Store, Loads: p.Desk, Charges: p.Limits, Clock: p.Clock,
+		Seeds: p.Set.Seeds(), Book: p.Store, Loads: p.Desk, Charges: p.Limits, Health: p.Health, Clock: p.Clock,
 		Log: logs.Part(p.Log, "news"),
 	})
 }
--- a/health/health.go
+++ b/health/health.go
@@ -4,8 +4,9 @@
 //
 //	b := health.NewBook()
 //	if b.Usable(srv.Key(), now) { ... }
-//	b.Failed(srv.Key(), now)
+//	b.Failed(srv.Key(), health.Silent, now)
 //	b.Served(srv.Key(), now)
+//	for _, d := range b.Doubts(now) { ... } // to be told to the other instances
 //
 // # Judgment
 //
@@ -14,6 +15,12 @@
 // the pause doubles while it goes on failing. A server that never answers a
 // new connection is set aside at once, since nothing can have run there.
 //
+// What shows that a server is not there is told to the other instances, so that
+// each need not find out by a request of its own. One that hears it sets the
+// server aside for pauseLeast, unless the server has just answered it. A refused
+// connection comes from the server's own host, so that one teller is enough; a
+// silent server may be cut off from its teller alone, so that two are needed.
+//
 // The caller decides what to do when all servers are set aside; the book never
 // forbids the last one.
 package health
@@ -22,6 +29,7 @@
 	"sync"
 	"time"
 
+	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
 
@@ -32,32 +40,68 @@
 	// pauseLeast and pauseMost bound the time for which a server is set aside.
 	pauseLeast = time.Second
 	pauseMost  = 8 * time.Second
+	// doubtLife is how long a finding is told to others and counts.
+	doubtLife = time.Second
+	// freshLife is how long an answer outweighs what others tell.
+	freshLife = 300 * time.Millisecond
 	// forget is the time after which an unused record is dropped.
 	forget = time.Minute
 )
 
+// Failure is how a server failed a request.
+type Failure int
+
+// The failures.
+const (
+	Bad    Failure = iota // it answered in part, wrongly, or not in time
+	Silent                // it took no connection in time
+	Absent                // its address refused the connection, or is another server's
+)
+
+// Doubt is a finding that a server is not there.
+type Doubt struct {
+	Server uint64 // hash of its key
+	Absent bool   // Absent, else Silent
+}
+
 // record is what is known of one server.
 type record struct {
 	strikes int
 	pause   time.Duration
 	until   tick.Instant // set aside until then
 	seen    tick.Instant
+	served  tick.Instant // its last answer, 0 for none
+	found   tick.Instant // the last Silent or Absent of this instance, 0 for none
+	absent  bool         // that was Absent
+	teller  string       // the last other instance that told Silent
+	told    tick.Instant // when
 }
 
 // Book keeps the records of servers. It may be used concurrently.
 type Book struct {
 	mu      sync.Mutex
-	records map[string]*record
+	records map[uint64]*record // by the hash of the server's key
 }
 
 // NewBook returns an empty Book.
-func NewBook() *Book { return &Book{records: make(map[string]*record)} }
+func NewBook() *Book { return &Book{records: make(map[uint64]*record)} }
+
+// record returns the record of a server, made at the first use. The caller
+// holds b.mu.
+func (b *Book) record(h uint64) *record {
+	r, ok := b.records[h]
+	if !ok {
+		r = &record{}
+		b.records[h] = r
+	}
+	return r
+}
 
 // Usable tells whether a server may be given a request.
 func (b *Book) Usable(key string, now tick.Instant) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r, ok := b.records[key]
+	r, ok := b.records[route.Hash(key)]
 	if !ok || r.pause == 0 {
 		return true
 	}
@@ -69,32 +113,28 @@
 func (b *Book) Chosen(key string, now tick.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r, ok := b.records[key]; ok && r.pause > 0 {
+	if r, ok := b.records[route.Hash(key)]; ok && r.pause > 0 {
 		r.until = now + r.pause
 	}
 }
 
 // Served says that the server answered a request.
-func (b *Book) Served(key string) {
+func (b *Book) Served(key string, now tick.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.records, key)
+	*b.record(route.Hash(key)) = record{seen: now, served: now}
 }
 
-// Failed says that the server failed a request. With silent set it took no
-// connection at all.
-func (b *Book) Failed(key string, silent bool, now tick.Instant) {
+// Failed says that the server failed a request.
+func (b *Book) Failed(key string, how Failure, now tick.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r, ok := b.records[key]
-	if !ok {
-		r = &record{}
-		b.records[key] = r
-	}
+	r := b.record(route.Hash(key))
 	r.seen = now
 	r.strikes++
-	if silent {
+	if how != Bad {
 		r.strikes = max(r.strikes, Strikes)
+		r.found, r.absent = now, how == Absent
 	}
 	if r.strikes < Strikes {
 		return
@@ -103,6 +143,40 @@
 	r.until = now + r.pause
 }
 
+// Doubts returns what this instance itself has found of late.
+func (b *Book) Doubts(now tick.Instant) []Doubt {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []Doubt
+	for h, r := range b.records {
+		if r.found != 0 && now-r.found <= doubtLife {
+			list = append(list, Doubt{h, r.absent})
+		}
+	}
+	return list
+}
+
+// Told says that another instance of the data centre has found it.
+func (b *Book) Told(d Doubt, teller string, now tick.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(d.Server)
+	r.seen = now
+	if r.served != 0 && now-r.served < freshLife {
+		return
+	}
+	if !d.Absent {
+		alone := r.teller == "" || r.teller == teller || now-r.told > doubtLife
+		r.teller, r.told = teller, now
+		if alone && (r.found == 0 || now-r.found > doubtLife) {
+			return
+		}
+	}
+	r.strikes = max(r.strikes, Strikes)
+	r.pause = max(r.pause, pauseLeast)
+	r.until = max(r.until, now+pauseLeast)
+}
+
 // Sweep drops the records that were not used for long.
 func (b *Book) Sweep(now tick.Instant) {
 	b.mu.Lock()
--- a/news/load.go
+++ b/news/load.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/tick"
 )
@@ -125,6 +126,13 @@
 	for c, n := range s.cfg.Charges.Used() {
 		l.Used = append(l.Used, &peerpb.Used{Customer: c, Tokens: n})
 	}
+	for _, d := range s.cfg.Health.Doubts(s.cfg.Clock.Now()) {
+		if d.Absent {
+			l.Absent = append(l.Absent, d.Server)
+		} else {
+			l.Silent = append(l.Silent, d.Server)
+		}
+	}
 	sortLoad(l)
 	return l
 }
@@ -169,6 +177,21 @@
 		used[u.GetCustomer()] = u.GetTokens()
 	}
 	s.cfg.Charges.Heard(name, used, now)
+	s.doubt(l, from.Centre, now)
+}
+
+// doubt takes what a peer has found out about backend servers. That one is
+// silent counts among instances that reach it by the same links only.
+func (s *Service) doubt(l *peerpb.Load, centre string, now tick.Instant) {
+	for _, h := range l.GetAbsent() {
+		s.cfg.Health.Told(health.Doubt{Server: h, Absent: true}, l.GetInstance(), now)
+	}
+	if centre != s.cfg.Self.Centre {
+		return
+	}
+	for _, h := range l.GetSilent() {
+		s.cfg.Health.Told(health.Doubt{Server: h}, l.GetInstance(), now)
+	}
 }
 
 // keep stores the load of a peer. A process that was replaced no longer counts.
@@ -223,5 +246,7 @@
 // sortLoad puts a load into the one order that equal loads share.
 func sortLoad(l *peerpb.Load) {
 	slices.SortFunc(l.Placed, func(a, b *peerpb.Placed) int { return cmp.Compare(a.GetServer(), b.GetServer()) })
+	slices.Sort(l.Absent)
+	slices.Sort(l.Silent)
 	slices.SortFunc(l.Used, func(a, b *peerpb.Used) int { return cmp.Compare(a.GetCustomer(), b.GetCustomer()) })
 }
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/tick"
@@ -113,6 +114,7 @@
 	*Service
 	book   *book
 	shared *shared
+	health *health.Book
 	stop   func()
 }
 
@@ -133,7 +135,7 @@
 func start(t *testing.T, name string, seeds ...string) *node {
 	t.Helper()
 	l, pc := listen(t)
-	n := &node{book: &book{}, shared: &shared{
+	n := &node{book: &book{}, health: health.NewBook(), shared: &shared{
 		own: map[uint64]admit.Sum{7: {Reading: 100, Memory: 200, Running: 1}}, heard: make(map[string]map[string]int64),
 		used: map[string]int64{"sur": 10},
 	}}
@@ -142,7 +144,7 @@
 			Instance: name, Incarnation: 1, Address: l.Addr().String(), Datagrams: pc.LocalAddr().String(),
 			Centre: "a", Region: "r",
 		},
-		Seeds: seeds, Book: n.book, Loads: n.shared, Charges: n.shared, Clock: tick.NewReal(), Log: zerolog.Nop(),
+		Seeds: seeds, Book: n.book, Loads: n.shared, Charges: n.shared, Health: n.health, Clock: tick.NewReal(), Log: zerolog.Nop(),
 	})
 	srv := peer.NewServer(peer.Handlers{News: n.Service}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -226,6 +228,26 @@
 	eventually(t, "the second reads itself", b.Watches)
 }
 
+// TestDoubtsGoRound has two of three instances find servers gone.
+func TestDoubtsGoRound(t *testing.T) {
+	is := is.New(t)
+	a := start(t, "a")
+	b := start(t, "b", a.cfg.Self.Address)
+	c := start(t, "c", a.cfg.Self.Address)
+	eventually(t, "they know each other", func() bool { return len(c.Members()) == 2 && len(b.Members()) == 2 })
+	usable := func(server string) bool { return c.health.Usable(server, c.cfg.Clock.Now()) }
+	a.health.Failed("absent", health.Absent, a.cfg.Clock.Now())
+	a.health.Failed("dark", health.Silent, a.cfg.Clock.Now())
+	eventually(t, "the third one knows of the absent one", func() bool { return !usable("absent") })
+	is.True(usable("dark")) // it may be dark to the first one alone
+	eventually(t, "the third one knows of the dark one", func() bool {
+		a.health.Failed("dark", health.Silent, a.cfg.Clock.Now())
+		b.health.Failed("dark", health.Silent, b.cfg.Clock.Now())
+		return !usable("dark")
+	})
+	is.Equal(len(c.health.Doubts(c.cfg.Clock.Now())), 0) // hearsay is not told on
+}
+
 func TestMembers(t *testing.T) {
 	const now = time.Minute
 	mk := func(incarnation uint64, age int64, addr string) *peerpb.Member {
@@ -266,7 +288,7 @@
 	is := is.New(t)
 	s := New(Config{
 		Self: Member{Instance: "me"}, Book: &book{}, Clock: tick.NewFake(0),
-		Charges: &shared{heard: make(map[string]map[string]int64)}, Log: zerolog.Nop(),
+		Charges: &shared{heard: make(map[string]map[string]int64)}, Health: health.NewBook(), Log: zerolog.Nop(),
 	})
 	s.members.take(&peerpb.Member{Instance: "i", Incarnation: 2, Address: "x"}, 0)
 	s.take(&peerpb.Load{Instance: "i", Incarnation: 2, Serial: 5})
--- a/news/service.go
+++ b/news/service.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/peerpb"
@@ -72,6 +73,12 @@
 	Gone(peer string)
 }
 
+// Health is what instances find out about backend servers.
+type Health interface {
+	Doubts(now tick.Instant) []health.Doubt
+	Told(d health.Doubt, teller string, now tick.Instant)
+}
+
 // Config configures a Service.
 type Config struct {
 	Self    Member
@@ -79,6 +86,7 @@
 	Book    Book
 	Loads   Loads
 	Charges Charges
+	Health  Health
 	Clock   tick.Service
 	Log     zerolog.Logger
 }
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -9,6 +9,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/route"
@@ -34,14 +35,12 @@
 	took := h.cfg.Clock.Now() - start
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: prompt was not read")
-		if !m.gone() {
-			h.cfg.Health.Failed(s.Key(), fail.Outcome(err) == ident.NotRun, h.cfg.Clock.Now())
-		}
+		m.blame(s, failure(err))
 		m.avoid(s)
 		m.want.Alone = m.reads > 1
 		return false
 	}
-	h.cfg.Health.Served(s.Key())
+	h.cfg.Health.Served(s.Key(), h.cfg.Clock.Now())
 	h.cfg.Placer.Read(p, took)
 	m.steps.read = h.cfg.Clock.Now() - m.start
 	m.steps.reads++
@@ -62,6 +61,9 @@
 	if err != nil {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
 	}
+	if m.h.cfg.Wire.Elsewhere(a.Status) {
+		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errElsewhere)
+	}
 	if a.Status != http.StatusOK {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errors.Errorf("status %d", a.Status))
 	}
@@ -95,9 +97,8 @@
 	})
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
-		if !m.gone() {
-			h.cfg.Health.Failed(s.Key(), true, h.cfg.Clock.Now())
-		}
+		// The call costs the server no work: one that does not answer is silent.
+		m.blame(s, max(failure(err), health.Silent))
 		m.avoid(s)
 		m.rounds-- // it is not asked again, so that this ends by itself
 		return false
--- a/relay/model.go
+++ b/relay/model.go
@@ -6,6 +6,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -169,6 +170,7 @@
 	defer a.Close()
 	m.writes++
 	if m.h.cfg.Wire.Disowned(a.Status, a.Header) {
+		m.misled(p.Decode, a)
 		m.job.drop(a)
 		m.disowned(p)
 		return false
@@ -213,7 +215,7 @@
 	if m.kv.tries == 1 && now-m.kv.at < life {
 		return
 	}
-	m.h.cfg.Health.Failed(m.kv.server.Key(), false, now)
+	m.h.cfg.Health.Failed(m.kv.server.Key(), health.Bad, now)
 	m.release()
 	m.want.Read = false
 	m.want.Alone = true
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 
 	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/route"
@@ -130,6 +131,7 @@
 	defer a.Close()
 	j.writes++
 	if h.cfg.Wire.Disowned(a.Status, a.Header) {
+		j.misled(s, a)
 		j.drop(a)
 		return false
 	}
@@ -141,17 +143,17 @@
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", j.ask.ID).Msg("relay: answer is not whole")
-		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+		h.cfg.Health.Failed(key, health.Bad, h.cfg.Clock.Now())
 		return false
 	}
 	if a.Status >= http.StatusInternalServerError {
-		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+		h.cfg.Health.Failed(key, health.Bad, h.cfg.Clock.Now())
 		if j.route.Kind == route.Idempotent && j.runs < j.route.MaxTries {
 			j.saved = &reply{status: a.Status, header: a.Header, body: b}
 			return false
 		}
 	} else {
-		h.cfg.Health.Served(key)
+		h.cfg.Health.Served(key, h.cfg.Clock.Now())
 	}
 	j.pass(&reply{status: a.Status, header: a.Header, body: b})
 	return true
@@ -166,9 +168,7 @@
 		j.sent = true
 		j.runs++
 	}
-	if !j.gone() {
-		h.cfg.Health.Failed(s.Key(), fail.Outcome(err) == ident.NotRun, h.cfg.Clock.Now())
-	}
+	j.blame(s, failure(err))
 }
 
 // drop reads the rest of an answer that is not passed on.
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -7,6 +7,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/event"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/tick"
 )
@@ -18,7 +19,7 @@
 	key := p.Decode.Key()
 	if a.Status != http.StatusOK {
 		b, err := whole(a)
-		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
+		h.cfg.Health.Failed(key, health.Bad, h.cfg.Clock.Now())
 		m.avoid(p.Decode)
 		if m.runs < m.route.MaxTries && m.route.Repeatable() {
 			if err == nil {
@@ -35,15 +36,13 @@
 	}
 	err := m.stream(a, p)
 	if err == nil {
-		h.cfg.Health.Served(key)
+		h.cfg.Health.Served(key, h.cfg.Clock.Now())
 		m.note, m.done = "answered in full", true
 		return true
 	}
 	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.ask.ID).Int64("event", m.lastID).
 		Msg("relay: stream broke")
-	if !m.gone() {
-		h.cfg.Health.Failed(key, false, h.cfg.Clock.Now())
-	}
+	m.blame(p.Decode, health.Bad)
 	m.avoid(p.Decode)
 	return !m.repeatable()
 }
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -43,6 +43,8 @@
 	Ask(h http.Header) Ask
 	// Forward returns the headers to send to a server.
 	Forward(h http.Header, s Send) http.Header
+	// Elsewhere tells whether an answer says that another server is there.
+	Elsewhere(status int) bool
 	// Disowned tells whether an answer says that the server did not run the
 	// request.
 	Disowned(status int, h http.Header) bool
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -5,6 +5,8 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Stage is the part of a model request that a backend server does.
@@ -33,6 +35,10 @@
 // Key names one start of a server at one address.
 func (s *Server) Key() string { return s.ID + "@" + s.Addr + "@" + strconv.FormatInt(s.Born, 10) }
 
+// Hash returns the hash of a server's key, by which instances name it to each
+// other.
+func Hash(key string) uint64 { return xxhash.Sum64String(key) }
+
 // Fleet is the set of backend servers at one revision of the store.
 type Fleet struct {
 	revision int64
