--- a/news/load.go
+++ b/news/load.go
@@ -15,6 +15,7 @@
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
 
@@ -47,6 +48,7 @@
 type sender struct {
 	s      *Service
 	pc     net.PacketConn
+	first  uint64 // where it begins among the instances of a data centre
 	serial uint64
 	last   []byte       // the state as it was sent last
 	near   tick.Instant // when it was sent last, to the own region
@@ -57,7 +59,7 @@
 // then.
 func (s *Service) Send(ctx context.Context, pc net.PacketConn, done chan<- struct{}) {
 	defer close(done)
-	d := &sender{s: s, pc: pc}
+	d := &sender{s: s, pc: pc, first: route.Hash(s.cfg.Self.Instance)}
 	tick.Repeat(ctx, s.cfg.Clock.Every(loadEvery), func(context.Context) {
 		now := s.cfg.Clock.Now()
 		s.merge(now)
@@ -85,21 +87,74 @@
 	d.last, d.near = plain, now
 	d.serial++
 	state.Serial = d.serial
-	b, err := proto.Marshal(state)
+	if all {
+		d.all = now
+	}
+	return d.spread(state, peers, all)
+}
+
+// spread writes the state to each instance of the own data centre, and to one
+// of each other that passes it on there: what crosses between data centres then
+// grows with the instances and not with their square. The one changes from
+// time to time, so that one that is gone costs a datagram only. Other regions
+// are written to if all is set.
+func (d *sender) spread(state *peerpb.Load, peers []Member, all bool) error {
+	direct, err := proto.Marshal(state)
 	if err != nil {
 		return err
 	}
-	if all {
-		d.all = now
+	state.Forward = true
+	passed, err := proto.Marshal(state)
+	if err != nil {
+		return err
 	}
+	self := d.s.cfg.Self
+	away := make(map[string][]Member)
 	for i := range peers {
-		if all || peers[i].Region == d.s.cfg.Self.Region {
-			d.s.write(d.pc, &peers[i], b)
+		switch p := peers[i]; {
+		case p.Centre == self.Centre:
+			d.s.write(d.pc, &p, direct)
+		case all || p.Region == self.Region:
+			away[p.Centre] = append(away[p.Centre], p)
 		}
 	}
+	now := d.s.cfg.Clock.Now()
+	for _, list := range away {
+		d.s.write(d.pc, relayOf(list, d.first+d.serial, now), passed)
+	}
 	return nil
 }
 
+// relayOf picks the instance of a data centre that passes a datagram on: in
+// turn those that were heard of late, any if none was.
+func relayOf(list []Member, turn uint64, now tick.Instant) *Member {
+	var fresh []*Member
+	for i := range list {
+		if now-list[i].heard <= staleAfter {
+			fresh = append(fresh, &list[i])
+		}
+	}
+	if len(fresh) == 0 {
+		return &list[turn%uint64(len(list))]
+	}
+	return fresh[turn%uint64(len(fresh))]
+}
+
+// pass passes on a datagram of another data centre within the own one.
+func (s *Service) pass(pc net.PacketConn, l *peerpb.Load) {
+	l.Forward = false
+	b, err := proto.Marshal(l)
+	if err != nil {
+		s.cfg.Log.Error().Err(err).Msg("news: encode load")
+		return
+	}
+	for _, m := range s.members.list() {
+		if m.Centre == s.cfg.Self.Centre && m.Instance != l.GetInstance() {
+			s.write(pc, &m, b)
+		}
+	}
+}
+
 // write sends a datagram. One that is lost is made up for by the next.
 func (s *Service) write(pc net.PacketConn, m *Member, b []byte) {
 	addr, err := net.ResolveUDPAddr("udp", m.Datagrams)
@@ -156,6 +211,9 @@
 			s.cfg.Log.Warn().Err(err).Stringer("peer", from).Msg("news: load cannot be read")
 			continue
 		}
+		if l.GetForward() {
+			s.pass(pc, &l)
+		}
 		s.take(&l)
 	}
 }
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -131,8 +131,14 @@
 	return l, pc
 }
 
-// start runs an instance that knows the first one.
+// start runs an instance of data centre a that knows the first one.
 func start(t *testing.T, name string, seeds ...string) *node {
+	t.Helper()
+	return startIn(t, "a", name, seeds...)
+}
+
+// startIn runs an instance of a data centre.
+func startIn(t *testing.T, centre, name string, seeds ...string) *node {
 	t.Helper()
 	l, pc := listen(t)
 	n := &node{book: &book{}, health: health.NewBook(), shared: &shared{
@@ -142,7 +148,7 @@
 	n.Service = New(Config{
 		Self: Member{
 			Instance: name, Incarnation: 1, Address: l.Addr().String(), Datagrams: pc.LocalAddr().String(),
-			Centre: "a", Region: "r",
+			Centre: centre, Region: "r",
 		},
 		Seeds: seeds, Book: n.book, Loads: n.shared, Charges: n.shared, Health: n.health, Clock: tick.NewReal(), Log: zerolog.Nop(),
 	})
@@ -228,6 +234,67 @@
 	eventually(t, "the second reads itself", b.Watches)
 }
 
+// TestOneOfADataCentrePassesOn has instances of two data centres hear each
+// other's load, and counts what crosses between them.
+func TestOneOfADataCentrePassesOn(t *testing.T) {
+	is := is.New(t)
+	a := startIn(t, "a", "a1")
+	var others []*node
+	for _, name := range []string{"b1", "b2", "b3", "b4"} {
+		others = append(others, startIn(t, "b", name, a.cfg.Self.Address))
+	}
+	eventually(t, "all hear the first one, and it hears all", func() bool {
+		for _, o := range others {
+			if !o.hears("a1") || !a.hears(o.cfg.Self.Instance) {
+				return false
+			}
+		}
+		return true
+	})
+	// One datagram to the data centre for each state, however many are there.
+	pc := &counter{}
+	d := &sender{s: a.Service, pc: pc}
+	for range 20 {
+		is.NoErr(d.spread(&peerpb.Load{Instance: "a1"}, a.Members(), true))
+		d.serial++
+	}
+	is.Equal(pc.sent, 20)
+	is.Equal(len(pc.to), 4) // they take turns
+	others[0].stop()
+	eventually(t, "one that has ended is passed over", func() bool {
+		pc.to = make(map[string]bool)
+		for range 4 {
+			is.NoErr(d.spread(&peerpb.Load{Instance: "a1"}, a.Members(), true))
+			d.serial++
+		}
+		return !pc.to[others[0].cfg.Self.Datagrams]
+	})
+}
+
+// hears reports whether the load of a peer is known.
+func (n *node) hears(peer string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	_, ok := n.loads[peer]
+	return ok
+}
+
+// counter counts datagrams in place of sending them.
+type counter struct {
+	net.PacketConn
+	sent int
+	to   map[string]bool
+}
+
+func (c *counter) WriteTo(_ []byte, to net.Addr) (int, error) {
+	if c.to == nil {
+		c.to = make(map[string]bool)
+	}
+	c.sent++
+	c.to[to.String()] = true
+	return 0, nil
+}
+
 // TestDoubtsGoRound has two of three instances find servers gone.
 func TestDoubtsGoRound(t *testing.T) {
 	is := is.New(t)
