--- a/admit/desk.go
+++ b/admit/desk.go
@@ -205,6 +205,14 @@
 	d.waiting = kept
 }
 
+// Forget drops what is known of servers that are not there any more, those for
+// whose hash here returns false.
+func (d *Desk) Forget(here func(hash uint64) bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book.Forget(here)
+}
+
 // Read says that the prompt of a placement has been read, and how long it took.
 func (d *Desk) Read(p *Placement, took time.Duration) {
 	d.mu.Lock()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -197,6 +197,7 @@
 		d.p.Link.Sweep(unusedConns)
 		d.p.Health.Sweep(now)
 		d.p.Limits.Sweep(now)
+		d.forget()
 		d.reload()
 		if t := d.p.Live.Table(); t != nil && t.Limits().IdleTime > 0 {
 			d.idle.close(t.Limits().IdleTime + idleMargin)
@@ -204,6 +205,15 @@
 	})
 }
 
+// forget drops the records of backend servers that are gone.
+func (d *daemon) forget() {
+	here := make(map[uint64]bool)
+	for _, s := range d.p.Live.Fleet().All() {
+		here[route.Hash(s.Key())] = true
+	}
+	d.p.Desk.Forget(func(hash uint64) bool { return here[hash] })
+}
+
 // reload follows the settings file, which changes with a signal or without.
 // Addresses and names stay those of the start.
 func (d *daemon) reload() {
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -93,13 +93,12 @@
 	table atomic.Pointer[Table]
 	fleet atomic.Pointer[Fleet]
 
-	mu      sync.Mutex
-	changed chan struct{} // closed and replaced at each change
+	mu sync.Mutex // held by those that replace them
 }
 
 // NewLive returns a Live that knows nothing.
 func NewLive() *Live {
-	l := &Live{changed: make(chan struct{})}
+	l := &Live{}
 	l.fleet.Store(NewFleet(0, nil))
 	return l
 }
@@ -110,13 +109,6 @@
 // Fleet returns the fleet in force, which is empty at first.
 func (l *Live) Fleet() *Fleet { return l.fleet.Load() }
 
-// Changed returns a channel that is closed at the next change.
-func (l *Live) Changed() <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.changed
-}
-
 // SetTable puts a table in force, unless one that is as new is there.
 func (l *Live) SetTable(t *Table) bool {
 	l.mu.Lock()
@@ -125,7 +117,6 @@
 		return false
 	}
 	l.table.Store(t)
-	l.announce()
 	return true
 }
 
@@ -137,11 +128,5 @@
 		return false
 	}
 	l.fleet.Store(f)
-	l.announce()
 	return true
 }
-
-func (l *Live) announce() {
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
