--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 SITES ?= andino-match pintu-warisan
 HUNT ?= 40
 
-.PHONY: all build demo days test lint vet gen gen-check tools soak slopes bench links red
+.PHONY: all build demo days test lint vet gen gen-check tools soak faults slopes bench links red
 
 all: build
 
@@ -55,6 +55,11 @@
 soak:
 	WASABI_SOAK=$(SOAK) go test -count=1 -timeout 2h ./limit ./quota ./spread ./once ./flow
 
+# faults plays SEEDS seeds of faults on real daemons.
+SEEDS ?= 50
+faults: build
+	bin/soak -entry bin/entry -seeds $(SEEDS)
+
 # slopes measures what a daemon costs at several sizes and fits lines. Nothing
 # else should use the machine's loopback meanwhile.
 slopes:
