--- a/soak/judge.go
+++ b/soak/judge.go
@@ -327,7 +327,7 @@
 		}
 		for id, list := range r.arrivals {
 			i := slices.IndexFunc(list, func(a mimic.Arrival) bool { return a.ID == o.call.ID && !a.Prompt })
-			if i >= 0 && r.calmServers(o, id) {
+			if i >= 0 && r.calmServers(o) {
 				return fmt.Sprintf("lost: %s had no whole answer, it came to %s", o.call.ID, id)
 			}
 		}
@@ -337,7 +337,7 @@
 
 // calmServers reports whether no server was in trouble while a call ran: any of
 // them may have broken its answer off.
-func (r *record) calmServers(o *outcome, _ string) bool {
+func (r *record) calmServers(o *outcome) bool {
 	for _, spans := range r.servers {
 		if !clear(spans, o.sent, o.ended, time.Second) {
 			return false
--- a/wasabi/explain.go
+++ b/wasabi/explain.go
@@ -83,7 +83,7 @@
 		}
 		last = d.writer
 		a.printf("%s\n", d.sentence())
-		if d.partial() && (i+1 == len(all) || all[i+1].writer != d.writer || all[i+1].file != d.file) {
+		if d.step && (i+1 == len(all) || all[i+1].writer != d.writer || all[i+1].file != d.file) {
 			a.printf("Missing: how it ended there. The process ended before it, the lines were dropped, or it goes on.\n")
 		}
 	}
@@ -125,7 +125,7 @@
 type decision struct {
 	file    int
 	writer  string // instance, empty if the line does not tell
-	step    bool   // something on the way, not an end
+	step    bool   // something on the way: the decision that ends the request must follow
 	request string
 	micros  int64
 	message string
@@ -163,10 +163,6 @@
 	return d, true
 }
 
-// partial reports whether more must follow: a step of a request is followed by
-// the decision that ends it.
-func (d decision) partial() bool { return d.step }
-
 // fieldText returns a field for people; empty and null fields say nothing.
 func fieldText(raw json.RawMessage) string {
 	var s string
