--- a/certs/certs.go
+++ b/certs/certs.go
@@ -216,15 +216,7 @@
 	timer := clock.Every(period)
 	go func() {
 		defer close(done)
-		defer timer.Stop()
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-timer.C():
-			}
-			s.reload(log)
-		}
+		tick.Repeat(ctx, timer, func(context.Context) { s.reload(log) })
 	}()
 	return done
 }
--- a/quota/admit.go
+++ b/quota/admit.go
@@ -77,7 +77,7 @@
 		if retry <= 0 || s.time.Now()+retry > latest {
 			return nil, s.refuse(max(retry, 0), reason(resp))
 		}
-		if err := s.sleep(ctx, retry); err != nil {
+		if err := tick.Sleep(ctx, s.time, retry); err != nil {
 			return nil, fail.New("quota: wait", "", ident.NotRun, err)
 		}
 	}
@@ -136,17 +136,6 @@
 	return fail.Refuse(fail.CodeRate, retry, reason)
 }
 
-func (s *Service) sleep(ctx context.Context, d time.Duration) error {
-	t := s.time.After(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-t.C():
-		return nil
-	}
-}
-
 func reason(resp *peerpb.ChargeResponse) string {
 	if r := resp.GetReason(); r != "" {
 		return r
--- a/quota/renew.go
+++ b/quota/renew.go
@@ -30,7 +30,7 @@
 			done <- struct{}{}
 		}()
 	}
-	for s.sleep(ctx, s.renew(ctx)) == nil {
+	for tick.Sleep(ctx, s.time, s.renew(ctx)) == nil {
 		s.requeue()
 		s.lenders.forget(s.time.Now())
 	}
@@ -56,7 +56,7 @@
 		}
 	}
 	s.holder.Stop(s.time.Now())
-	if err := s.sleep(ctx, releaseWait); err != nil {
+	if err := tick.Sleep(ctx, s.time, releaseWait); err != nil {
 		return err
 	}
 	s.renewAt(ctx, s.node.Instance, &peerpb.LeaseRequest{Holder: s.self(), Released: groups})
@@ -78,7 +78,7 @@
 // rest waits, and renews the leases of the own seat meanwhile.
 func (s *Service) rest(ctx context.Context, groups []uint32, d time.Duration) error {
 	for end := s.time.Now() + d; s.time.Now() < end; s.renewOwn(ctx, groups) {
-		if err := s.sleep(ctx, min(limit.RenewEvery(s.ownLife()), end-s.time.Now())); err != nil {
+		if err := tick.Sleep(ctx, s.time, min(limit.RenewEvery(s.ownLife()), end-s.time.Now())); err != nil {
 			return err
 		}
 	}
