--- a/meter/export.go
+++ b/meter/export.go
@@ -24,11 +24,11 @@
 	return name + "{" + label + "=" + quote(value) + "}"
 }
 
+// escapes are those of the text form.
+var escapes = strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
+
 // quote returns the value of a label with the escapes of the text form.
-func quote(v string) string {
-	r := strings.NewReplacer(`\`, `\\`, `"`, `\"`, "\n", `\n`)
-	return `"` + r.Replace(v) + `"`
-}
+func quote(v string) string { return `"` + escapes.Replace(v) + `"` }
 
 // Handler serves the measures.
 func (m *Meter) Handler() http.Handler {
