route: make the key of a server once for each fleet

Placing asked for it several times for each server, and made the text anew each time. A placement among 90 servers: 46 us and 371 allocations before, 9 us and one after.

--- a/route/fleet.go
+++ b/route/fleet.go
@@ -30,10 +30,17 @@
 	Models  []string
 	Slots   int
 	Born    int64 // Unix milliseconds of its start, 0 if it does not tell
+
+	key string // as Key returns it, set by NewFleet
 }
 
 // Key names one start of a server at one address.
-func (s *Server) Key() string { return s.ID + "@" + s.Addr + "@" + strconv.FormatInt(s.Born, 10) }
+func (s *Server) Key() string {
+	if s.key != "" {
+		return s.key
+	}
+	return s.ID + "@" + s.Addr + "@" + strconv.FormatInt(s.Born, 10)
+}
 
 // Hash returns the hash of a server's key, by which instances name it to each
 // other.
@@ -46,7 +53,9 @@
 	of       map[string][]*Server
 }
 
-// NewFleet returns the fleet of the given servers, which must not be draining.
+// NewFleet returns the fleet of the given servers, which must not be draining,
+// and which nobody changes from then on. Each placement asks for their keys, so
+// that these are made here.
 func NewFleet(revision int64, servers []*Server) *Fleet {
 	f := &Fleet{
 		revision: revision,
@@ -54,6 +63,7 @@
 		of:       make(map[string][]*Server),
 	}
 	for _, s := range servers {
+		s.key = s.Key()
 		f.byID[s.ID] = s
 		f.of[s.Service] = append(f.of[s.Service], s)
 	}
