--- a/entry/measures.go
+++ b/entry/measures.go
@@ -62,7 +62,7 @@
 	gauge("requests_waiting", int64(p.Desk.Waiting()))
 	gauge("uptime_seconds", int64((p.Clock.Now()-m.start)/time.Second))
 	gauge("instances_heard", int64(len(p.News.Members())))
-	gauge("store_cut", one(p.Store.Cut()))
+	gauge("store_cut", meter.Flag(p.Store.Cut()))
 	gauge("server_connections_opened", p.Link.Dials())
 	if t := p.Live.Table(); t != nil {
 		gauge("table_version", t.Version())
@@ -81,13 +81,6 @@
 	gauge(`log_lines_dropped{kind="important"}`, important)
 }
 
-func one(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // measuresAddr returns where the measures are served beside the address of the
 // readiness check: on the same host, at the port given.
 func measuresAddr(ready, port string) (string, error) {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -120,6 +120,14 @@
 	return metrics.GetOrRegisterCounter(name, m.cfg.Registry)
 }
 
+// Flag returns the value of a gauge that tells whether something holds.
+func Flag(on bool) int64 {
+	if on {
+		return 1
+	}
+	return 0
+}
+
 // Count adds to the series of a counter with one label.
 func (m *Meter) Count(name, label, value string, n int64) {
 	m.Counter(series(name, label, value)).Inc(n)
--- a/wasabid/app/gauge.go
+++ b/wasabid/app/gauge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"wasabidock.dev/dock/meter"
 )
 
 const gaugeEvery = time.Second
@@ -23,7 +25,7 @@
 
 func (d *daemon) setGauges() {
 	set := func(name string, v int64) { d.p.Meter.Gauge(name).Update(v) }
-	set("ready", toInt(d.unready() == ""))
+	set("ready", meter.Flag(d.unready() == ""))
 	set("requests_active", d.p.Front.Active())
 	set("placements_live", int64(d.p.Placer.Live()))
 	if t := d.p.Tables.table(); t != nil {
@@ -57,10 +59,3 @@
 	set("fleet_bytes_received", s.Received)
 	set("platform_reads", s.Reads)
 }
-
-func toInt(b bool) int64 {
-	if b {
-		return 1
-	}
-	return 0
-}
