--- a/entry/app.go
+++ b/entry/app.go
@@ -38,11 +38,11 @@
 	bodyShare = 0.3
 	// startLimit and stopLimit bound the hooks of the parts.
 	startLimit = 10 * time.Second
+	stopLimit  = 30 * time.Second
 	// logBytes bounds the log lines that wait for their reader.
 	logBytes = 1 << 20
 	// logEnd bounds the wait for a reader that has stopped, at the end.
-	logEnd    = 100 * time.Millisecond
-	stopLimit = 30 * time.Second
+	logEnd = 100 * time.Millisecond
 )
 
 // settingsPath returns the path of the settings that the platform gives.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -46,11 +46,9 @@
 	*mimic.Server
 	proxy   *proxy
 	service string
-	away    atomic.Bool
+	away    atomic.Bool // it has departed
 }
 
-func (s *server) departed() bool { return s.away.Load() }
-
 // fleet is the system under test and what it talks to.
 type fleet struct {
 	daemons []*daemon
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -339,7 +339,7 @@
 // them may have broken its answer off.
 func (r *record) calmServers(o *outcome) bool {
 	for _, spans := range r.servers {
-		if !clear(spans, o.sent, o.ended, time.Second) {
+		if !untouched(spans, o.sent, o.ended, time.Second) {
 			return false
 		}
 	}
@@ -358,7 +358,7 @@
 	for id, runs := range r.runs {
 		for _, u := range runs {
 			o := left[u.ID]
-			if o == nil || !clear(r.servers[id], o.sent, o.left.Add(goneTime), time.Second) {
+			if o == nil || !untouched(r.servers[id], o.sent, o.left.Add(goneTime), time.Second) {
 				continue
 			}
 			if end := u.End; end.IsZero() || end.After(o.left.Add(goneTime)) {
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -106,10 +106,8 @@
 
 // toDeparted runs calls at servers that have departed.
 func toDeparted(p planted) bool {
-	p.f.rec.mu.Lock()
-	defer p.f.rec.mu.Unlock()
 	for _, s := range p.f.servers {
-		if s.departed() && s.service == mimic.PlainService && p.call.Kind == mimic.Look {
+		if s.away.Load() && s.service == mimic.PlainService && p.call.Kind == mimic.Look {
 			s.Plant(p.call, customerOf(p.call.Key), true)
 		}
 	}
--- a/soak/record.go
+++ b/soak/record.go
@@ -116,7 +116,8 @@
 	return true
 }
 
-func clear(spans []span, from, to time.Time, after time.Duration) bool {
+// untouched reports whether no span, drawn out at its end, meets [from, to].
+func untouched(spans []span, from, to time.Time, after time.Duration) bool {
 	for _, s := range spans {
 		if s.overlaps(from, to, after) {
 			return false
