admit: a decode server reads a prompt itself only if its streams keep their pauses

Cause: placement compared the time to the first event of the two ways and left out the streams that run at the decode server, which pause for each piece of a prompt that it reads.

Change: the expected pause after the choice, from the pauses that streams show and the prompts being read there, is held against the longest pause that the route allows. Where it is longer, the prefill server reads, even if later.

Ruled out: a constant factor for the second way (it would be right for one kind of server).

--- a/admit/book.go
+++ b/admit/book.go
@@ -61,6 +61,11 @@
 	// memoryShare is the part of a server's memory that is handed out. The
 	// rest covers what other instances place at the same time.
 	memoryShare = 0.95
+	// pauseDefault is the expected pause between events as a part of the
+	// longest one that is on time, until streams tell.
+	pauseDefault = 0.5
+	// pauseWeight is the weight of the pauses of one more stream.
+	pauseWeight = 0.2
 )
 
 // Want is a model request that asks for servers.
@@ -74,6 +79,8 @@
 	// use any more.
 	By    tick.Instant
 	Until tick.Instant
+	// Gap is the longest pause between events that is on time, 0 for no bound.
+	Gap   time.Duration
 	Avoid []string // keys of servers that failed the request
 	Alone bool     // the decode server reads the prompt itself
 	Read  bool     // the prompt has been read, only a decode server is needed
@@ -99,12 +106,13 @@
 
 // load is what runs on one server.
 type load struct {
-	reading int          // tokens of prompts being read, placed by this instance
-	memory  int          // tokens of memory taken, by this instance
-	running int          // requests, of this instance
-	peers   Sum          // of the other instances
-	speed   float64      // tokens of prompts read per second
-	full    tick.Instant // it takes nothing until then
+	reading int           // tokens of prompts being read, placed by this instance
+	memory  int           // tokens of memory taken, by this instance
+	running int           // requests, of this instance
+	peers   Sum           // of the other instances
+	speed   float64       // tokens of prompts read per second
+	full    tick.Instant  // it takes nothing until then
+	pause   time.Duration // mean time between the events of its streams, 0 if not known
 }
 
 // Sum is the load that instances have placed on a server.
@@ -213,12 +221,27 @@
 		return &Placement{Decode: decode, Start: dCost}
 	}
 	self := b.selfCost(w, decode)
-	if prefill == nil || decode.Stage == route.StageBoth || self < pCost {
+	if prefill == nil || decode.Stage == route.StageBoth || self < pCost && !b.stalls(w, decode) {
 		return &Placement{Decode: decode, Start: dCost + self}
 	}
 	return &Placement{Prefill: prefill, Decode: decode, Start: dCost + pCost}
 }
 
+// stalls tells whether the streams that run at a decode server would pause for
+// longer than is on time if it read the prompt itself. Several pieces of a
+// prompt may fall between two events, since an event may carry several tokens.
+func (b *Book) stalls(w *Want, s *route.Server) bool {
+	l := b.load(s)
+	if w.Gap <= 0 || l.running+l.peers.Running == 0 {
+		return false
+	}
+	pause := l.pause
+	if pause == 0 {
+		pause = time.Duration(pauseDefault * float64(w.Gap))
+	}
+	return pause+b.selfCost(w, s) > w.Gap
+}
+
 func avoided(w *Want, s *route.Server) bool {
 	for _, k := range w.Avoid {
 		if k == s.Key() {
@@ -293,6 +316,16 @@
 	}
 }
 
+// Paced tells the mean pause between the events of a placement's stream.
+func (b *Book) Paced(p *Placement, pause time.Duration) {
+	l := b.load(p.Decode)
+	if l.pause == 0 {
+		l.pause = pause
+		return
+	}
+	l.pause += time.Duration(pauseWeight * float64(pause-l.pause))
+}
+
 // Done says that a placement has ended, however it did.
 func (b *Book) Done(p *Placement) {
 	b.Read(p, 0)
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -221,6 +221,13 @@
 	d.sweep(d.clock.Now())
 }
 
+// Paced tells the mean pause between the events of a placement's stream.
+func (d *Desk) Paced(p *Placement, pause time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book.Paced(p, pause)
+}
+
 // Done gives the places of a request back.
 func (d *Desk) Done(p *Placement) {
 	d.mu.Lock()
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -65,6 +65,8 @@
 type Placer interface {
 	Place(ctx context.Context, w admit.Want) (*admit.Placement, error)
 	Read(p *admit.Placement, took time.Duration)
+	// Paced tells the mean pause between the events of a stream.
+	Paced(p *admit.Placement, pause time.Duration)
 	// Full says that a server had no room for a request.
 	Full(s *route.Server)
 	Done(p *admit.Placement)
--- a/relay/model.go
+++ b/relay/model.go
@@ -92,6 +92,7 @@
 		Output:   j.expect(),
 		Priority: j.priority(),
 		By:       j.start + j.route.Objective,
+		Gap:      j.route.Gap,
 		Until:    min(j.until, j.start+time.Duration(patience*float64(j.route.Objective))),
 	}
 	return w
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -56,7 +57,8 @@
 		return errUnsealed
 	}
 	rc := http.NewResponseController(m.w)
-	var last tick.Instant // of the last event that was passed on
+	var first, last tick.Instant // of the events that were passed on
+	pauses := 0
 	s := event.NewScanner(a.Body, maxEvent)
 	for s.Scan() {
 		if id := s.ID(); id != event.NoID {
@@ -79,11 +81,18 @@
 		if err := rc.Flush(); err != nil {
 			return err
 		}
-		last = m.pause(last)
+		if last = m.pause(last); first == 0 {
+			first = last
+		} else {
+			pauses++
+		}
 	}
 	if err := s.Err(); err != nil {
 		return err
 	}
+	if pauses > 0 {
+		m.h.cfg.Placer.Paced(p, (last-first)/time.Duration(pauses))
+	}
 	if !m.began {
 		m.begin(a)
 	}
