share, news: a process that has just started takes a small part of each limit until it knows the fleet

When many start at once each hears a few at first, and fills each customer's bucket as if these were all: 630,000 to 698,000 tokens in 8 s at 30 to 364 instances, where 545,000 are allowed. Members were told 16 at a time, so that the lists of 95 took seconds.

Change: a caller that knows less than nine tenths of the members is told all; members that are known and not heard count; in the first second at least 32 are assumed.

Ruled out: the time between messages (the same test with steady instances stays within the bound).

--- a/news/members.go
+++ b/news/members.go
@@ -14,7 +14,7 @@
 	// forgetAfter is the time after which a member that nobody hears is
 	// forgotten.
 	forgetAfter = 10 * time.Second
-	// mostTold bounds the members that one message tells.
+	// mostTold bounds the members that a message tells one who knows most.
 	mostTold = 16
 )
 
@@ -102,12 +102,19 @@
 	}
 }
 
-// wire returns members as they are told to others: all, or some of many.
-func (m *members) wire(now tick.Instant) []*peerpb.Member {
+// count returns the number of members.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.byID)
+}
+
+// wire returns members as they are told to others: all, or most of many.
+func (m *members) wire(now tick.Instant, most int) []*peerpb.Member {
 	all := m.list()
-	if len(all) > mostTold {
+	if len(all) > most {
 		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		all = all[:mostTold]
+		all = all[:most]
 	}
 	out := make([]*peerpb.Member, 0, len(all))
 	for i := range all {
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -79,6 +79,13 @@
 	peers map[uint64]admit.Sum
 	used  map[string]int64
 	heard map[string]map[string]int64
+	known int
+}
+
+func (s *shared) Known(others int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.known = others
 }
 
 func (s *shared) Own() map[uint64]admit.Sum { return s.own }
@@ -182,6 +189,24 @@
 	}
 }
 
+// TestNewcomerIsToldAll joins a fleet of more instances than a message usually
+// tells: it needs to know how many there are before it hears them.
+func TestNewcomerIsToldAll(t *testing.T) {
+	is := is.New(t)
+	const many = 5 * mostTold
+	s := New(Config{Self: Member{Instance: "a", Address: "127.0.0.1:1"}, Book: &book{}, Charges: &shared{}, Clock: tick.NewFake(0)})
+	for i := range many {
+		s.members.take(&peerpb.Member{Instance: fmt.Sprint("m", i), Incarnation: 1, Address: fmt.Sprint("127.0.0.1:", i+2)}, 0)
+	}
+	for _, tt := range []struct{ known, told int }{{0, many + 1}, {mostTold, many + 1}, {many, mostTold}} {
+		resp, err := s.Exchange(t.Context(), &peerpb.ExchangeRequest{
+			Self: &peerpb.Member{Instance: "new", Incarnation: 1, Address: "127.0.0.1:1000"}, Known: int32(tt.known),
+		})
+		is.NoErr(err)
+		is.Equal(len(resp.GetMembers()), tt.told)
+	}
+}
+
 func TestInstancesFindEachOther(t *testing.T) {
 	is := is.New(t)
 	a := start(t, "a")
--- a/news/service.go
+++ b/news/service.go
@@ -29,6 +29,8 @@
 	// silentAfter is how long an instance relies on another one that it does
 	// not hear.
 	silentAfter = 700 * time.Millisecond
+	// knownShare is the part of the members below which a caller is told all.
+	knownShare = 0.9
 	// exchangeLimit bounds a call.
 	exchangeLimit = 800 * time.Millisecond
 )
@@ -70,6 +72,8 @@
 type Charges interface {
 	Used() map[string]int64
 	Heard(peer string, used map[string]int64, now tick.Instant)
+	// Known tells how many other instances there are.
+	Known(others int)
 	Gone(peer string)
 }
 
@@ -173,6 +177,7 @@
 // round calls the seeds and one other member.
 func (s *Service) round(ctx context.Context) {
 	s.members.sweep(s.cfg.Clock.Now())
+	s.cfg.Charges.Known(s.members.count())
 	var calls sync.WaitGroup
 	for _, addr := range s.targets() {
 		calls.Go(func() {
@@ -227,18 +232,18 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeLimit)
 	defer cancel()
+	now := s.cfg.Clock.Now()
 	table, fleet := s.cfg.Book.Revisions()
 	resp, err := c.Exchange(ctx, &peerpb.ExchangeRequest{
-		Self: s.self(), Members: s.members.wire(s.cfg.Clock.Now()), Table: table, Fleet: fleet, Want: want,
+		Self: s.self(), Members: s.members.wire(now, mostTold), Known: int32(s.members.count()),
+		Table: table, Fleet: fleet, Want: want,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "exchange with %s", addr)
 	}
-	now := s.cfg.Clock.Now()
+	now = s.cfg.Clock.Now()
 	s.members.take(resp.GetSelf(), now)
-	for _, m := range resp.GetMembers() {
-		s.members.take(m, now)
-	}
+	s.learn(resp.GetMembers(), now)
 	if !want {
 		s.compare(addr, resp.GetTable(), resp.GetFleet())
 		return nil
@@ -259,17 +264,33 @@
 	return nil
 }
 
+// learn takes in what a peer says of members.
+func (s *Service) learn(list []*peerpb.Member, now tick.Instant) {
+	for _, m := range list {
+		s.members.take(m, now)
+	}
+	s.cfg.Charges.Known(s.members.count())
+}
+
+// told returns how many members a caller is told that knows some already: all
+// of them if it has just started, since until it knows how many instances there
+// are its part of each limit is not known either.
+func (s *Service) told(known int) int {
+	if all := s.members.count(); float64(known) < knownShare*float64(all) {
+		return all
+	}
+	return mostTold
+}
+
 // Exchange answers a call of a peer.
 func (s *Service) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
 	now := s.cfg.Clock.Now()
 	s.members.take(r.GetSelf(), now)
-	for _, m := range r.GetMembers() {
-		s.members.take(m, now)
-	}
+	s.learn(r.GetMembers(), now)
 	table, fleet := s.cfg.Book.Revisions()
 	s.compare(r.GetSelf().GetAddress(), r.GetTable(), r.GetFleet())
 	resp := &peerpb.ExchangeResponse{
-		Self: s.self(), Members: s.members.wire(now), Table: table, Fleet: fleet,
+		Self: s.self(), Members: s.members.wire(now, s.told(int(r.GetKnown()))), Table: table, Fleet: fleet,
 	}
 	if !r.GetWant() {
 		return resp, nil
--- a/share/limits.go
+++ b/share/limits.go
@@ -17,6 +17,9 @@
 	// aloneMembers is the number of instances that is assumed by one that has
 	// never heard another.
 	aloneMembers = 8
+	// findTime is how long a process takes to find the others. Until then it
+	// assumes that there are unknownMembers at least.
+	findTime = time.Second
 	// startShare is the part of its burst that a customer finds at a process
 	// that has just started: the rest may have been used elsewhere.
 	startShare = 0.25
@@ -44,15 +47,17 @@
 // Limits keeps the buckets of the customers. It may be used concurrently.
 type Limits struct {
 	clock tick.Service
+	start tick.Instant
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
+	known   int // other instances that there are, heard or not
 }
 
 // NewLimits returns a Limits whose buckets are full.
 func NewLimits(clock tick.Service) *Limits {
-	return &Limits{clock: clock, buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Limits{clock: clock, start: clock.Now(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
 // Charge takes tokens from a customer's bucket. If there are not enough, it
@@ -124,12 +129,24 @@
 			heard++
 		}
 	}
+	all = max(all, l.known+1)
 	if all == 1 {
 		all = aloneMembers
 	}
+	if now-l.start < findTime {
+		all = max(all, unknownMembers)
+	}
 	return float64(heard) / float64(all)
 }
 
+// Known tells how many other instances there are. Those that were not heard
+// yet have their part of each limit.
+func (l *Limits) Known(others int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.known = others
+}
+
 // Heard takes in the charges of a peer since its start, by customer. A peer
 // that starts anew must come under another name.
 func (l *Limits) Heard(name string, used map[string]int64, now tick.Instant) {
@@ -184,5 +201,5 @@
 func (l *Limits) Members() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.peers) + 1
+	return max(len(l.peers), l.known) + 1
 }
