relay: an idempotent request is repeated elsewhere only when late for its service and with a repeat at hand

Cause: after 0.6 of the objective the try was cut whether or not a repeat was left.

Change: the time is the usual one of the service (mean and four mean deviations), if that is longer; the repeat is taken from the budget first, and the try goes on if there is none.

Test: slow servers, with and without a budget; before the change 502 without and a repeat for each request with one.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -97,11 +97,13 @@
 	bodies atomic.Int64 // bytes that are promised to bodies
 	end    atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
 	counts loads
+
+	latencies latencies
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, counts: newLoads()}
+	return &Handler{cfg: cfg, counts: newLoads(), latencies: newLatencies()}
 }
 
 // Active returns the number of requests that are being served.
@@ -129,6 +131,7 @@
 	sent    bool         // a server may have run it
 	runs    int          // servers that may have run it
 	writes  int          // servers to which it was written
+	paid    bool         // the next write was taken from the budget already
 	began   bool         // the head of the answer was written
 	saved   *reply       // a server's failure, passed on if nothing better comes
 	lastID  int64        // event that the caller has got last
@@ -304,6 +307,10 @@
 	if j.writes == 0 {
 		return true
 	}
+	if j.paid {
+		j.paid = false
+		return true
+	}
 	return j.repeat()
 }
 
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -25,7 +25,7 @@
 	// before one abroad is preferred.
 	abroadLoad = 8
 	// hedgeShare is the part of the objective after which an idempotent
-	// request that was not answered is repeated elsewhere.
+	// request that was not answered may be repeated elsewhere.
 	hedgeShare = 0.6
 	// noServerRetry is when a caller may come back while no server is known.
 	noServerRetry = 500 * time.Millisecond
@@ -74,14 +74,14 @@
 			j.giveUp(shedRetry, "no repeat is left")
 			return
 		}
-		if j.plainTry(ctx, s) {
+		avoid[s.Key()] = true
+		if j.plainTry(ctx, s, avoid) {
 			return
 		}
 		if ctx.Err() != nil {
 			j.giveUp(shedRetry, "time is up")
 			return
 		}
-		avoid[s.Key()] = true
 	}
 }
 
@@ -110,8 +110,8 @@
 }
 
 // plainTry writes the request to a server. It returns true if the request is
-// answered.
-func (j *job) plainTry(ctx context.Context, s *route.Server) bool {
+// answered. The servers in avoid were tried.
+func (j *job) plainTry(ctx context.Context, s *route.Server, avoid map[string]bool) bool {
 	h := j.h
 	key := s.Key()
 	h.counts.add(key, 1)
@@ -120,9 +120,14 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if j.route.Kind == route.Idempotent && j.runs+1 < j.route.MaxTries && j.route.Objective > 0 {
-		ctx, cancel = context.WithTimeout(ctx, time.Duration(hedgeShare*float64(j.route.Objective)))
-		defer cancel()
+		hedged := make(chan struct{})
+		go j.hedge(ctx, cancel, avoid, hedged)
+		defer func() {
+			cancel()
+			<-hedged
+		}()
 	}
+	start := h.cfg.Clock.Now()
 	a, err := h.cfg.Link.Do(ctx, j.call(s, j.send(s)))
 	if err != nil {
 		j.lost(s, err)
@@ -154,11 +159,32 @@
 		}
 	} else {
 		h.cfg.Health.Served(key, h.cfg.Clock.Now())
+		h.latencies.add(j.service.Name, h.cfg.Clock.Now()-start)
 	}
 	j.pass(&reply{status: a.Status, header: a.Header, body: b})
 	return true
 }
 
+// hedge ends a try that takes longer than is usual for its service and leaves
+// time for another one. It does so only if there is a server left to try and a
+// repeat for it, since the answer may still come: where all servers are slow,
+// to begin anew helps nobody. It closes done when it ends.
+func (j *job) hedge(ctx context.Context, cut context.CancelFunc, avoid map[string]bool, done chan<- struct{}) {
+	defer close(done)
+	h := j.h
+	least := time.Duration(hedgeShare * float64(j.route.Objective))
+	t := h.cfg.Clock.After(max(least, h.latencies.usual(j.service.Name)))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C():
+		if j.pick(avoid) != nil && j.repeat() {
+			j.paid = true
+			cut()
+		}
+	}
+}
+
 // lost takes note of a write that brought no answer.
 func (j *job) lost(s *route.Server, err error) {
 	h := j.h
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -97,6 +97,33 @@
 	is.Equal(w.budget.spent, 0)
 }
 
+// TestSlowServersAreWaitedFor asks idempotent requests where each server takes
+// longer than the time after which they may be repeated elsewhere. One without a
+// repeat in the budget is not cut; and once the service is known to be slow,
+// none is repeated.
+func TestSlowServersAreWaitedFor(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		budget int
+		spent  int // at most, over four requests
+	}{{name: "no budget"}, {name: "budget", budget: 10, spent: 1}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(t, map[string]mimic.Role{"s1": mimic.Plain, "s2": mimic.Plain})
+			w.budget.left = tt.budget
+			for _, s := range w.servers {
+				s.Fail(mimic.Slow)
+			}
+			for range 4 {
+				got := w.ask(t, http.MethodGet, "/read/1", "")
+				is.NoErr(got.err)
+				is.Equal(got.status, 200)
+			}
+			is.True(w.budget.spent <= tt.spent)
+		})
+	}
+}
+
 func TestMutatingNeverRunsTwice(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, map[string]mimic.Role{"s1": mimic.Plain, "s2": mimic.Plain})
