admit, news: requests that can still be on time go first, over all instances

Cause: the queue of an instance puts those behind that would be late, but it took the time that an idle server reads a prompt for the time to the first event. And each instance ordered its own queue only: with one or two requests in each, places went to late requests while others waited elsewhere.

Change: the time to the first event is learned from first events; instances tell how many requests wait that can still be on time, and a late one leaves the next place to these. A stream that goes on does not. The longest pause of a stream stands in its decision line.

Test: the load of eight instances in bursts.

--- a/admit/book.go
+++ b/admit/book.go
@@ -61,6 +61,11 @@
 	// memoryShare is the part of a server's memory that is handed out. The
 	// rest covers what other instances place at the same time.
 	memoryShare = 0.95
+	// startWeight and startSpread are the weights of one more request in the mean
+	// time to the first event beyond what its prompt takes, and in the mean
+	// deviation from that.
+	startWeight = 0.1
+	startSpread = 0.2
 	// pauseDefault is the expected pause between events as a part of the
 	// longest one that is on time, until streams tell.
 	pauseDefault = 0.5
@@ -84,6 +89,7 @@
 	Avoid []string // keys of servers that failed the request
 	Alone bool     // the decode server reads the prompt itself
 	Read  bool     // the prompt has been read, only a decode server is needed
+	Begun bool     // the caller has got part of the answer
 }
 
 // Need returns the memory that the request is charged, in tokens.
@@ -115,11 +121,13 @@
 	pause   time.Duration // mean time between the events of its streams, 0 if not known
 }
 
-// Sum is the load that instances have placed on a server.
+// Sum is the load that instances have placed on a server or, by the hash of a
+// service's name, the requests that wait for it.
 type Sum struct {
 	Reading int // tokens of prompts that are being read
 	Memory  int // tokens of memory
 	Running int // requests
+	Waiting int // requests that can still be on time
 }
 
 // Config configures a Book.
@@ -133,11 +141,21 @@
 type Book struct {
 	cfg   Config
 	loads map[uint64]*load // by route.Hash of the server's key
+
+	starts map[string]*start // by service
+}
+
+// start is what requests of a service take to their first event beyond the
+// time that an idle server reads their prompt: calls, queues and the way of the
+// KV cache.
+type start struct {
+	mean      time.Duration
+	deviation time.Duration
 }
 
 // NewBook returns an empty Book.
 func NewBook(cfg Config) *Book {
-	return &Book{cfg: cfg, loads: make(map[uint64]*load)}
+	return &Book{cfg: cfg, loads: make(map[uint64]*load), starts: make(map[string]*start)}
 }
 
 func (b *Book) load(s *route.Server) *load { return b.byHash(route.Hash(s.Key())) }
@@ -316,6 +334,35 @@
 	}
 }
 
+// Began says that the first event of a placement has come.
+func (b *Book) Began(p *Placement, now tick.Instant) {
+	b.Read(p, 0)
+	if p.Prefill == nil || p.want.Read {
+		return
+	}
+	took := now - p.at - reading(&p.want)
+	st, ok := b.starts[p.want.Service]
+	if !ok {
+		b.starts[p.want.Service] = &start{mean: took, deviation: max(took, -took) / 2}
+		return
+	}
+	off := took - st.mean
+	st.mean += time.Duration(startWeight * float64(off))
+	st.deviation += time.Duration(startSpread * float64(max(off, -off)-st.deviation))
+}
+
+// reading returns the time in which an idle server reads a prompt.
+func reading(w *Want) time.Duration { return readFixed + span(float64(w.Prompt)/speedDefault) }
+
+// start returns the time to the first event that most requests stay within.
+func (b *Book) start(w *Want) time.Duration {
+	t := reading(w)
+	if st, ok := b.starts[w.Service]; ok {
+		t += max(st.mean+st.deviation, 0)
+	}
+	return t
+}
+
 // Paced tells the mean pause between the events of a placement's stream.
 func (b *Book) Paced(p *Placement, pause time.Duration) {
 	l := b.load(p.Decode)
@@ -346,6 +393,16 @@
 	}
 }
 
+// elsewhere returns how many requests for a service wait at other instances and
+// can still be on time.
+func (b *Book) elsewhere(service string) int {
+	l, ok := b.loads[route.Hash(service)]
+	if !ok {
+		return 0
+	}
+	return l.peers.Waiting
+}
+
 // Own returns the load that this instance has placed, by route.Hash of the key.
 func (b *Book) Own() map[uint64]Sum {
 	own := make(map[uint64]Sum)
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -83,13 +83,13 @@
 
 // ahead tells whether a request that waits goes before w.
 func (d *Desk) ahead(w *Want, now tick.Instant) bool {
-	return len(d.waiting) > 0 && !before(w, &d.waiting[0].want, now)
+	return len(d.waiting) > 0 && !d.before(w, &d.waiting[0].want, now)
 }
 
 // before orders requests: those that can still be on time first, the more
 // urgent of them first, then those that are due first.
-func before(a, b *Want, now tick.Instant) bool {
-	if la, lb := a.late(now), b.late(now); la != lb {
+func (d *Desk) before(a, b *Want, now tick.Instant) bool {
+	if la, lb := d.late(a, now), d.late(b, now); la != lb {
 		return lb
 	}
 	if a.Priority != b.Priority {
@@ -99,10 +99,8 @@
 }
 
 // late tells whether a request that starts now has its first event after it is
-// due.
-func (w *Want) late(now tick.Instant) bool {
-	return now+readFixed+span(float64(w.Prompt)/speedDefault) >= w.By
-}
+// due, as far as requests of late tell.
+func (d *Desk) late(w *Want, now tick.Instant) bool { return now+d.book.start(w) >= w.By }
 
 func (d *Desk) try(w *Want, now tick.Instant) (*Placement, bool) {
 	servers, engine := d.src.Servers(w.Service)
@@ -117,7 +115,7 @@
 	if servers, engine := d.src.Servers(wt.want.Service); engine == nil || !wt.want.Possible(servers, engine) {
 		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
 	}
-	i := sort.Search(len(d.waiting), func(i int) bool { return before(&wt.want, &d.waiting[i].want, now) })
+	i := sort.Search(len(d.waiting), func(i int) bool { return d.before(&wt.want, &d.waiting[i].want, now) })
 	if eta := d.eta(i); len(d.waiting) >= maxWaiting || now+eta > wt.want.Until {
 		return fail.Refuse(fail.CodeOverload, max(eta, retryLeast), "too many requests wait")
 	}
@@ -179,7 +177,7 @@
 		return
 	}
 	sort.SliceStable(d.waiting, func(i, j int) bool {
-		return before(&d.waiting[i].want, &d.waiting[j].want, now)
+		return d.before(&d.waiting[i].want, &d.waiting[j].want, now)
 	})
 	kept := d.waiting[:0]
 	full := false
@@ -188,7 +186,7 @@
 			wt.got <- nil
 			continue
 		}
-		if !full {
+		if !full && !d.yields(&wt.want, now) {
 			if p, ok := d.try(&wt.want, now); ok {
 				wt.got <- p
 				d.granted(now)
@@ -205,6 +203,13 @@
 	d.waiting = kept
 }
 
+// yields tells whether a request leaves the next place to another instance: it
+// is late in any case, and there is one that waits there and can still be on
+// time. A stream that goes on does not, since its caller has part of it.
+func (d *Desk) yields(w *Want, now tick.Instant) bool {
+	return !w.Begun && d.late(w, now) && d.book.elsewhere(w.Service) > 0
+}
+
 // Forget drops what is known of servers that are not there any more, those for
 // whose hash here returns false.
 func (d *Desk) Forget(here func(hash uint64) bool) {
@@ -221,6 +226,14 @@
 	d.sweep(d.clock.Now())
 }
 
+// Began says that the first event of a placement has come.
+func (d *Desk) Began(p *Placement) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book.Began(p, d.clock.Now())
+	d.sweep(d.clock.Now())
+}
+
 // Paced tells the mean pause between the events of a placement's stream.
 func (d *Desk) Paced(p *Placement, pause time.Duration) {
 	d.mu.Lock()
@@ -251,11 +264,23 @@
 	d.sweep(d.clock.Now())
 }
 
-// Own returns what this instance has placed, by Hash of the key.
+// Own returns what this instance has placed, by Hash of the key, and what waits
+// here, by Hash of the service.
 func (d *Desk) Own() map[uint64]Sum {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.book.Own()
+	own := d.book.Own()
+	now := d.clock.Now()
+	for _, wt := range d.waiting {
+		if d.late(&wt.want, now) {
+			continue
+		}
+		h := route.Hash(wt.want.Service)
+		sum := own[h]
+		sum.Waiting++
+		own[h] = sum
+	}
+	return own
 }
 
 // Waiting returns the number of requests that wait.
--- a/news/load.go
+++ b/news/load.go
@@ -175,7 +175,7 @@
 	}
 	for h, sum := range s.cfg.Loads.Own() {
 		l.Placed = append(l.Placed, &peerpb.Placed{
-			Server: h, Reading: int64(sum.Reading), Memory: int64(sum.Memory), Running: int64(sum.Running),
+			Server: h, Reading: int64(sum.Reading), Memory: int64(sum.Memory), Running: int64(sum.Running), Waiting: int64(sum.Waiting),
 		})
 	}
 	for c, n := range s.cfg.Charges.Used() {
@@ -271,7 +271,7 @@
 	}
 	for _, p := range l.GetPlaced() {
 		h.sums[p.GetServer()] = admit.Sum{
-			Reading: int(p.GetReading()), Memory: int(p.GetMemory()), Running: int(p.GetRunning()),
+			Reading: int(p.GetReading()), Memory: int(p.GetMemory()), Running: int(p.GetRunning()), Waiting: int(p.GetWaiting()),
 		}
 	}
 	s.loads[l.GetInstance()] = h
@@ -294,6 +294,7 @@
 			sum.Reading += o.Reading
 			sum.Memory += o.Memory
 			sum.Running += o.Running
+			sum.Waiting += o.Waiting
 			sums[h] = sum
 		}
 	}
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -65,6 +65,8 @@
 type Placer interface {
 	Place(ctx context.Context, w admit.Want) (*admit.Placement, error)
 	Read(p *admit.Placement, took time.Duration)
+	// Began says that the first event of a stream has come.
+	Began(p *admit.Placement)
 	// Paced tells the mean pause between the events of a stream.
 	Paced(p *admit.Placement, pause time.Duration)
 	// Full says that a server had no room for a request.
@@ -287,7 +289,8 @@
 		e = e.Int("prompt", j.ask.Prompt).Int("output", j.ask.Output).Int("hint", j.ask.Hint).
 			Int64("last", j.lastID).Str("prefill", j.steps.prefill).Str("decode", j.steps.decode).
 			Int("reads", j.steps.reads).Int("fetched", j.steps.fetched).Int("runs", j.runs).
-			Dur("placed", j.steps.placed).Dur("read", j.steps.read).Dur("first", j.steps.first)
+			Dur("placed", j.steps.placed).Dur("read", j.steps.read).Dur("first", j.steps.first).
+			Dur("gap", j.steps.gap)
 	}
 	e.Msg("relay: " + j.note)
 }
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -68,7 +68,7 @@
 			m.lastID = id
 		}
 		if !m.began {
-			m.h.cfg.Placer.Read(p, 0)
+			m.h.cfg.Placer.Began(p)
 			m.steps.first = m.h.cfg.Clock.Now() - m.start
 			m.begin(a)
 		}
@@ -103,6 +103,7 @@
 func (m *modelJob) begin(a *link.Answer) {
 	m.head(a.Header)
 	m.began, m.status = true, a.Status
+	m.want.Begun = true
 	m.w.WriteHeader(a.Status)
 }
 
