admit: who has waited in vain is told to come back after as long a wait

Cause: such a request was told the time in which the queue of its instance empties, some hundred milliseconds, in an overload that had lasted for three seconds.

--- a/admit/desk.go
+++ b/admit/desk.go
@@ -72,7 +72,10 @@
 	select {
 	case p := <-wt.got:
 		if p == nil {
-			return nil, fail.Refuse(fail.CodeOverload, d.Wait(), "no server has room in time")
+			// The load has lasted for as long as the request has waited: who
+			// comes back sooner most likely waits in vain once more.
+			waited := d.clock.Now() - now
+			return nil, fail.Refuse(fail.CodeOverload, max(d.Wait(), waited), "no server has room in time")
 		}
 		return p, nil
 	case <-ctx.Done():
--- a/admit/desk_test.go
+++ b/admit/desk_test.go
@@ -89,7 +89,7 @@
 	d.Sweep()
 	r, ok := fail.AsRefusal((<-out).err)
 	is.True(ok)
-	is.True(r.Retry() > 0)
+	is.True(r.Retry() >= 3*time.Second) // the load has lasted that long
 }
 
 func TestRefusedAtOnce(t *testing.T) {
