link: an answer's head without end is no answer

Cause: the head of an answer was read until it ended. A server in trouble that sends header lines without end was read into memory until the request's time was up, at the rate of the link; so was the body of an answer to another call.

Change: 256 KB bound a head, and a whole answer of another call. The limit of silence begins anew when the reader says that what came is of use, and not with each byte.

--- a/link/link.go
+++ b/link/link.go
@@ -24,12 +24,16 @@
 	directBytes = 64 << 10
 	// strayAnswers bounds the answers of other calls that are passed over.
 	strayAnswers = 4
+	// headBytes bounds the head of an answer, and the whole of an answer of
+	// another call that is passed over.
+	headBytes = 256 << 10
 )
 
 // The reasons for which an answer is not taken.
 var (
 	ErrStray   = errors.New("answer of another call")
 	ErrEncoded = errors.New("answer carries a content encoding that was not asked for")
+	ErrTooLong = errors.New("head of an answer has no end")
 )
 
 // Config configures a Client.
@@ -66,7 +70,7 @@
 
 	DialLimit time.Duration // longest wait for a connection, 0 for dialLimit
 	HeadLimit time.Duration // longest wait for the head of the answer, 0 for none
-	IdleLimit time.Duration // longest wait for more of its body, 0 for none
+	IdleLimit time.Duration // longest wait for progress of its body, 0 for none; see Answer.Progress
 }
 
 // Answer is the answer to a call. Close must be called.
@@ -79,7 +83,8 @@
 	addr  string
 	conn  *conn
 	resp  *http.Response
-	wrote <-chan error // result of a write that goes on, nil if it is over
+	idle  time.Duration // Call.IdleLimit
+	wrote <-chan error  // result of a write that goes on, nil if it is over
 	stop  func() bool
 	clean bool // the body was read to its end
 }
@@ -163,6 +168,7 @@
 func (a *Answer) readHead(call *Call, idHeader string) error {
 	a.limitRead(call.HeadLimit)
 	for range strayAnswers {
+		a.conn.src.left = headBytes
 		//nolint:bodyclose // Close ends the connection, or the body was read to its end.
 		resp, err := http.ReadResponse(a.conn.br, &http.Request{Method: call.Method})
 		if err != nil {
@@ -182,16 +188,23 @@
 		if resp.Header.Get("Content-Encoding") != "" {
 			return ErrEncoded
 		}
+		a.conn.src.left = noLimit
 		a.Status = resp.StatusCode
 		a.Header = resp.Header
 		a.resp = resp
-		a.Body = &body{a: a, r: resp.Body, idle: call.IdleLimit}
-		a.limitRead(0)
+		a.Body = &body{a: a, r: resp.Body}
+		a.idle = call.IdleLimit
+		a.Progress()
 		return nil
 	}
 	return ErrStray
 }
 
+// Progress says that what was read of the body so far is of use, and lets the
+// wait for more begin anew. Bytes alone do not: a server in trouble may send some
+// now and then for ever.
+func (a *Answer) Progress() { a.limitRead(a.idle) }
+
 // limitRead bounds the reads that follow, by no limit if d is 0. Socket
 // deadlines take wall-clock values but run on the monotonic clock.
 func (a *Answer) limitRead(d time.Duration) {
@@ -204,15 +217,11 @@
 
 // body notes when the answer was read to its end.
 type body struct {
-	a    *Answer
-	r    io.Reader
-	idle time.Duration
+	a *Answer
+	r io.Reader
 }
 
 func (b *body) Read(p []byte) (int, error) {
-	if b.idle > 0 {
-		b.a.limitRead(b.idle)
-	}
 	n, err := b.r.Read(p)
 	if err == io.EOF {
 		b.a.clean = true
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -221,3 +221,78 @@
 	is.Equal(c.Dials(), int64(2))
 	<-served
 }
+
+// endless answers a call with a beginning and then the same bytes until the
+// caller closes, or until it has written much more than an answer ever has.
+func endless(t *testing.T, begin, again string) (addr string, wrote <-chan int) {
+	t.Helper()
+	const most = 64 << 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	out := make(chan int, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, begin)
+		chunk := []byte(strings.Repeat(again, max(4096/len(again), 1)))
+		n := 0
+		for n < most {
+			_ = c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+			k, err := c.Write(chunk)
+			n += k
+			if err != nil {
+				break
+			}
+		}
+		out <- n
+	}()
+	return l.Addr().String(), out
+}
+
+// TestBytesWithoutEnd meets servers that send bytes that are no answer until
+// their caller closes. Whatever the place, the call fails early.
+func TestBytesWithoutEnd(t *testing.T) {
+	const (
+		head    = "HTTP/1.1 200 OK\r\nAttempt: a\r\n"
+		chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+		most    = 8 << 20 // what the kernel and the client may take before the connection is closed
+	)
+	tests := []struct{ name, begin, again string }{
+		{name: "status line", again: "x"},
+		{name: "line of the head", begin: head + "X: ", again: "x"},
+		{name: "lines of the head", begin: head, again: "X: y\r\n"},
+		{name: "folded line", begin: head + "X: y", again: "\r\n z"},
+		{name: "interim answers", again: "HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"},
+		{name: "answers of others", again: "HTTP/1.1 200 OK\r\nAttempt: z\r\nContent-Length: 1\r\n\r\nz"},
+		{name: "an answer of another", begin: "HTTP/1.1 200 OK\r\nAttempt: z\r\n\r\n", again: "z"},
+		{name: "size of a chunk", begin: chunked, again: "0"},
+		{name: "extension of a chunk", begin: chunked + "1;", again: "x"},
+		{name: "trailer", begin: chunked + "0\r\nX: ", again: "x"},
+		{name: "lines of the trailer", begin: chunked + "0\r\n", again: "X: y\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			addr, wrote := endless(t, tt.begin, tt.again)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			a, err := newClient().Do(ctx, &link.Call{Addr: addr, Method: http.MethodPost, Path: "/", Host: "h", ID: "a"})
+			if err == nil {
+				_, err = io.ReadAll(a.Body)
+				a.Close()
+			}
+			is.True(err != nil)      // it is no answer
+			is.NoErr(ctx.Err())      // and that is found before time is up
+			is.True(<-wrote <= most) // after few bytes
+		})
+	}
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"io"
+	"math"
 	"net"
 	"sync"
 	"syscall"
@@ -36,10 +38,29 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
-	br    *bufio.Reader
+	br    *bufio.Reader // of src
+	src   *source
 	until tick.Instant // when it is too old to be used again
 }
 
+// source reads a connection up to a number of bytes.
+type source struct {
+	r    io.Reader
+	left int64
+}
+
+// noLimit lets a source be read to its end.
+const noLimit = math.MaxInt64
+
+func (s *source) Read(p []byte) (int, error) {
+	if s.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := s.r.Read(p[:min(int64(len(p)), s.left)])
+	s.left -= int64(n)
+	return n, err
+}
+
 // quiet tells whether the connection is open and nothing is unread on it.
 func (c *conn) quiet() bool {
 	if c.br.Buffered() > 0 {
@@ -150,5 +171,6 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer)}, nil
+	src := &source{r: nc, left: noLimit}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(src, readBuffer), src: src}, nil
 }
