relay: trickling streams end, slow ones do not, answers without end leave room

Cause: a resumable stream counted as alive with each byte, so that one that never completes an event lasted until the route's timeout; and it was cut after a second of silence even where the route allows pauses as long. Each answer of a plain service was kept up to 4 MB with no bound for all together, answers to the router's own calls too.

Change: only events with an id of their own are progress; the limit is two of the pauses that the route allows, a second at least; answers that are kept share a part of the memory, and answers to the router's calls have 64 KB.

Tests: Trickle and TestSlowStreamIsNotCut failed before; endless answers and streams of one endless event are new.

--- a/entry/app.go
+++ b/entry/app.go
@@ -34,8 +34,10 @@
 	// memoryShare is the part of the process's memory at which the garbage
 	// collector works harder. The rest is for stacks and unread sockets.
 	memoryShare = 0.7
-	// bodyShare is the part of it that bodies of requests may take together.
-	bodyShare = 0.3
+	// bodyShare is the part of it that bodies of requests may take together, and
+	// answerShare that of answers which are kept until they are whole.
+	bodyShare   = 0.3
+	answerShare = 0.15
 	// startLimit and stopLimit bound the hooks of the parts.
 	startLimit = 10 * time.Second
 	stopLimit  = 30 * time.Second
@@ -154,7 +156,7 @@
 	return relay.New(relay.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Wire: platform.Names{}, Link: p.Link, Limiter: p.Limits, Budget: p.Repeats,
-		Bodies: int64(bodyShare * float64(p.Set.Memory())), Placer: p.Desk, Health: p.Health, Meter: p.Meter, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
+		Bodies: int64(bodyShare * float64(p.Set.Memory())), Answers: int64(answerShare * float64(p.Set.Memory())), Placer: p.Desk, Health: p.Health, Meter: p.Meter, Clock: p.Clock, Log: logs.Part(p.Log, "relay"),
 	})
 }
 
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -85,6 +85,7 @@
 	Budget  Budget
 	Placer  Placer
 	Bodies  int64 // bytes that the bodies of requests may take together, 0 for no bound
+	Answers int64 // bytes that answers may take that are kept until they are whole, 0 for no bound
 	Health  *health.Book
 	Meter   Meter
 	Clock   tick.Service
@@ -97,8 +98,10 @@
 	serial atomic.Uint64
 	active atomic.Int64
 	bodies atomic.Int64 // bytes that are promised to bodies
-	end    atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
-	counts loads
+	// answers is the bytes of answers that are kept until they are whole.
+	answers atomic.Int64
+	end     atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
+	counts  loads
 
 	latencies latencies
 }
--- a/relay/model.go
+++ b/relay/model.go
@@ -21,9 +21,11 @@
 	// handleShare is the part of the life of a KV cache within which a second
 	// server may still be in time to fetch it.
 	handleShare = 0.5
-	// silentLimit is how long a resumable stream may be silent before it goes
-	// on at another server.
+	// silentLimit is how long a resumable stream may be silent at least before
+	// it goes on at another server, and silentGaps the pauses that are still on
+	// time for which it may be.
 	silentLimit = time.Second
+	silentGaps  = 2
 	// patience is the part of the objective for which callers wait for the
 	// first event: they leave after a multiple of the objective.
 	patience = 3.6
@@ -158,8 +160,8 @@
 	}
 	c := m.call(p.Decode, out)
 	if m.route.Resumable && m.runs+1 < m.route.MaxTries {
-		c.HeadLimit = max(m.want.By-m.h.cfg.Clock.Now(), silentLimit)
-		c.IdleLimit = silentLimit
+		c.IdleLimit = max(silentLimit, silentGaps*m.route.Gap)
+		c.HeadLimit = max(m.want.By-m.h.cfg.Clock.Now(), c.IdleLimit)
 	}
 	m.h.cfg.Health.Chosen(p.Decode.Key(), m.h.cfg.Clock.Now())
 	a, err := m.h.cfg.Link.Do(ctx, c)
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -85,7 +85,7 @@
 }
 
 func TestResumedWithinOneAnswer(t *testing.T) {
-	for _, fault := range []mimic.Fault{mimic.Torn, mimic.Stall} {
+	for _, fault := range []mimic.Fault{mimic.Torn, mimic.Stall, mimic.Trickle} {
 		t.Run(string(fault), func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(t, split)
@@ -109,6 +109,32 @@
 	}
 }
 
+// TestSlowStreamIsNotCut has a sound server pause for less than the route allows
+// twice over: the stream stays where it is.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, split)
+	for _, s := range w.servers {
+		s.Pace(2, 1200*time.Millisecond)
+	}
+	got := w.ask(t, http.MethodPost, "/slow/1", "prompt", sized, header("Wasabidock-Deadline-Ms", "5000"))
+	is.NoErr(got.err)
+	is.Equal(got.body, events(1, 2))
+	is.Equal(w.runs(), 1)
+}
+
+// TestEndlessStreamOfOneEvent meets a server that sends one event without end.
+func TestEndlessStreamOfOneEvent(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, split)
+	w.servers["d1"].Fail(mimic.Endless)
+	w.servers["d2"].Fail(mimic.Endless)
+	start := time.Now()
+	got := w.ask(t, http.MethodPost, "/once/1", "prompt", sized)
+	is.True(got.err != nil || got.status >= 500) // nothing that looks whole
+	is.True(time.Since(start) < time.Second)     // and long before time is up
+}
+
 func TestCallerResumes(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(t, split)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -19,8 +19,10 @@
 )
 
 const (
-	// plainBytes bounds an answer that is kept whole before it is passed on.
-	plainBytes = 4 << 20
+	// plainBytes bounds an answer that is kept whole before it is passed on, and
+	// controlBytes one to a call of the router itself.
+	plainBytes   = 4 << 20
+	controlBytes = 64 << 10
 	// abroadLoad is how many requests more a server of the own region may have
 	// before one abroad is preferred.
 	abroadLoad = 8
@@ -142,7 +144,8 @@
 	}
 	j.sent = true
 	j.runs++
-	b, err := whole(a)
+	b, err := j.whole(a)
+	defer h.answers.Add(-int64(len(b)))
 	if err == nil && a.Status < http.StatusMultipleChoices && !h.cfg.Wire.Sealed(a.Header) {
 		err = errUnsealed
 	}
@@ -203,18 +206,51 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(a.Body, plainBytes))
 }
 
-// whole reads an answer to its end.
-func whole(a *link.Answer) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(a.Body, plainBytes+1))
+// whole reads an answer to its end, up to a number of bytes.
+func whole(a *link.Answer, most int) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(a.Body, int64(most)+1))
 	if err != nil {
 		return nil, err
 	}
-	if len(b) > plainBytes {
+	if len(b) > most {
 		return nil, errTooLong
 	}
 	return b, nil
 }
 
+// whole reads an answer to its end while the answers that are kept at this
+// instance have room. What it returns counts in Handler.answers, and is empty if
+// there is an error.
+func (j *job) whole(a *link.Answer) ([]byte, error) {
+	r := &kept{r: a.Body, h: j.h}
+	b, err := io.ReadAll(io.LimitReader(r, plainBytes+1))
+	if err == nil && len(b) > plainBytes {
+		err = errTooLong
+	}
+	if err != nil {
+		j.h.answers.Add(-r.n)
+		return nil, err
+	}
+	return b, nil
+}
+
+// kept counts the bytes of an answer that is being kept.
+type kept struct {
+	r io.Reader
+	h *Handler
+	n int64
+}
+
+func (k *kept) Read(p []byte) (int, error) {
+	n, err := k.r.Read(p)
+	k.n += int64(n)
+	full := k.h.answers.Add(int64(n)) > k.h.cfg.Answers && k.h.cfg.Answers > 0
+	if full && k.n > controlBytes {
+		return n, errTooLong // common answers have room next to those without end
+	}
+	return n, err
+}
+
 // reply is a whole answer of a server.
 type reply struct {
 	status int
--- a/relay/plain_test.go
+++ b/relay/plain_test.go
@@ -44,6 +44,7 @@
 		{name: "mutating extra", path: "/file/1", fault: mimic.Extra, status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
 		{name: "mutating unframed", path: "/file/1", fault: mimic.Unframed, status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
 		{name: "mutating mute", path: "/file/1", fault: mimic.Mute, status: 504, runs: 1},
+		{name: "mutating endless", path: "/file/1", fault: mimic.Endless, status: 502, runs: 1},
 		{name: "idempotent whole", path: "/read/1", status: 200, body: mimic.Answer("s1", "a1"), runs: 1, sealed: true},
 		{name: "idempotent reset", path: "/read/1", fault: mimic.Reset, status: 502, runs: 1},
 		{name: "idempotent error", path: "/read/1", fault: mimic.Error, status: 500, runs: 1, sealed: true},
@@ -97,6 +98,25 @@
 	is.Equal(w.budget.spent, 0)
 }
 
+// TestEndlessAnswersLeaveRoomForOthers has many answers without end at once: they
+// fail, and common answers come through beside them.
+func TestEndlessAnswersLeaveRoomForOthers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, map[string]mimic.Role{"s1": mimic.Plain})
+	w.servers["s1"].Fail(mimic.Endless)
+	ends := make(chan answer)
+	for range 8 {
+		go func() { ends <- w.ask(t, http.MethodPost, "/file/1", "body") }()
+	}
+	eventually(t, "all have run", func() bool { return w.runs() == 8 })
+	w.servers["s1"].Fail(mimic.None)
+	got := w.ask(t, http.MethodPost, "/file/1", "body")
+	is.Equal(got.status, 200)
+	for range 8 {
+		is.Equal((<-ends).status, 502)
+	}
+}
+
 // TestSlowServersAreWaitedFor asks idempotent requests where each server takes
 // longer than the time after which they may be repeated elsewhere. One without a
 // repeat in the budget is not cut; and once the service is known to be slow,
--- a/relay/stream.go
+++ b/relay/stream.go
@@ -19,7 +19,8 @@
 	h := m.h
 	key := p.Decode.Key()
 	if a.Status != http.StatusOK {
-		b, err := whole(a)
+		b, err := m.whole(a)
+		defer h.answers.Add(-int64(len(b)))
 		h.cfg.Health.Failed(key, health.Bad, h.cfg.Clock.Now())
 		m.avoid(p.Decode)
 		if m.runs < m.route.MaxTries && m.route.Repeatable() {
@@ -66,6 +67,7 @@
 				return errOrder
 			}
 			m.lastID = id
+			a.Progress()
 		}
 		if !m.began {
 			m.h.cfg.Placer.Began(p)
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -130,6 +130,8 @@
 			Model: service == "model", Targets: []route.Target{{Service: service, Weight: 1}},
 		}
 	}
+	slow := mk("slow", "/slow/", route.Stream, true, 2, "model")
+	slow.Timeout, slow.Gap = 5*time.Second, 700*time.Millisecond
 	open := mk("open", "/open/", route.Idempotent, false, 1, "app")
 	open.Open = true
 	return route.NewTable(route.Spec{
@@ -139,7 +141,7 @@
 			mk("read", "/read/", route.Idempotent, false, 2, "app"),
 			mk("once", "/once/", route.Stream, false, 1, "model"),
 			mk("again", "/again/", route.Stream, true, 2, "model"),
-			open,
+			open, slow,
 		},
 		Services: []*route.Service{
 			{Name: "app", MaxConns: 10},
@@ -184,7 +186,7 @@
 	w.handler = relay.New(relay.Config{
 		Centre: "a", Region: "r", Live: w.live, Wire: platform.Names{},
 		Link:    link.New(link.Config{Clock: w.clock, IDHeader: platform.AttemptHeader}),
-		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Health: h, Clock: w.clock,
+		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Answers: 1 << 20, Health: h, Clock: w.clock,
 		Meter: meter.New(meter.Config{Registry: w.measures, Clock: w.clock}), Log: zerolog.New(&w.log),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
