admit, link: servers to which a connection is open go first while the load does not speak against it; delay: one estimate of how long things take

Change: opening a connection costs 5 ms in the choice: a round trip, and the slot that it may hold. The two estimates of a mean and its deviation, in admit and relay, are one package.

Ruled out: a subset of servers for each instance, which would take places away when instances are few.

The queue test plays eight seeds in place of four, since four left its bound on those served within the noise.

--- a/admit/book.go
+++ b/admit/book.go
@@ -27,6 +27,7 @@
 import (
 	"time"
 
+	"wasabidock.dev/dock/delay"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -49,6 +50,9 @@
 	// travel a link that is slow and paid.
 	farCost    = 2 * time.Millisecond
 	abroadCost = 150 * time.Millisecond
+	// dialCost is added for a server to which no connection is open: a round
+	// trip, and the slot that a new connection may hold for a while.
+	dialCost = 5 * time.Millisecond
 	// fullCost is the penalty of a decode server without a free block,
 	// proportional below: memory that is nearly used up preempts.
 	fullCost = 60 * time.Millisecond
@@ -61,11 +65,9 @@
 	// memoryShare is the part of a server's memory that is handed out. The
 	// rest covers what other instances place at the same time.
 	memoryShare = 0.95
-	// startWeight and startSpread are the weights of one more request in the mean
-	// time to the first event beyond what its prompt takes, and in the mean
-	// deviation from that.
-	startWeight = 0.1
-	startSpread = 0.2
+	// startDeviations is how many mean deviations above the mean most requests
+	// stay on their way to the first event.
+	startDeviations = 1
 	// pauseDefault is the expected pause between events as a part of the
 	// longest one that is on time, until streams tell.
 	pauseDefault = 0.5
@@ -135,6 +137,9 @@
 	Centre string
 	Region string
 	Usable func(key string, now tick.Instant) bool
+	// Open tells whether a connection to an address is open and idle, nil for
+	// always.
+	Open func(addr string) bool
 }
 
 // Book keeps the load that this instance knows of each server.
@@ -142,20 +147,15 @@
 	cfg   Config
 	loads map[uint64]*load // by route.Hash of the server's key
 
-	starts map[string]*start // by service
-}
-
-// start is what requests of a service take to their first event beyond the
-// time that an idle server reads their prompt: calls, queues and the way of the
-// KV cache.
-type start struct {
-	mean      time.Duration
-	deviation time.Duration
+	// starts is what requests of a service take to their first event beyond the
+	// time in which an idle server reads their prompt: calls, queues and the way
+	// of the KV cache.
+	starts *delay.Book
 }
 
 // NewBook returns an empty Book.
 func NewBook(cfg Config) *Book {
-	return &Book{cfg: cfg, loads: make(map[uint64]*load), starts: make(map[string]*start)}
+	return &Book{cfg: cfg, loads: make(map[uint64]*load), starts: delay.NewBook()}
 }
 
 func (b *Book) load(s *route.Server) *load { return b.byHash(route.Hash(s.Key())) }
@@ -222,13 +222,23 @@
 			continue
 		}
 		if s.Stage == route.StagePrefill {
-			if c := b.readCost(w, s); !w.Alone && (prefill == nil || c < pCost) {
+			if w.Alone {
+				continue
+			}
+			c := b.readCost(w, s)
+			if prefill != nil && c >= pCost {
+				continue
+			}
+			if c += b.dial(s); prefill == nil || c < pCost {
 				prefill, pCost = s, c
 			}
 			continue
 		}
 		c, ok := b.decodeCost(w, s, engine, now)
-		if ok && (decode == nil || c < dCost) {
+		if !ok || decode != nil && c >= dCost {
+			continue
+		}
+		if c += b.dial(s); decode == nil || c < dCost {
 			decode, dCost = s, c
 		}
 	}
@@ -279,6 +289,14 @@
 	return abroadCost
 }
 
+// dial returns the cost of opening a connection to a server.
+func (b *Book) dial(s *route.Server) time.Duration {
+	if b.cfg.Open == nil || b.cfg.Open(s.Addr) {
+		return 0
+	}
+	return dialCost
+}
+
 // readCost returns the expected time until a prefill server has read the
 // prompt.
 func (b *Book) readCost(w *Want, s *route.Server) time.Duration {
@@ -340,15 +358,7 @@
 	if p.Prefill == nil || p.want.Read {
 		return
 	}
-	took := now - p.at - reading(&p.want)
-	st, ok := b.starts[p.want.Service]
-	if !ok {
-		b.starts[p.want.Service] = &start{mean: took, deviation: max(took, -took) / 2}
-		return
-	}
-	off := took - st.mean
-	st.mean += time.Duration(startWeight * float64(off))
-	st.deviation += time.Duration(startSpread * float64(max(off, -off)-st.deviation))
+	b.starts.Add(p.want.Service, now-p.at-reading(&p.want))
 }
 
 // reading returns the time in which an idle server reads a prompt.
@@ -356,11 +366,7 @@
 
 // start returns the time to the first event that most requests stay within.
 func (b *Book) start(w *Want) time.Duration {
-	t := reading(w)
-	if st, ok := b.starts[w.Service]; ok {
-		t += max(st.mean+st.deviation, 0)
-	}
-	return t
+	return reading(w) + max(b.starts.Usual(w.Service, startDeviations), 0)
 }
 
 // Paced tells the mean pause between the events of a placement's stream.
--- a/admit/book_test.go
+++ b/admit/book_test.go
@@ -78,6 +78,41 @@
 	}
 }
 
+// TestOpenConnectionsAreUsed prefers a server to which a connection is open while
+// the load does not speak against it.
+func TestOpenConnectionsAreUsed(t *testing.T) {
+	p1, p2 := server("p1", "a", "r", route.StagePrefill), server("p2", "a", "r", route.StagePrefill)
+	d1, d2 := server("d1", "a", "r", route.StageDecode), server("d2", "a", "r", route.StageDecode)
+	all := []*route.Server{p1, p2, d1, d2}
+	tests := []struct {
+		name    string
+		before  func(b *Book)
+		prefill string
+		decode  string
+	}{
+		{name: "idle", prefill: "p2", decode: "d2"},
+		{name: "loaded", prefill: "p1", decode: "d1", before: func(b *Book) {
+			b.load(p2).peers.Reading = 1_000
+			b.load(d2).peers = Sum{Memory: 4_000, Running: 1}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			open := func(addr string) bool { return addr == p2.Addr || addr == d2.Addr }
+			b := NewBook(Config{Centre: "a", Region: "r", Open: open})
+			if tt.before != nil {
+				tt.before(b)
+			}
+			p, ok := b.Place(Want{Prompt: 1_000, Output: 100}, all, engine, 0)
+			is.True(ok)
+			prefill, decode := names(p)
+			is.Equal(prefill, tt.prefill)
+			is.Equal(decode, tt.decode)
+		})
+	}
+}
+
 // TestUnusableServersAreTheLastResort prefers a server that failed over none.
 func TestUnusableServersAreTheLastResort(t *testing.T) {
 	is := is.New(t)
--- a/admit/start_test.go
+++ b/admit/start_test.go
@@ -188,7 +188,7 @@
 // TestQueueServesWhoCanBeOnTime plays the load with desks that learn how long a
 // start takes and hear what waits elsewhere, and without each of these.
 func TestQueueServesWhoCanBeOnTime(t *testing.T) {
-	const seeds = 4
+	const seeds = 8
 	policies := []startPolicy{
 		{name: "one", desks: 1},
 		{name: "one, learning", desks: 1, learn: true},
--- a/relay/latency_test.go
+++ b/delay/delay_test.go
@@ -1,11 +1,11 @@
-package relay
+package delay
 
 import (
 	"testing"
 	"time"
 )
 
-func TestUsualLatency(t *testing.T) {
+func TestUsual(t *testing.T) {
 	const ms = time.Millisecond
 	tests := []struct {
 		name        string
@@ -19,11 +19,11 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			l := newLatencies()
+			l := NewBook()
 			for _, d := range tt.took {
-				l.add("s", d)
+				l.Add("s", d)
 			}
-			if got := l.usual("s"); got < tt.least || got > tt.most {
+			if got := l.Usual("s", 4); got < tt.least || got > tt.most {
 				t.Errorf("%v: usual %v, want %v to %v", tt.took, got, tt.least, tt.most)
 			}
 		})
--- a/entry/app.go
+++ b/entry/app.go
@@ -130,9 +130,9 @@
 	return m.live.Fleet().Of(service), s.Engine
 }
 
-func newDesk(set *platform.Settings, clock tick.Service, live *route.Live, h *health.Book) *admit.Desk {
+func newDesk(set *platform.Settings, clock tick.Service, live *route.Live, h *health.Book, c *link.Client) *admit.Desk {
 	return admit.NewDesk(admit.Config{
-		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable,
+		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable, Open: c.Open,
 	}, models{live}, clock)
 }
 
--- a/link/link.go
+++ b/link/link.go
@@ -133,6 +133,14 @@
 	return dial(ctx, call.Addr, limit)
 }
 
+// Open tells whether an idle connection to an address is kept.
+func (c *Client) Open(addr string) bool {
+	c.mu.Lock()
+	p := c.pools[addr]
+	c.mu.Unlock()
+	return p != nil && p.has(c.cfg.Clock.Now())
+}
+
 // Dials returns the number of connections that were opened.
 func (c *Client) Dials() int64 { return c.dials.Load() }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -105,6 +105,14 @@
 	}
 }
 
+// has tells whether there is an idle connection that is not too old.
+func (p *pool) has(now tick.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	return n > 0 && now < p.idle[n-1].until
+}
+
 func (p *pool) pop(now tick.Instant) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/delay"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
@@ -103,12 +104,12 @@
 	end     atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
 	counts  loads
 
-	latencies latencies
+	answered *delay.Book // times to the answers of services
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, counts: newLoads(), latencies: newLatencies()}
+	return &Handler{cfg: cfg, counts: newLoads(), answered: delay.NewBook()}
 }
 
 // Active returns the number of requests that are being served.
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -29,6 +29,9 @@
 	// hedgeShare is the part of the objective after which an idempotent
 	// request that was not answered may be repeated elsewhere.
 	hedgeShare = 0.6
+	// lateDeviations is how many mean deviations later than the mean an answer
+	// is still usual.
+	lateDeviations = 4
 	// noServerRetry is when a caller may come back while no server is known.
 	noServerRetry = 500 * time.Millisecond
 	// shedRetry is when a caller may come back after all servers were full.
@@ -162,7 +165,7 @@
 		}
 	} else {
 		h.cfg.Health.Served(key, h.cfg.Clock.Now())
-		h.latencies.add(j.service.Name, h.cfg.Clock.Now()-start)
+		h.answered.Add(j.service.Name, h.cfg.Clock.Now()-start)
 	}
 	j.pass(&reply{status: a.Status, header: a.Header, body: b})
 	return true
@@ -176,7 +179,7 @@
 	defer close(done)
 	h := j.h
 	least := time.Duration(hedgeShare * float64(j.route.Objective))
-	t := h.cfg.Clock.After(max(least, h.latencies.usual(j.service.Name)))
+	t := h.cfg.Clock.After(max(least, h.answered.Usual(j.service.Name, lateDeviations)))
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
