share: a process that finds no more instances for a quarter of a second trusts what it knows

Change: the part is small only while instances are still being found, a second at most. The test with 30, 95 and 364 instances that start anew holds its bound.

--- a/share/limits.go
+++ b/share/limits.go
@@ -17,9 +17,11 @@
 	// aloneMembers is the number of instances that is assumed by one that has
 	// never heard another.
 	aloneMembers = 8
-	// findTime is how long a process takes to find the others. Until then it
-	// assumes that there are unknownMembers at least.
-	findTime = time.Second
+	// findTime is how long a process takes to find the others at most. Until
+	// then it assumes that there are unknownMembers at least, unless it has found
+	// no more of them for settleTime.
+	settleTime = 250 * time.Millisecond
+	findTime   = time.Second
 	// mostWait bounds what a refused caller is told.
 	mostWait = 30 * time.Second
 	// startShare is the part of its burst that a customer finds at a process
@@ -56,12 +58,13 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	peers   map[string]*peer
-	known   int // other instances that there are, heard or not
+	known   int          // other instances that there are, heard or not
+	grew    tick.Instant // when one more became known
 }
 
 // NewLimits returns a Limits whose buckets are full.
 func NewLimits(clock tick.Service) *Limits {
-	return &Limits{clock: clock, start: clock.Now(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
+	return &Limits{clock: clock, start: clock.Now(), grew: clock.Now(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
 // Charge takes tokens from a customer's bucket. If there are not enough, it
@@ -156,7 +159,7 @@
 	if all == 1 {
 		all = aloneMembers
 	}
-	if now-l.start < findTime {
+	if now-l.start < findTime && now-l.grew < settleTime {
 		all = max(all, unknownMembers)
 	}
 	return float64(heard) / float64(all)
@@ -167,6 +170,9 @@
 func (l *Limits) Known(others int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if others > l.known {
+		l.grew = l.clock.Now()
+	}
 	l.known = others
 }
 
@@ -178,6 +184,9 @@
 	p, ok := l.peers[name]
 	if !ok {
 		l.peers[name] = &peer{at: now, used: used}
+		if len(l.peers) > l.known {
+			l.grew = now
+		}
 		return
 	}
 	// While the peer was not heard, its part of the rate was left to it: what
