admit, relay: loads are added and answers read to their end in one place each

The sum of two loads stood in news and in a test, and the bound on the length of an answer in both functions that read one whole.

--- a/admit/book.go
+++ b/admit/book.go
@@ -110,6 +110,14 @@
 	Waiting int // requests that can still be on time
 }
 
+// Add adds another load.
+func (s *Sum) Add(o Sum) {
+	s.Reading += o.Reading
+	s.Memory += o.Memory
+	s.Running += o.Running
+	s.Waiting += o.Waiting
+}
+
 // Config configures a Book.
 type Config struct {
 	Centre string
--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -189,9 +189,7 @@
 			}
 			for h, l := range o.Own() {
 				sum := sums[h]
-				sum.Reading += l.Reading
-				sum.Memory += l.Memory
-				sum.Running += l.Running
+				sum.Add(l)
 				sums[h] = sum
 			}
 		}
--- a/news/load.go
+++ b/news/load.go
@@ -297,10 +297,7 @@
 		}
 		for h, o := range l.sums {
 			sum := sums[h]
-			sum.Reading += o.Reading
-			sum.Memory += o.Memory
-			sum.Running += o.Running
-			sum.Waiting += o.Waiting
+			sum.Add(o)
 			sums[h] = sum
 		}
 	}
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -57,7 +57,7 @@
 		return "", err
 	}
 	defer a.Close()
-	b, err := whole(a, controlBytes)
+	b, err := whole(a.Body, controlBytes)
 	if err != nil {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
 	}
@@ -104,7 +104,7 @@
 		return false
 	}
 	defer a.Close()
-	b, err := whole(a, controlBytes)
+	b, err := whole(a.Body, controlBytes)
 	if err != nil || a.Status != http.StatusOK {
 		h.cfg.Placer.Full(s)
 		m.avoid(s)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -210,8 +210,8 @@
 }
 
 // whole reads an answer to its end, up to a number of bytes.
-func whole(a *link.Answer, most int) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(a.Body, int64(most)+1))
+func whole(r io.Reader, most int) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, int64(most)+1))
 	if err != nil {
 		return nil, err
 	}
@@ -226,10 +226,7 @@
 // there is an error.
 func (j *job) whole(a *link.Answer) ([]byte, error) {
 	r := &kept{r: a.Body, h: j.h}
-	b, err := io.ReadAll(io.LimitReader(r, plainBytes+1))
-	if err == nil && len(b) > plainBytes {
-		err = errTooLong
-	}
+	b, err := whole(r, plainBytes)
 	if err != nil {
 		j.h.answers.Add(-r.n)
 		return nil, err
