health, relay, admit, news, soak: servers that leave or want nothing get nothing new

A server that leaves says so in all its answers, and one that answers 503 may name the time for which it wants nothing. Neither was read: placement went by the store's list alone, so that a server which leaves was used until its entry changed.

health keeps both, under the key of one start of a server; every choice of a server asks it, and the last server is no exception. That a server leaves is told to the other instances. Reservations, prompts and releases heed it as well as requests do. Answers of another server at the same address do not count. If no server is left, callers are told at once when the first one is back.

The soak has servers that announce their leaving while the store still lists them and servers that want nothing for 2.5 s; a planted fault of each is found.

--- a/admit/book.go
+++ b/admit/book.go
@@ -28,6 +28,8 @@
 	"time"
 
 	"wasabidock.dev/dock/delay"
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -123,6 +125,9 @@
 	Centre string
 	Region string
 	Usable func(key string, now tick.Instant) bool
+	// Closed returns the instant until which a server wants no request, one in
+	// the past if it takes them; nil for servers that take them always.
+	Closed func(key string, now tick.Instant) tick.Instant
 	// Open tells whether a connection to an address is open and idle, nil for
 	// always.
 	Open func(addr string) bool
@@ -176,18 +181,37 @@
 	return p, true
 }
 
-// Possible tells whether a server that is there could run the request, if it
-// were idle.
-func (w *Want) Possible(servers []*route.Server, engine *route.Engine) bool {
-	if float64(w.Need()) > float64(engine.KVTokens) {
-		return false
+// refusal tells why none of the servers could run the request even if all were
+// idle, nil if one could.
+func (b *Book) refusal(w *Want, servers []*route.Server, engine *route.Engine, now tick.Instant) *fail.Refusal {
+	if engine == nil || float64(w.Need()) > float64(engine.KVTokens) {
+		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
 	}
+	var back tick.Instant // when the first of the closed ones is open again
 	for _, s := range servers {
-		if s.Stage != route.StagePrefill && !avoided(w, s) {
-			return true
+		if s.Stage == route.StagePrefill {
+			continue
+		}
+		until := b.closed(s, now)
+		if until <= now && !avoided(w, s) {
+			return nil
+		}
+		if until > now && until != health.Left && (back == 0 || until < back) {
+			back = until
 		}
 	}
-	return false
+	if back == 0 {
+		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
+	}
+	return fail.Refuse(fail.CodeOverload, back-now, "the servers want no request for a time")
+}
+
+// closed returns the instant until which a server wants no request.
+func (b *Book) closed(s *route.Server, now tick.Instant) tick.Instant {
+	if b.cfg.Closed == nil {
+		return 0
+	}
+	return b.cfg.Closed(s.Key(), now)
 }
 
 // reader returns the server that reads the prompt.
@@ -204,7 +228,10 @@
 	var decode, prefill *route.Server
 	var dCost, pCost time.Duration
 	for _, s := range servers {
-		if avoided(w, s) || usable && b.cfg.Usable != nil && !b.cfg.Usable(s.Key(), now) {
+		if avoided(w, s) || b.closed(s, now) > now {
+			continue
+		}
+		if usable && b.cfg.Usable != nil && !b.cfg.Usable(s.Key(), now) {
 			continue
 		}
 		if s.Stage == route.StagePrefill {
--- a/admit/book_test.go
+++ b/admit/book_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -37,6 +38,7 @@
 		name    string
 		servers []*route.Server
 		before  func(b *Book)
+		closed  *route.Server // wants no request
 		want    Want
 		prefill string
 		decode  string // "" for no place
@@ -55,6 +57,9 @@
 		}, prefill: "p1", decode: "d3"},
 		{name: "slots", servers: []*route.Server{p1, d1}, before: func(b *Book) { b.load(d1).peers.Running = 8 }},
 		{name: "no room", servers: []*route.Server{p1, d1}, before: func(b *Book) { b.load(d1).peers.Memory = 9_500 }},
+		{name: "closed, whatever else is known", servers: all, closed: d1, prefill: "p1", decode: "d2"},
+		{name: "closed reader", servers: all, closed: p1, prefill: "p2", decode: "d1"},
+		{name: "the last one is closed", servers: []*route.Server{p1, d1}, closed: d1},
 		{name: "avoided", servers: all, want: Want{Avoid: []string{d1.Key(), p1.Key()}}, prefill: "p2", decode: "d2"},
 		{name: "reads itself", servers: all, want: Want{Alone: true}, decode: "d1"},
 		{name: "prompt is read", servers: all, want: Want{Read: true}, decode: "d1"},
@@ -64,7 +69,12 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			b := NewBook(Config{Centre: "a", Region: "r"})
+			b := NewBook(Config{Centre: "a", Region: "r", Closed: func(key string, _ tick.Instant) tick.Instant {
+				if tt.closed != nil && key == tt.closed.Key() {
+					return health.Left
+				}
+				return 0
+			}})
 			if tt.before != nil {
 				tt.before(b)
 			}
@@ -154,12 +164,52 @@
 	}
 }
 
-func TestPossible(t *testing.T) {
-	is := is.New(t)
-	d1 := server("d1", "a", "r", route.StageDecode)
+// TestRefusal has servers that could not run a request even if they were idle.
+func TestRefusal(t *testing.T) {
+	const ms = time.Millisecond
+	d1, d2 := server("d1", "a", "r", route.StageDecode), server("d2", "a", "r", route.StageDecode)
 	p1 := server("p1", "a", "r", route.StagePrefill)
-	is.True((&Want{Prompt: 9_000}).Possible([]*route.Server{d1}, engine))
-	is.True(!(&Want{Prompt: 11_000}).Possible([]*route.Server{d1}, engine)) // larger than any memory
-	is.True(!(&Want{Prompt: 100}).Possible([]*route.Server{p1}, engine))
-	is.True(!(&Want{Prompt: 100, Avoid: []string{d1.Key()}}).Possible([]*route.Server{d1}, engine))
+	tests := []struct {
+		name    string
+		servers []*route.Server
+		want    Want
+		closed  map[string]tick.Instant
+		retry   time.Duration // 0 for no refusal
+	}{
+		{name: "fits", servers: []*route.Server{d1}, want: Want{Prompt: 9_000}},
+		{name: "larger than any memory", servers: []*route.Server{d1}, want: Want{Prompt: 11_000}, retry: retryLeast},
+		{name: "nobody decodes", servers: []*route.Server{p1}, want: Want{Prompt: 100}, retry: retryLeast},
+		{name: "avoided", servers: []*route.Server{d1}, want: Want{Avoid: []string{d1.Key()}}, retry: retryLeast},
+		{
+			name: "one is open", servers: []*route.Server{d1, d2},
+			closed: map[string]tick.Instant{d1.Key(): 700 * ms},
+		},
+		{
+			name: "all want nothing", servers: []*route.Server{p1, d1, d2},
+			closed: map[string]tick.Instant{d1.Key(): 700 * ms, d2.Key(): 600 * ms}, retry: 500 * ms,
+		},
+		{
+			name: "one leaves", servers: []*route.Server{d1, d2},
+			closed: map[string]tick.Instant{d1.Key(): health.Left, d2.Key(): 900 * ms}, retry: 800 * ms,
+		},
+		{
+			name: "all leave", servers: []*route.Server{d1, d2},
+			closed: map[string]tick.Instant{d1.Key(): health.Left, d2.Key(): health.Left}, retry: retryLeast,
+		},
+		{
+			name: "tried and closed", servers: []*route.Server{d1, d2}, want: Want{Avoid: []string{d1.Key(), d2.Key()}},
+			closed: map[string]tick.Instant{d1.Key(): 700 * ms, d2.Key(): 600 * ms}, retry: 500 * ms,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := NewBook(Config{Closed: func(key string, _ tick.Instant) tick.Instant { return tt.closed[key] }})
+			r := b.refusal(&tt.want, tt.servers, engine, 100*ms)
+			is.Equal(r != nil, tt.retry > 0)
+			if r != nil {
+				is.Equal(r.Retry(), tt.retry)
+			}
+		})
+	}
 }
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -45,6 +45,7 @@
 type waiter struct {
 	want Want
 	got  chan *Placement // nil is sent if the wait is in vain
+	why  *fail.Refusal   // why it is, nil if time has run out; set before the send
 }
 
 // NewDesk returns a Desk.
@@ -71,6 +72,9 @@
 	}
 	select {
 	case p := <-wt.got:
+		if p == nil && wt.why != nil {
+			return nil, wt.why
+		}
 		if p == nil {
 			// The load has lasted for as long as the request has waited: who
 			// comes back sooner most likely waits in vain once more.
@@ -113,10 +117,16 @@
 	return d.book.Place(*w, servers, engine, now)
 }
 
+// refusal tells why no server could run a request, nil if one could.
+func (d *Desk) refusal(w *Want, now tick.Instant) *fail.Refusal {
+	servers, engine := d.src.Servers(w.Service)
+	return d.book.refusal(w, servers, engine, now)
+}
+
 // push adds a waiter, or refuses it if its turn comes too late.
 func (d *Desk) push(wt *waiter, now tick.Instant) error {
-	if servers, engine := d.src.Servers(wt.want.Service); engine == nil || !wt.want.Possible(servers, engine) {
-		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
+	if r := d.refusal(&wt.want, now); r != nil {
+		return r
 	}
 	i := sort.Search(len(d.waiting), func(i int) bool { return d.before(&wt.want, &d.waiting[i].want, now) })
 	if eta := d.eta(i); len(d.waiting) >= maxWaiting || now+eta > wt.want.Until {
@@ -195,6 +205,10 @@
 				d.granted(now)
 				continue
 			}
+			if wt.why = d.refusal(&wt.want, now); wt.why != nil {
+				wt.got <- nil
+				continue
+			}
 			// The next ones must not take the room for which this one waits.
 			full = true
 		}
--- a/admit/desk_test.go
+++ b/admit/desk_test.go
@@ -124,3 +124,28 @@
 	is.True(ok)
 	is.True(r.Retry() > time.Second) // the queue before it takes longer
 }
+
+// TestServersThatWantNothing has a request wait at a server that then wants
+// nothing for a time: its caller is told at once when it may come back.
+func TestServersThatWantNothing(t *testing.T) {
+	is := is.New(t)
+	clock := tick.NewFake(time.Second)
+	var until tick.Instant
+	closed := func(string, tick.Instant) tick.Instant { return until }
+	d := NewDesk(Config{Centre: "a", Region: "r", Closed: closed}, fixed{server("d1", "a", "r", route.StageDecode)}, clock)
+	out := make(chan result, 2)
+	w := Want{Prompt: 9_000, By: time.Hour, Until: time.Hour}
+	ask(t.Context(), d, w, out)
+	<-out
+	ask(t.Context(), d, w, out)
+	waiting(t, d, 1)
+	until = 3 * time.Second
+	d.Sweep()
+	r, ok := fail.AsRefusal((<-out).err)
+	is.True(ok)
+	is.Equal(r.Retry(), 2*time.Second)
+	_, err := d.Place(t.Context(), w) // as is who comes now
+	r, ok = fail.AsRefusal(err)
+	is.True(ok)
+	is.Equal(r.Retry(), 2*time.Second)
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -132,7 +132,7 @@
 
 func newDesk(set *platform.Settings, clock tick.Service, live *route.Live, h *health.Book, c *link.Client) *admit.Desk {
 	return admit.NewDesk(admit.Config{
-		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable, Open: c.Open,
+		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable, Closed: h.Closed, Open: c.Open,
 	}, models{live}, clock)
 }
 
--- a/health/health.go
+++ b/health/health.go
@@ -23,9 +23,18 @@
 //
 // The caller decides what to do when all servers are set aside; the book never
 // forbids the last one.
+//
+// # Closed servers
+//
+// A server that says that it leaves, or that it wants no request for a time, is
+// closed: it gets none, whatever else is known of it. One that leaves stays
+// closed, since a later start of it has another key, and the other instances
+// are told. The time that a server names holds for the instance that it
+// answered.
 package health
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -42,12 +51,19 @@
 	pauseMost  = 8 * time.Second
 	// doubtLife is how long a finding is told to others and counts.
 	doubtLife = time.Second
+	// leaveLife is how long it is told to others that a server leaves.
+	leaveLife = 5 * time.Second
 	// freshLife is how long an answer outweighs what others tell.
 	freshLife = 300 * time.Millisecond
-	// forget is the time after which an unused record is dropped.
-	forget = time.Minute
+	// forget is the time after which an unused record is dropped, and
+	// forgetLeft that after which one of a server that left is.
+	forget     = time.Minute
+	forgetLeft = 10 * time.Minute
 )
 
+// Left is the end of a server's closing that does not end.
+const Left = tick.Instant(math.MaxInt64)
+
 // Failure is how a server failed a request.
 type Failure int
 
@@ -75,6 +91,8 @@
 	absent  bool         // that was Absent
 	teller  string       // the last other instance that told Silent
 	told    tick.Instant // when
+	closed  tick.Instant // it wants no request until then
+	left    tick.Instant // when it told this instance that it leaves, 0 if it did not
 }
 
 // Book keeps the records of servers. It may be used concurrently.
@@ -122,7 +140,68 @@
 func (b *Book) Served(key string, now tick.Instant) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	*b.record(route.Hash(key)) = record{seen: now, served: now}
+	r := b.record(route.Hash(key))
+	*r = record{seen: now, served: now, closed: r.closed, left: r.left}
+}
+
+// Rest says that the server wants no request from this instance until an
+// instant.
+func (b *Book) Rest(key string, until, now tick.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(route.Hash(key))
+	r.seen = now
+	r.closed = max(r.closed, until)
+}
+
+// Leaves says that the server has told this instance that it leaves. It returns
+// whether that is news.
+func (b *Book) Leaves(key string, now tick.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(route.Hash(key))
+	r.seen = now
+	if r.left == 0 {
+		r.left = now
+	}
+	fresh := r.closed != Left
+	r.closed = Left
+	return fresh
+}
+
+// Closed returns the instant until which the server wants no request, Left if it
+// leaves and 0 if it takes them.
+func (b *Book) Closed(key string, now tick.Instant) tick.Instant {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r, ok := b.records[route.Hash(key)]
+	if !ok || now >= r.closed {
+		return 0
+	}
+	return r.closed
+}
+
+// Leavers returns the hashes of the servers that have told this instance of late
+// that they leave.
+func (b *Book) Leavers(now tick.Instant) []uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var list []uint64
+	for h, r := range b.records {
+		if r.left != 0 && now-r.left <= leaveLife {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+// ToldLeaves says that a server has told another instance that it leaves.
+func (b *Book) ToldLeaves(server uint64, now tick.Instant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(server)
+	r.seen = now
+	r.closed = Left
 }
 
 // Failed says that the server failed a request.
@@ -182,7 +261,11 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for k, r := range b.records {
-		if now-r.seen > forget {
+		keep := forget
+		if r.closed == Left {
+			keep = forgetLeft
+		}
+		if now-r.seen > keep && (now >= r.closed || r.closed == Left) {
 			delete(b.records, k)
 		}
 	}
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -116,3 +116,51 @@
 	b.Served("dark", 2100*ms)
 	is.Equal(len(b.Doubts(2100*ms)), 0)
 }
+
+// TestClosed has servers that want no request, for a time or for good.
+func TestClosed(t *testing.T) {
+	const sec = time.Second
+	rest := func(b *health.Book) { b.Rest("s", 5*sec, 1*sec) }
+	leave := func(b *health.Book) { b.Leaves("s", 1*sec) }
+	tests := []struct {
+		name string
+		do   []func(b *health.Book)
+		at   time.Duration
+		want time.Duration
+	}{
+		{name: "nothing is known", at: 1 * sec},
+		{name: "for a time", do: []func(b *health.Book){rest}, at: 2 * sec, want: 5 * sec},
+		{name: "the time is over", do: []func(b *health.Book){rest}, at: 5 * sec},
+		{name: "an earlier request is answered", do: []func(b *health.Book){rest, func(b *health.Book) { b.Served("s", 2*sec) }}, at: 2 * sec, want: 5 * sec},
+		{name: "a shorter time after a longer one", do: []func(b *health.Book){rest, func(b *health.Book) { b.Rest("s", 3*sec, 2*sec) }}, at: 4 * sec, want: 5 * sec},
+		{name: "unused for long", do: []func(b *health.Book){func(b *health.Book) { b.Rest("s", 200*sec, 1*sec) }, func(b *health.Book) { b.Sweep(190 * sec) }}, at: 190 * sec, want: 200 * sec},
+		{name: "leaves", do: []func(b *health.Book){leave}, at: 50 * sec, want: health.Left},
+		{name: "leaves, and an earlier request is answered", do: []func(b *health.Book){leave, func(b *health.Book) { b.Served("s", 2*sec) }}, at: 50 * sec, want: health.Left},
+		{name: "leaves, unused for minutes", do: []func(b *health.Book){leave, func(b *health.Book) { b.Sweep(300 * sec) }}, at: 300 * sec, want: health.Left},
+		{name: "another has told that it leaves", do: []func(b *health.Book){func(b *health.Book) { b.ToldLeaves(route.Hash("s"), 1*sec) }}, at: 50 * sec, want: health.Left},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := health.NewBook()
+			for _, do := range tt.do {
+				do(b)
+			}
+			is.Equal(b.Closed("s", tt.at), tt.want)
+			is.Equal(b.Closed("another", tt.at), time.Duration(0))
+		})
+	}
+}
+
+// TestLeavers has only own findings told on, and for a time.
+func TestLeavers(t *testing.T) {
+	is := is.New(t)
+	b := health.NewBook()
+	b.ToldLeaves(route.Hash("told"), time.Second)
+	is.True(b.Leaves("s", time.Second))
+	is.True(!b.Leaves("s", 2*time.Second))    // it is no news
+	is.True(!b.Leaves("told", 2*time.Second)) // nor is this, which is an own finding now
+	is.Equal(len(b.Leavers(3*time.Second)), 2)
+	is.Equal(b.Leavers(7*time.Second), []uint64{route.Hash("told")})
+	is.Equal(len(b.Leavers(time.Minute)), 0)
+}
--- a/news/load.go
+++ b/news/load.go
@@ -189,6 +189,7 @@
 			l.Silent = append(l.Silent, d.Server)
 		}
 	}
+	l.Leavers = s.cfg.Health.Leavers(s.cfg.Clock.Now())
 	sortLoad(l)
 	return l
 }
@@ -250,6 +251,9 @@
 	for _, h := range l.GetAbsent() {
 		s.cfg.Health.Told(health.Doubt{Server: h, Absent: true}, l.GetInstance(), now)
 	}
+	for _, h := range l.GetLeavers() {
+		s.cfg.Health.ToldLeaves(h, now)
+	}
 	if centre != s.cfg.Self.Centre {
 		return
 	}
@@ -310,5 +314,6 @@
 	slices.SortFunc(l.Placed, func(a, b *peerpb.Placed) int { return cmp.Compare(a.GetServer(), b.GetServer()) })
 	slices.Sort(l.Absent)
 	slices.Sort(l.Silent)
+	slices.Sort(l.Leavers)
 	slices.SortFunc(l.Used, func(a, b *peerpb.Used) int { return cmp.Compare(a.GetCustomer(), b.GetCustomer()) })
 }
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -352,6 +352,17 @@
 	is.Equal(len(c.health.Doubts(c.cfg.Clock.Now())), 0) // hearsay is not told on
 }
 
+// TestLeaversGoRound has one instance be told by a server that it leaves.
+func TestLeaversGoRound(t *testing.T) {
+	is := is.New(t)
+	a := start(t, "a")
+	b := start(t, "b", a.cfg.Self.Address)
+	eventually(t, "they know each other", func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
+	a.health.Leaves("s", a.cfg.Clock.Now())
+	eventually(t, "the other one knows", func() bool { return b.health.Closed("s", b.cfg.Clock.Now()) == health.Left })
+	is.Equal(len(b.health.Leavers(b.cfg.Clock.Now())), 0) // hearsay is not told on
+}
+
 func TestMembers(t *testing.T) {
 	const now = time.Minute
 	mk := func(incarnation uint64, age int64, addr string) *peerpb.Member {
--- a/news/service.go
+++ b/news/service.go
@@ -85,6 +85,10 @@
 type Health interface {
 	Doubts(now tick.Instant) []health.Doubt
 	Told(d health.Doubt, teller string, now tick.Instant)
+	// Leavers returns the hashes of the servers that have told this instance
+	// that they leave, and ToldLeaves takes in one that has told another.
+	Leavers(now tick.Instant) []uint64
+	ToldLeaves(server uint64, now tick.Instant)
 }
 
 // Config configures a Service.
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -57,6 +57,7 @@
 		return "", err
 	}
 	defer a.Close()
+	m.heed(s, a)
 	b, err := whole(a.Body, controlBytes)
 	if err != nil {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
@@ -104,6 +105,7 @@
 		return false
 	}
 	defer a.Close()
+	m.heed(s, a)
 	b, err := whole(a.Body, controlBytes)
 	if err != nil || a.Status != http.StatusOK {
 		h.cfg.Placer.Full(s)
@@ -116,6 +118,12 @@
 		return true
 	}
 	m.held = &hold{server: s, name: name}
+	if m.closed(s) { // it says so with the reservation
+		m.held = nil // which is not worth a call, it lapses
+		m.avoid(s)
+		m.rounds--
+		return false
+	}
 	return true
 }
 
@@ -146,8 +154,11 @@
 }
 
 // discard has a server free what it keeps for this request. If that fails, it
-// lapses.
+// lapses. A server that wants no request is not asked.
 func (m *modelJob) discard(s *route.Server, path string) {
+	if m.closed(s) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 	defer cancel()
 	a, err := m.h.cfg.Link.Do(ctx, &link.Call{Addr: s.Addr, Method: http.MethodDelete, Path: path, Host: m.r.Host})
@@ -156,5 +167,6 @@
 		return
 	}
 	defer a.Close()
+	m.heed(s, a)
 	m.job.drop(a)
 }
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -41,3 +41,29 @@
 		j.blame(s, health.Absent)
 	}
 }
+
+// heed takes note of what a server says of itself beside its answer: that it
+// leaves, or that it wants no request for a time.
+func (j *job) heed(s *route.Server, a *link.Answer) {
+	h := j.h
+	if h.cfg.Wire.Elsewhere(a.Status) {
+		return // another server may have spoken
+	}
+	now := h.cfg.Clock.Now()
+	if h.cfg.Wire.Leaving(a.Header) && h.cfg.Health.Leaves(s.Key(), now) {
+		h.cfg.Log.Info().Str("server", s.ID).Str("id", j.ask.ID).Msg("relay: server leaves")
+	}
+	rest, err := h.cfg.Wire.Rest(a.Status, a.Header)
+	if err != nil {
+		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Str("id", j.ask.ID).Msg("relay: server asks for a pause")
+	}
+	if rest > 0 {
+		h.cfg.Health.Rest(s.Key(), now+rest, now)
+	}
+}
+
+// closed tells whether a server wants no request now.
+func (j *job) closed(s *route.Server) bool {
+	now := j.h.cfg.Clock.Now()
+	return j.h.cfg.Health.Closed(s.Key(), now) > now
+}
--- a/relay/model.go
+++ b/relay/model.go
@@ -145,6 +145,10 @@
 	if p.Prefill != nil && !m.prefill(ctx, p) {
 		return m.gone()
 	}
+	if m.closed(p.Decode) { // since it was chosen
+		m.avoid(p.Decode)
+		return m.gone()
+	}
 	if !m.mayRepeat() {
 		m.giveUp(shedRetry, "no repeat is left")
 		return true
@@ -171,6 +175,7 @@
 		return !m.repeatable()
 	}
 	defer a.Close()
+	m.heed(p.Decode, a)
 	m.writes++
 	if m.h.cfg.Wire.Disowned(a.Status, a.Header) {
 		m.misled(p.Decode, a)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -72,7 +72,7 @@
 	for {
 		s := j.pick(avoid)
 		if s == nil {
-			j.giveUp(noServerRetry, "no server of "+j.service.Name+" is left to try")
+			j.giveUp(j.back(), "no server of "+j.service.Name+" is left to try")
 			return
 		}
 		if !j.mayRepeat() {
@@ -90,14 +90,31 @@
 	}
 }
 
-// pick returns the server with the least load, nil if all were tried. Servers
-// that are set aside come last.
+// back returns the time after which a server of the service may take a request
+// that none takes now.
+func (j *job) back() time.Duration {
+	now := j.h.cfg.Clock.Now()
+	wait := time.Duration(0)
+	for _, s := range j.h.cfg.Live.Fleet().Of(j.service.Name) {
+		until := j.h.cfg.Health.Closed(s.Key(), now)
+		if until > now && until != health.Left && (wait == 0 || until-now < wait) {
+			wait = until - now
+		}
+	}
+	if wait == 0 {
+		return noServerRetry
+	}
+	return wait
+}
+
+// pick returns the server with the least load, nil if all were tried or want no
+// request. Servers that are set aside come last.
 func (j *job) pick(avoid map[string]bool) *route.Server {
 	now := j.h.cfg.Clock.Now()
 	var best *route.Server
 	var cost float64
 	for _, s := range j.h.cfg.Live.Fleet().Of(j.service.Name) {
-		if avoid[s.Key()] {
+		if avoid[s.Key()] || j.h.cfg.Health.Closed(s.Key(), now) > now {
 			continue
 		}
 		c := float64(j.h.counts.of(s.Key())) + rand.Float64()
@@ -139,6 +156,7 @@
 		return false
 	}
 	defer a.Close()
+	j.heed(s, a)
 	j.writes++
 	if h.cfg.Wire.Disowned(a.Status, a.Header) {
 		j.misled(s, a)
--- a/relay/wire.go
+++ b/relay/wire.go
@@ -48,6 +48,11 @@
 	// Disowned tells whether an answer says that the server did not run the
 	// request.
 	Disowned(status int, h http.Header) bool
+	// Leaving tells whether an answer says that its server leaves.
+	Leaving(h http.Header) bool
+	// Rest returns how long the server of an answer wants no request, 0 if it
+	// does not tell. An error says what cannot be read, or is too long and cut.
+	Rest(status int, h http.Header) (time.Duration, error)
 	// Sealed tells whether an answer carries a server's seal.
 	Sealed(h http.Header) bool
 	// Handle returns the handle in the answer of a server that has read a
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -37,6 +37,7 @@
 	limiter *limiter
 	clock   tick.Service
 	source  models
+	health  *health.Book
 	log     lockedBuffer
 
 	measures metrics.Registry
@@ -66,6 +67,13 @@
 	return strings.Count(l.b.String(), `"decision":true`)
 }
 
+// has tells whether a text was logged.
+func (l *lockedBuffer) has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.b.String(), text)
+}
+
 // budget counts repeats.
 type budget struct {
 	mu    sync.Mutex
@@ -181,8 +189,9 @@
 	}
 	w.live.SetFleet(route.NewFleet(2, list))
 	h := health.NewBook()
+	w.health = h
 	w.source = models{w.live}
-	desk := admit.NewDesk(admit.Config{Centre: "a", Region: "r", Usable: h.Usable}, w.source, w.clock)
+	desk := admit.NewDesk(admit.Config{Centre: "a", Region: "r", Usable: h.Usable, Closed: h.Closed}, w.source, w.clock)
 	w.handler = relay.New(relay.Config{
 		Centre: "a", Region: "r", Live: w.live, Wire: platform.Names{},
 		Link:    link.New(link.Config{Clock: w.clock, IDHeader: platform.AttemptHeader}),
--- a/soak/apply.go
+++ b/soak/apply.go
@@ -16,6 +16,8 @@
 	restartTime = 300 * time.Millisecond
 	// lagTime is how late the bytes of a slow peer come.
 	lagTime = 60 * time.Millisecond
+	// restTime is for how long a server wants nothing, in seconds as it says so.
+	restTime = "2.5"
 )
 
 // carrier carries a plan out. Steps overlap; what two of them harm stays
@@ -60,7 +62,7 @@
 		c.disturb(s)
 	case storeMute, storeShed, storePrune:
 		c.store(s)
-	case harm, darken, lag, breakConns, depart:
+	case harm, darken, lag, breakConns, depart, announce, rest:
 		c.server(s)
 	case withdraw:
 		c.f.publish(c.nextKey())
@@ -191,6 +193,19 @@
 			c.f.store.Put(key, v.Entry(v.service, "a"))
 		})
 		return
+	case announce:
+		c.during(id+" leaves", s.lasts, func() {
+			v.Leave(true)
+			v.leaves.Store(true)
+		}, func() {
+			v.leaves.Store(false)
+			v.Restart()
+			c.rec.note(&c.rec.returned, id)
+			c.f.store.Put(key, v.Entry(v.service, "a"))
+		})
+		return
+	case rest:
+		at = c.during(id+" rests", s.lasts, func() { v.Rest(restTime) }, func() { v.Rest("") })
 	default:
 		v.proxy.reset()
 		at = span{from: time.Now(), to: time.Now()}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -47,6 +47,7 @@
 	proxy   *proxy
 	service string
 	away    atomic.Bool // it has departed
+	leaves  atomic.Bool // it says that it leaves
 }
 
 // fleet is the system under test and what it talks to.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -32,6 +32,11 @@
 	// limitSlack is a fraction of the tokens of a window.
 	limitSlack = 0.5
 
+	// restSlack is how long after it a server's wish for no requests may still be
+	// missed, and restMost the requests that may come later.
+	restSlack = 500 * time.Millisecond
+	restMost  = 2
+
 	// recoverShare of the calls must be served once all trouble is over.
 	recoverShare = 0.95
 	// settleTime is the time for that.
@@ -42,7 +47,7 @@
 func judge(r *record) []string {
 	var broken []string
 	for _, check := range []func(*record) string{
-		whole, refusals, askedFor, repeats, limits, departures, withdrawals, lostAnswers, leavers, recovery,
+		whole, refusals, askedFor, repeats, limits, departures, leaving, rests, withdrawals, lostAnswers, leavers, recovery,
 	} {
 		if b := check(r); b != "" {
 			broken = append(broken, b)
@@ -282,8 +287,61 @@
 // bound reports whether the daemon that took a call was sound from an instant
 // on.
 func (r *record) bound(id string, from time.Time) bool {
-	i := slices.IndexFunc(r.calls, func(o *outcome) bool { return o.call.ID == id })
-	return i >= 0 && r.sound(r.calls[i].daemon, from, r.calls[i].sent, true)
+	o := r.call(id)
+	return o != nil && r.sound(o.daemon, from, o.sent, true)
+}
+
+// leaving checks that a process sends nothing new to a server once it has passed
+// on an answer in which the server says that it leaves.
+func leaving(r *record) string {
+	for _, told := range r.calls {
+		if told.leaver == "" {
+			continue
+		}
+		to := r.end
+		for _, b := range r.returned {
+			if b.what == told.leaver && b.at.After(told.sent) && b.at.Before(to) {
+				to = b.at
+			}
+		}
+		for _, a := range r.arrivals[told.leaver] {
+			if !a.At.After(told.ended) || !a.At.Before(to) {
+				continue
+			}
+			o := r.call(a.ID)
+			if o != nil && o.process() == told.process() && o.sent.After(told.ended.Add(drainTime)) {
+				return fmt.Sprintf("leaving: %s came to %s %v after daemon %d was told that it leaves",
+					a.ID, told.leaver, a.At.Sub(told.ended), o.daemon)
+			}
+		}
+	}
+	return ""
+}
+
+// rests checks that a process leaves a server alone for the time that it was
+// asked for. Calls of the router itself bear no id and are not seen.
+func rests(r *record) string {
+	for id, list := range r.rested {
+		for _, asked := range list {
+			told := r.call(asked.ID)
+			if told == nil {
+				continue
+			}
+			n := 0
+			for _, a := range r.arrivals[id] {
+				if a.At.Before(asked.At.Add(restSlack)) || !a.At.Before(asked.Until) {
+					continue
+				}
+				if o := r.call(a.ID); o != nil && o.process() == told.process() {
+					n++
+				}
+			}
+			if n > restMost {
+				return fmt.Sprintf("rests: %d requests of daemon %d came to %s that wanted none", n, told.daemon, id)
+			}
+		}
+	}
+	return ""
 }
 
 // withdrawals checks that withdrawn keys are refused in time, and for good once
@@ -291,13 +349,11 @@
 func withdrawals(r *record) string {
 	for _, w := range r.withdrawn {
 		due := r.settled(w.at).Add(applyTime)
-		type start struct{ daemon, started int }
-		known := make(map[start]time.Time)
+		known := make(map[process]time.Time)
 		for _, o := range r.calls {
 			if o.call.Key == w.what && o.status == 401 {
-				s := start{o.daemon, o.started}
-				if at, ok := known[s]; !ok || o.ended.Before(at) {
-					known[s] = o.ended
+				if at, ok := known[o.process()]; !ok || o.ended.Before(at) {
+					known[o.process()] = o.ended
 				}
 			}
 		}
@@ -308,7 +364,7 @@
 			if o.sent.After(due) && r.sound(o.daemon, w.at, o.sent, true) {
 				return fmt.Sprintf("key: %s ran %v after its key was withdrawn", o.call.ID, o.sent.Sub(w.at))
 			}
-			if at, ok := known[start{o.daemon, o.started}]; ok && o.sent.After(at.Add(backTime)) {
+			if at, ok := known[o.process()]; ok && o.sent.After(at.Add(backTime)) {
 				return fmt.Sprintf("key: %s ran after daemon %d had refused its key", o.call.ID, o.daemon)
 			}
 		}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -73,6 +73,17 @@
 		{"body of another call", func(r *record) { file(r).body = r.calls[33].body }, "whole"},
 		{"answer of a server that did not run it", func(r *record) { file(r).body = mimic.Answer("app-1", file(r).call.ID) }, "whole"},
 		{"answer cut", func(r *record) { file(r).body, file(r).complete = "ans", false }, "lost"},
+		{"at a server that leaves", func(r *record) {
+			file(r).leaver = "app-1"
+			r.arrivals["app-1"] = []mimic.Arrival{{ID: r.calls[60].call.ID, At: at(10)}}
+		}, "leaving"},
+		{"at a server that leaves, sent soon after it said so", func(r *record) {
+			file(r).leaver = "app-1"
+			r.arrivals["app-1"] = []mimic.Arrival{{ID: r.calls[33].call.ID, At: at(5.6)}}
+		}, ""},
+		{"at a server that asked for a pause", func(r *record) {
+			r.rested["app-0"] = []mimic.Rested{{ID: file(r).call.ID, At: at(5), Until: at(7)}}
+		}, "rests"},
 		{"event missing", func(r *record) { ask(r).body = strings.Replace(ask(r).body, mimic.Event(2), "", 1) }, "whole"},
 		{"event twice", func(r *record) {
 			ask(r).body = strings.Replace(ask(r).body, mimic.Event(2), mimic.Event(2)+mimic.Event(2), 1)
--- a/soak/load.go
+++ b/soak/load.go
@@ -133,7 +133,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	o.status, o.sealed = resp.StatusCode, mimic.Sealed(resp.Header)
+	o.status, o.sealed, o.leaver = resp.StatusCode, mimic.Sealed(resp.Header), mimic.Leaver(resp.Header)
 	var b strings.Builder
 	_, err = io.Copy(&b, resp.Body)
 	o.body, o.complete = b.String(), err == nil
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -28,6 +28,8 @@
 	lag        act = "lag"      // a backend server's bytes come late, ends
 	breakConns act = "break"    // the connections to a backend server are reset
 	depart     act = "depart"   // a backend server leaves and comes back, ends
+	announce   act = "announce" // a backend server says in its answers that it leaves, and starts anew, ends
+	rest       act = "rest"     // a backend server wants no request for a time, ends
 	withdraw   act = "withdraw" // a key is withdrawn
 	publish    act = "publish"  // a configuration that changes nothing is published
 )
@@ -35,7 +37,7 @@
 // acts are drawn with equal chance.
 var acts = []act{
 	stopOne, killOne, pauseOne, hangup, storeMute, storeShed, storePrune, cutOne, resetOne, slowOne,
-	harm, darken, lag, breakConns, depart, withdraw, publish,
+	harm, darken, lag, breakConns, depart, announce, rest, withdraw, publish,
 }
 
 // faults of backend servers that harm draws.
@@ -89,7 +91,7 @@
 			lasts: min(shortest+time.Duration(rnd.Int64N(int64(longest-shortest))), sh.trouble-at),
 		}
 		s.target = rnd.IntN(sh.targets(s.act))
-		if s.act == depart {
+		if s.act == depart || s.act == announce {
 			s.lasts = departTime
 		}
 		again := 1
@@ -114,7 +116,7 @@
 // targets returns how many targets an act has.
 func (sh shape) targets(a act) int {
 	switch a {
-	case harm, darken, lag, breakConns, depart:
+	case harm, darken, lag, breakConns, depart, announce, rest:
 		return sh.servers
 	default:
 		return sh.daemons
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -26,6 +26,8 @@
 	"limits":   runs(func(p planted) bool { return p.status == http.StatusTooManyRequests }),
 	"key":      withdrawnKeys,
 	"drain":    runs(toDeparted),
+	"leaving":  runs(toLeaving),
+	"rests":    runs(toRested),
 	"gone":     workOn,
 }
 
@@ -114,6 +116,26 @@
 	return false
 }
 
+// toLeaving runs calls at servers that have said that they leave.
+func toLeaving(p planted) bool {
+	for _, s := range p.f.servers {
+		if s.leaves.Load() && s.service == mimic.PlainService && p.call.Kind == mimic.Look {
+			s.Plant(p.call, customerOf(p.call.Key), true)
+		}
+	}
+	return false
+}
+
+// toRested runs calls at servers that have asked for a pause.
+func toRested(p planted) bool {
+	for _, s := range p.f.servers {
+		if len(s.Rested()) > 0 && p.call.Kind == mimic.Look {
+			s.Plant(p.call, customerOf(p.call.Key), true)
+		}
+	}
+	return false
+}
+
 // workOn has a server work for each stream without an end.
 func workOn(f *fleet, next http.RoundTripper) http.RoundTripper {
 	return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
--- a/soak/record.go
+++ b/soak/record.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,7 +20,8 @@
 	status   int  // 0 if no answer began
 	sealed   bool // the answer bears a server's seal
 	body     string
-	complete bool // the answer ended as HTTP has it
+	complete bool   // the answer ended as HTTP has it
+	leaver   string // the server that says in the answer that it leaves, empty for none
 }
 
 // served reports whether the call had its whole answer.
@@ -57,6 +59,7 @@
 
 	runs     map[string][]mimic.Run     // by server
 	arrivals map[string][]mimic.Arrival // by server
+	rested   map[string][]mimic.Rested  // by server
 	calm     time.Time                  // all trouble is over
 	end      time.Time
 }
@@ -66,6 +69,7 @@
 		daemons: make(map[int][]span), servers: make(map[string][]span),
 		customers: make(map[string]mimic.Customer),
 		runs:      make(map[string][]mimic.Run), arrivals: make(map[string][]mimic.Arrival),
+		rested: make(map[string][]mimic.Rested),
 	}
 }
 
@@ -125,3 +129,17 @@
 	}
 	return true
 }
+
+// call returns the call of an id, nil if no client sent it.
+func (r *record) call(id string) *outcome {
+	i := slices.IndexFunc(r.calls, func(o *outcome) bool { return o.call.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return r.calls[i]
+}
+
+// process is one start of a daemon.
+type process struct{ daemon, started int }
+
+func (o *outcome) process() process { return process{o.daemon, o.started} }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,12 +33,24 @@
 	is.Equal(code, 0)
 }
 
-// TestPlanted has a call run at a server that departed, and has the whole tool
-// see it.
+// TestPlanted has calls run at servers that are to be left alone, and has the
+// whole tool see it.
 func TestPlanted(t *testing.T) {
-	is := is.New(t)
-	f := flags{entry: buildEntry(t), daemons: 2, quiet: time.Second, plant: "drain"}
-	rec, err := play(t.Context(), f, 1, t.TempDir(), []step{{act: depart, target: 0, lasts: departTime}})
-	is.NoErr(err)
-	is.True(strings.Contains(strings.Join(judge(rec), "\n"), "drain: "))
+	bin := buildEntry(t)
+	for _, tt := range []struct {
+		plant string
+		step  step
+	}{
+		{"drain", step{act: depart, lasts: departTime}},
+		{"leaving", step{act: announce, lasts: departTime}},
+		{"rests", step{act: rest, lasts: longest}},
+	} {
+		t.Run(tt.plant, func(t *testing.T) {
+			is := is.New(t)
+			f := flags{entry: bin, daemons: 2, quiet: time.Second, plant: tt.plant}
+			rec, err := play(t.Context(), f, 1, t.TempDir(), []step{tt.step})
+			is.NoErr(err)
+			is.True(strings.Contains(strings.Join(judge(rec), "\n"), tt.plant+": "))
+		})
+	}
 }
