share, relay: who is over the customer's limit for a moment waits for it, for a quarter of its objective at most

Requests now wait in a line for each customer, those that can wait least first. The prediction counts those ahead; what cannot be served within the patience is refused at once. The first filling after a start grows as the other instances are found.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -37,6 +37,9 @@
 	reachAbroad = 350 * time.Millisecond
 	// drainRetry is when a caller may come back to another instance.
 	drainRetry = 50 * time.Millisecond
+	// limitShare is the part of a request's objective for which it may wait for
+	// its customer's limit.
+	limitShare = 0.25
 	// defaultTimeout bounds requests where neither the caller nor the route does.
 	defaultTimeout = 30 * time.Second
 	// unknownBody is what a body of unknown length is expected to have, in
@@ -48,8 +51,9 @@
 
 // Limiter bounds what customers use.
 type Limiter interface {
-	// Charge takes tokens of a customer, or tells when to come back.
-	Charge(c *route.Customer, tokens int) (wait time.Duration, ok bool)
+	// Admit takes tokens of a customer. It waits for them for patience at most,
+	// or tells when to come back as soon as it is known that they come later.
+	Admit(ctx context.Context, c *route.Customer, tokens int, patience time.Duration) (wait time.Duration, ok bool)
 	// Return gives tokens back that were charged and not used.
 	Return(c *route.Customer, tokens int)
 }
@@ -250,7 +254,12 @@
 	if j.ask.Sized {
 		tokens = j.ask.Prompt + j.ask.Output
 	}
-	wait, ok := j.h.cfg.Limiter.Charge(j.cust, tokens)
+	patience := time.Duration(limitShare * float64(j.route.Objective))
+	wait, ok := j.h.cfg.Limiter.Admit(j.r.Context(), j.cust, tokens, patience)
+	if !ok && j.gone() {
+		j.note = "caller left: it waited for its limit"
+		return false
+	}
 	if !ok {
 		j.refuse(fail.Refuse(fail.CodeRate, wait, "the customer's limit is reached"))
 		return false
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -101,7 +101,7 @@
 	charged int
 }
 
-func (l *limiter) Charge(_ *route.Customer, tokens int) (time.Duration, bool) {
+func (l *limiter) Admit(_ context.Context, _ *route.Customer, tokens int, _ time.Duration) (time.Duration, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.refuse > 0 {
--- a/share/doc.go
+++ b/share/doc.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	l := share.NewLimits(cfg, clock)
-//	wait, ok := l.Charge(customer, tokens)
+//	wait, ok := l.Admit(ctx, customer, tokens, patience)
 //	l.Heard("sierra-a-2/7", map[string]int64{"sur": 90_000}, now)
 //
 //	r := share.NewRepeats(cfg, clock)
@@ -23,6 +23,11 @@
 // proportion: both sides of a cut together fill them once. When the sides meet
 // again, what each has charged beyond its part is taken off at the other.
 //
+// A customer that is over its limit for a moment is not refused: its requests
+// wait in a line, those that can wait least first, if their tokens come within
+// their patience. What cannot be served by then is refused as soon as that is
+// known.
+//
 // # Repeats
 //
 // Each instance has its part of the fleet's extra repeats, and the ratio of
--- a/share/limits.go
+++ b/share/limits.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -41,6 +42,8 @@
 	due   float64 // tokens of those that were told to come back and whose turn is still to come
 	rate  float64
 	burst float64
+	part  float64   // part of the first filling that was put in
+	line  []*ticket // requests that wait for tokens, those that can wait least first
 }
 
 // peer is what is known of another instance.
@@ -70,25 +73,7 @@
 // Charge takes tokens from a customer's bucket. If there are not enough, it
 // takes none and returns the time after which there will be.
 func (l *Limits) Charge(c *route.Customer, tokens int) (time.Duration, bool) {
-	if c.Rate <= 0 {
-		return 0, true
-	}
-	now := l.clock.Now()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	b := l.bucket(c, now)
-	part := l.part(now)
-	rate := c.Rate * part
-	// A request larger than the burst goes when the bucket is full.
-	least := min(float64(tokens)-rate*overdraft.Seconds(), b.burst*part)
-	if b.level < least {
-		wait := (least - b.level + b.due + l.dueElsewhere(c.Name, now)) / rate
-		b.due += float64(tokens)
-		return time.Duration(min(wait, mostWait.Seconds()) * float64(time.Second)), false
-	}
-	b.level -= float64(tokens)
-	b.own += int64(tokens)
-	return 0, true
+	return l.Admit(context.Background(), c, tokens, 0)
 }
 
 // Return gives back tokens of a request that has not run.
@@ -107,8 +92,11 @@
 func (l *Limits) bucket(c *route.Customer, now tick.Instant) *bucket {
 	b := l.named(c.Name, now)
 	part := l.part(now)
-	if b.burst == 0 {
-		b.level += c.Burst * part * startShare
+	// The first filling belongs to all that have just started together: what an
+	// instance may use of it grows as it finds the others.
+	if b.burst == 0 || part > b.part && now-l.start < findTime {
+		b.level += c.Burst * startShare * (part - b.part)
+		b.part = part
 	}
 	b.rate, b.burst = c.Rate, c.Burst
 	refill := b.rate * part * (now - b.at).Seconds()
@@ -159,12 +147,18 @@
 	if all == 1 {
 		all = aloneMembers
 	}
-	if now-l.start < findTime && now-l.grew < settleTime {
+	if l.finding(now) {
 		all = max(all, unknownMembers)
 	}
 	return float64(heard) / float64(all)
 }
 
+// finding tells whether this process has just started and may not have found all
+// the others yet.
+func (l *Limits) finding(now tick.Instant) bool {
+	return now-l.start < findTime && now-l.grew < settleTime
+}
+
 // Known tells how many other instances there are. Those that were not heard
 // yet have their part of each limit.
 func (l *Limits) Known(others int) {
