relay, route: a request waits for the configuration of a process that is about to learn it

They now wait for 0.3 s at most, within the first second of a process; later they are refused at once.

--- a/relay/handler.go
+++ b/relay/handler.go
@@ -24,6 +24,10 @@
 const (
 	// unknownRetry is when a caller may come back while nothing is configured.
 	unknownRetry = time.Second
+	// findTime is the time from its start within which a process expects to learn
+	// the configuration, and findWait how long a request waits for it.
+	findTime = time.Second
+	findWait = 300 * time.Millisecond
 	// plainEnd is the time before the end of the process after which a request
 	// of a plain service is not begun. A model request takes modelEnd and
 	// tokenEnd for each token that it is expected to make.
@@ -107,13 +111,14 @@
 	answers atomic.Int64
 	end     atomic.Int64 // tick.Instant at which the process ends, 0 if that is not known
 	counts  loads
+	start   tick.Instant
 
 	answered *delay.Book // times to the answers of services
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, counts: newLoads(), answered: delay.NewBook()}
+	return &Handler{cfg: cfg, counts: newLoads(), start: cfg.Clock.Now(), answered: delay.NewBook()}
 }
 
 // Active returns the number of requests that are being served.
@@ -193,6 +198,7 @@
 // admit finds the route, the service and the customer.
 func (j *job) admit() bool {
 	j.ask = j.h.cfg.Wire.Ask(j.r.Header)
+	j.find()
 	j.table = j.h.cfg.Live.Table()
 	if j.table == nil {
 		j.refuse(fail.Refuse(fail.CodeNoTable, unknownRetry, "no configuration is known yet"))
@@ -233,6 +239,28 @@
 	return true
 }
 
+// find waits until this process knows a configuration and servers, if it has
+// just started and is about to learn them.
+func (j *job) find() {
+	h := j.h
+	select {
+	case <-h.cfg.Live.Known():
+		return
+	default:
+	}
+	left := min(findWait, h.start+findTime-h.cfg.Clock.Now())
+	if left <= 0 {
+		return
+	}
+	t := h.cfg.Clock.After(left)
+	defer t.Stop()
+	select {
+	case <-h.cfg.Live.Known():
+	case <-t.C():
+	case <-j.r.Context().Done():
+	}
+}
+
 // read reads the body and charges the customer.
 func (j *job) read() bool {
 	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, j.mostBody()))
--- a/relay/world_test.go
+++ b/relay/world_test.go
@@ -188,16 +188,8 @@
 		})
 	}
 	w.live.SetFleet(route.NewFleet(2, list))
-	h := health.NewBook()
-	w.health = h
-	w.source = models{w.live}
-	desk := admit.NewDesk(admit.Config{Centre: "a", Region: "r", Usable: h.Usable, Closed: h.Closed}, w.source, w.clock)
-	w.handler = relay.New(relay.Config{
-		Centre: "a", Region: "r", Live: w.live, Wire: platform.Names{},
-		Link:    link.New(link.Config{Clock: w.clock, IDHeader: platform.AttemptHeader}),
-		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Answers: 1 << 20, Health: h, Clock: w.clock,
-		Meter: meter.New(meter.Config{Registry: w.measures, Clock: w.clock}), Log: zerolog.New(&w.log),
-	})
+	w.health = health.NewBook()
+	desk := w.newHandler()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go tick.Repeat(ctx, w.clock.Every(20*time.Millisecond), func(context.Context) { desk.Sweep() })
@@ -206,6 +198,28 @@
 	return w
 }
 
+// newHandler makes the handler and its desk anew.
+func (w *world) newHandler() *admit.Desk {
+	w.source = models{w.live}
+	desk := admit.NewDesk(admit.Config{
+		Centre: "a", Region: "r", Usable: w.health.Usable, Closed: w.health.Closed,
+	}, w.source, w.clock)
+	w.handler = relay.New(relay.Config{
+		Centre: "a", Region: "r", Live: w.live, Wire: platform.Names{},
+		Link:    link.New(link.Config{Clock: w.clock, IDHeader: platform.AttemptHeader}),
+		Limiter: w.limiter, Budget: w.budget, Placer: desk, Bodies: 500, Answers: 1 << 20, Health: w.health, Clock: w.clock,
+		Meter: meter.New(meter.Config{Registry: w.measures, Clock: w.clock}), Log: zerolog.New(&w.log),
+	})
+	return desk
+}
+
+// forgetAll has a process take the place that has just started.
+func (w *world) forgetAll() {
+	w.live = route.NewLive()
+	w.newHandler()
+	w.front.Config.Handler = w.handler
+}
+
 // answer is what a caller gets.
 type answer struct {
 	status int
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -103,16 +103,32 @@
 	table atomic.Pointer[Table]
 	fleet atomic.Pointer[Fleet]
 
-	mu sync.Mutex // held by those that replace them
+	mu    sync.Mutex // held by those that replace them
+	known chan struct{}
 }
 
 // NewLive returns a Live that knows nothing.
 func NewLive() *Live {
-	l := &Live{}
+	l := &Live{known: make(chan struct{})}
 	l.fleet.Store(NewFleet(0, nil))
 	return l
 }
 
+// Known is closed when a table and a server are in force for the first time.
+func (l *Live) Known() <-chan struct{} { return l.known }
+
+// tell closes known if it is time. The caller holds l.mu.
+func (l *Live) tell() {
+	if l.table.Load() == nil || l.fleet.Load().Len() == 0 {
+		return
+	}
+	select {
+	case <-l.known:
+	default:
+		close(l.known)
+	}
+}
+
 // Table returns the table in force, nil before the first one.
 func (l *Live) Table() *Table { return l.table.Load() }
 
@@ -127,6 +143,7 @@
 		return false
 	}
 	l.table.Store(t)
+	l.tell()
 	return true
 }
 
@@ -138,5 +155,6 @@
 		return false
 	}
 	l.fleet.Store(f)
+	l.tell()
 	return true
 }
