news, admit: what the others have placed is summed up as it changes

The sums are now kept and changed by the difference when a state comes, changes or lapses; what has changed is handed on alone. A random test compares them with the sum over the peers. Test doubles of Peers follow the new meaning: a sum that is zero is told.

--- a/admit/book.go
+++ b/admit/book.go
@@ -120,6 +120,14 @@
 	s.Waiting += o.Waiting
 }
 
+// Sub takes another load off.
+func (s *Sum) Sub(o Sum) {
+	s.Reading -= o.Reading
+	s.Memory -= o.Memory
+	s.Running -= o.Running
+	s.Waiting -= o.Waiting
+}
+
 // Config configures a Book.
 type Config struct {
 	Centre string
@@ -328,14 +336,10 @@
 	d.running--
 }
 
-// Peers sets the load that other instances have placed, by route.Hash of the key.
-func (b *Book) Peers(sums map[uint64]Sum) {
-	for h, l := range b.loads {
-		if _, ok := sums[h]; !ok {
-			l.peers = Sum{}
-		}
-	}
-	for h, s := range sums {
+// Peers sets the loads of other instances that have changed, by route.Hash of the
+// key.
+func (b *Book) Peers(changed map[uint64]Sum) {
+	for h, s := range changed {
 		b.byHash(h).peers = s
 	}
 }
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -273,11 +273,12 @@
 	d.book.Full(s, d.clock.Now())
 }
 
-// Peers takes in what other instances have placed, by Hash of the key.
-func (d *Desk) Peers(sums map[uint64]Sum) {
+// Peers takes in what has changed of that which other instances have placed, by
+// Hash of the key.
+func (d *Desk) Peers(changed map[uint64]Sum) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.book.Peers(sums)
+	d.book.Peers(changed)
 	d.sweep(d.clock.Now())
 }
 
--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -179,6 +179,17 @@
 	})
 }
 
+// changes adds to the sums over the other instances the empty ones of those that
+// a book still counts.
+func changes(b *Book, sums map[uint64]Sum) map[uint64]Sum {
+	for h := range b.loads {
+		if _, ok := sums[h]; !ok {
+			sums[h] = Sum{}
+		}
+	}
+	return sums
+}
+
 // tell has each instance hear what the others have placed.
 func (s *sim) tell() {
 	for i, b := range s.books {
@@ -193,7 +204,7 @@
 				sums[h] = sum
 			}
 		}
-		b.Peers(sums)
+		b.Peers(changes(b, sums))
 	}
 	if s.now < simFor+10*time.Second {
 		s.after(s.policy.tell, s.tell)
--- /dev/null
+++ b/admit/size_test.go
@@ -0,0 +1,45 @@
+package admit
+
+import (
+	"fmt"
+	"testing"
+
+	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/route"
+)
+
+// crowd returns the servers of a large deployment over six data centres, a
+// third of them for prompts.
+func crowd(n int) []*route.Server {
+	list := make([]*route.Server, 0, n)
+	for i := range n {
+		stage := route.StageDecode
+		if i%3 == 0 {
+			stage = route.StagePrefill
+		}
+		list = append(list, server(fmt.Sprintf("i-%08x", i), fmt.Sprint("c", i%6), fmt.Sprint("r", i%2), stage))
+	}
+	return route.NewFleet(1, list).Of("m")
+}
+
+// BenchmarkPlace is what a decision costs.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprintf("%d servers", n), func(b *testing.B) {
+			list := crowd(n)
+			h := health.NewBook()
+			book := NewBook(Config{
+				Centre: "c0", Region: "r0", Usable: h.Usable, Closed: h.Closed, Open: func(string) bool { return true },
+			})
+			w := Want{Service: "m", Prompt: 3_000, Output: 400}
+			b.ReportAllocs()
+			for range b.N {
+				p, ok := book.Place(w, list, engine, 0)
+				if !ok {
+					b.Fatal("no place")
+				}
+				book.Done(p)
+			}
+		})
+	}
+}
--- a/admit/start_test.go
+++ b/admit/start_test.go
@@ -132,7 +132,7 @@
 				sums[h] = sum
 			}
 		}
-		d.Peers(sums)
+		d.Peers(changes(d.book, sums))
 	}
 }
 
--- a/news/load.go
+++ b/news/load.go
@@ -61,18 +61,22 @@
 	defer close(done)
 	d := &sender{s: s, pc: pc, first: route.Hash(s.cfg.Self.Instance)}
 	tick.Repeat(ctx, s.cfg.Clock.Every(loadEvery), func(context.Context) {
-		now := s.cfg.Clock.Now()
-		s.merge(now)
-		if err := d.send(now); err != nil {
-			s.cfg.Log.Error().Err(err).Msg("news: encode load")
-		}
+		s.tell(d, s.cfg.Clock.Now())
 	})
 }
 
+// tell takes what the others have sent into account, and sends the own state if
+// it is due.
+func (s *Service) tell(d *sender, now tick.Instant) {
+	s.merge(now)
+	if err := d.send(now); err != nil {
+		s.cfg.Log.Error().Err(err).Msg("news: encode load")
+	}
+}
+
 // send tells the state if it is due.
 func (d *sender) send(now tick.Instant) error {
-	peers := d.s.members.list()
-	if now-d.near < time.Duration(len(peers))*loadPerPeer {
+	if now-d.near < time.Duration(d.s.members.count())*loadPerPeer {
 		return nil
 	}
 	state := d.s.load()
@@ -90,7 +94,7 @@
 	if all {
 		d.all = now
 	}
-	return d.spread(state, peers, all)
+	return d.spread(state, d.s.members.list(), all)
 }
 
 // spread writes the state to each instance of the own data centre, and to one
@@ -284,29 +288,61 @@
 			Reading: int(p.GetReading()), Memory: int(p.GetMemory()), Running: int(p.GetRunning()), Waiting: int(p.GetWaiting()),
 		}
 	}
+	if ok {
+		s.replace(old.sums, h.sums)
+	} else {
+		s.replace(nil, h.sums)
+	}
 	s.loads[l.GetInstance()] = h
 	return true
 }
 
-// merge adds up what the others have placed.
+// merge hands on what has changed of the load that the others have placed.
 func (s *Service) merge(now tick.Instant) {
 	s.mu.Lock()
-	sums := make(map[uint64]admit.Sum)
 	for name, l := range s.loads {
 		if now-l.at > staleAfter {
-			if now-l.at > forgetAfter {
-				delete(s.loads, name)
-			}
-			continue
+			s.replace(l.sums, nil)
+			l.sums = nil
 		}
-		for h, o := range l.sums {
-			sum := sums[h]
-			sum.Add(o)
-			sums[h] = sum
+		if now-l.at > forgetAfter {
+			delete(s.loads, name)
 		}
 	}
+	changed := s.changed
+	s.changed = make(map[uint64]admit.Sum)
 	s.mu.Unlock()
-	s.cfg.Loads.Peers(sums)
+	if len(changed) > 0 {
+		s.cfg.Loads.Peers(changed)
+	}
+}
+
+// replace puts the load of a peer in the place of its last one. The caller holds
+// s.mu.
+func (s *Service) replace(old, sums map[uint64]admit.Sum) {
+	for h, sum := range sums {
+		if old[h] != sum {
+			s.shift(h, old[h], sum)
+		}
+	}
+	for h, sum := range old {
+		if _, ok := sums[h]; !ok {
+			s.shift(h, sum, admit.Sum{})
+		}
+	}
+}
+
+// shift changes one sum. The caller holds s.mu.
+func (s *Service) shift(h uint64, from, to admit.Sum) {
+	sum := s.total[h]
+	sum.Sub(from)
+	sum.Add(to)
+	if sum == (admit.Sum{}) {
+		delete(s.total, h)
+	} else {
+		s.total[h] = sum
+	}
+	s.changed[h] = sum
 }
 
 // sortLoad puts a load into the one order that equal loads share.
--- a/news/news_test.go
+++ b/news/news_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -102,10 +104,13 @@
 
 func (s *shared) Own() map[uint64]admit.Sum { return s.own }
 
-func (s *shared) Peers(sums map[uint64]admit.Sum) {
+func (s *shared) Peers(changed map[uint64]admit.Sum) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peers = sums
+	if s.peers == nil {
+		s.peers = make(map[uint64]admit.Sum)
+	}
+	maps.Copy(s.peers, changed)
 }
 
 func (s *shared) Used() map[string]int64 { return s.used }
@@ -413,3 +418,58 @@
 	is.Equal(len(s.loads), 1)
 	is.True(!s.loads["i"].cut) // late and replaced ones are dropped
 }
+
+// TestSumsOfOthers plays states of peers that come, change and fall silent, and
+// compares what was handed on with the sum over those that are heard.
+func TestSumsOfOthers(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(4, 2))
+	clock := tick.NewFake(time.Second)
+	own := &shared{heard: make(map[string]map[string]int64)}
+	s := New(Config{
+		Self: Member{Instance: "self"}, Book: &book{}, Loads: own, Charges: own, Health: health.NewBook(), Clock: clock, Log: zerolog.Nop(),
+	})
+	type state struct {
+		at          tick.Instant
+		incarnation uint64
+		sums        map[uint64]admit.Sum
+	}
+	said := make(map[string]*state)
+	for step := range 2000 {
+		clock.Advance(time.Duration(rnd.IntN(40)) * time.Millisecond)
+		now := clock.Now()
+		name := fmt.Sprint("p", rnd.IntN(6))
+		if rnd.IntN(10) > 0 {
+			st := said[name]
+			if st == nil || rnd.IntN(50) == 0 {
+				st = &state{incarnation: uint64(step) + 1}
+				said[name] = st
+			}
+			st.at, st.sums = now, make(map[uint64]admit.Sum)
+			l := &peerpb.Load{Instance: name, Incarnation: st.incarnation, Serial: uint64(step) + 1}
+			for h := range uint64(5) {
+				if rnd.IntN(2) == 0 {
+					sum := admit.Sum{Memory: rnd.IntN(9), Running: 1}
+					st.sums[h] = sum
+					l.Placed = append(l.Placed, &peerpb.Placed{Server: h, Memory: int64(sum.Memory), Running: 1})
+				}
+			}
+			s.members.take(&peerpb.Member{Instance: name, Incarnation: st.incarnation, Address: "a"}, now)
+			s.take(l)
+		}
+		if rnd.IntN(30) == 0 {
+			clock.Advance(staleAfter)
+		}
+		s.merge(clock.Now())
+		for h := range uint64(5) {
+			var want admit.Sum
+			for _, o := range said {
+				if clock.Now()-o.at <= staleAfter {
+					want.Add(o.sums[h])
+				}
+			}
+			if got := own.of(h); got != want {
+				t.Fatalf("step %d: server %d: %+v was handed on, the peers say %+v", step, h, got, want)
+			}
+		}
+	}
+}
--- a/news/service.go
+++ b/news/service.go
@@ -65,7 +65,8 @@
 // Loads is the load that instances place on backend servers.
 type Loads interface {
 	Own() map[uint64]admit.Sum
-	Peers(sums map[uint64]admit.Sum)
+	// Peers takes in those sums over the other instances that have changed.
+	Peers(changed map[uint64]admit.Sum)
 }
 
 // Charges is what customers use.
@@ -111,8 +112,10 @@
 	leaving atomic.Bool
 	pull    chan string // addresses of peers that have something newer in force
 
-	mu    sync.Mutex
-	loads map[string]*heardLoad // by instance
+	mu      sync.Mutex
+	loads   map[string]*heardLoad // by instance
+	total   map[uint64]admit.Sum  // of those that are heard
+	changed map[uint64]admit.Sum  // of total, since it was handed on last
 }
 
 var _ peerpbconnect.NewsServiceHandler = (*Service)(nil)
@@ -123,9 +126,10 @@
 		cfg:     cfg,
 		members: newMembers(cfg.Self.Instance),
 		// Peers are called by address: that of a seed is known before its name.
-		pool:  peer.NewPool(peer.Config{Address: func(i ident.Instance) (string, bool) { return string(i), true }}),
-		loads: make(map[string]*heardLoad),
-		pull:  make(chan string, 1),
+		pool: peer.NewPool(peer.Config{Address: func(i ident.Instance) (string, bool) { return string(i), true }}),
+		pull: make(chan string, 1),
+
+		loads: make(map[string]*heardLoad), total: make(map[uint64]admit.Sum), changed: make(map[uint64]admit.Sum),
 	}
 }
 
--- /dev/null
+++ b/news/size_test.go
@@ -0,0 +1,110 @@
+package news
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/share"
+	"wasabidock.dev/dock/tick"
+)
+
+// noSources is an admit.Source of a process that knows no server yet.
+type noSources struct{}
+
+func (noSources) Servers(string) ([]*route.Server, *route.Engine) { return nil, nil }
+
+// sink is a connection that takes datagrams and drops them.
+type sink struct{ net.PacketConn }
+
+func (sink) WriteTo(b []byte, _ net.Addr) (int, error) { return len(b), nil }
+
+// crowd is one instance among others, with the state that each of these sends.
+type crowd struct {
+	*Service
+	clock  *tick.Fake
+	sender *sender
+	states [][]byte
+	next   int
+	serial uint64
+}
+
+const (
+	crowdCentres = 6
+	crowdPlaced  = 24 // backend servers on which an instance has placed something
+)
+
+func newCrowd(members, servers int) *crowd {
+	clock := tick.NewFake(time.Second)
+	c := &crowd{clock: clock}
+	c.Service = New(Config{
+		Self: Member{Instance: "i000", Incarnation: 1, Address: "10.0.0.0:1", Datagrams: "10.0.0.0:2", Centre: "c0", Region: "r"},
+		Book: &book{}, Charges: share.NewLimits(clock), Health: health.NewBook(), Clock: clock, Log: zerolog.Nop(),
+		Loads: admit.NewDesk(admit.Config{Centre: "c0", Region: "r"}, noSources{}, clock),
+	})
+	c.sender = &sender{s: c.Service, pc: sink{}, first: 1}
+	for i := 1; i < members; i++ {
+		name := fmt.Sprintf("i%03d", i)
+		c.members.take(&peerpb.Member{
+			Instance: name, Incarnation: 1, Address: "10.0.0.1:1", Datagrams: "10.0.0.1:2",
+			Centre: fmt.Sprint("c", i%crowdCentres), Region: "r",
+		}, clock.Now())
+		l := &peerpb.Load{Instance: name, Incarnation: 1}
+		for k := range crowdPlaced {
+			s := route.Hash(fmt.Sprint("s", (i*crowdPlaced+k)%servers))
+			l.Placed = append(l.Placed, &peerpb.Placed{Server: s, Memory: int64(1000 + i), Running: 1})
+		}
+		for k := range 16 {
+			l.Used = append(l.Used, &peerpb.Used{Customer: fmt.Sprint("customer", k), Tokens: int64(1000 * i)})
+		}
+		b, err := proto.Marshal(l)
+		if err != nil {
+			panic(err) // plain values always encode
+		}
+		c.states = append(c.states, b)
+	}
+	return c
+}
+
+// second plays the datagrams that come in a second, and the own ones.
+func (c *crowd) second() {
+	perTick := 0.0
+	for range int(time.Second / loadEvery) {
+		c.clock.Advance(loadEvery)
+		period := max(loadEvery, time.Duration(len(c.states))*loadPerPeer)
+		perTick += float64(len(c.states)) * float64(loadEvery) / float64(period)
+		for ; perTick >= 1; perTick-- {
+			var l peerpb.Load
+			if err := proto.Unmarshal(c.states[c.next%len(c.states)], &l); err != nil {
+				panic(err) // it was encoded here
+			}
+			c.serial++
+			l.Serial = c.serial
+			c.next++
+			c.take(&l)
+		}
+		c.tell(c.sender, c.clock.Now())
+	}
+}
+
+// BenchmarkSecond is what hearing the others costs one instance in a second.
+func BenchmarkSecond(b *testing.B) {
+	for _, size := range []struct{ members, servers int }{{30, 300}, {100, 1000}, {300, 3000}, {360, 600}} {
+		b.Run(fmt.Sprintf("%d members %d servers", size.members, size.servers), func(b *testing.B) {
+			c := newCrowd(size.members, size.servers)
+			c.second()
+			b.ResetTimer()
+			for range b.N {
+				c.second()
+			}
+		})
+	}
+}
