admit, route: a decision looks at the records of few servers

For each server a decision hashed its key, looked its load up by the hash twice and asked under locks whether it is closed, usable and connected. The loads are now found once for each fleet, the hash of a key is kept with the server, and a server is judged only if its cost would win.

--- a/admit/book.go
+++ b/admit/book.go
@@ -145,6 +145,7 @@
 type Book struct {
 	cfg   Config
 	loads map[uint64]*load // by route.Hash of the server's key
+	views map[string]view  // by service
 
 	// starts is what requests of a service take to their first event beyond the
 	// time in which an idle server reads their prompt: calls, queues and the way
@@ -154,10 +155,10 @@
 
 // NewBook returns an empty Book.
 func NewBook(cfg Config) *Book {
-	return &Book{cfg: cfg, loads: make(map[uint64]*load), starts: delay.NewBook()}
+	return &Book{cfg: cfg, loads: make(map[uint64]*load), views: make(map[string]view), starts: delay.NewBook()}
 }
 
-func (b *Book) load(s *route.Server) *load { return b.byHash(route.Hash(s.Key())) }
+func (b *Book) load(s *route.Server) *load { return b.byHash(s.Hash()) }
 
 func (b *Book) byHash(h uint64) *load {
 	l, ok := b.loads[h]
@@ -233,21 +234,18 @@
 // best returns the pair with the earliest expected first event among the
 // servers, all of them or those alone that are not set aside.
 func (b *Book) best(w *Want, servers []*route.Server, engine *route.Engine, now tick.Instant, usable bool) *Placement {
+	loads := b.beside(w.Service, servers)
 	var decode, prefill *route.Server
+	var decodeLoad *load
 	var dCost, pCost time.Duration
-	for _, s := range servers {
-		if avoided(w, s) || b.closed(s, now) > now {
-			continue
-		}
-		if usable && b.cfg.Usable != nil && !b.cfg.Usable(s.Key(), now) {
-			continue
-		}
+	for i, s := range servers {
+		l := loads[i]
 		if s.Stage == route.StagePrefill {
 			if w.Alone {
 				continue
 			}
-			c := b.readCost(w, s)
-			if prefill != nil && c >= pCost {
+			c := b.readCost(w, s, l)
+			if prefill != nil && c >= pCost || !b.takes(w, s, now, usable) {
 				continue
 			}
 			if c += b.dial(s); prefill == nil || c < pCost {
@@ -255,12 +253,12 @@
 			}
 			continue
 		}
-		c, ok := b.decodeCost(w, s, engine, now)
-		if !ok || decode != nil && c >= dCost {
+		c, ok := b.decodeCost(w, s, l, engine, now)
+		if !ok || decode != nil && c >= dCost || !b.takes(w, s, now, usable) {
 			continue
 		}
 		if c += b.dial(s); decode == nil || c < dCost {
-			decode, dCost = s, c
+			decode, decodeLoad, dCost = s, l, c
 		}
 	}
 	if decode == nil {
@@ -269,13 +267,42 @@
 	if w.Read {
 		return &Placement{Decode: decode, Start: dCost}
 	}
-	self := b.selfCost(w, decode)
-	if prefill == nil || decode.Stage == route.StageBoth || self < pCost && !b.stalls(w, decode) {
+	self := b.selfCost(w, decode, decodeLoad)
+	if prefill == nil || decode.Stage == route.StageBoth || self < pCost && !b.stalls(w, decode, decodeLoad) {
 		return &Placement{Decode: decode, Start: dCost + self}
 	}
 	return &Placement{Prefill: prefill, Decode: decode, Start: dCost + pCost}
 }
 
+// takes tells whether a server may be given a request. It is asked last, of the
+// few servers that would be chosen.
+func (b *Book) takes(w *Want, s *route.Server, now tick.Instant, usable bool) bool {
+	if avoided(w, s) || b.closed(s, now) > now {
+		return false
+	}
+	return !usable || b.cfg.Usable == nil || b.cfg.Usable(s.Key(), now)
+}
+
+// view is what is known of the servers of a service, in their order.
+type view struct {
+	servers []*route.Server
+	loads   []*load
+}
+
+// beside returns what is known of each of the servers. The slices of a fleet do
+// not change, so that this is worked out once for each fleet.
+func (b *Book) beside(service string, servers []*route.Server) []*load {
+	if v, ok := b.views[service]; ok && len(v.servers) == len(servers) && (len(servers) == 0 || &v.servers[0] == &servers[0]) {
+		return v.loads
+	}
+	v := view{servers: servers, loads: make([]*load, len(servers))}
+	for i, s := range servers {
+		v.loads[i] = b.load(s)
+	}
+	b.views[service] = v
+	return v.loads
+}
+
 func avoided(w *Want, s *route.Server) bool {
 	for _, k := range w.Avoid {
 		if k == s.Key() {
@@ -370,6 +397,7 @@
 	for h, l := range b.loads {
 		if l.running == 0 && l.reading == 0 && l.peers == (Sum{}) && !here(h) {
 			delete(b.loads, h)
+			clear(b.views) // they may hold it
 		}
 	}
 }
--- a/admit/cost.go
+++ b/admit/cost.go
@@ -52,16 +52,14 @@
 
 // readCost returns the expected time until a prefill server has read the
 // prompt.
-func (b *Book) readCost(w *Want, s *route.Server) time.Duration {
-	l := b.load(s)
+func (b *Book) readCost(w *Want, s *route.Server, l *load) time.Duration {
 	tokens := l.reading + l.peers.Reading + w.Prompt
 	return b.distance(s) + readFixed + span(float64(tokens)/l.speed)
 }
 
 // selfCost returns the expected time until a decode server has read the prompt
 // itself, between the tokens of what runs there.
-func (b *Book) selfCost(w *Want, s *route.Server) time.Duration {
-	l := b.load(s)
+func (b *Book) selfCost(w *Want, s *route.Server, l *load) time.Duration {
 	tokens := l.reading + l.peers.Reading + w.Prompt
 	factor := selfFactor
 	if s.Stage == route.StageBoth {
@@ -74,8 +72,7 @@
 func reading(w *Want) time.Duration { return readFixed + span(float64(w.Prompt)/speedDefault) }
 
 // decodeCost returns the penalty of a decode server, false if it has no room.
-func (b *Book) decodeCost(w *Want, s *route.Server, engine *route.Engine, now tick.Instant) (time.Duration, bool) {
-	l := b.load(s)
+func (b *Book) decodeCost(w *Want, s *route.Server, l *load, engine *route.Engine, now tick.Instant) (time.Duration, bool) {
 	room := float64(engine.KVTokens) * memoryShare
 	if now < l.full {
 		return 0, false
@@ -90,8 +87,7 @@
 // stalls tells whether the streams that run at a decode server would pause for
 // longer than is on time if it read the prompt itself. Several pieces of a
 // prompt may fall between two events, since an event may carry several tokens.
-func (b *Book) stalls(w *Want, s *route.Server) bool {
-	l := b.load(s)
+func (b *Book) stalls(w *Want, s *route.Server, l *load) bool {
 	if w.Gap <= 0 || l.running+l.peers.Running == 0 {
 		return false
 	}
@@ -99,7 +95,7 @@
 	if pause == 0 {
 		pause = time.Duration(pauseDefault * float64(w.Gap))
 	}
-	return pause+b.selfCost(w, s) > w.Gap
+	return pause+b.selfCost(w, s, l) > w.Gap
 }
 
 func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -209,7 +209,7 @@
 func (d *daemon) forget() {
 	here := make(map[uint64]bool)
 	for _, s := range d.p.Live.Fleet().All() {
-		here[route.Hash(s.Key())] = true
+		here[s.Hash()] = true
 	}
 	d.p.Desk.Forget(func(hash uint64) bool { return here[hash] })
 }
--- a/route/fleet.go
+++ b/route/fleet.go
@@ -31,7 +31,8 @@
 	Slots   int
 	Born    int64 // Unix milliseconds of its start, 0 if it does not tell
 
-	key string // as Key returns it, set by NewFleet
+	key  string // as Key returns it, set by NewFleet
+	hash uint64 // of the key
 }
 
 // Key names one start of a server at one address.
@@ -42,6 +43,14 @@
 	return s.ID + "@" + s.Addr + "@" + strconv.FormatInt(s.Born, 10)
 }
 
+// Hash returns the hash of the server's key.
+func (s *Server) Hash() uint64 {
+	if s.key != "" {
+		return s.hash
+	}
+	return Hash(s.Key())
+}
+
 // Hash returns the hash of a server's key, by which instances name it to each
 // other.
 func Hash(key string) uint64 { return xxhash.Sum64String(key) }
@@ -64,6 +73,7 @@
 	}
 	for _, s := range servers {
 		s.key = s.Key()
+		s.hash = Hash(s.key)
 		f.byID[s.ID] = s
 		f.of[s.Service] = append(f.of[s.Service], s)
 	}
