--- a/admit/book.go
+++ b/admit/book.go
@@ -48,6 +48,9 @@
 	outputShare = 0.5
 	// fullPause is how long a server that had no room is passed over.
 	fullPause = 100 * time.Millisecond
+	// slowTime is how long a server counts as slow after a prompt that it has not
+	// read in time.
+	slowTime = 3 * time.Second
 	// startDeviations is how many mean deviations above the mean most requests
 	// stay on their way to the first event.
 	startDeviations = 1
@@ -101,6 +104,9 @@
 	speed   float64       // tokens of prompts read per second
 	full    tick.Instant  // it takes nothing until then
 	pause   time.Duration // mean time between the events of its streams, 0 if not known
+
+	slow      float64 // speed that counts until slowUntil, after a prompt that took too long
+	slowUntil tick.Instant
 }
 
 // Sum is the load that instances have placed on a server or, by the hash of a
@@ -244,7 +250,7 @@
 			if w.Alone {
 				continue
 			}
-			c := b.readCost(w, s, l)
+			c := b.readCost(w, s, l, now)
 			if prefill != nil && c >= pCost || !b.takes(w, s, now, usable) {
 				continue
 			}
@@ -267,8 +273,8 @@
 	if w.Read {
 		return &Placement{Decode: decode, Start: dCost}
 	}
-	self := b.selfCost(w, decode, decodeLoad)
-	if prefill == nil || decode.Stage == route.StageBoth || self < pCost && !b.stalls(w, decode, decodeLoad) {
+	self := b.selfCost(w, decode, decodeLoad, now)
+	if prefill == nil || decode.Stage == route.StageBoth || self < pCost && !b.stalls(w, decode, decodeLoad, now) {
 		return &Placement{Decode: decode, Start: dCost + self}
 	}
 	return &Placement{Prefill: prefill, Decode: decode, Start: dCost + pCost}
@@ -331,6 +337,27 @@
 	}
 }
 
+// Slow says that the prompt of a placement has not been read within a time. Its
+// server counts as so slow for a while, so that the next requests do not find
+// out again one by one.
+func (b *Book) Slow(p *Placement, within time.Duration, now tick.Instant) {
+	l := b.load(p.reader())
+	tokens := l.reading + l.peers.Reading
+	if within <= readFixed || tokens <= 0 {
+		return
+	}
+	l.slow = min(l.speed, float64(tokens)/(within-readFixed).Seconds())
+	l.slowUntil = now + slowTime
+}
+
+// pace returns the tokens of prompts that the server reads per second.
+func (l *load) pace(now tick.Instant) float64 {
+	if now < l.slowUntil {
+		return l.slow
+	}
+	return l.speed
+}
+
 // Began says that the first event of a placement has come.
 func (b *Book) Began(p *Placement, now tick.Instant) {
 	b.Read(p, 0)
--- a/admit/book_test.go
+++ b/admit/book_test.go
@@ -88,6 +88,28 @@
 	}
 }
 
+// TestSlow has a server not read a prompt in time: another gets the next
+// prompts, and it is tried again later.
+func TestSlow(t *testing.T) {
+	is := is.New(t)
+	p1, p2 := server("p1", "a", "r", route.StagePrefill), server("p2", "b", "r", route.StagePrefill)
+	all := []*route.Server{p1, p2, server("d1", "a", "r", route.StageDecode)}
+	b := NewBook(Config{Centre: "a", Region: "r"})
+	reader := func(now tick.Instant) string {
+		p, ok := b.Place(Want{Prompt: 2_500}, all, engine, now)
+		is.True(ok)
+		defer b.Done(p)
+		name, _ := names(p)
+		return name
+	}
+	p, _ := b.Place(Want{Prompt: 2_500}, all, engine, 0)
+	is.Equal(p.Prefill, p1)
+	b.Slow(p, 400*time.Millisecond, 400*time.Millisecond)
+	b.Done(p)
+	is.Equal(reader(time.Second), "p2")
+	is.Equal(reader(10*time.Second), "p1")
+}
+
 // TestOpenConnectionsAreUsed prefers a server to which a connection is open while
 // the load does not speak against it.
 func TestOpenConnectionsAreUsed(t *testing.T) {
--- a/admit/cost.go
+++ b/admit/cost.go
@@ -52,20 +52,20 @@
 
 // readCost returns the expected time until a prefill server has read the
 // prompt.
-func (b *Book) readCost(w *Want, s *route.Server, l *load) time.Duration {
+func (b *Book) readCost(w *Want, s *route.Server, l *load, now tick.Instant) time.Duration {
 	tokens := l.reading + l.peers.Reading + w.Prompt
-	return b.distance(s) + readFixed + span(float64(tokens)/l.speed)
+	return b.distance(s) + readFixed + span(float64(tokens)/l.pace(now))
 }
 
 // selfCost returns the expected time until a decode server has read the prompt
 // itself, between the tokens of what runs there.
-func (b *Book) selfCost(w *Want, s *route.Server, l *load) time.Duration {
+func (b *Book) selfCost(w *Want, s *route.Server, l *load, now tick.Instant) time.Duration {
 	tokens := l.reading + l.peers.Reading + w.Prompt
 	factor := selfFactor
 	if s.Stage == route.StageBoth {
 		factor = 1
 	}
-	return readFixed + span(float64(tokens)/l.speed*factor)
+	return readFixed + span(float64(tokens)/l.pace(now)*factor)
 }
 
 // reading returns the time in which an idle server reads a prompt.
@@ -87,7 +87,7 @@
 // stalls tells whether the streams that run at a decode server would pause for
 // longer than is on time if it read the prompt itself. Several pieces of a
 // prompt may fall between two events, since an event may carry several tokens.
-func (b *Book) stalls(w *Want, s *route.Server, l *load) bool {
+func (b *Book) stalls(w *Want, s *route.Server, l *load, now tick.Instant) bool {
 	if w.Gap <= 0 || l.running+l.peers.Running == 0 {
 		return false
 	}
@@ -95,7 +95,7 @@
 	if pause == 0 {
 		pause = time.Duration(pauseDefault * float64(w.Gap))
 	}
-	return pause+b.selfCost(w, s, l) > w.Gap
+	return pause+b.selfCost(w, s, l, now) > w.Gap
 }
 
 func span(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
--- a/admit/desk.go
+++ b/admit/desk.go
@@ -243,6 +243,13 @@
 	d.sweep(d.clock.Now())
 }
 
+// Slow says that the prompt of a placement has not been read within a time.
+func (d *Desk) Slow(p *Placement, within time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.book.Slow(p, within, d.clock.Now())
+}
+
 // Began says that the first event of a placement has come.
 func (d *Desk) Began(p *Placement) {
 	d.mu.Lock()
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -36,6 +36,9 @@
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: prompt was not read")
 		m.blame(s, failure(err))
+		if errors.Is(err, context.DeadlineExceeded) && !m.gone() {
+			h.cfg.Placer.Slow(p, took)
+		}
 		m.avoid(s)
 		m.want.Alone = m.reads > 1
 		return false
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -74,6 +74,8 @@
 type Placer interface {
 	Place(ctx context.Context, w admit.Want) (*admit.Placement, error)
 	Read(p *admit.Placement, took time.Duration)
+	// Slow says that a prompt has not been read within a time.
+	Slow(p *admit.Placement, within time.Duration)
 	// Began says that the first event of a stream has come.
 	Began(p *admit.Placement)
 	// Paced tells the mean pause between the events of a stream.
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -84,6 +84,20 @@
 	}
 }
 
+// TestSlowReaderIsFoundOnce has a prefill server accept prompts and not answer in
+// time: the first request that meets it keeps the next ones away.
+func TestSlowReaderIsFoundOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, split)
+	w.servers["p1"].Fail(mimic.Mute)
+	for range 6 {
+		got := w.ask(t, http.MethodPost, "/again/1", "prompt", sized)
+		is.NoErr(got.err)
+		is.Equal(got.body, events(1, 4))
+	}
+	is.True(len(w.servers["p1"].Arrivals()) <= 1)
+}
+
 func TestResumedWithinOneAnswer(t *testing.T) {
 	for _, fault := range []mimic.Fault{mimic.Torn, mimic.Stall, mimic.Trickle} {
 		t.Run(string(fault), func(t *testing.T) {
