admit, entry: the more instances there are, the more their choices of a server spread

Servers whose costs differ little were ranked alike by all instances, so that between two tellings many requests went to the one that looked best.

--- a/admit/book.go
+++ b/admit/book.go
@@ -142,6 +142,10 @@
 	// Closed returns the instant until which a server wants no request, one in
 	// the past if it takes them; nil for servers that take them always.
 	Closed func(key string, now tick.Instant) tick.Instant
+	// Members returns the number of instances, nil for few. Random returns
+	// numbers from 0 to 1.
+	Members func() int
+	Random  func() float64
 	// Open tells whether a connection to an address is open and idle, nil for
 	// always.
 	Open func(addr string) bool
@@ -244,13 +248,14 @@
 	var decode, prefill *route.Server
 	var decodeLoad *load
 	var dCost, pCost time.Duration
+	blur := b.blur()
 	for i, s := range servers {
 		l := loads[i]
 		if s.Stage == route.StagePrefill {
 			if w.Alone {
 				continue
 			}
-			c := b.readCost(w, s, l, now)
+			c := b.readCost(w, s, l, now) + b.random(blur)
 			if prefill != nil && c >= pCost || !b.takes(w, s, now, usable) {
 				continue
 			}
@@ -260,6 +265,7 @@
 			continue
 		}
 		c, ok := b.decodeCost(w, s, l, engine, now)
+		c += b.random(blur)
 		if !ok || decode != nil && c >= dCost || !b.takes(w, s, now, usable) {
 			continue
 		}
--- a/admit/cost.go
+++ b/admit/cost.go
@@ -24,6 +24,12 @@
 	// fullCost is the penalty of a decode server without a free block,
 	// proportional below: memory that is nearly used up preempts.
 	fullCost = 60 * time.Millisecond
+	// blurEach is by how much costs that differ count as alike, for each
+	// instance: the more there are, the more requests are placed before all hear
+	// of them, and the more would go to the one server that looks best. It is
+	// blurMost at most.
+	blurEach = 200 * time.Microsecond
+	blurMost = 20 * time.Millisecond
 	// memoryShare is the part of a server's memory that is handed out. The
 	// rest covers what other instances place at the same time.
 	memoryShare = 0.95
@@ -42,6 +48,22 @@
 	return abroadCost
 }
 
+// blur returns the span within which costs count as alike.
+func (b *Book) blur() time.Duration {
+	if b.cfg.Members == nil || b.cfg.Random == nil {
+		return 0
+	}
+	return min(time.Duration(b.cfg.Members())*blurEach, blurMost)
+}
+
+// random returns a part of the span.
+func (b *Book) random(span time.Duration) time.Duration {
+	if span == 0 {
+		return 0
+	}
+	return time.Duration(b.cfg.Random() * float64(span))
+}
+
 // dial returns the cost of opening a connection to a server.
 func (b *Book) dial(s *route.Server) time.Duration {
 	if b.cfg.Open == nil || b.cfg.Open(s.Addr) {
--- a/admit/load_test.go
+++ b/admit/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -31,8 +32,13 @@
 	name    string
 	tell    time.Duration // how often instances tell each other, 0 for never
 	reserve bool          // memory is set aside before the prompt is read
+	size    int           // instances, servers and requests are so many times as many, 0 for once
+	spread  bool          // instances spread their choices as they do in a fleet of this size
 }
 
+// times returns n times the size.
+func (p simPolicy) times(n int) int { return n * max(p.size, 1) }
+
 // simEvent is something that happens at an instant.
 type simEvent struct {
 	at time.Duration
@@ -65,6 +71,7 @@
 	engine  *route.Engine
 
 	asked, onTime, late, wasted, read int
+	refused                           int // reservations
 }
 
 func (s *sim) after(d time.Duration, do func()) { heap.Push(&s.queue, simEvent{s.now + d, do}) }
@@ -74,15 +81,20 @@
 		policy: p, rnd: rand.New(rand.NewPCG(seed, 4)), memory: make(map[string]int), busy: make(map[string]time.Duration),
 		engine: &route.Engine{Slots: 64, KVTokens: simMemory},
 	}
-	for i := range 18 {
+	for i := range p.times(18) {
 		st := route.StageDecode
 		if i%3 == 0 {
 			st = route.StagePrefill
 		}
-		s.servers = append(s.servers, server(fmt.Sprint("s", i), fmt.Sprint("c", i/6), "r", st))
+		s.servers = append(s.servers, server(fmt.Sprint("s", i), fmt.Sprint("c", i/p.times(6)), "r", st))
 	}
-	for i := range simInstances {
-		s.books = append(s.books, NewBook(Config{Centre: fmt.Sprint("c", i/3), Region: "r"}))
+	for i := range p.times(simInstances) {
+		cfg := Config{Centre: fmt.Sprint("c", i/p.times(3)), Region: "r"}
+		if p.spread {
+			cfg.Members = func() int { return p.times(simInstances) }
+			cfg.Random = rand.New(rand.NewPCG(seed, uint64(i))).Float64
+		}
+		s.books = append(s.books, NewBook(cfg))
 	}
 	return s
 }
@@ -104,7 +116,7 @@
 	if s.now > simFor {
 		return
 	}
-	rate := simMean
+	rate := simMean * float64(s.policy.times(1))
 	if s.now%(10*time.Second) > 6*time.Second {
 		rate *= 2
 	}
@@ -115,7 +127,7 @@
 		Prompt: 1_000 + s.rnd.IntN(4_400), Output: max(50, int(float64(out)*(0.5+s.rnd.Float64()))),
 		By: s.now + simObjective, Until: s.now + simPatience,
 	}
-	s.place(s.books[s.rnd.IntN(simInstances)], w, min(out, 2_200))
+	s.place(s.books[s.rnd.IntN(len(s.books))], w, min(out, 2_200))
 }
 
 // place tries until the request has a place or is of no use any more.
@@ -132,6 +144,7 @@
 	need := w.Prompt + out/2
 	if s.policy.reserve {
 		if s.memory[d]+need > simMemory {
+			s.refused++
 			b.Full(p.Decode, s.now)
 			b.Done(p)
 			s.after(time.Millisecond, func() { s.place(b, w, out) })
@@ -192,17 +205,20 @@
 
 // tell has each instance hear what the others have placed.
 func (s *sim) tell() {
-	for i, b := range s.books {
-		sums := make(map[uint64]Sum)
-		for j, o := range s.books {
-			if i == j {
-				continue
-			}
-			for h, l := range o.Own() {
-				sum := sums[h]
-				sum.Add(l)
-				sums[h] = sum
-			}
+	total := make(map[uint64]Sum)
+	for _, b := range s.books {
+		for h, l := range b.Own() {
+			sum := total[h]
+			sum.Add(l)
+			total[h] = sum
+		}
+	}
+	for _, b := range s.books {
+		sums := maps.Clone(total)
+		for h, l := range b.Own() {
+			sum := sums[h]
+			sum.Sub(l)
+			sums[h] = sum
 		}
 		b.Peers(changes(b, sums))
 	}
@@ -245,3 +261,22 @@
 		t.Errorf("%.3f of the prompts were read in vain, at most 0.01 are allowed", wasted[told])
 	}
 }
+
+// TestManyInstancesSpreadTheirChoices plays the load at ten times the size, where
+// instances hear each other less often. What they would take for the least
+// loaded server is the same for many of them.
+func TestManyInstancesSpreadTheirChoices(t *testing.T) {
+	play := func(spread bool) *sim {
+		s := newSim(simPolicy{tell: 180 * time.Millisecond, reserve: true, size: 10, spread: spread}, 1)
+		s.run()
+		t.Logf("spread %-5v: %d asked, on time %d, late %d, reservations refused %d", spread, s.asked, s.onTime, s.late, s.refused)
+		return s
+	}
+	herd, spread := play(false), play(true)
+	if spread.refused > herd.refused/2 {
+		t.Errorf("%d reservations were refused, over half of the %d of instances that choose alike", spread.refused, herd.refused)
+	}
+	if spread.onTime < herd.onTime {
+		t.Errorf("%d are on time, less than the %d of instances that choose alike", spread.onTime, herd.onTime)
+	}
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"os"
 	"runtime/debug"
 	"time"
@@ -130,9 +131,10 @@
 	return m.live.Fleet().Of(service), s.Engine
 }
 
-func newDesk(set *platform.Settings, clock tick.Service, live *route.Live, h *health.Book, c *link.Client) *admit.Desk {
+func newDesk(set *platform.Settings, clock tick.Service, live *route.Live, h *health.Book, c *link.Client, l *share.Limits) *admit.Desk {
 	return admit.NewDesk(admit.Config{
 		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable, Closed: h.Closed, Open: c.Open,
+		Members: l.Members, Random: rand.Float64,
 	}, models{live}, clock)
 }
 
