admit: a decode server reads a prompt itself only for a request that would be late otherwise

They read whenever that was a little sooner, which slows the streams beside it and keeps memory that binds.

It is now done where the queues at prefill servers would make the request late, for which the model of admit/pause_test.go stands.

--- a/admit/book.go
+++ b/admit/book.go
@@ -280,7 +280,13 @@
 		return &Placement{Decode: decode, Start: dCost}
 	}
 	self := b.selfCost(w, decode, decodeLoad, now)
-	if prefill == nil || decode.Stage == route.StageBoth || self < pCost && !b.stalls(w, decode, decodeLoad, now) {
+	if prefill == nil || decode.Stage == route.StageBoth {
+		return &Placement{Decode: decode, Start: dCost + self}
+	}
+	// Reading at a decode server slows its streams down, so that it does so only
+	// for a request that would be late otherwise.
+	late := now+dCost+pCost >= w.By
+	if late && self < pCost && !b.stalls(w, decode, decodeLoad, now) {
 		return &Placement{Decode: decode, Start: dCost + self}
 	}
 	return &Placement{Prefill: prefill, Decode: decode, Start: dCost + pCost}
--- a/admit/book_test.go
+++ b/admit/book_test.go
@@ -49,6 +49,10 @@
 			b.load(p1).peers.Reading = 50_000
 			b.load(p2).peers.Reading = 50_000
 		}, decode: "d1"},
+		{name: "both prefill queues, and time for them", servers: all, want: Want{By: time.Minute}, before: func(b *Book) {
+			b.load(p1).peers.Reading = 9_000
+			b.load(p2).peers.Reading = 9_000
+		}, prefill: "p1", decode: "d1"},
 		{name: "memory of peers", servers: all, before: func(b *Book) { b.load(d1).peers.Memory = 9_000 }, prefill: "p1", decode: "d2"},
 		{name: "full", servers: all, before: func(b *Book) { b.Full(d1, 0) }, prefill: "p1", decode: "d2"},
 		{name: "abroad last", servers: all, before: func(b *Book) {
