news: newer state that is large is told to few at a time

When something changes, one instance of a data centre reads it and all others ask that one at the same moment; over one link none of them is told within the limit of a call, and they ask again.

An instance now tells 1 MiB a second of what is large, and answers busy to the others, which ask again after a moment, this one or one that was told meanwhile. Answers of up to 8 KiB go at once.

--- a/news/news_test.go
+++ b/news/news_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -473,3 +474,57 @@
 		}
 	}
 }
+
+// TestNewerStateIsToldInTurn has many ask one instance for a configuration at
+// once: those that it can tell in time get it, the others are told to ask again.
+func TestNewerStateIsToldInTurn(t *testing.T) {
+	const askers = 20
+	tests := []struct {
+		name  string
+		bytes int
+		most  int // that are told at once
+	}{
+		{name: "small", bytes: 1_000, most: askers},
+		{name: "large", bytes: 200_000, most: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			clock := tick.NewFake(time.Second)
+			s := New(Config{
+				Self: Member{Instance: "a", Address: "127.0.0.1:1"}, Charges: &shared{}, Clock: clock,
+				Book: &book{config: strings.Repeat("x", tt.bytes), table: 7},
+			})
+			ask := func() bool {
+				resp, err := s.Exchange(t.Context(), &peerpb.ExchangeRequest{Want: true})
+				is.NoErr(err)
+				is.Equal(resp.GetBusy(), len(resp.GetConfig()) == 0)
+				return !resp.GetBusy()
+			}
+			told := 0
+			for range askers {
+				if ask() {
+					told++
+				}
+			}
+			is.Equal(told, tt.most)
+			clock.Advance(300 * time.Millisecond)
+			is.True(ask()) // it is told later
+		})
+	}
+}
+
+// TestBusyPeerIsAskedAgain has several instances of a data centre learn a large
+// configuration from one.
+func TestBusyPeerIsAskedAgain(t *testing.T) {
+	a := start(t, "a")
+	others := []*node{start(t, "b", a.cfg.Self.Address), start(t, "c", a.cfg.Self.Address), start(t, "d", a.cfg.Self.Address)}
+	eventually(t, "they know each other", func() bool { return len(a.Members()) == 3 })
+	a.book.Take([]byte(strings.Repeat("x", 150_000)), 5)
+	for _, n := range others {
+		eventually(t, "it is known everywhere", func() bool {
+			table, _ := n.book.Revisions()
+			return table == 5
+		})
+	}
+}
--- a/news/service.go
+++ b/news/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/health"
@@ -33,8 +34,21 @@
 	knownShare = 0.9
 	// exchangeLimit bounds a call.
 	exchangeLimit = 800 * time.Millisecond
+	// tellBytes is what an instance tells of newer state in a second, but for
+	// small answers of up to smallBytes. When something changes, all of a data
+	// centre ask at once: those that are told first can tell the others, where a
+	// link that is shared by all of them would be in time for none.
+	tellBytes  = 1 << 20
+	smallBytes = 8 << 10
+	// askLeast and askMost bound the wait before an instance that was busy is
+	// asked again.
+	askLeast = 50 * time.Millisecond
+	askMost  = 150 * time.Millisecond
 )
 
+// errBusy reports a peer that tells others at the moment.
+var errBusy = errors.New("the peer is busy")
+
 // Item is one published key with its value.
 type Item struct {
 	Key      string
@@ -116,6 +130,7 @@
 	loads   map[string]*heardLoad // by instance
 	total   map[uint64]admit.Sum  // of those that are heard
 	changed map[uint64]admit.Sum  // of total, since it was handed on last
+	tellEnd tick.Instant          // until when what was told of newer state takes
 }
 
 var _ peerpbconnect.NewsServiceHandler = (*Service)(nil)
@@ -167,13 +182,28 @@
 		case <-t.C():
 			return nil
 		case addr := <-s.pull:
-			if err := s.exchange(ctx, addr, true); err != nil && ctx.Err() == nil {
+			switch err := s.exchange(ctx, addr, true); {
+			case errors.Is(err, errBusy):
+				s.askAgain(ctx, addr)
+			case err != nil && ctx.Err() == nil:
 				s.cfg.Log.Info().Err(err).Str("peer", addr).Msg("news: newer state was not got")
 			}
 		}
 	}
 }
 
+// askAgain asks a peer that was busy once more after a moment, unless another
+// one is ahead too and is asked before.
+func (s *Service) askAgain(ctx context.Context, addr string) {
+	if tick.Sleep(ctx, s.cfg.Clock, askLeast+rand.N(askMost-askLeast)) != nil {
+		return
+	}
+	select {
+	case s.pull <- addr:
+	default:
+	}
+}
+
 // compare asks a peer that has something newer in force than this instance.
 func (s *Service) compare(addr string, table, fleet int64) {
 	ownTable, ownFleet := s.cfg.Book.Revisions()
@@ -260,6 +290,9 @@
 		s.compare(addr, resp.GetTable(), resp.GetFleet())
 		return nil
 	}
+	if resp.GetBusy() {
+		return errBusy
+	}
 	if raw := resp.GetConfig(); len(raw) > 0 {
 		s.cfg.Book.Take(raw, resp.GetTable())
 	}
@@ -312,7 +345,7 @@
 	}
 	items, rev, whole := s.cfg.Book.Entries(r.GetFleet())
 	if rev <= r.GetFleet() {
-		return resp, nil
+		return s.offer(resp, now), nil
 	}
 	resp.Fleet, resp.Whole = rev, whole
 	for _, it := range items {
@@ -321,7 +354,23 @@
 			KeepMs: it.Keep.Milliseconds(),
 		})
 	}
-	return resp, nil
+	return s.offer(resp, now), nil
+}
+
+// offer returns the answer to a call that wants newer state, without that state
+// while others are being told.
+func (s *Service) offer(resp *peerpb.ExchangeResponse, now tick.Instant) *peerpb.ExchangeResponse {
+	size := proto.Size(resp)
+	if size <= smallBytes {
+		return resp
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now < s.tellEnd {
+		return &peerpb.ExchangeResponse{Self: resp.GetSelf(), Members: resp.GetMembers(), Busy: true}
+	}
+	s.tellEnd = now + time.Duration(float64(size)/tellBytes*float64(time.Second))
+	return resp
 }
 
 // Watches tells whether this instance reads what is published itself: the
