--- a/relay/engine.go
+++ b/relay/engine.go
@@ -110,13 +110,20 @@
 	defer a.Close()
 	m.heed(s, a)
 	b, err := whole(a.Body, controlBytes)
-	if err != nil || a.Status != http.StatusOK {
+	if err == nil && a.Status == http.StatusServiceUnavailable {
 		// It may have room again soon. What is placed elsewhere meanwhile is not
 		// known here at once, so that this says nothing of the other servers.
 		h.cfg.Placer.Full(s)
 		m.rounds--
 		return false
 	}
+	if err != nil || a.Status != http.StatusOK {
+		h.cfg.Log.Info().Err(err).Int("status", a.Status).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
+		m.misled(s, a)
+		m.avoid(s)
+		m.rounds-- // it is not asked again, so that this ends by itself
+		return false
+	}
 	name, err := h.cfg.Wire.Hold(b)
 	if err != nil {
 		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Msg("relay: reservation cannot be read")
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -119,6 +119,20 @@
 	}
 }
 
+// TestServerThatFailsReservationsIsAskedOnce has the only other decode server be
+// full for a time.
+func TestServerThatFailsReservationsIsAskedOnce(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, map[string]mimic.Role{"p1": mimic.Prefill, "d1": mimic.Decode, "d2": mimic.Decode})
+	w.servers["d1"].Fail(mimic.BadHold)
+	w.servers["d2"].Fail(mimic.NoHold)
+	time.AfterFunc(400*time.Millisecond, func() { w.servers["d2"].Fail(mimic.None) })
+	got := w.ask(t, http.MethodPost, "/once/1", "prompt", sized)
+	is.NoErr(got.err)
+	is.Equal(got.body, events(1, 4))
+	is.Equal(len(w.servers["d1"].Calls()), 1)
+}
+
 // TestSlowReaderIsFoundOnce has a prefill server accept prompts and not answer in
 // time: the first request that meets it keeps the next ones away.
 func TestSlowReaderIsFoundOnce(t *testing.T) {
