--- /dev/null
+++ b/admit/choose.go
@@ -0,0 +1,132 @@
+package admit
+
+import (
+	"time"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+// best returns the pair with the earliest expected first event among the
+// servers, all of them or those alone that are not set aside.
+func (b *Book) best(w *Want, servers []*route.Server, engine *route.Engine, now tick.Instant, usable bool) *Placement {
+	loads := b.beside(w.Service, servers)
+	var decode, prefill *route.Server
+	var decodeLoad *load
+	var dCost, pCost time.Duration
+	blur := b.blur()
+	for i, s := range servers {
+		l := loads[i]
+		if s.Stage == route.StagePrefill {
+			if w.Alone {
+				continue
+			}
+			c := b.readCost(w, s, l, now) + b.random(blur)
+			if prefill != nil && c >= pCost || !b.takes(w, s, now, usable) {
+				continue
+			}
+			if c += b.dial(s); prefill == nil || c < pCost {
+				prefill, pCost = s, c
+			}
+			continue
+		}
+		c, ok := b.decodeCost(w, s, l, engine, now)
+		c += b.random(blur)
+		if !ok || decode != nil && c >= dCost || !b.takes(w, s, now, usable) {
+			continue
+		}
+		if c += b.dial(s); decode == nil || c < dCost {
+			decode, decodeLoad, dCost = s, l, c
+		}
+	}
+	if decode == nil {
+		return nil
+	}
+	if w.Read {
+		return &Placement{Decode: decode, Start: dCost}
+	}
+	self := b.selfCost(w, decode, decodeLoad, now)
+	if prefill == nil || decode.Stage == route.StageBoth {
+		return &Placement{Decode: decode, Start: dCost + self}
+	}
+	// Reading at a decode server slows its streams down, so that it does so only
+	// for a request that would be late otherwise.
+	late := now+dCost+pCost >= w.By
+	if late && self < pCost && !b.stalls(w, decode, decodeLoad, now) {
+		return &Placement{Decode: decode, Start: dCost + self}
+	}
+	return &Placement{Prefill: prefill, Decode: decode, Start: dCost + pCost}
+}
+
+// takes tells whether a server may be given a request. It is asked last, of the
+// few servers that would be chosen.
+func (b *Book) takes(w *Want, s *route.Server, now tick.Instant, usable bool) bool {
+	if avoided(w, s) || b.closed(s, now) > now {
+		return false
+	}
+	return !usable || b.cfg.Usable == nil || b.cfg.Usable(s.Key(), now)
+}
+
+// view is what is known of the servers of a service, in their order.
+type view struct {
+	servers []*route.Server
+	loads   []*load
+}
+
+// beside returns what is known of each of the servers. The slices of a fleet do
+// not change, so that this is worked out once for each fleet.
+func (b *Book) beside(service string, servers []*route.Server) []*load {
+	if v, ok := b.views[service]; ok && len(v.servers) == len(servers) && (len(servers) == 0 || &v.servers[0] == &servers[0]) {
+		return v.loads
+	}
+	v := view{servers: servers, loads: make([]*load, len(servers))}
+	for i, s := range servers {
+		v.loads[i] = b.load(s)
+	}
+	b.views[service] = v
+	return v.loads
+}
+
+func avoided(w *Want, s *route.Server) bool {
+	for _, k := range w.Avoid {
+		if k == s.Key() {
+			return true
+		}
+	}
+	return false
+}
+
+// refusal tells why none of the servers could run the request even if all were
+// idle, nil if one could.
+func (b *Book) refusal(w *Want, servers []*route.Server, engine *route.Engine, now tick.Instant) *fail.Refusal {
+	if engine == nil || float64(w.Need()) > float64(engine.KVTokens) {
+		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
+	}
+	var back tick.Instant // when the first of the closed ones is open again
+	for _, s := range servers {
+		if s.Stage == route.StagePrefill {
+			continue
+		}
+		until := b.closed(s, now)
+		if until <= now && !avoided(w, s) {
+			return nil
+		}
+		if until > now && until != health.Left && (back == 0 || until < back) {
+			back = until
+		}
+	}
+	if back == 0 {
+		return fail.Refuse(fail.CodeNoServer, retryLeast, "no server can take the request")
+	}
+	return fail.Refuse(fail.CodeOverload, back-now, "the servers want no request for a time")
+}
+
+// closed returns the instant until which a server wants no request.
+func (b *Book) closed(s *route.Server, now tick.Instant) tick.Instant {
+	if b.cfg.Closed == nil {
+		return 0
+	}
+	return b.cfg.Closed(s.Key(), now)
+}
--- a/relay/bounds.go
+++ b/relay/bounds.go
@@ -7,6 +7,20 @@
 	"wasabidock.dev/dock/tick"
 )
 
+const (
+	// plainEnd is the time before the end of the process after which a request
+	// of a plain service is not begun. A model request takes modelEnd and
+	// tokenEnd for each token that it is expected to make.
+	plainEnd = 1500 * time.Millisecond
+	modelEnd = 2 * time.Second
+	tokenEnd = 6 * time.Millisecond
+	// unknownBody is what a body of unknown length is expected to have, in
+	// bytes.
+	unknownBody = 64 << 10
+	// defaultBody bounds bodies until the operator's limit is known, in bytes.
+	defaultBody = 1 << 20
+)
+
 // tooLate tells whether a request that comes now would be cut by the end of
 // the process.
 func (j *job) tooLate() bool {
--- a/relay/handler.go
+++ b/relay/handler.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"io"
-	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/admit"
@@ -22,35 +19,11 @@
 )
 
 const (
-	// unknownRetry is when a caller may come back while nothing is configured.
-	unknownRetry = time.Second
-	// findTime is the time from its start within which a process expects to learn
-	// the configuration, and findWait how long a request waits for it.
-	findTime = time.Second
-	findWait = 300 * time.Millisecond
-	// plainEnd is the time before the end of the process after which a request
-	// of a plain service is not begun. A model request takes modelEnd and
-	// tokenEnd for each token that it is expected to make.
-	plainEnd = 1500 * time.Millisecond
-	modelEnd = 2 * time.Second
-	tokenEnd = 6 * time.Millisecond
 	// reachNear and reachAbroad bound the opening of a connection to a server
 	// of the own region and of another one: some round trips. A server that
 	// takes longer is cut off, or loses packets.
 	reachNear   = 150 * time.Millisecond
 	reachAbroad = 350 * time.Millisecond
-	// drainRetry is when a caller may come back to another instance.
-	drainRetry = 50 * time.Millisecond
-	// limitShare is the part of a request's objective for which it may wait for
-	// its customer's limit.
-	limitShare = 0.25
-	// defaultTimeout bounds requests where neither the caller nor the route does.
-	defaultTimeout = 30 * time.Second
-	// unknownBody is what a body of unknown length is expected to have, in
-	// bytes.
-	unknownBody = 64 << 10
-	// defaultBody bounds bodies until the operator's limit is known, in bytes.
-	defaultBody = 1 << 20
 )
 
 // Limiter bounds what customers use.
@@ -197,107 +170,6 @@
 	}
 }
 
-// admit finds the route, the service and the customer.
-func (j *job) admit() bool {
-	j.ask = j.h.cfg.Wire.Ask(j.r.Header)
-	j.find()
-	j.table = j.h.cfg.Live.Table()
-	if j.table == nil {
-		j.refuse(fail.Refuse(fail.CodeNoTable, unknownRetry, "no configuration is known yet"))
-		return false
-	}
-	var ok bool
-	if j.route, ok = j.table.Match(j.r.Host, j.r.URL.Path); !ok {
-		j.deny(http.StatusNotFound, fail.CodeRoute, "no route takes this host and path")
-		return false
-	}
-	if most := j.table.Limits().HeaderBytes; most > 0 && headerBytes(j.r.Header) > most {
-		j.w.Header().Set("Connection", "close")
-		j.deny(http.StatusRequestHeaderFieldsTooLarge, fail.CodeTooLarge, "the header is too large")
-		return false
-	}
-	if j.table.Keyed() && !j.route.Open {
-		if j.cust, ok = j.table.Customer(route.HashKey(j.ask.Key)); !ok || j.ask.Key == "" {
-			j.deny(http.StatusUnauthorized, fail.CodeKey, "the key is not known")
-			return false
-		}
-	}
-	if j.tooLate() {
-		j.refuse(fail.Refuse(fail.CodeDraining, drainRetry, "this instance ends, another one takes the request"))
-		return false
-	}
-	name := j.route.Pick(rand.Float64())
-	if j.service, ok = j.table.Service(name); !ok {
-		j.service = &route.Service{Name: name}
-	}
-	limit := j.route.Timeout
-	if limit <= 0 {
-		limit = defaultTimeout
-	}
-	if j.ask.Deadline > 0 {
-		limit = min(limit, j.ask.Deadline)
-	}
-	j.until = j.start + limit
-	return true
-}
-
-// find waits until this process knows a configuration and servers, if it has
-// just started and is about to learn them.
-func (j *job) find() {
-	h := j.h
-	select {
-	case <-h.cfg.Live.Known():
-		return
-	default:
-	}
-	left := min(findWait, h.start+findTime-h.cfg.Clock.Now())
-	if left <= 0 {
-		return
-	}
-	t := h.cfg.Clock.After(left)
-	defer t.Stop()
-	select {
-	case <-h.cfg.Live.Known():
-	case <-t.C():
-	case <-j.r.Context().Done():
-	}
-}
-
-// read reads the body and charges the customer.
-func (j *job) read() bool {
-	body, err := io.ReadAll(http.MaxBytesReader(j.w, j.r.Body, j.mostBody()))
-	if err != nil {
-		if _, ok := errors.Into[*http.MaxBytesError](err); ok {
-			j.deny(http.StatusRequestEntityTooLarge, fail.CodeTooLarge, "the body is too large")
-			return false
-		}
-		if j.r.Context().Err() == nil {
-			j.deny(http.StatusBadRequest, fail.CodeBadRequest, "the body cannot be read")
-		}
-		return false
-	}
-	j.body = body
-	if j.cust == nil {
-		return true
-	}
-	tokens := j.cust.PlainTokens
-	if j.ask.Sized {
-		tokens = j.ask.Prompt + j.ask.Output
-	}
-	patience := time.Duration(limitShare * float64(j.route.Objective))
-	wait, ok := j.h.cfg.Limiter.Admit(j.r.Context(), j.cust, tokens, patience)
-	if !ok && j.gone() {
-		j.note = "caller left: it waited for its limit"
-		return false
-	}
-	if !ok {
-		j.refuse(fail.Refuse(fail.CodeRate, wait, "the customer's limit is reached"))
-		return false
-	}
-	j.charged = tokens
-	return true
-}
-
 // limitWrite ends writes to a caller that does not read.
 func (j *job) limitWrite() {
 	left := j.until - j.h.cfg.Clock.Now()
