--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,12 @@
 HUNT ?= 40
 HUNT_LARGE ?= 8
 
-.PHONY: all build demo days test lint vet gen gen-check tools soak faults slopes bench links red
+# ROUND is the deployment whose days with trouble rounds plays, with these seeds.
+ROUND ?= further/ozolini-pitch
+ROUND_DAYS ?= trouble-1 scale-1 trouble-2 scale-2 trouble-3
+ROUND_SEEDS ?= 11 12 13
+
+.PHONY: all build demo days rounds test lint vet gen gen-check tools soak faults slopes bench links red
 
 all: build
 
@@ -74,5 +79,12 @@
 	@for s in $(SITES); do $(BENCH) hunt $(SYSTEM)/$$s.toml --days $(HUNT) --why "make days" || exit 1; done
 	@for s in $(LARGE); do $(BENCH) hunt $(SYSTEM)/$$s.toml --days $(HUNT_LARGE) --why "make days" || exit 1; done
 
+# rounds plays days without charge for processor time, so that two versions
+# can be compared by the same seeds.
+rounds:
+	@for d in $(ROUND_DAYS); do for n in $(ROUND_SEEDS); do \
+	  $(BENCH) run $(SYSTEM)/$(ROUND).toml $$d --seed $$n --no-cpu --why "make rounds" | grep "^$$d " || exit 1; \
+	done; done
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./fair ./place ./pool ./sched ./limit ./engine
