event, relay: whole events are flushed although part of the next one has come

An event was not flushed while anything was buffered behind it, so that one behind which part of the next stood waited for the rest, and was lost to the caller if the stream broke there. The test saw it only where the pieces came in one read.

Buffered now tells whether the next event has come whole. Two cases of TestModelFaults send all in one piece and fail without it.

--- a/event/event.go
+++ b/event/event.go
@@ -18,6 +18,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"regexp"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -98,8 +99,18 @@
 // ID returns the event's id, NoID if it has none.
 func (s *Scanner) ID() int64 { return s.id }
 
-// Buffered tells whether more has come that was not scanned yet.
-func (s *Scanner) Buffered() bool { return s.r.Buffered() > 0 }
+// Buffered tells whether the next event has come whole already. Part of one does
+// not count: the rest may take long, or never come.
+func (s *Scanner) Buffered() bool {
+	b, err := s.r.Peek(s.r.Buffered())
+	if err != nil {
+		return false
+	}
+	return blank.Match(b)
+}
+
+// blank is an empty line, which ends an event.
+var blank = regexp.MustCompile(`(^|\n)\r?\n`)
 
 // Err returns the error that ended the stream, nil at its regular end.
 func (s *Scanner) Err() error {
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -68,3 +68,30 @@
 		}
 	})
 }
+
+// TestBuffered asks after the first event whether the next one has come.
+func TestBuffered(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want bool
+	}{
+		{"nothing", "id: 1\n\n", false},
+		{"part of a line", "id: 1\n\nid: ", false},
+		{"part of an event", "id: 1\n\nid: 2\ndata: x\n", false},
+		{"whole", "id: 1\n\nid: 2\ndata: x\n\n", true},
+		{"whole, with carriage returns", "id: 1\r\n\r\nid: 2\r\n\r\n", true},
+		{"an empty one", "id: 1\n\n\n", true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := event.NewScanner(strings.NewReader(tt.text), 1000)
+			if !s.Scan() {
+				t.Fatalf("%q: no event: %v", tt.text, s.Err())
+			}
+			if got := s.Buffered(); got != tt.want {
+				t.Errorf("%q: buffered %v, want %v", tt.text, got, tt.want)
+			}
+		})
+	}
+}
--- a/relay/model_test.go
+++ b/relay/model_test.go
@@ -59,6 +59,8 @@
 		{name: "decode sheds", path: "/once/1", decode: mimic.Shed, status: 200, body: events(1, 4), runs: 1},
 		{name: "all decode shed", path: "/once/1", decode: mimic.Shed, both: true, status: 503},
 		{name: "once torn", path: "/once/1", decode: mimic.Torn, both: true, status: 200, body: events(1, 3), broken: true, runs: 1},
+		{name: "once torn, all in one piece", path: "/once/1", decode: mimic.TornBurst, both: true, status: 200, body: events(1, 3), broken: true, runs: 1},
+		{name: "again torn, all in one piece", path: "/again/1", decode: mimic.TornBurst, both: true, status: 200, body: events(1, 3), broken: true, runs: 2},
 		{name: "once reset", path: "/once/1", decode: mimic.Reset, both: true, status: 502, runs: 1},
 		{name: "once unsealed", path: "/once/1", decode: mimic.Unsealed, both: true, status: 502, runs: 1},
 		{name: "again torn", path: "/again/1", decode: mimic.Torn, both: true, status: 200, body: events(1, 3), broken: true, runs: 2},
