--- a/admit/choose.go
+++ b/admit/choose.go
@@ -33,8 +33,11 @@
 			continue
 		}
 		c, ok := b.decodeCost(w, s, l, engine, now)
+		if !ok {
+			continue
+		}
 		c += b.random(blur)
-		if !ok || decode != nil && c >= dCost || !b.takes(w, s, now, usable) {
+		if decode != nil && c >= dCost || !b.takes(w, s, now, usable) {
 			continue
 		}
 		if c += b.dial(s); decode == nil || c < dCost {
--- a/event/event.go
+++ b/event/event.go
@@ -18,7 +18,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"regexp"
 	"strconv"
 
 	"github.com/go-faster/errors"
@@ -106,11 +105,14 @@
 	if err != nil {
 		return false
 	}
-	return blank.Match(b)
+	return endsEvent(b)
 }
 
-// blank is an empty line, which ends an event.
-var blank = regexp.MustCompile(`(^|\n)\r?\n`)
+// endsEvent tells whether there is an empty line in b, which begins at a line.
+func endsEvent(b []byte) bool {
+	return bytes.HasPrefix(b, []byte("\n")) || bytes.HasPrefix(b, []byte("\r\n")) ||
+		bytes.Contains(b, []byte("\n\n")) || bytes.Contains(b, []byte("\n\r\n"))
+}
 
 // Err returns the error that ended the stream, nil at its regular end.
 func (s *Scanner) Err() error {
--- a/news/load.go
+++ b/news/load.go
@@ -288,11 +288,11 @@
 			Reading: int(p.GetReading()), Memory: int(p.GetMemory()), Running: int(p.GetRunning()), Waiting: int(p.GetWaiting()),
 		}
 	}
+	var before map[uint64]admit.Sum
 	if ok {
-		s.replace(old.sums, h.sums)
-	} else {
-		s.replace(nil, h.sums)
+		before = old.sums
 	}
+	s.replace(before, h.sums)
 	s.loads[l.GetInstance()] = h
 	return true
 }
@@ -310,7 +310,9 @@
 		}
 	}
 	changed := s.changed
-	s.changed = make(map[uint64]admit.Sum)
+	if len(changed) > 0 {
+		s.changed = make(map[uint64]admit.Sum)
+	}
 	s.mu.Unlock()
 	if len(changed) > 0 {
 		s.cfg.Loads.Peers(changed)
--- a/relay/engine.go
+++ b/relay/engine.go
@@ -55,12 +55,11 @@
 func (m *modelJob) readPrompt(ctx context.Context, s *route.Server, out Send) (string, error) {
 	c := m.call(s, out)
 	c.ID = ""
-	a, err := m.h.cfg.Link.Do(ctx, c)
+	a, err := m.do(ctx, s, c)
 	if err != nil {
 		return "", err
 	}
 	defer a.Close()
-	m.heed(s, a)
 	b, err := whole(a.Body, controlBytes)
 	if err != nil {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
@@ -95,7 +94,7 @@
 		h.cfg.Log.Error().Err(err).Msg("relay: encode reservation")
 		return true
 	}
-	a, err := h.cfg.Link.Do(ctx, &link.Call{
+	a, err := m.do(ctx, s, &link.Call{
 		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body,
 		DialLimit: m.reach(s),
 	})
@@ -103,12 +102,9 @@
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
 		// The call costs the server no work: one that does not answer is silent.
 		m.blame(s, max(failure(err), health.Silent))
-		m.avoid(s)
-		m.rounds-- // it is not asked again, so that this ends by itself
-		return false
+		return m.skip(s)
 	}
 	defer a.Close()
-	m.heed(s, a)
 	b, err := whole(a.Body, controlBytes)
 	if err == nil && a.Status == http.StatusServiceUnavailable {
 		// It may have room again soon. What is placed elsewhere meanwhile is not
@@ -120,9 +116,7 @@
 	if err != nil || a.Status != http.StatusOK {
 		h.cfg.Log.Info().Err(err).Int("status", a.Status).Str("server", s.ID).Str("id", m.ask.ID).Msg("relay: no reservation")
 		m.misled(s, a)
-		m.avoid(s)
-		m.rounds-- // it is not asked again, so that this ends by itself
-		return false
+		return m.skip(s)
 	}
 	name, err := h.cfg.Wire.Hold(b)
 	if err != nil {
@@ -132,13 +126,19 @@
 	m.held = &hold{server: s, name: name}
 	if m.closed(s) { // it says so with the reservation
 		m.held = nil // which is not worth a call, it lapses
-		m.avoid(s)
-		m.rounds--
-		return false
+		return m.skip(s)
 	}
 	return true
 }
 
+// skip leaves a server out for the rest of the request, without counting a round:
+// it is not asked again, so that this ends by itself. It returns false.
+func (m *modelJob) skip(s *route.Server) bool {
+	m.avoid(s)
+	m.rounds--
+	return false
+}
+
 // jsonHeader goes with the calls of the router itself.
 var jsonHeader = http.Header{"Content-Type": {"application/json"}}
 
@@ -173,12 +173,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), freeLimit)
 	defer cancel()
-	a, err := m.h.cfg.Link.Do(ctx, &link.Call{Addr: s.Addr, Method: http.MethodDelete, Path: path, Host: m.r.Host})
+	a, err := m.do(ctx, s, &link.Call{Addr: s.Addr, Method: http.MethodDelete, Path: path, Host: m.r.Host})
 	if err != nil {
 		m.h.cfg.Log.Info().Err(err).Str("server", s.ID).Msg("relay: not freed, it lapses")
 		return
 	}
 	defer a.Close()
-	m.heed(s, a)
 	m.job.drop(a)
 }
--- a/relay/judge.go
+++ b/relay/judge.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -42,6 +43,16 @@
 	}
 }
 
+// do makes a call to a server and heeds what it says of itself beside its answer.
+func (j *job) do(ctx context.Context, s *route.Server, c *link.Call) (*link.Answer, error) {
+	a, err := j.h.cfg.Link.Do(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	j.heed(s, a)
+	return a, nil
+}
+
 // heed takes note of what a server says of itself beside its answer: that it
 // leaves, or that it wants no request for a time.
 func (j *job) heed(s *route.Server, a *link.Answer) {
--- a/relay/model.go
+++ b/relay/model.go
@@ -168,14 +168,13 @@
 		c.HeadLimit = max(m.want.By-m.h.cfg.Clock.Now(), c.IdleLimit)
 	}
 	m.h.cfg.Health.Chosen(p.Decode.Key(), m.h.cfg.Clock.Now())
-	a, err := m.h.cfg.Link.Do(ctx, c)
+	a, err := m.do(ctx, p.Decode, c)
 	if err != nil {
 		m.lost(p.Decode, err)
 		m.avoid(p.Decode)
 		return !m.repeatable()
 	}
 	defer a.Close()
-	m.heed(p.Decode, a)
 	m.writes++
 	if m.h.cfg.Wire.Disowned(a.Status, a.Header) {
 		m.misled(p.Decode, a)
--- a/relay/plain.go
+++ b/relay/plain.go
@@ -114,7 +114,7 @@
 	var best *route.Server
 	var cost float64
 	for _, s := range j.h.cfg.Live.Fleet().Of(j.service.Name) {
-		if avoid[s.Key()] || j.h.cfg.Health.Closed(s.Key(), now) > now {
+		if avoid[s.Key()] || j.closed(s) {
 			continue
 		}
 		c := float64(j.h.counts.of(s.Key())) + rand.Float64()
@@ -150,13 +150,12 @@
 		}()
 	}
 	start := h.cfg.Clock.Now()
-	a, err := h.cfg.Link.Do(ctx, j.call(s, j.send(s)))
+	a, err := j.do(ctx, s, j.call(s, j.send(s)))
 	if err != nil {
 		j.lost(s, err)
 		return false
 	}
 	defer a.Close()
-	j.heed(s, a)
 	j.writes++
 	if h.cfg.Wire.Disowned(a.Status, a.Header) {
 		j.misled(s, a)
--- a/share/limits.go
+++ b/share/limits.go
@@ -1,7 +1,6 @@
 package share
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -70,12 +69,6 @@
 	return &Limits{clock: clock, start: clock.Now(), grew: clock.Now(), buckets: make(map[string]*bucket), peers: make(map[string]*peer)}
 }
 
-// Charge takes tokens from a customer's bucket. If there are not enough, it
-// takes none and returns the time after which there will be.
-func (l *Limits) Charge(c *route.Customer, tokens int) (time.Duration, bool) {
-	return l.Admit(context.Background(), c, tokens, 0)
-}
-
 // Return gives back tokens of a request that has not run.
 func (l *Limits) Return(c *route.Customer, tokens int) {
 	if c.Rate <= 0 {
--- a/share/line.go
+++ b/share/line.go
@@ -34,9 +34,9 @@
 )
 
 // Admit takes tokens from a customer's bucket. If there are not enough, it waits
-// for them in turn, for patience at most; who can wait least goes first. As soon as it is known that they will
-// not be there by then, it takes none and returns the time after which the
-// request may come again, 0 if ctx has ended.
+// for them in turn, for patience at most; who can wait least goes first. As soon
+// as it is known that they will not be there by then, it takes none and returns
+// the time after which the request may come again, 0 if ctx has ended.
 //
 // A customer that is a little over its limit for a moment is served a little
 // later in this way, where a refusal costs the caller a return.
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -257,12 +257,7 @@
 // departures checks that departing servers are left alone.
 func departures(r *record) string {
 	for _, d := range r.departed {
-		to := r.end
-		for _, b := range r.returned {
-			if b.what == d.what && b.at.After(d.at) && b.at.Before(to) {
-				to = b.at
-			}
-		}
+		to := r.returnOf(d.what, d.at)
 		late := r.settled(d.at).Add(drainTime)
 		for _, a := range r.arrivals[d.what] {
 			if a.At.After(late) && a.At.Before(to) && r.bound(a.ID, d.at) {
@@ -273,6 +268,18 @@
 	return ""
 }
 
+// returnOf returns when a server that left after an instant came back, the end of
+// the run if it did not.
+func (r *record) returnOf(server string, after time.Time) time.Time {
+	to := r.end
+	for _, b := range r.returned {
+		if b.what == server && b.at.After(after) && b.at.Before(to) {
+			to = b.at
+		}
+	}
+	return to
+}
+
 // settled returns the instant from which on a change made at an instant is
 // owed: trouble of the store draws it out.
 func (r *record) settled(at time.Time) time.Time {
@@ -298,12 +305,7 @@
 		if told.leaver == "" {
 			continue
 		}
-		to := r.end
-		for _, b := range r.returned {
-			if b.what == told.leaver && b.at.After(told.sent) && b.at.Before(to) {
-				to = b.at
-			}
-		}
+		to := r.returnOf(told.leaver, told.sent)
 		for _, a := range r.arrivals[told.leaver] {
 			if !a.At.After(told.ended) || !a.At.Before(to) {
 				continue
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -25,9 +25,9 @@
 	"repeats":  runs(func(p planted) bool { return p.call.Kind == mimic.Look }),
 	"limits":   runs(func(p planted) bool { return p.status == http.StatusTooManyRequests }),
 	"key":      withdrawnKeys,
-	"drain":    runs(toDeparted),
-	"leaving":  runs(toLeaving),
-	"rests":    runs(toRested),
+	"drain":    runs(atServers(departed)),
+	"leaving":  runs(atServers(saysItLeaves)),
+	"rests":    runs(atServers(askedForPause)),
 	"gone":     workOn,
 }
 
@@ -106,35 +106,23 @@
 	return "calm"
 }
 
-// toDeparted runs calls at servers that have departed.
-func toDeparted(p planted) bool {
-	for _, s := range p.f.servers {
-		if s.away.Load() && s.service == mimic.PlainService && p.call.Kind == mimic.Look {
-			s.Plant(p.call, customerOf(p.call.Key), true)
+// atServers has the servers that are chosen run calls that may be repeated.
+func atServers(chosen func(*server) bool) func(planted) bool {
+	return func(p planted) bool {
+		for _, s := range p.f.servers {
+			if chosen(s) && p.call.Kind == mimic.Look {
+				s.Plant(p.call, customerOf(p.call.Key), true)
+			}
 		}
+		return false
 	}
-	return false
 }
 
-// toLeaving runs calls at servers that have said that they leave.
-func toLeaving(p planted) bool {
-	for _, s := range p.f.servers {
-		if s.leaves.Load() && s.service == mimic.PlainService && p.call.Kind == mimic.Look {
-			s.Plant(p.call, customerOf(p.call.Key), true)
-		}
-	}
-	return false
-}
+func departed(s *server) bool { return s.away.Load() && s.service == mimic.PlainService }
 
-// toRested runs calls at servers that have asked for a pause.
-func toRested(p planted) bool {
-	for _, s := range p.f.servers {
-		if len(s.Rested()) > 0 && p.call.Kind == mimic.Look {
-			s.Plant(p.call, customerOf(p.call.Key), true)
-		}
-	}
-	return false
-}
+func saysItLeaves(s *server) bool { return s.leaves.Load() && s.service == mimic.PlainService }
+
+func askedForPause(s *server) bool { return len(s.Rested()) > 0 }
 
 // workOn has a server work for each stream without an end.
 func workOn(f *fleet, next http.RoundTripper) http.RoundTripper {
