permit, platform, proxy: record and log the limits that servers name

Now a line says when a server names, changes or lifts a limit, and when the value is invalid (once a text); the decision line has the servers that got the request; server_limit_requests_total counts what is sent to a server while it names one. permit.Limits orders what responses state, since they overtake each other. Nothing is decided by it yet.

--- a/entry/app.go
+++ b/entry/app.go
@@ -18,6 +18,7 @@
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
 	"wasabidock.dev/dock/metric"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/proxy"
 	"wasabidock.dev/dock/rate"
@@ -86,7 +87,7 @@
 		fx.Supply(set, root, lines, f),
 		fx.Provide(
 			func() tick.Clock { return tick.NewReal() },
-			route.NewLive, health.NewTracker, newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
+			route.NewLive, health.NewTracker, permit.NewLimits, newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
 		),
 		fx.Populate(&d),
 	)
@@ -155,6 +156,7 @@
 	RetryBudget *rate.RetryBudget
 	Scheduler   *admit.Scheduler
 	Health      *health.Tracker
+	Limits      *permit.Limits
 	Meter       *metric.Meter
 	Log         zerolog.Logger
 }
@@ -163,7 +165,7 @@
 	return proxy.New(proxy.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Protocol: platform.Protocol{}, Client: p.Link, Limiter: p.Limiter, RetryBudget: p.RetryBudget,
-		MaxBodyBytes: int64(bodyShare * float64(p.Set.MemoryLimit())), MaxBufferedBytes: int64(answerShare * float64(p.Set.MemoryLimit())), Placer: p.Scheduler, Health: p.Health, Meter: p.Meter, Clock: p.Clock, Log: logs.Component(p.Log, "relay"),
+		MaxBodyBytes: int64(bodyShare * float64(p.Set.MemoryLimit())), MaxBufferedBytes: int64(answerShare * float64(p.Set.MemoryLimit())), Placer: p.Scheduler, Health: p.Health, Limits: p.Limits, Meter: p.Meter, Clock: p.Clock, Log: logs.Component(p.Log, "relay"),
 	})
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
 	"wasabidock.dev/dock/peer"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/proxy"
 	"wasabidock.dev/dock/rate"
@@ -77,6 +78,7 @@
 	Scheduler   *admit.Scheduler
 	RetryBudget *rate.RetryBudget
 	Health      *health.Tracker
+	Limits      *permit.Limits
 	Handler     *proxy.Handler
 	Gossip      *gossip.Service
 	Flags       flags
@@ -213,7 +215,9 @@
 	for _, s := range d.p.Live.Fleet().All() {
 		current[s.Hash()] = true
 	}
-	d.p.Scheduler.Prune(func(hash uint64) bool { return current[hash] })
+	isListed := func(hash uint64) bool { return current[hash] }
+	d.p.Scheduler.Prune(isListed)
+	d.p.Limits.Prune(isListed, d.p.Clock.Now())
 }
 
 // reload applies changes of the settings file. The file is polled because it may change without a
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -14,6 +14,7 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -75,6 +76,7 @@
 	MaxBodyBytes     int64 // limit for the sum of all request bodies in memory, 0 for no limit
 	MaxBufferedBytes int64 // limit for the sum of all responses that are being buffered, 0 for no limit
 	Health           *health.Tracker
+	Limits           *permit.Limits
 	Meter            Meter
 	Clock            tick.Clock
 	Log              zerolog.Logger
@@ -90,6 +92,7 @@
 	bufferedBytes atomic.Int64
 	endsAt        atomic.Int64 // tick.Instant at which the process ends, 0 while not draining
 	loads         serverLoads
+	invalidLimits invalidLimits
 	start         tick.Instant // start of the process
 
 	responseTimes *delay.Estimates // response times by service
@@ -130,6 +133,7 @@
 	savedFailure  *response    // error response of a server, passed on if no other attempt succeeds
 	lastEventID   int64        // ID of the last event passed on to the caller, initially RequestInfo.LastEventID
 	stats         requestStats
+	servers       []string  // IDs of the plain servers to which the request was written
 	summary       string    // description of the outcome, for the decision log line
 	status        int       // HTTP status of the response, 0 before its header was written
 	code          fail.Code // reason of the rejection, empty if the request was not rejected
@@ -207,6 +211,9 @@
 	if x.customer != nil {
 		e = e.Str("customer", x.customer.Name)
 	}
+	if len(x.servers) > 0 {
+		e = e.Strs("servers", x.servers)
+	}
 	if x.info.HasTokenCounts {
 		e = e.Int("prompt", x.info.PromptTokens).Int("output", x.info.MaxOutputTokens).Int("hint", x.info.EstimatedOutputTokens).
 			Int64("last", x.lastEventID).Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -20,6 +20,7 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/metric"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/platform/fake"
 	"wasabidock.dev/dock/proxy"
@@ -209,7 +210,7 @@
 	h.handler = proxy.New(proxy.Config{
 		Centre: "a", Region: "r", Live: h.live, Protocol: platform.Protocol{},
 		Client:  link.New(link.Config{Clock: h.clock, IDHeader: platform.AttemptHeader}),
-		Limiter: h.limiter, RetryBudget: h.budget, Placer: scheduler, MaxBodyBytes: 500, MaxBufferedBytes: 1 << 20, Health: h.health, Clock: h.clock,
+		Limiter: h.limiter, RetryBudget: h.budget, Placer: scheduler, MaxBodyBytes: 500, MaxBufferedBytes: 1 << 20, Health: h.health, Limits: permit.NewLimits(), Clock: h.clock,
 		Meter: metric.New(metric.Config{Registry: h.registry, Clock: h.clock}), Log: zerolog.New(&h.log),
 	})
 	return scheduler
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -150,6 +150,7 @@
 			<-hedged
 		}()
 	}
+	x.servers = append(x.servers, s.ID)
 	start := h.cfg.Clock.Now()
 	resp, err := x.do(ctx, s, x.serverRequest(s, x.forwardInfo(s)))
 	if err != nil {
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -56,6 +56,10 @@
 	// the response does not state a time. It returns an error if the value cannot be parsed,
 	// or if the value is too long and was shortened.
 	RetryAfter(status int, h http.Header) (time.Duration, error)
+	// ServerLimit returns the number of requests per second that the server that sent a response
+	// accepts from all instances together, and false if the response names no limit. It returns
+	// an error if the value is invalid.
+	ServerLimit(h http.Header) (float64, bool, error)
 	// Sealed reports whether a response has the seal header of a server.
 	Sealed(h http.Header) bool
 	// ParseKVHandle returns the handle of the KV cache in the response of a prefill server.
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -10,9 +11,14 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
 )
 
+// maxInvalidLimits bounds the servers whose last invalid limit is kept.
+const maxInvalidLimits = 1024
+
 // errWrongServer reports that a different server now uses the address.
 var errWrongServer = errors.New("a different server uses the address")
 
@@ -47,14 +53,63 @@
 // do sends a request to a server and records the state that the server reports in the header
 // of its response.
 func (x *exchange) do(ctx context.Context, s *route.Server, req *link.Request) (*link.Response, error) {
+	if _, ok := x.h.cfg.Limits.Of(s.Hash()); ok {
+		x.h.cfg.Meter.Count("server_limit_requests_total", "server", s.ID, 1)
+	}
+	sent := x.h.cfg.Clock.Now()
 	resp, err := x.h.cfg.Client.Do(ctx, req)
 	if err != nil {
 		return nil, err
 	}
 	x.recordServerState(s, resp)
+	x.recordLimit(s, resp, sent)
 	return resp, nil
 }
 
+// recordLimit records the limit that a server names in the header of its response, or that it names
+// none. sent is the instant at which the request was sent. After an invalid value, the last valid
+// one stays in force.
+func (x *exchange) recordLimit(s *route.Server, resp *link.Response, sent tick.Instant) {
+	h := x.h
+	if h.cfg.Protocol.WrongServer(resp.Status) {
+		return
+	}
+	rate, limited, err := h.cfg.Protocol.ServerLimit(resp.Header)
+	if err != nil {
+		if h.invalidLimits.first(s.ID, err.Error()) {
+			h.cfg.Log.Warn().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid limit from server; keeping the last valid one")
+		}
+		return
+	}
+	switch h.cfg.Limits.Record(s.Hash(), permit.Statement{Rate: rate, Limited: limited, Sent: sent, Received: h.cfg.Clock.Now()}) {
+	case permit.Named, permit.Altered:
+		h.cfg.Log.Info().Str("server", s.ID).Str("id", x.info.ID).Float64("limit", rate).Msg("relay: server names a limit for all instances together")
+	case permit.Lifted:
+		h.cfg.Log.Info().Str("server", s.ID).Str("id", x.info.ID).Msg("relay: server names no limit any more")
+	case permit.Unchanged:
+	}
+}
+
+// invalidLimits holds the last invalid limit of each server, by server ID, so that it is logged once.
+type invalidLimits struct {
+	mu   sync.Mutex
+	text map[string]string
+}
+
+// first reports whether the text differs from the last one of the server.
+func (l *invalidLimits) first(server, text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.text[server] == text {
+		return false
+	}
+	if l.text == nil || len(l.text) >= maxInvalidLimits {
+		l.text = make(map[string]string)
+	}
+	l.text[server] = text
+	return true
+}
+
 // recordServerState records the state of a server from the header of its response: whether the
 // server is draining, and for how long it accepts no requests.
 func (x *exchange) recordServerState(s *route.Server, resp *link.Response) {
--- a/proxy/serverstate_test.go
+++ b/proxy/serverstate_test.go
@@ -44,6 +44,25 @@
 	}
 }
 
+// TestNamedLimitIsLogged checks what an operator sees of a limit: a line when the server names,
+// changes, misspells and lifts it, the servers of each request, and the number of requests under it.
+func TestNamedLimitIsLogged(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
+	for _, tt := range []struct{ limit, line string }{
+		{"200", `"limit":200,`},
+		{"many", "not a decimal number"},
+		{"300.5", `"limit":300.5,`},
+		{"", "names no limit any more"},
+	} {
+		h.servers["s1"].SetLimit(tt.limit)
+		is.Equal(h.send(t, http.MethodPost, "/file/1", "b").status, 200)
+		is.True(h.log.contains(tt.line))
+	}
+	is.True(h.log.contains(`"servers":["s1"]`))
+	is.Equal(h.counter(`server_limit_requests_total{server="s1"}`), int64(3)) // all but the first
+}
+
 // TestRestartedServerGetsRequests restarts a draining server at the same address. The new process
 // must get requests, and the old one none although it is still listed.
 func TestRestartedServerGetsRequests(t *testing.T) {
