soak: servers name limits, and all instances together must keep them

The act limit has a server name 0.5, 2.5 or 10 requests a second in its responses; the judge counts calls of any kind at the servers, over all daemons, in every window of 4 s from 5 s after the first naming on. A planted case sends calls past the limit and must be found.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -62,7 +62,7 @@
 		c.disturb(s)
 	case storeMute, storeShed, storePrune:
 		c.store(s)
-	case harm, darken, lag, breakConns, depart, announce, rest:
+	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit:
 		c.server(s)
 	case withdraw:
 		c.f.publish(c.nextKey())
@@ -204,6 +204,9 @@
 			c.f.store.Put(key, v.Entry(v.service, "a"))
 		})
 		return
+	case nameLimit:
+		c.during(id+" limited", s.lasts, func() { v.SetLimit(s.limit) }, func() { v.SetLimit("") })
+		return
 	case rest:
 		at = c.during(id+" rests", s.lasts, func() { v.SetRetryAfter(restTime) }, func() { v.SetRetryAfter("") })
 	default:
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -37,6 +37,13 @@
 	restSlack = 500 * time.Millisecond
 	restMost  = 2
 
+	// A server that names a limit gets at most serverLimitExcess times the limit and
+	// serverLimitExtra requests in a serverLimitWindow, from contactTime after it has first
+	// named the limit.
+	serverLimitWindow = 4 * time.Second
+	serverLimitExcess = 1.5
+	serverLimitExtra  = 5.0
+
 	// recoverShare of the calls must be served once all trouble is over.
 	recoverShare = 0.95
 	// settleTime is the time for that.
@@ -47,7 +54,7 @@
 func judge(r *record) []string {
 	var broken []string
 	for _, check := range []func(*record) string{
-		whole, refusals, askedFor, repeats, limits, departures, leaving, rests, withdrawals, lostAnswers, leavers, recovery,
+		whole, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, leavers, recovery,
 	} {
 		if b := check(r); b != "" {
 			broken = append(broken, b)
@@ -346,6 +353,31 @@
 	return ""
 }
 
+// serverLimitsKept checks that a server that names a limit gets no more requests of
+// any kind than that from all daemons together, over sliding windows.
+func serverLimitsKept(r *record) string {
+	for id, spans := range r.limits {
+		for _, named := range spans {
+			to := named.Until
+			if to.IsZero() {
+				to = r.end
+			}
+			bound := serverLimitExcess*named.Rate*serverLimitWindow.Seconds() + serverLimitExtra
+			for _, from := range r.called[id] {
+				end := from.Add(serverLimitWindow)
+				if from.Before(named.From.Add(contactTime)) || end.After(to) {
+					continue
+				}
+				if n := within(r.called[id], from, end); float64(n) > bound {
+					return fmt.Sprintf("named: %s got %d requests in a window from %v after it named a limit of %g a second, %.0f are allowed",
+						id, n, from.Sub(named.From), named.Rate, bound)
+				}
+			}
+		}
+	}
+	return ""
+}
+
 // withdrawals checks that withdrawn keys are refused in time, and for good once
 // a daemon has refused one.
 func withdrawals(r *record) string {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -56,6 +56,7 @@
 		ID: o.call.ID, Method: "POST", Path: o.call.Path(), Body: o.call.Body(), Header: h, Start: at(when), End: at(when + 0.02),
 	})
 	r.arrivals[id] = append(r.arrivals[id], fake.Arrival{ID: o.call.ID, At: at(when)})
+	r.called[id] = append(r.called[id], at(when))
 }
 
 // TestJudge breaks each promise in a sound record.
@@ -84,6 +85,24 @@
 		{"at a server that asked for a pause", func(r *record) {
 			r.rested["app-0"] = []fake.Backoff{{ID: file(r).call.ID, At: at(5), Until: at(7)}}
 		}, "rests"},
+		{"above the limit that a server names", func(r *record) {
+			r.limits["app-0"] = []fake.LimitSpan{{Rate: 1.6, From: at(5), Until: at(20)}}
+		}, "named"},
+		{"above a limit that is still named at the end", func(r *record) {
+			r.limits["app-0"] = []fake.LimitSpan{{Rate: 1.6, From: at(5)}}
+		}, "named"},
+		{"reservations above the limit that a server names", func(r *record) {
+			r.limits["llm-5"] = []fake.LimitSpan{{Rate: 1, From: at(5), Until: at(20)}}
+			for i := range 4 {
+				r.called["llm-5"] = append(r.called["llm-5"], at(12+float64(i)/10))
+			}
+		}, "named"},
+		{"within the limit that a server names", func(r *record) {
+			r.limits["app-0"] = []fake.LimitSpan{{Rate: 2, From: at(5), Until: at(20)}}
+		}, ""},
+		{"soon after a server has named its limit", func(r *record) {
+			r.limits["app-0"] = []fake.LimitSpan{{Rate: 0.5, From: at(5), Until: at(13)}}
+		}, ""},
 		{"event missing", func(r *record) { ask(r).body = strings.Replace(ask(r).body, fake.Event(2), "", 1) }, "whole"},
 		{"event twice", func(r *record) {
 			ask(r).body = strings.Replace(ask(r).body, fake.Event(2), fake.Event(2)+fake.Event(2), 1)
--- a/soak/main.go
+++ b/soak/main.go
@@ -183,6 +183,7 @@
 	time.Sleep(2 * goneTime)
 	for _, s := range fl.servers {
 		rec.runs[s.ID()], rec.arrivals[s.ID()], rec.rested[s.ID()] = s.Runs(), s.Arrivals(), s.Backoffs()
+		rec.called[s.ID()], rec.limits[s.ID()] = s.Calls(), s.LimitSpans()
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(err, "stopped early")
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -30,6 +30,7 @@
 	depart     act = "depart"   // a backend server leaves and comes back, ends
 	announce   act = "announce" // a backend server says in its answers that it leaves, and starts anew, ends
 	rest       act = "rest"     // a backend server wants no request for a time, ends
+	nameLimit  act = "limit"    // a backend server names a limit in its responses, ends
 	withdraw   act = "withdraw" // a key is withdrawn
 	publish    act = "publish"  // a configuration that changes nothing is published
 )
@@ -37,7 +38,7 @@
 // acts are drawn with equal chance.
 var acts = []act{
 	stopOne, killOne, pauseOne, hangup, storeMute, storeShed, storePrune, cutOne, resetOne, slowOne,
-	harm, darken, lag, breakConns, depart, announce, rest, withdraw, publish,
+	harm, darken, lag, breakConns, depart, announce, rest, nameLimit, withdraw, publish,
 }
 
 // faults of backend servers that harm draws.
@@ -46,12 +47,16 @@
 	fake.TruncatedEvent, fake.Stall, fake.ExpiredKV, fake.NoMemory, fake.NoLength, fake.TruncatedBody,
 }
 
+// serverLimits are the limits that nameLimit draws, as a server writes them.
+var serverLimits = []string{"0.5", "2.5", "10"}
+
 // step is one entry of a plan.
 type step struct {
 	at     time.Duration // from the start of the load
 	act    act
 	target int        // index of a daemon or a backend server
 	fault  fake.Fault // of harm
+	limit  string     // of nameLimit
 	lasts  time.Duration
 }
 
@@ -68,6 +73,8 @@
 	longest  = 2500 * time.Millisecond
 	// departTime is longer than others may take to leave a server alone.
 	departTime = 7 * time.Second
+	// limitTime leaves several windows after the time that daemons have to keep to a limit.
+	limitTime = contactTime + 2*serverLimitWindow
 	// seriesChance is how often a step is repeated at once, in percent.
 	seriesChance = 15
 	// maxWithdrawn bounds the withdrawn keys, so that some stay.
@@ -91,8 +98,11 @@
 			lasts: min(shortest+time.Duration(rnd.Int64N(int64(longest-shortest))), sh.trouble-at),
 		}
 		s.target = rnd.IntN(sh.targets(s.act))
-		if s.act == depart || s.act == announce {
+		switch s.act {
+		case depart, announce:
 			s.lasts = departTime
+		case nameLimit:
+			s.limit, s.lasts = serverLimits[rnd.IntN(len(serverLimits))], limitTime
 		}
 		again := 1
 		if rnd.IntN(100) < seriesChance {
@@ -116,7 +126,7 @@
 // targets returns how many targets an act has.
 func (sh shape) targets(a act) int {
 	switch a {
-	case harm, darken, lag, breakConns, depart, announce, rest:
+	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit:
 		return sh.servers
 	default:
 		return sh.daemons
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -28,6 +28,7 @@
 	"drain":    runs(atServers(departed)),
 	"leaving":  runs(atServers(saysItLeaves)),
 	"rests":    runs(atServers(askedForPause)),
+	"named":    runs(atServers(namesLimit)),
 	"gone":     workOn,
 }
 
@@ -124,6 +125,8 @@
 
 func askedForPause(s *server) bool { return len(s.Backoffs()) > 0 }
 
+func namesLimit(s *server) bool { return len(s.LimitSpans()) > 0 && s.service == fake.PlainService }
+
 // workOn has a server work for each stream without an end.
 func workOn(f *fleet, next http.RoundTripper) http.RoundTripper {
 	return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
--- a/soak/record.go
+++ b/soak/record.go
@@ -60,6 +60,8 @@
 	runs     map[string][]fake.Run     // by server
 	arrivals map[string][]fake.Arrival // by server
 	rested   map[string][]fake.Backoff // by server
+	called   map[string][]time.Time    // calls of any kind, by server
+	limits   map[string][]fake.LimitSpan
 	calm     time.Time                 // all trouble is over
 	end      time.Time
 }
@@ -69,7 +71,8 @@
 		daemons: make(map[int][]span), servers: make(map[string][]span),
 		customers: make(map[string]fake.Customer),
 		runs:      make(map[string][]fake.Run), arrivals: make(map[string][]fake.Arrival),
-		rested: make(map[string][]fake.Backoff),
+		rested: make(map[string][]fake.Backoff), called: make(map[string][]time.Time),
+		limits: make(map[string][]fake.LimitSpan),
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -44,6 +44,7 @@
 		{"drain", step{act: depart, lasts: departTime}},
 		{"leaving", step{act: announce, lasts: departTime}},
 		{"rests", step{act: rest, lasts: longest}},
+		{"named", step{act: nameLimit, limit: "2.5", lasts: limitTime}},
 	} {
 		t.Run(tt.plant, func(t *testing.T) {
 			is := is.New(t)
@@ -54,3 +55,17 @@
 		})
 	}
 }
+
+// TestServerLimitHoldsOverAllInstances guards against instances that each send a server what it accepts from all together.
+func TestServerLimitHoldsOverAllInstances(t *testing.T) {
+	is := is.New(t)
+	f := flags{entry: buildEntry(t), daemons: 3, quiet: time.Second}
+	rec, err := play(t.Context(), f, 1, t.TempDir(), []step{
+		{act: nameLimit, target: 0, limit: "2.5", lasts: limitTime},
+		{act: nameLimit, target: 1, limit: "0.5", lasts: limitTime},
+		{act: nameLimit, target: 3, limit: "2.5", lasts: limitTime},
+		{act: nameLimit, target: 5, limit: "2.5", lasts: limitTime},
+	})
+	is.NoErr(err)
+	is.Equal(serverLimitsKept(rec), "")
+}
