--- a/entry/app.go
+++ b/entry/app.go
@@ -87,7 +87,7 @@
 		fx.Supply(set, root, lines, f),
 		fx.Provide(
 			func() tick.Clock { return tick.NewReal() },
-			route.NewLive, health.NewTracker, permit.NewLimits, newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
+			route.NewLive, health.NewTracker, permit.NewLimits, newGate, newIssuer, newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
 		),
 		fx.Populate(&d),
 	)
@@ -137,11 +137,33 @@
 	return m.live.Fleet().ServersOf(service), s.Engine
 }
 
-func newScheduler(set *platform.Settings, clock tick.Clock, live *route.Live, h *health.Tracker, c *link.Client, l *rate.Limiter) *admit.Scheduler {
+func newGate(l *permit.Limits) *permit.Gate { return permit.NewGate(l, tick.SinceBoot) }
+
+func newIssuer(set *platform.Settings, l *permit.Limits) *permit.Issuer {
+	return permit.NewIssuer(set.Instance(), l)
+}
+
+// schedulerDeps are the dependencies of an admit.Scheduler.
+type schedulerDeps struct {
+	fx.In
+
+	Set     *platform.Settings
+	Clock   tick.Clock
+	Live    *route.Live
+	Health  *health.Tracker
+	Gate    *permit.Gate
+	Link    *link.Client
+	Limiter *rate.Limiter
+}
+
+func newScheduler(p schedulerDeps) *admit.Scheduler {
+	closedUntil := func(key string, now tick.Instant) tick.Instant {
+		return max(p.Health.ClosedUntil(key, now), now+p.Gate.ClosedFor(route.Hash(key)))
+	}
 	return admit.NewScheduler(admit.Config{
-		Centre: set.Centre(), Region: set.Region(set.Centre()), Usable: h.Usable, ClosedUntil: h.ClosedUntil, Connected: c.HasIdleConn,
-		Instances: l.InstanceCount, Random: rand.Float64,
-	}, modelServers{live}, clock)
+		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()), Usable: p.Health.Usable, ClosedUntil: closedUntil,
+		Connected: p.Link.HasIdleConn, Instances: p.Limiter.InstanceCount, Random: rand.Float64,
+	}, modelServers{p.Live}, p.Clock)
 }
 
 // handlerDeps are the dependencies of a proxy.Handler.
@@ -156,7 +178,7 @@
 	RetryBudget *rate.RetryBudget
 	Scheduler   *admit.Scheduler
 	Health      *health.Tracker
-	Limits      *permit.Limits
+	Gate        *permit.Gate
 	Meter       *metric.Meter
 	Log         zerolog.Logger
 }
@@ -165,7 +187,7 @@
 	return proxy.New(proxy.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Protocol: platform.Protocol{}, Client: p.Link, Limiter: p.Limiter, RetryBudget: p.RetryBudget,
-		MaxBodyBytes: int64(bodyShare * float64(p.Set.MemoryLimit())), MaxBufferedBytes: int64(answerShare * float64(p.Set.MemoryLimit())), Placer: p.Scheduler, Health: p.Health, Limits: p.Limits, Meter: p.Meter, Clock: p.Clock, Log: logs.Component(p.Log, "relay"),
+		MaxBodyBytes: int64(bodyShare * float64(p.Set.MemoryLimit())), MaxBufferedBytes: int64(answerShare * float64(p.Set.MemoryLimit())), Placer: p.Scheduler, Health: p.Health, Permits: p.Gate, Meter: p.Meter, Clock: p.Clock, Log: logs.Component(p.Log, "relay"),
 	})
 }
 
@@ -179,6 +201,8 @@
 	Scheduler *admit.Scheduler
 	Limiter   *rate.Limiter
 	Health    *health.Tracker
+	Limits    *permit.Limits
+	Issuer    *permit.Issuer
 	Log       zerolog.Logger
 }
 
@@ -194,7 +218,8 @@
 			Centre:      p.Set.Centre(),
 			Region:      p.Set.Region(p.Set.Centre()),
 		},
-		Seeds: p.Set.Seeds(), Store: p.Store, Loads: p.Scheduler, Usage: p.Limiter, Health: p.Health, Clock: p.Clock,
+		Seeds: p.Set.Seeds(), Store: p.Store, Loads: p.Scheduler, Usage: p.Limiter, Health: p.Health,
+		Limits: p.Limits, Issuer: p.Issuer, Clock: p.Clock, SinceBoot: tick.SinceBoot,
 		Log: logs.Component(p.Log, "news"),
 	})
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -79,6 +79,8 @@
 	RetryBudget *rate.RetryBudget
 	Health      *health.Tracker
 	Limits      *permit.Limits
+	Gate        *permit.Gate
+	Issuer      *permit.Issuer
 	Handler     *proxy.Handler
 	Gossip      *gossip.Service
 	Flags       flags
@@ -165,6 +167,7 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	d.p.Store.SetShouldWatch(d.p.Gossip.WatchesStore)
+	d.p.Gate.SetHomes(d.p.Gossip)
 	d.peers = peer.NewServer(peer.Handlers{News: d.p.Gossip}, nil)
 	d.peers.Serve(ctx, l)
 	if d.datagrams, err = net.ListenPacket("udp", d.p.Set.DatagramAddr()); err != nil {
@@ -217,7 +220,10 @@
 	}
 	isListed := func(hash uint64) bool { return current[hash] }
 	d.p.Scheduler.Prune(isListed)
-	d.p.Limits.Prune(isListed, d.p.Clock.Now())
+	now := tick.SinceBoot()
+	d.p.Limits.Prune(isListed, now)
+	d.p.Issuer.Sweep(now)
+	d.p.Gate.Sweep()
 }
 
 // reload applies changes of the settings file. The file is polled because it may change without a
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,6 +13,7 @@
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
 	"wasabidock.dev/dock/metric"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/proxy"
 	"wasabidock.dev/dock/route"
@@ -40,6 +41,7 @@
 	Store     *platform.Watcher
 	Scheduler *admit.Scheduler
 	Health    *health.Tracker
+	Limits    *permit.Limits
 	Handler   *proxy.Handler
 	Gossip    *gossip.Service
 	LogWriter *logs.AsyncWriter
@@ -70,6 +72,9 @@
 	}
 	servers, ejected := p.Live.Fleet().Len(), 0
 	for _, s := range p.Live.Fleet().All() {
+		if l, ok := p.Limits.Of(s.Hash()); ok {
+			gauge(`server_limit_per_1000_seconds{server="`+s.ID+`"}`, int64(1000*l.Rate))
+		}
 		if !p.Health.Usable(s.Key(), p.Clock.Now()) {
 			ejected++
 		}
--- a/gossip/load.go
+++ b/gossip/load.go
@@ -42,6 +42,8 @@
 	centre           string
 	storeUnreachable bool // the peer cannot read the platform's store
 	leaving          bool
+	steady           bool   // the peer may issue permits
+	nameHash         uint64 // hash of the peer's name
 	sums             map[uint64]admit.Load
 }
 
@@ -93,6 +95,7 @@
 	d.lastState, d.lastSent = plain, now
 	d.serial++
 	state.Serial = d.serial
+	d.s.setLimitAges(state)
 	if all {
 		d.lastSentAll = now
 	}
@@ -197,6 +200,7 @@
 		}
 	}
 	l.Leavers = s.cfg.Health.DrainingServers(s.cfg.Clock.Now())
+	l.Limits, l.Steady = s.encodeLimits(), s.isSteady()
 	sortLoad(l)
 	return l
 }
@@ -250,6 +254,7 @@
 	s.cfg.Usage.SetPeerUsage(name, used, now)
 	s.cfg.Usage.SetPeerRetryTokens(name, retryTokens)
 	s.recordHealth(l, from.Centre, now)
+	s.recordLimits(l)
 }
 
 // recordHealth records the failing and draining servers that a peer reports. A report that a
@@ -286,7 +291,7 @@
 	}
 	h := &peerLoad{
 		incarnation: l.GetIncarnation(), serial: l.GetSerial(), at: now, centre: centre,
-		storeUnreachable: l.GetCut(), leaving: l.GetLeaving(), sums: make(map[uint64]admit.Load),
+		storeUnreachable: l.GetCut(), leaving: l.GetLeaving(), steady: l.GetSteady(), nameHash: route.Hash(l.GetInstance()), sums: make(map[uint64]admit.Load),
 	}
 	for _, p := range l.GetPlaced() {
 		h.sums[p.GetServer()] = admit.Load{
@@ -358,5 +363,6 @@
 	slices.Sort(l.Absent)
 	slices.Sort(l.Silent)
 	slices.Sort(l.Leavers)
+	slices.SortFunc(l.Limits, func(a, b *peerpb.ServerLimit) int { return cmp.Compare(a.GetServer(), b.GetServer()) })
 	slices.SortFunc(l.Used, func(a, b *peerpb.Used) int { return cmp.Compare(a.GetCustomer(), b.GetCustomer()) })
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -78,6 +78,29 @@
 	return *o, true
 }
 
+// get returns a member.
+func (m *members) get(instance string) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.byID[instance]
+	if !ok {
+		return Member{}, false
+	}
+	return *o, true
+}
+
+// inCentre reports whether a data centre has a member.
+func (m *members) inCentre(centre string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.byID {
+		if o.Centre == centre {
+			return true
+		}
+	}
+	return false
+}
+
 // list returns the members, ordered by name.
 func (m *members) list() []Member {
 	m.mu.Lock()
--- /dev/null
+++ b/gossip/permit.go
@@ -0,0 +1,222 @@
+package gossip
+
+import (
+	"context"
+	"encoding/binary"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peerpb"
+	"wasabidock.dev/dock/permit"
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// settleTime is how long an instance issues no permits after its start or after a pause.
+	// Permits of its predecessor have expired by then, and all peers know the instance.
+	settleTime = 2 * time.Second
+	// maxSyncGap is the longest time between two calls of syncLoad of a process that was not paused.
+	maxSyncGap = time.Second
+	// homeTimeout is how long an instance counts as home without having been heard, or homePeriods
+	// of the reports of all instances if that is longer.
+	homeTimeout = 1500 * time.Millisecond
+	homePeriods = 4
+	// fallbackShare is the fraction of a limit that the home issues if the data centre of the server
+	// has no instance. Two sides of a partition may each have such a home.
+	fallbackShare = 0.25
+	// claimTimeout bounds a claim within the region, and remoteClaimTimeout one in another region.
+	claimTimeout       = 150 * time.Millisecond
+	remoteClaimTimeout = 350 * time.Millisecond
+)
+
+// errNotHome is returned to an instance that takes another instance for the home of a server.
+var errNotHome = errors.New("this instance does not issue permits for the server")
+
+// home is the instance that issues the permits of a server.
+type home struct {
+	instance string
+	self     bool
+	share    float64 // fraction of the limit that the home issues
+}
+
+// pauses tracks whether this process was paused. It is guarded by Service.mu.
+type pauses struct {
+	lastSync    tick.Instant // by Config.SinceBoot
+	steadySince tick.Instant
+}
+
+// observe records that the process runs now.
+func (p *pauses) observe(now tick.Instant) {
+	if p.lastSync == 0 || now-p.lastSync > maxSyncGap {
+		p.steadySince = now
+	}
+	p.lastSync = now
+}
+
+// steady reports whether the process has run for settleTime without a pause.
+func (p *pauses) steady(now tick.Instant) bool {
+	p.observe(now)
+	return now-p.steadySince >= settleTime
+}
+
+// isSteady reports whether this instance may issue permits.
+func (s *Service) isSteady() bool {
+	now := s.cfg.SinceBoot()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pauses.steady(now) && !s.leaving.Load()
+}
+
+// homeOf returns the home of a server in a data centre: the instance of that data centre with the
+// highest rank among those that are steady. If the data centre has no instance, all are considered.
+func (s *Service) homeOf(server uint64, centre string) (home, bool) {
+	now := s.cfg.Clock.Now()
+	timeout := max(homeTimeout, homePeriods*time.Duration(s.members.count())*loadPeriodPerPeer)
+	local := centre == s.cfg.Self.Centre || s.members.inCentre(centre)
+	best := home{share: 1}
+	if !local {
+		best.share = fallbackShare
+	}
+	var top uint64
+	if s.isSteady() && (!local || centre == s.cfg.Self.Centre) {
+		top, best.instance, best.self = rank(route.Hash(s.cfg.Self.Instance), server), s.cfg.Self.Instance, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, l := range s.loads {
+		if local && l.centre != centre || !l.steady || l.leaving || now-l.at > timeout {
+			continue
+		}
+		if r := rank(l.nameHash, server); best.instance == "" || r > top {
+			top, best.instance, best.self = r, name, false
+		}
+	}
+	return best, best.instance != ""
+}
+
+// rank returns the rank of an instance as the home of a server.
+func rank(instance, server uint64) uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:8], instance)
+	binary.BigEndian.PutUint64(b[8:], server)
+	return xxhash.Sum64(b[:])
+}
+
+// Claim implements permit.Homes. It calls the home of the server, unless that is this instance.
+func (s *Service) Claim(ctx context.Context, c permit.Claim, now tick.Instant) (permit.Answer, error) {
+	h, ok := s.homeOf(c.Server, c.Centre)
+	if !ok {
+		return permit.Answer{}, permit.ErrNoHome
+	}
+	if h.self {
+		return s.cfg.Issuer.Decide(c, h.share, now), nil
+	}
+	m, ok := s.members.get(h.instance)
+	if !ok {
+		return permit.Answer{}, permit.ErrNoHome
+	}
+	timeout := claimTimeout
+	if m.Region != s.cfg.Self.Region {
+		timeout = remoteClaimTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	client, err := s.pool.News(ident.Instance(m.Address))
+	if err != nil {
+		return permit.Answer{}, fail.New("news: permit", h.instance, ident.NotRun, err)
+	}
+	resp, err := client.Permit(ctx, &peerpb.PermitRequest{
+		Limit: encodeLimit(c.Report, now), Centre: c.Centre, Priority: int32(c.Priority), Customer: c.Customer,
+		Weight: c.Weight, Rejected: int32(c.Rejected),
+	})
+	if err != nil {
+		return permit.Answer{}, fail.New("news: permit", h.instance, ident.NotRun, err)
+	}
+	return permit.Answer{
+		Granted: resp.GetGranted(), Wait: fromMicros(resp.GetWaitUs()), RetryAfter: fromMicros(resp.GetRetryAfterUs()),
+		Issuer: resp.GetIssuer(),
+	}, nil
+}
+
+// Permit implements peerpbconnect.NewsServiceHandler. It decides a claim of a peer.
+func (s *Service) Permit(_ context.Context, r *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	h, ok := s.homeOf(r.GetLimit().GetServer(), r.GetCentre())
+	if !ok || !h.self {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotHome)
+	}
+	now := s.cfg.SinceBoot()
+	a := s.cfg.Issuer.Decide(permit.Claim{
+		Report: decodeLimit(r.GetLimit(), now), Centre: r.GetCentre(), Priority: int(r.GetPriority()), Customer: r.GetCustomer(),
+		Weight: r.GetWeight(), Rejected: int(max(r.GetRejected(), 0)),
+	}, h.share, now)
+	return &peerpb.PermitResponse{
+		Granted: a.Granted, WaitUs: a.Wait.Microseconds(), RetryAfterUs: a.RetryAfter.Microseconds(), Issuer: a.Issuer,
+	}, nil
+}
+
+// encodeLimits returns the limits that servers named to this instance, without their ages.
+func (s *Service) encodeLimits() []*peerpb.ServerLimit {
+	var list []*peerpb.ServerLimit
+	for _, r := range s.cfg.Limits.Reports() {
+		list = append(list, &peerpb.ServerLimit{Server: r.Server, Rate: r.Rate})
+	}
+	return list
+}
+
+// setLimitAges replaces the limits of a state by the current ones with their ages.
+func (s *Service) setLimitAges(l *peerpb.Load) {
+	if len(l.Limits) == 0 {
+		return
+	}
+	l.Limits = l.Limits[:0]
+	now := s.cfg.SinceBoot()
+	for _, r := range s.cfg.Limits.Reports() {
+		l.Limits = append(l.Limits, encodeLimit(r, now))
+	}
+}
+
+// recordLimits records the limits that a peer reports.
+func (s *Service) recordLimits(l *peerpb.Load) {
+	if len(l.GetLimits()) == 0 {
+		return
+	}
+	now := s.cfg.SinceBoot()
+	for _, w := range l.GetLimits() {
+		s.cfg.Limits.RecordPeer(decodeLimit(w, now))
+	}
+}
+
+// encodeLimit returns a report in the form sent to peers.
+func encodeLimit(r permit.Report, now tick.Instant) *peerpb.ServerLimit {
+	return &peerpb.ServerLimit{
+		Server: r.Server, Rate: r.Rate, SentAgeUs: (now - r.Sent).Microseconds(), ReceivedAgeUs: (now - r.Received).Microseconds(),
+	}
+}
+
+// decodeLimit returns the report of a peer that was received at now. A rate or an age that is
+// invalid counts as 0.
+func decodeLimit(w *peerpb.ServerLimit, now tick.Instant) permit.Report {
+	rate := w.GetRate()
+	if !(rate >= 0 && rate <= maxReportedRate) {
+		rate = 0
+	}
+	received := now - fromMicros(w.GetReceivedAgeUs())
+	return permit.Report{Server: w.GetServer(), Statement: permit.Statement{
+		Rate: rate, Limited: true, Sent: min(now-fromMicros(w.GetSentAgeUs()), received), Received: received,
+	}}
+}
+
+// maxReportedRate bounds the limit that a peer reports, in requests per second.
+const maxReportedRate = 1e6
+
+// fromMicros returns a duration that a peer sent. A negative one counts as 0, and one over a day as
+// a day.
+func fromMicros(us int64) time.Duration {
+	return time.Duration(min(max(us, 0), (24*time.Hour).Microseconds())) * time.Microsecond
+}
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -17,6 +17,7 @@
 	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/peerpb/peerpbconnect"
+	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/tick"
 )
 
@@ -126,8 +127,15 @@
 	Loads  LoadTracker
 	Usage  UsageTracker
 	Health Health
+	// Limits are the limits that backend servers name, and Issuer issues the permits of the
+	// servers of which this instance is the home.
+	Limits *permit.Limits
+	Issuer *permit.Issuer
 	Clock  tick.Clock
-	Log    zerolog.Logger
+	// SinceBoot returns the current time by a clock that includes the time in which the machine
+	// is suspended. The instants of Limits are of this clock.
+	SinceBoot func() tick.Instant
+	Log       zerolog.Logger
 }
 
 // Service exchanges state with the other instances. Its methods may be called concurrently; Run,
@@ -143,13 +151,24 @@
 	loads     map[string]*peerLoad  // by instance
 	total     map[uint64]admit.Load // over all peers whose state is not stale, by server
 	changed   map[uint64]admit.Load // entries of total not yet passed to LoadTracker
-	busyUntil tick.Instant          // no large response is sent before this instant, to limit the rate to stateBytesPerSecond
+	pauses    pauses
+	busyUntil tick.Instant // no large response is sent before this instant, to limit the rate to stateBytesPerSecond
 }
 
 var _ peerpbconnect.NewsServiceHandler = (*Service)(nil)
 
-// New returns a Service.
+// New returns a Service. Limits, Issuer and SinceBoot of cfg may be nil in a deployment whose servers
+// name no limits.
 func New(cfg Config) *Service {
+	if cfg.Limits == nil {
+		cfg.Limits = permit.NewLimits()
+	}
+	if cfg.Issuer == nil {
+		cfg.Issuer = permit.NewIssuer(cfg.Self.Instance, cfg.Limits)
+	}
+	if cfg.SinceBoot == nil {
+		cfg.SinceBoot = cfg.Clock.Now
+	}
 	return &Service{
 		cfg:     cfg,
 		members: newMembers(cfg.Self.Instance),
--- a/link/link.go
+++ b/link/link.go
@@ -73,6 +73,10 @@
 	// field in Header.
 	ID string
 
+	// BeforeWrite is called when there is a connection, right before the request is written. If
+	// it returns an error, the request is not written. It may be nil.
+	BeforeWrite func() error
+
 	DialTimeout   time.Duration // longest wait for a connection, 0 for defaultDialTimeout
 	HeaderTimeout time.Duration // longest wait for the response header, 0 for no limit
 	IdleTimeout   time.Duration // longest wait for progress of the response body, 0 for no limit; see Response.ResetIdleTimeout
@@ -159,6 +163,11 @@
 	if err := ctx.Err(); err != nil {
 		return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
 	}
+	if req.BeforeWrite != nil {
+		if err := req.BeforeWrite(); err != nil {
+			return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
+		}
+	}
 	res := &Response{c: c, addr: req.Addr, conn: cn}
 	if len(buf) > syncWriteBytes {
 		writeDone := make(chan error, 1)
--- a/peerpb/peerpbconnect/news.connect.go
+++ b/peerpb/peerpbconnect/news.connect.go
@@ -38,11 +38,15 @@
 const (
 	// NewsServiceExchangeProcedure is the fully-qualified name of the NewsService's Exchange RPC.
 	NewsServiceExchangeProcedure = "/peerpb.NewsService/Exchange"
+	// NewsServicePermitProcedure is the fully-qualified name of the NewsService's Permit RPC.
+	NewsServicePermitProcedure = "/peerpb.NewsService/Permit"
 )
 
 // NewsServiceClient is a client for the peerpb.NewsService service.
 type NewsServiceClient interface {
 	Exchange(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error)
+	// Permit fails with failed_precondition at an instance that is not the home of the server.
+	Permit(context.Context, *peerpb.PermitRequest) (*peerpb.PermitResponse, error)
 }
 
 // NewNewsServiceClient constructs a client for the peerpb.NewsService service. By default, it uses
@@ -62,12 +66,19 @@
 			connect.WithSchema(newsServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		permit: connect.NewClient[peerpb.PermitRequest, peerpb.PermitResponse](
+			httpClient,
+			baseURL+NewsServicePermitProcedure,
+			connect.WithSchema(newsServiceMethods.ByName("Permit")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // newsServiceClient implements NewsServiceClient.
 type newsServiceClient struct {
 	exchange *connect.Client[peerpb.ExchangeRequest, peerpb.ExchangeResponse]
+	permit   *connect.Client[peerpb.PermitRequest, peerpb.PermitResponse]
 }
 
 // Exchange calls peerpb.NewsService.Exchange.
@@ -79,9 +90,20 @@
 	return nil, err
 }
 
+// Permit calls peerpb.NewsService.Permit.
+func (c *newsServiceClient) Permit(ctx context.Context, req *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	response, err := c.permit.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // NewsServiceHandler is an implementation of the peerpb.NewsService service.
 type NewsServiceHandler interface {
 	Exchange(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error)
+	// Permit fails with failed_precondition at an instance that is not the home of the server.
+	Permit(context.Context, *peerpb.PermitRequest) (*peerpb.PermitResponse, error)
 }
 
 // NewNewsServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -97,10 +119,18 @@
 		connect.WithSchema(newsServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	newsServicePermitHandler := connect.NewUnaryHandlerSimple(
+		NewsServicePermitProcedure,
+		svc.Permit,
+		connect.WithSchema(newsServiceMethods.ByName("Permit")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/peerpb.NewsService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NewsServiceExchangeProcedure:
 			newsServiceExchangeHandler.ServeHTTP(w, r)
+		case NewsServicePermitProcedure:
+			newsServicePermitHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -113,3 +143,7 @@
 func (UnimplementedNewsServiceHandler) Exchange(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peerpb.NewsService.Exchange is not implemented"))
 }
+
+func (UnimplementedNewsServiceHandler) Permit(context.Context, *peerpb.PermitRequest) (*peerpb.PermitResponse, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peerpb.NewsService.Permit is not implemented"))
+}
--- /dev/null
+++ b/permit/gate.go
@@ -0,0 +1,266 @@
+package permit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// lifetime is the time after a claim for which its permit is valid. It covers a prefill on
+	// another server.
+	lifetime = time.Second
+	// unreachableWait is how long no claim is made for a server after a claim that was not answered.
+	unreachableWait = 250 * time.Millisecond
+	// minRetryAfter is the shortest Retry-After of a caller rejected for a limit.
+	minRetryAfter = 300 * time.Millisecond
+)
+
+// ErrNoHome is returned for a claim if no instance is known that issues the permits of the server.
+var ErrNoHome = errors.New("no instance issues permits for the server")
+
+// ErrExpired reports that a permit was not used within its lifetime.
+var ErrExpired = errors.New("the permit for the server has expired")
+
+// DeniedError reports that a server with a limit gets no request now.
+type DeniedError struct {
+	Rate float64 // limit of the server, in requests per second
+	Err  error   // why the claim was not answered, nil if it was denied
+}
+
+// Error implements error.
+func (e *DeniedError) Error() string {
+	if e.Err != nil {
+		return "no permit under the limit of the server: " + e.Err.Error()
+	}
+	return "no permit under the limit of the server"
+}
+
+// Unwrap returns the error of the claim.
+func (e *DeniedError) Unwrap() error { return e.Err }
+
+// Homes forwards claims to the instances that issue permits.
+type Homes interface {
+	// Claim forwards a claim to the home of its server and returns the answer. The statement of
+	// the claim is relative to now.
+	Claim(ctx context.Context, c Claim, now tick.Instant) (Answer, error)
+}
+
+// Caller describes the request for which a permit is needed.
+type Caller struct {
+	Priority int
+	Customer string
+	Weight   float64
+}
+
+// Permit allows one request to a server. The zero value is a permit for a server without a limit.
+type Permit struct {
+	Server  uint64 // hash of the server's key
+	Rate    float64
+	Age     time.Duration // age of the server's statement when the permit was issued
+	Issuer  string
+	Limited bool
+	expires tick.Instant
+}
+
+// closing is the time in which this instance makes no claims for a server.
+type closing struct {
+	until tick.Instant
+	// retryAt is the instant at which one more rejected caller is expected to be served.
+	retryAt  tick.Instant
+	rejected int // callers rejected since the last claim
+}
+
+// Gate obtains permits for the requests of this instance. It is safe for concurrent use.
+type Gate struct {
+	limits *Limits
+	now    func() tick.Instant
+
+	mu       sync.Mutex
+	homes    Homes
+	closings map[uint64]*closing // by the hash of the server's key
+}
+
+// NewGate returns a Gate that denies all permits until SetHomes is called. now must include the time
+// in which the machine is suspended.
+func NewGate(limits *Limits, now func() tick.Instant) *Gate {
+	return &Gate{limits: limits, now: now, closings: make(map[uint64]*closing)}
+}
+
+// SetHomes sets the receiver of claims.
+func (g *Gate) SetHomes(h Homes) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.homes = h
+}
+
+// Record records what a response of a server states about its limit. rate has no meaning unless
+// limited is set. age is the time since the request was sent.
+func (g *Gate) Record(s *route.Server, rate float64, limited bool, age time.Duration) Change {
+	if !limited && !g.limits.known(s.Hash()) {
+		return Unchanged
+	}
+	now := g.now()
+	c := g.limits.Record(s.Hash(), Statement{Rate: rate, Limited: limited, Sent: now - age, Received: now})
+	if c == Lifted {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		delete(g.closings, s.Hash())
+	}
+	return c
+}
+
+// Limited reports whether a server has a limit.
+func (g *Gate) Limited(s *route.Server) bool {
+	_, ok := g.limits.Of(s.Hash())
+	return ok
+}
+
+// ClosedFor returns the time for which a server gets no requests because of its limit, 0 if it may
+// get one now.
+func (g *Gate) ClosedFor(server uint64) time.Duration {
+	if _, ok := g.limits.Of(server); !ok {
+		return 0
+	}
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, ok := g.closings[server]; ok && c.until > now {
+		return c.until - now
+	}
+	return 0
+}
+
+// RetryAfter returns the time after which a caller that is rejected for the limits of these servers
+// is expected to be served by one of them, and false if none of them has a limit. It counts the
+// caller as rejected.
+func (g *Gate) RetryAfter(servers []*route.Server) (time.Duration, bool) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var first *closing
+	var rate float64
+	for _, s := range servers {
+		l, ok := g.limits.Of(s.Hash())
+		if !ok {
+			continue
+		}
+		c := g.closing(s.Hash())
+		if first == nil || c.retryAt < first.retryAt {
+			first, rate = c, max(l.Rate, minRate)
+		}
+	}
+	if first == nil {
+		return 0, false
+	}
+	first.rejected++
+	wait := min(max(first.retryAt-now, minRetryAfter), maxRetryAfter)
+	// The next caller is served after this one.
+	first.retryAt = max(first.retryAt, now) + time.Duration(min(1/rate, maxRetryAfter.Seconds())*float64(time.Second))
+	return wait, true
+}
+
+// closing returns the closing of a server, which it creates at the first use. The caller holds g.mu.
+func (g *Gate) closing(server uint64) *closing {
+	c, ok := g.closings[server]
+	if !ok {
+		c = &closing{}
+		g.closings[server] = c
+	}
+	return c
+}
+
+// Acquire returns a permit for one request to a server. If there is none now, it returns a
+// *DeniedError at once.
+func (g *Gate) Acquire(ctx context.Context, s *route.Server, by Caller) (Permit, error) {
+	l, ok := g.limits.Of(s.Hash())
+	if !ok {
+		return Permit{}, nil
+	}
+	now := g.now()
+	homes, rejected, ok := g.startClaim(s.Hash(), now)
+	if !ok {
+		return Permit{}, &DeniedError{Rate: l.Rate}
+	}
+	a, err := Answer{}, ErrNoHome
+	if homes != nil {
+		a, err = homes.Claim(ctx, Claim{
+			Report: Report{s.Hash(), l}, Centre: s.Centre, Priority: by.Priority, Customer: by.Customer, Weight: by.Weight,
+			Rejected: rejected,
+		}, now)
+	}
+	g.endClaim(s.Hash(), a, err, rejected, ctx.Err() != nil)
+	if err != nil {
+		return Permit{}, &DeniedError{Rate: l.Rate, Err: err}
+	}
+	if !a.Granted {
+		return Permit{}, &DeniedError{Rate: l.Rate}
+	}
+	return Permit{Server: s.Hash(), Rate: l.Rate, Age: now - l.Received, Issuer: a.Issuer, Limited: true, expires: now + lifetime}, nil
+}
+
+// startClaim returns the receiver of a claim and the number of callers rejected since the last one.
+// It returns false while no claim is made for the server.
+func (g *Gate) startClaim(server uint64, now tick.Instant) (Homes, int, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.closings[server]
+	if !ok {
+		return g.homes, 0, true
+	}
+	if c.until > now {
+		return nil, 0, false
+	}
+	n := c.rejected
+	c.rejected = 0
+	return g.homes, n, true
+}
+
+// endClaim records the answer to a claim, or that the caller did not wait for it.
+func (g *Gate) endClaim(server uint64, a Answer, err error, rejected int, abandoned bool) {
+	now := g.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.closing(server)
+	switch {
+	case err != nil:
+		if !abandoned {
+			c.until = now + unreachableWait
+		}
+		c.rejected += rejected
+	case !a.Granted:
+		c.until, c.retryAt = now+a.Wait, now+a.RetryAfter
+	default:
+		c.retryAt = now + a.RetryAfter
+	}
+}
+
+// Check returns ErrExpired if a permit may not be used any more. It must be called right before the
+// request is written.
+func (g *Gate) Check(p Permit) error {
+	if p.Limited && g.now() >= p.expires {
+		return ErrExpired
+	}
+	return nil
+}
+
+// Covers reports whether a permit may be used for a request to a server.
+func (g *Gate) Covers(p Permit, s *route.Server) bool {
+	return p.Limited && p.Server == s.Hash() && g.Check(p) == nil
+}
+
+// Sweep removes the state of servers whose limits are not known any more.
+func (g *Gate) Sweep() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for h := range g.closings {
+		if !g.limits.known(h) {
+			delete(g.closings, h)
+		}
+	}
+}
--- /dev/null
+++ b/permit/gate_test.go
@@ -0,0 +1,156 @@
+package permit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+// fakeHomes answers each claim with the same answer or error.
+type fakeHomes struct {
+	answer Answer
+	err    error
+	claims []Claim
+}
+
+func (f *fakeHomes) Claim(_ context.Context, c Claim, _ tick.Instant) (Answer, error) {
+	f.claims = append(f.claims, c)
+	return f.answer, f.err
+}
+
+// gateHarness is a Gate with a clock that the test sets and a server that names a limit.
+type gateHarness struct {
+	*Gate
+	now    tick.Instant
+	homes  *fakeHomes
+	server *route.Server
+}
+
+func newGateHarness(rate float64) *gateHarness {
+	h := &gateHarness{now: time.Minute, homes: &fakeHomes{answer: Answer{Granted: true}}, server: &route.Server{ID: "s"}}
+	h.Gate = NewGate(NewLimits(), func() tick.Instant { return h.now })
+	h.SetHomes(h.homes)
+	h.Record(h.server, rate, true, time.Millisecond)
+	return h
+}
+
+func (h *gateHarness) acquire() (Permit, error) {
+	return h.Acquire(context.Background(), h.server, Caller{Customer: "c"})
+}
+
+func TestUnlimitedServerNeedsNoClaim(t *testing.T) {
+	is := is.New(t)
+	h := newGateHarness(2)
+	p, err := h.Acquire(t.Context(), &route.Server{ID: "other"}, Caller{})
+	is.NoErr(err)
+	is.Equal(p, Permit{})
+	is.NoErr(h.Check(p))
+	is.Equal(len(h.homes.claims), 0)
+}
+
+func TestPermitExpires(t *testing.T) {
+	is := is.New(t)
+	h := newGateHarness(2)
+	p, err := h.acquire()
+	is.NoErr(err)
+	is.True(h.Covers(p, h.server))
+	is.True(!h.Covers(p, &route.Server{ID: "other"}))
+	h.now += lifetime - 1
+	is.NoErr(h.Check(p))
+	h.now++ // also by a suspension of the machine, which the clock includes
+	is.True(errors.Is(h.Check(p), ErrExpired))
+	is.True(!h.Covers(p, h.server))
+}
+
+func TestDeniedServerIsClosed(t *testing.T) {
+	errCut := errors.New("cut")
+	tests := []struct {
+		name   string
+		answer Answer
+		err    error
+		cancel bool // the caller gives up
+		closed time.Duration
+	}{
+		{"granted", Answer{Granted: true}, nil, false, 0},
+		{"denied", Answer{Wait: 300 * time.Millisecond, RetryAfter: time.Second}, nil, false, 300 * time.Millisecond},
+		{"no answer", Answer{}, errCut, false, unreachableWait},
+		{"caller gives up", Answer{}, context.Canceled, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newGateHarness(2)
+			h.homes.answer, h.homes.err = tt.answer, tt.err
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if tt.cancel {
+				cancel()
+			}
+			_, err := h.Acquire(ctx, h.server, Caller{})
+			is.Equal(err == nil, tt.answer.Granted)
+			var denied *DeniedError
+			is.True(err == nil || errors.As(err, &denied))
+			is.True(tt.err == nil || errors.Is(err, tt.err))
+			is.Equal(h.ClosedFor(h.server.Hash()), tt.closed)
+			if tt.closed == 0 {
+				return
+			}
+			_, err = h.acquire()
+			is.True(errors.As(err, &denied)) // without another claim
+			is.Equal(len(h.homes.claims), 1)
+			h.now += tt.closed
+			is.Equal(h.ClosedFor(h.server.Hash()), time.Duration(0))
+			_, _ = h.acquire()
+			is.Equal(len(h.homes.claims), 2)
+		})
+	}
+}
+
+func TestGateWithoutHomesDenies(t *testing.T) {
+	is := is.New(t)
+	h := newGateHarness(2)
+	h.SetHomes(nil)
+	_, err := h.acquire()
+	is.True(errors.Is(err, ErrNoHome))
+}
+
+// TestRetryAfterOfCallersIsInTurn guards against callers that all come back at the same moment.
+func TestRetryAfterOfCallersIsInTurn(t *testing.T) {
+	is := is.New(t)
+	h := newGateHarness(2)
+	h.homes.answer = Answer{Wait: time.Second, RetryAfter: 3 * time.Second}
+	_, err := h.acquire()
+	is.True(err != nil)
+	list := []*route.Server{{ID: "other"}, h.server}
+	for _, want := range []time.Duration{3 * time.Second, 3500 * time.Millisecond, 4 * time.Second} {
+		got, ok := h.RetryAfter(list)
+		is.True(ok)
+		is.Equal(got, want)
+	}
+	h.now += time.Second
+	_, _ = h.acquire()
+	is.Equal(h.homes.claims[1].Rejected, 3) // the home counts them
+	_, ok := h.RetryAfter(list[:1])
+	is.True(!ok) // no server has a limit
+}
+
+func TestLiftedLimitReopensServer(t *testing.T) {
+	is := is.New(t)
+	h := newGateHarness(2)
+	h.homes.answer = Answer{Wait: time.Second}
+	_, _ = h.acquire()
+	h.now += 10 * time.Millisecond
+	is.Equal(h.Record(h.server, 0, false, time.Millisecond), Lifted)
+	is.Equal(h.ClosedFor(h.server.Hash()), time.Duration(0))
+	_, err := h.acquire()
+	is.NoErr(err)
+	h.limits.Prune(func(uint64) bool { return false }, h.now+2*unlistedExpiry)
+	h.Sweep()
+	is.Equal(len(h.closings), 0)
+}
--- /dev/null
+++ b/permit/issuer.go
@@ -0,0 +1,208 @@
+package permit
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// burstTime times the rate of a limit is the capacity of its bucket, and minBurst is the
+	// smallest capacity, in permits.
+	burstTime = 500 * time.Millisecond
+	minBurst  = 2.0
+	// minRate is the smallest rate at which permits are issued, in permits per second. A server
+	// that names a lower rate, or 0, would otherwise never be asked whether it still does.
+	minRate = 1.0 / 60
+	// contentionTime is how long a denied claim takes precedence over claims that are less urgent
+	// or whose customer has received a larger share.
+	contentionTime = time.Second
+	// shareTime is the time constant with which the permits of a customer are forgotten.
+	shareTime = 4 * time.Second
+	// minWait and maxWait bound the time for which an instance whose claim was denied makes no
+	// further claim. maxRetryAfter bounds the time until a rejected caller is expected to be served.
+	minWait       = 20 * time.Millisecond
+	maxWait       = 5 * time.Second
+	maxRetryAfter = 30 * time.Second
+	// idleExpiry is how long a bucket is kept without claims.
+	idleExpiry = time.Minute
+)
+
+// Claim is a request of an instance for a permit.
+type Claim struct {
+	Report          // the server, and its limit as the claiming instance knows it
+	Centre   string // data centre of the server
+	Priority int    // 0 is the most urgent
+	Customer string // empty on public routes
+	Weight   float64
+	// Rejected is the number of callers that the instance has rejected for the limit since its
+	// last claim. They are expected to retry.
+	Rejected int
+}
+
+// Answer is the answer to a claim.
+type Answer struct {
+	Granted bool
+	// Wait is the time until the next claim of the instance for the server, if the claim was denied.
+	Wait time.Duration
+	// RetryAfter is the time until one more rejected caller is expected to be served.
+	RetryAfter time.Duration
+	Issuer     string // name of the instance that decided
+}
+
+// customer holds the claims of one customer.
+type customer struct {
+	share    float64      // permits per weight, decaying with shareTime
+	updated  tick.Instant // of share
+	deniedAt tick.Instant // the last denied claim, 0 for none
+	priority int          // of that claim
+}
+
+// bucket is the token bucket of one limited server.
+type bucket struct {
+	level     float64
+	updated   tick.Instant
+	granted   tick.Instant // when the last permit was issued
+	claimants float64      // denied claims whose turn has not come
+	callers   float64      // rejected callers whose turn has not come
+	customers map[string]*customer
+}
+
+// Issuer issues permits for the servers of which this instance is the home. It is safe for
+// concurrent use.
+type Issuer struct {
+	limits *Limits
+	self   string
+
+	mu      sync.Mutex
+	buckets map[uint64]*bucket // by the hash of the server's key
+}
+
+// NewIssuer returns an Issuer that names itself self in its answers. The bucket of a server is empty
+// when the server names its limit.
+func NewIssuer(self string, limits *Limits) *Issuer {
+	return &Issuer{limits: limits, self: self, buckets: make(map[uint64]*bucket)}
+}
+
+// Decide grants or denies a claim. share is the fraction of the limit that this instance issues.
+func (i *Issuer) Decide(c Claim, share float64, now tick.Instant) Answer {
+	i.limits.RecordClaim(c.Report)
+	l, ok := i.limits.Of(c.Server)
+	if !ok {
+		return Answer{Granted: true, Issuer: i.self} // the limit was lifted after the claimant heard of it
+	}
+	rate := max(l.Rate*share, minRate)
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	b, ok := i.buckets[c.Server]
+	if !ok {
+		// The permits since the statement was made are available.
+		b = &bucket{updated: min(l.Received, now), customers: make(map[string]*customer)}
+		i.buckets[c.Server] = b
+	}
+	b.refill(rate, now)
+	if l.Sent-b.granted > lifetime {
+		// Another instance has issued permits meanwhile.
+		b.level = min(b.level, rate*max(now-l.Received, 0).Seconds())
+	}
+	b.callers += float64(c.Rejected)
+	a := Answer{Granted: b.take(&c, rate, now), Issuer: i.self}
+	if !a.Granted {
+		b.claimants++
+		a.Wait = min(max(b.timeUntil(b.claimants, rate), minWait), maxWait)
+	}
+	a.RetryAfter = min(b.timeUntil(b.callers+1, rate), maxRetryAfter)
+	return a
+}
+
+// refill adds the permits for the time since the last call.
+func (b *bucket) refill(rate float64, now tick.Instant) {
+	added := rate * max(now-b.updated, 0).Seconds()
+	b.updated = now
+	b.level = min(b.level+added, burst(rate))
+	b.claimants = max(b.claimants-added, 0)
+	b.callers = max(b.callers-added, 0)
+}
+
+// burst returns the capacity of a bucket in permits.
+func burst(rate float64) float64 { return max(rate*burstTime.Seconds(), minBurst) }
+
+// timeUntil returns the time until n permits are available.
+func (b *bucket) timeUntil(n, rate float64) time.Duration {
+	return time.Duration(min(max(n-b.level, 0)/rate, maxRetryAfter.Seconds()) * float64(time.Second))
+}
+
+// take takes a permit for a claim. It reports whether there is one. While the bucket is not full, a
+// claim yields to those denied of late that go before it.
+func (b *bucket) take(c *Claim, rate float64, now tick.Instant) bool {
+	own := b.customer(c.Customer, now)
+	if b.level < 1 || b.level < burst(rate) && b.yields(c, own, now) {
+		if own.deniedAt == 0 || now-own.deniedAt > contentionTime || c.Priority < own.priority {
+			own.priority = c.Priority
+		}
+		own.deniedAt = now
+		return false
+	}
+	b.level--
+	b.granted = now
+	own.share += 1 / weight(c)
+	own.deniedAt = 0
+	return true
+}
+
+// yields reports whether a claim that was denied of late goes before c: a more urgent one, or one
+// that is as urgent and whose customer has received less.
+func (b *bucket) yields(c *Claim, own *customer, now tick.Instant) bool {
+	for name, o := range b.customers {
+		if name == c.Customer || o.deniedAt == 0 || now-o.deniedAt > contentionTime {
+			continue
+		}
+		if o.priority < c.Priority || o.priority == c.Priority && o.decayed(now)+1/weight(c) <= own.share {
+			return true
+		}
+	}
+	return false
+}
+
+// weight returns the weight of a claim's customer.
+func weight(c *Claim) float64 {
+	if c.Weight > 0 {
+		return c.Weight
+	}
+	return 1
+}
+
+// customer returns the claims of a customer, with the share as of now. Other customers without
+// recent claims are removed.
+func (b *bucket) customer(name string, now tick.Instant) *customer {
+	own, ok := b.customers[name]
+	if !ok {
+		for n, o := range b.customers {
+			if now-o.updated > idleExpiry {
+				delete(b.customers, n)
+			}
+		}
+		own = &customer{}
+		b.customers[name] = own
+	}
+	own.share, own.updated = own.decayed(now), now
+	return own
+}
+
+// decayed returns the share as of now.
+func (c *customer) decayed(now tick.Instant) float64 {
+	return c.share * math.Exp(-max(now-c.updated, 0).Seconds()/shareTime.Seconds())
+}
+
+// Sweep removes the buckets without recent claims.
+func (i *Issuer) Sweep(now tick.Instant) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for h, b := range i.buckets {
+		if now-b.updated > idleExpiry {
+			delete(i.buckets, h)
+		}
+	}
+}
--- /dev/null
+++ b/permit/issuer_test.go
@@ -0,0 +1,104 @@
+package permit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/tick"
+)
+
+// claims lets an Issuer decide one claim of each kind in each period until end, and returns how many
+// of each were granted.
+func claims(rate float64, period, end time.Duration, kinds ...Claim) []int {
+	i := NewIssuer("h", NewLimits())
+	granted := make([]int, len(kinds))
+	for now := time.Second; now < end; now += period {
+		for n, c := range kinds {
+			c.Report = Report{server, limited(rate, 900, 1000)}
+			if i.Decide(c, 1, now).Granted {
+				granted[n]++
+			}
+		}
+	}
+	return granted
+}
+
+func TestUrgentClaimsGoFirst(t *testing.T) {
+	is := is.New(t)
+	// Either kind alone would use the whole limit.
+	got := claims(10, 50*time.Millisecond, 31*time.Second, Claim{Priority: 2, Customer: "late"}, Claim{Priority: 0, Customer: "soon"})
+	is.True(got[1] >= 270)
+	is.True(got[0]+got[1] >= 290)
+	is.True(got[0]+got[1] <= 306)
+}
+
+func TestCustomersShareByWeight(t *testing.T) {
+	tests := []struct {
+		name   string
+		claims []Claim
+		want   []float64 // share of each claim
+	}{
+		{"equal", []Claim{{Customer: "a"}, {Customer: "b"}}, []float64{0.5, 0.5}},
+		{"weighted", []Claim{{Customer: "a", Weight: 3000}, {Customer: "b", Weight: 1000}}, []float64{0.75, 0.25}},
+		{"flood", []Claim{{Customer: "a"}, {Customer: "a"}, {Customer: "a"}, {Customer: "a"}, {Customer: "b"}}, []float64{0, 0, 0, 0, 0.5}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := claims(10, 50*time.Millisecond, 61*time.Second, tt.claims...)
+			for n, want := range tt.want {
+				if share := float64(got[n]) / 600; want > 0 && (share < want-0.1 || share > want+0.1) {
+					t.Errorf("claim %d: share %.2f of the limit, want %.2f", n, share, want)
+				}
+			}
+		})
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	const second = time.Second
+	named := Statement{Rate: 2, Limited: true, Sent: second, Received: second}
+	tests := []struct {
+		name  string
+		setup func(i *Issuer)
+		claim Claim
+		share float64
+		at    tick.Instant
+		want  Answer
+	}{
+		{"empty when the limit is named", nil, Claim{}, 1, second, Answer{Wait: 500 * time.Millisecond, RetryAfter: 500 * time.Millisecond}},
+		{"first permit", nil, Claim{}, 1, second + 500*time.Millisecond, Answer{Granted: true, RetryAfter: 500 * time.Millisecond}},
+		{"part of the limit", nil, Claim{}, 0.25, second + 500*time.Millisecond, Answer{Wait: 1500 * time.Millisecond, RetryAfter: 1500 * time.Millisecond}},
+		{"rejected callers come in turn", nil, Claim{Rejected: 9}, 1, second, Answer{Wait: 500 * time.Millisecond, RetryAfter: 5 * time.Second}},
+		{"lifted at the home", func(i *Issuer) {
+			i.limits.Record(server, named)
+			i.limits.Record(server, Statement{Sent: second + 1, Received: second + 2})
+		}, Claim{}, 1, second, Answer{Granted: true}},
+		{"limit of 0", func(i *Issuer) {
+			i.limits.Record(server, Statement{Limited: true, Sent: second + 1, Received: second + 1})
+		}, Claim{}, 1, second + 1, Answer{Wait: maxWait, RetryAfter: maxRetryAfter}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			i := NewIssuer("h", NewLimits())
+			if tt.setup != nil {
+				tt.setup(i)
+			}
+			tt.claim.Report = Report{server, named}
+			tt.want.Issuer = "h"
+			is.Equal(i.Decide(tt.claim, tt.share, tt.at), tt.want)
+		})
+	}
+}
+
+func TestSweepRemovesIdleBuckets(t *testing.T) {
+	is := is.New(t)
+	i := NewIssuer("h", NewLimits())
+	i.Decide(Claim{Report: Report{server, limited(2, 0, 0)}}, 1, 0)
+	i.Sweep(idleExpiry)
+	is.Equal(len(i.buckets), 1)
+	i.Sweep(idleExpiry + 1)
+	is.Equal(len(i.buckets), 0)
+}
--- a/permit/limits.go
+++ b/permit/limits.go
@@ -46,7 +46,7 @@
 // limit is the newest statement of a server.
 type limit struct {
 	Statement
-	direct bool         // the statement came in a response to this instance
+	direct bool         // the statement came in a response to this instance, not from a peer
 	listed tick.Instant // when the server was last known to be listed
 }
 
@@ -112,6 +112,42 @@
 	return Unchanged
 }
 
+// RecordPeer records the limit that a peer reports. It only adds or lowers a limit, because a report
+// may have been delayed by more than its age shows. A limit is raised or lifted by a response to
+// this instance.
+func (l *Limits) RecordPeer(r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e, ok := l.servers[r.Server]
+	if r.Limited && (!ok || !e.Limited || r.Rate < e.Rate) {
+		l.record(r.Server, r.Statement, false)
+	}
+}
+
+// RecordClaim records the limit that a peer states in a call. Its age is known to within the timeout
+// of the call, so that it may also raise the limit.
+func (l *Limits) RecordClaim(r Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Limited {
+		l.record(r.Server, r.Statement, false)
+	}
+}
+
+// Reports returns the limits in force that servers named in responses to this instance, in no
+// particular order.
+func (l *Limits) Reports() []Report {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	var list []Report
+	for h, e := range l.servers {
+		if e.Limited && e.direct {
+			list = append(list, Report{h, e.Statement})
+		}
+	}
+	return list
+}
+
 // Prune removes the limits of servers that were not listed for unlistedExpiry. A server is listed if
 // isListed returns true for its hash.
 func (l *Limits) Prune(isListed func(server uint64) bool, now tick.Instant) {
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -76,7 +76,7 @@
 	MaxBodyBytes     int64 // limit for the sum of all request bodies in memory, 0 for no limit
 	MaxBufferedBytes int64 // limit for the sum of all responses that are being buffered, 0 for no limit
 	Health           *health.Tracker
-	Limits           *permit.Limits
+	Permits          *permit.Gate
 	Meter            Meter
 	Clock            tick.Clock
 	Log              zerolog.Logger
@@ -133,7 +133,8 @@
 	savedFailure  *response    // error response of a server, passed on if no other attempt succeeds
 	lastEventID   int64        // ID of the last event passed on to the caller, initially RequestInfo.LastEventID
 	stats         requestStats
-	servers       []string  // IDs of the plain servers to which the request was written
+	servers       []string // IDs of the plain servers to which the request was written
+	permits       permits
 	summary       string    // description of the outcome, for the decision log line
 	status        int       // HTTP status of the response, 0 before its header was written
 	code          fail.Code // reason of the rejection, empty if the request was not rejected
@@ -214,6 +215,7 @@
 	if len(x.servers) > 0 {
 		e = e.Strs("servers", x.servers)
 	}
+	x.permits.log(e)
 	if x.info.HasTokenCounts {
 		e = e.Int("prompt", x.info.PromptTokens).Int("output", x.info.MaxOutputTokens).Int("hint", x.info.EstimatedOutputTokens).
 			Int64("last", x.lastEventID).Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).
--- /dev/null
+++ b/proxy/permits.go
@@ -0,0 +1,163 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/rs/zerolog"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/permit"
+	"wasabidock.dev/dock/route"
+)
+
+// maxInvalidLimits bounds the servers whose last invalid limit is kept.
+const maxInvalidLimits = 1024
+
+// permits are the permits of one request of a caller for servers with a limit.
+type permits struct {
+	held   permit.Permit // taken in advance for a server, and not used yet
+	last   permit.Permit // the last permit that was used
+	denied []string      // IDs of the servers that got no request because of their limits
+}
+
+// log adds the permits to the decision log line.
+func (p *permits) log(e *zerolog.Event) {
+	if p.last.Limited {
+		e.Float64("limit", p.last.Rate).Dur("limit_age", p.last.Age).Str("limit_issuer", p.last.Issuer)
+	}
+	if len(p.denied) > 0 {
+		e.Strs("limited", p.denied)
+	}
+}
+
+// reason returns the end of the reason for which a request is rejected.
+func (p *permits) reason() string {
+	if len(p.denied) == 0 {
+		return ""
+	}
+	return " within the limits that the servers name"
+}
+
+// caller returns what decides which requests get permits first.
+func (x *exchange) caller() permit.Caller {
+	c := permit.Caller{Priority: x.priority()}
+	if x.customer != nil {
+		c.Customer, c.Weight = x.customer.Name, x.customer.Rate
+	}
+	return c
+}
+
+// holdPermit takes a permit for the next request to a server with a limit. It returns false if there
+// is none.
+func (x *exchange) holdPermit(ctx context.Context, s *route.Server) bool {
+	p, err := x.takePermit(ctx, s)
+	x.permits.held = p
+	return err == nil
+}
+
+// takePermit returns a permit for one request to a server: the held one if it is for the server, or
+// a new one.
+func (x *exchange) takePermit(ctx context.Context, s *route.Server) (permit.Permit, error) {
+	gate := x.h.cfg.Permits
+	if p := x.permits.held; gate.Covers(p, s) {
+		x.permits.held = permit.Permit{}
+		return p, nil
+	}
+	p, err := gate.Acquire(ctx, s, x.caller())
+	if err != nil {
+		x.recordDenied(s, err)
+		return permit.Permit{}, fail.New("relay: permit", s.ID, ident.NotRun, err)
+	}
+	if p.Limited {
+		x.permits.last = p
+		x.h.cfg.Meter.Count("permits_total", "result", "granted", 1)
+	}
+	return p, nil
+}
+
+// recordDenied records that a server gets no request because of its limit.
+func (x *exchange) recordDenied(s *route.Server, err error) {
+	x.permits.denied = append(x.permits.denied, s.ID)
+	result := "denied"
+	var denied *permit.DeniedError
+	if errors.As(err, &denied) && denied.Err != nil {
+		result = "unanswered"
+		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer to a claim for a permit; using another server")
+	}
+	x.h.cfg.Meter.Count("permits_total", "result", result, 1)
+	x.h.cfg.Meter.Count("server_limit_denied_total", "server", s.ID, 1)
+}
+
+// isDenied reports whether a request was not sent because of the limit of its server.
+func isDenied(err error) bool {
+	var denied *permit.DeniedError
+	return errors.As(err, &denied) || errors.Is(err, permit.ErrExpired)
+}
+
+// limitReached reports whether a server gets no requests now because of its limit, and records it.
+func (x *exchange) limitReached(s *route.Server) bool {
+	if x.h.cfg.Permits.ClosedFor(s.Hash()) == 0 {
+		return false
+	}
+	x.permits.denied = append(x.permits.denied, s.ID)
+	return true
+}
+
+// retryAfterLimits returns the time after which a rejected caller is expected to be served by one of
+// the servers that got no request because of their limits. It returns false if there are none.
+func (x *exchange) retryAfterLimits() (time.Duration, bool) {
+	if len(x.permits.denied) == 0 {
+		return 0, false
+	}
+	x.h.cfg.Meter.Count("server_limit_rejections_total", "service", x.service.Name, 1)
+	return x.h.cfg.Permits.RetryAfter(x.h.cfg.Live.Fleet().ServersOf(x.service.Name))
+}
+
+// recordLimit records the limit that a server names in the header of its response, or that it names
+// none. age is the time since the request was sent. After an invalid value, the last valid one stays
+// in force.
+func (x *exchange) recordLimit(s *route.Server, resp *link.Response, age time.Duration) {
+	h := x.h
+	if h.cfg.Protocol.WrongServer(resp.Status) {
+		return
+	}
+	rate, limited, err := h.cfg.Protocol.ServerLimit(resp.Header)
+	if err != nil {
+		if h.invalidLimits.first(s.ID, err.Error()) {
+			h.cfg.Log.Warn().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid limit from server; keeping the last valid one")
+		}
+		return
+	}
+	switch h.cfg.Permits.Record(s, rate, limited, age) {
+	case permit.Named, permit.Altered:
+		h.cfg.Log.Info().Str("server", s.ID).Str("id", x.info.ID).Float64("limit", rate).Msg("relay: server names a limit for all instances together")
+	case permit.Lifted:
+		h.cfg.Log.Info().Str("server", s.ID).Str("id", x.info.ID).Msg("relay: server names no limit any more")
+	case permit.Unchanged:
+	}
+}
+
+// invalidLimits holds the last invalid limit of each server, by server ID, so that it is logged once.
+type invalidLimits struct {
+	mu   sync.Mutex
+	text map[string]string
+}
+
+// first reports whether the text differs from the last one of the server.
+func (l *invalidLimits) first(server, text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.text[server] == text {
+		return false
+	}
+	if l.text == nil || len(l.text) >= maxInvalidLimits {
+		l.text = make(map[string]string)
+	}
+	l.text[server] = text
+	return true
+}
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -71,9 +71,9 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	avoid := make(map[string]bool)
 	for {
-		s := x.pickServer(avoid)
+		s := x.pickServer(avoid, x.limitReached)
 		if s == nil {
-			x.giveUp(x.retryAfter(), "no server of "+x.service.Name+" is left to try")
+			x.giveUp(x.retryAfter(), "no server of "+x.service.Name+" is left to try"+x.permits.reason())
 			return
 		}
 		if !x.allowAttempt() {
@@ -102,20 +102,23 @@
 			wait = until - now
 		}
 	}
+	if limits, ok := x.retryAfterLimits(); ok && (wait == 0 || limits < wait) {
+		wait = limits
+	}
 	if wait == 0 {
 		return noServerRetry
 	}
 	return wait
 }
 
-// pickServer returns the server with the fewest requests in flight, or nil if all were tried
-// or accept no requests. Ejected servers are chosen last.
-func (x *exchange) pickServer(avoid map[string]bool) *route.Server {
+// pickServer returns the server with the fewest requests in flight, or nil if all were tried,
+// accept no requests or are skipped. Ejected servers are chosen last.
+func (x *exchange) pickServer(avoid map[string]bool, skip func(*route.Server) bool) *route.Server {
 	now := x.h.cfg.Clock.Now()
 	var best *route.Server
 	var cost float64
 	for _, s := range x.h.cfg.Live.Fleet().ServersOf(x.service.Name) {
-		if avoid[s.Key()] || x.rejectsRequests(s) {
+		if avoid[s.Key()] || x.rejectsRequests(s) || skip(s) {
 			continue
 		}
 		c := float64(x.h.loads.of(s.Key())) + rand.Float64()
@@ -139,7 +142,6 @@
 	key := s.Key()
 	h.loads.add(key, 1)
 	defer h.loads.add(key, -1)
-	h.cfg.Health.RecordRequest(key, h.cfg.Clock.Now())
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if x.route.Kind == route.Idempotent && x.runs+1 < x.route.MaxAttempts && x.route.LatencyTarget > 0 {
@@ -150,15 +152,14 @@
 			<-hedged
 		}()
 	}
-	x.servers = append(x.servers, s.ID)
 	start := h.cfg.Clock.Now()
-	resp, err := x.do(ctx, s, x.serverRequest(s, x.forwardInfo(s)))
+	resp, err := x.run(ctx, s, x.serverRequest(s, x.forwardInfo(s)))
 	if err != nil {
 		x.recordNoResponse(s, err)
 		return false
 	}
 	defer resp.Close()
-	x.writes++
+	x.recordWrite(s)
 	if h.cfg.Protocol.NotExecuted(resp.Status, resp.Header) {
 		x.recordWrongServer(s, resp)
 		x.release(resp)
@@ -204,7 +205,8 @@
 	select {
 	case <-ctx.Done():
 	case <-t.C():
-		if x.pickServer(avoid) != nil && x.spendRetry() {
+		// A server with a limit gets no hedged requests.
+		if x.pickServer(avoid, h.cfg.Permits.Limited) != nil && x.spendRetry() {
 			x.retrySpent = true
 			cancel()
 		}
@@ -214,15 +216,27 @@
 // recordNoResponse records an attempt that ended without a response.
 func (x *exchange) recordNoResponse(s *route.Server, err error) {
 	h := x.h
+	if isDenied(err) {
+		x.retrySpent = x.retrySpent || x.writes > 0 // the retry was not used
+		return
+	}
 	h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
 	if fail.Outcome(err) != ident.NotRun {
-		x.writes++
+		x.recordWrite(s)
 		x.mayHaveRun = true
 		x.runs++
 	}
 	x.recordFailure(s, classifyFailure(err))
 }
 
+// recordWrite records that the request was written to a server.
+func (x *exchange) recordWrite(s *route.Server) {
+	x.writes++
+	if x.service.Engine == nil {
+		x.servers = append(x.servers, s.ID)
+	}
+}
+
 // release reads the rest of a response that is not passed on, so that its connection can be
 // reused.
 func (x *exchange) release(resp *link.Response) {
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -32,9 +32,12 @@
 	out.PrefillOnly = true
 	out.LastEventID = m.lastEventID
 	start := h.cfg.Clock.Now()
-	h.cfg.Health.RecordRequest(s.Key(), start)
 	handle, err := m.requestPrefill(ctx, s, out)
 	took := h.cfg.Clock.Now() - start
+	if isDenied(err) {
+		m.prefillAttempts-- // the server got no request
+		return m.skipServer(s)
+	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; placing the request again")
 		m.recordFailure(s, classifyFailure(err))
@@ -58,7 +61,7 @@
 func (m *modelExchange) requestPrefill(ctx context.Context, s *route.Server, out ForwardInfo) (string, error) {
 	req := m.serverRequest(s, out)
 	req.ID = ""
-	resp, err := m.do(ctx, s, req)
+	resp, err := m.run(ctx, s, req)
 	if err != nil {
 		return "", err
 	}
@@ -81,15 +84,19 @@
 }
 
 // reserve reserves memory at the placement's decode server, so that no prefill is wasted
-// on a server without room. It returns false if the server has no room or does not answer. The
+// on a server without room. At a server with a limit, it takes the permit for the request instead,
+// because a reservation would count against the limit too. It returns false if the server has no room or does not answer. The
 // request must then be placed again.
 func (m *modelExchange) reserve(ctx context.Context, p *admit.Placement) bool {
+	h := m.h
+	s := p.Decode
+	if h.cfg.Permits.Limited(s) {
+		return m.holdPermit(ctx, s) || m.skipServer(s)
+	}
 	engine := m.service.Engine
 	if engine.ReservationTTL <= 0 {
 		return true
 	}
-	h := m.h
-	s := p.Decode
 	ctx, cancel := context.WithTimeout(ctx, 2*m.dialTimeout(s))
 	defer cancel()
 	path, body, err := h.cfg.Protocol.ReservationRequest(m.placeReq.KVTokens(), engine.ReservationTTL)
@@ -101,6 +108,9 @@
 		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body,
 		DialTimeout: m.dialTimeout(s),
 	})
+	if isDenied(err) {
+		return m.skipServer(s)
+	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
 		// The call costs the server no work, so a server that does not answer is unreachable.
@@ -172,9 +182,9 @@
 
 // deleteAt sends a DELETE for a reservation or KV cache of this request to a server. If the call
 // fails, the resource expires without it. deleteAt does not call a server that accepts no
-// requests.
+// requests or has a limit.
 func (m *modelExchange) deleteAt(s *route.Server, path string) {
-	if m.rejectsRequests(s) {
+	if m.rejectsRequests(s) || m.h.cfg.Permits.Limited(s) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), deleteTimeout)
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"syscall"
 
 	"github.com/go-faster/errors"
@@ -13,12 +12,8 @@
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/route"
-	"wasabidock.dev/dock/tick"
 )
 
-// maxInvalidLimits bounds the servers whose last invalid limit is kept.
-const maxInvalidLimits = 1024
-
 // errWrongServer reports that a different server now uses the address.
 var errWrongServer = errors.New("a different server uses the address")
 
@@ -51,63 +46,41 @@
 }
 
 // do sends a request to a server and records the state that the server reports in the header
-// of its response.
+// of its response. If the server has a limit, do first takes a permit; if there is none, the error
+// is a permit.DeniedError.
 func (x *exchange) do(ctx context.Context, s *route.Server, req *link.Request) (*link.Response, error) {
-	if _, ok := x.h.cfg.Limits.Of(s.Hash()); ok {
-		x.h.cfg.Meter.Count("server_limit_requests_total", "server", s.ID, 1)
-	}
-	sent := x.h.cfg.Clock.Now()
-	resp, err := x.h.cfg.Client.Do(ctx, req)
+	p, err := x.takePermit(ctx, s)
 	if err != nil {
 		return nil, err
 	}
-	x.recordServerState(s, resp)
-	x.recordLimit(s, resp, sent)
-	return resp, nil
+	return x.send(ctx, s, req, p)
 }
 
-// recordLimit records the limit that a server names in the header of its response, or that it names
-// none. sent is the instant at which the request was sent. After an invalid value, the last valid
-// one stays in force.
-func (x *exchange) recordLimit(s *route.Server, resp *link.Response, sent tick.Instant) {
-	h := x.h
-	if h.cfg.Protocol.WrongServer(resp.Status) {
-		return
-	}
-	rate, limited, err := h.cfg.Protocol.ServerLimit(resp.Header)
+// run is do for a request that makes the server work. If the server is ejected, the request is the
+// trial that may end the ejection.
+func (x *exchange) run(ctx context.Context, s *route.Server, req *link.Request) (*link.Response, error) {
+	p, err := x.takePermit(ctx, s)
 	if err != nil {
-		if h.invalidLimits.first(s.ID, err.Error()) {
-			h.cfg.Log.Warn().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid limit from server; keeping the last valid one")
-		}
-		return
-	}
-	switch h.cfg.Limits.Record(s.Hash(), permit.Statement{Rate: rate, Limited: limited, Sent: sent, Received: h.cfg.Clock.Now()}) {
-	case permit.Named, permit.Altered:
-		h.cfg.Log.Info().Str("server", s.ID).Str("id", x.info.ID).Float64("limit", rate).Msg("relay: server names a limit for all instances together")
-	case permit.Lifted:
-		h.cfg.Log.Info().Str("server", s.ID).Str("id", x.info.ID).Msg("relay: server names no limit any more")
-	case permit.Unchanged:
+		return nil, err
 	}
+	x.h.cfg.Health.RecordRequest(s.Key(), x.h.cfg.Clock.Now())
+	return x.send(ctx, s, req, p)
 }
 
-// invalidLimits holds the last invalid limit of each server, by server ID, so that it is logged once.
-type invalidLimits struct {
-	mu   sync.Mutex
-	text map[string]string
-}
-
-// first reports whether the text differs from the last one of the server.
-func (l *invalidLimits) first(server, text string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.text[server] == text {
-		return false
+// send sends a request for which there is a permit.
+func (x *exchange) send(ctx context.Context, s *route.Server, req *link.Request, p permit.Permit) (*link.Response, error) {
+	if p.Limited {
+		req.BeforeWrite = func() error { return x.h.cfg.Permits.Check(p) }
+		x.h.cfg.Meter.Count("server_limit_requests_total", "server", s.ID, 1)
 	}
-	if l.text == nil || len(l.text) >= maxInvalidLimits {
-		l.text = make(map[string]string)
+	sent := x.h.cfg.Clock.Now()
+	resp, err := x.h.cfg.Client.Do(ctx, req)
+	if err != nil {
+		return nil, err
 	}
-	l.text[server] = text
-	return true
+	x.recordServerState(s, resp)
+	x.recordLimit(s, resp, x.h.cfg.Clock.Now()-sent)
+	return resp, nil
 }
 
 // recordServerState records the state of a server from the header of its response: whether the
--- a/soak/record.go
+++ b/soak/record.go
@@ -62,7 +62,7 @@
 	rested   map[string][]fake.Backoff // by server
 	called   map[string][]time.Time    // calls of any kind, by server
 	limits   map[string][]fake.LimitSpan
-	calm     time.Time                 // all trouble is over
+	calm     time.Time // all trouble is over
 	end      time.Time
 }
 
