proxy, wasabi: decision lines and explain tell a request refused for a limit

An operator who asks why a request was refused saw the servers that were left out and not their limits. The decision line now has the limit that decided last, the age of the server's statement, the issuer of the permit and the servers left out; wasabi explain says them as words.

--- a/permit/gate.go
+++ b/permit/gate.go
@@ -121,6 +121,16 @@
 	return ok
 }
 
+// Limit returns the limit of a server, in requests per second, and the age of the server's statement.
+// It returns false if the server has no limit.
+func (g *Gate) Limit(s *route.Server) (float64, time.Duration, bool) {
+	l, ok := g.limits.Of(s.Hash())
+	if !ok {
+		return 0, 0, false
+	}
+	return l.Rate, g.now() - l.Received, true
+}
+
 // ClosedFor returns the time for which a server gets no requests because of its limit, 0 if it may
 // get one now.
 func (g *Gate) ClosedFor(server uint64) time.Duration {
--- a/permit/sim_test.go
+++ b/permit/sim_test.go
@@ -46,6 +46,10 @@
 
 // Claim implements Homes.
 func (i *simInstance) Claim(_ context.Context, c Claim, now tick.Instant) (Answer, error) {
+	i.w.claims++
+	if i.w.decide != nil {
+		return i.w.decide(i, c, now)
+	}
 	h := i.w.instances[i.home]
 	if h.down || h.home != h.index {
 		return Answer{}, errDown
@@ -78,6 +82,9 @@
 	pending   []arrival
 	arrivals  []tick.Instant
 	denied    int
+	claims    int
+	// decide replaces the home if it is not nil.
+	decide func(i *simInstance, c Claim, now tick.Instant) (Answer, error)
 }
 
 func newSimulation(seed uint64, n int) *simulation {
@@ -302,3 +309,49 @@
 	is.True(w.between(raised+4*time.Second, lowered) > int(0.85*20*9)) // the raised limit is used
 	is.True(w.most(lowered+4*time.Second, simEnd) <= 11)               // the lowered one is kept
 }
+
+// TestAlternatives prints what other ways to keep a limit do to the sum and to its use. Demand comes
+// in bursts of four seconds in ten, unevenly over the instances.
+func TestAlternatives(t *testing.T) {
+	const limit = 2.5
+	share := func(f float64) func(*simInstance, Claim, tick.Instant) (Answer, error) {
+		return func(i *simInstance, c Claim, now tick.Instant) (Answer, error) {
+			return i.issuer.Decide(c, f, now), nil
+		}
+	}
+	for _, size := range []int{9, 95, 360} {
+		n := float64(size)
+		subset := func(i *simInstance, c Claim, now tick.Instant) (Answer, error) {
+			if i.index >= 3 {
+				return Answer{Wait: maxWait}, nil
+			}
+			return i.issuer.Decide(c, 1.0/3, now), nil
+		}
+		for _, a := range []struct {
+			name   string
+			decide func(*simInstance, Claim, tick.Instant) (Answer, error)
+		}{{"each instance alone", share(1)}, {"equal shares", share(1 / n)}, {"subset of three", subset}, {"home", nil}} {
+			w := newSimulation(1, size)
+			w.decide = a.decide
+			w.run(0, func(w *simulation, now tick.Instant) {
+				if now == simNamed {
+					w.rate = limit
+				}
+				if now%(10*time.Second) >= 4*time.Second {
+					return
+				}
+				for k, i := range w.instances {
+					if w.rnd.Float64() < 60/n*float64(k+1)/n*2*simStep.Seconds() {
+						w.send(i)
+					}
+				}
+			})
+			most := w.most(simSettled, simEnd)
+			t.Logf("%3d instances, %-19s: %3d requests in the worst window, 20 are allowed; %3d in all; %d claims", size, a.name, most,
+				w.between(simSettled, simEnd), w.claims)
+			if a.decide == nil && most > 20 {
+				t.Errorf("the home issues %d", most)
+			}
+		}
+	}
+}
--- a/proxy/permits.go
+++ b/proxy/permits.go
@@ -21,14 +21,22 @@
 // permits are the permits of one request of a caller for servers with a limit.
 type permits struct {
 	held   permit.Permit // taken in advance for a server, and not used yet
-	last   permit.Permit // the last permit that was used
 	denied []string      // IDs of the servers that got no request because of their limits
+	// The limit that decided last, in requests per second, the age of the server's statement, and
+	// the instance that issued the permit, which is empty if there was none.
+	limited bool
+	rate    float64
+	age     time.Duration
+	issuer  string
 }
 
 // log adds the permits to the decision log line.
 func (p *permits) log(e *zerolog.Event) {
-	if p.last.Limited {
-		e.Float64("limit", p.last.Rate).Dur("limit_age", p.last.Age).Str("limit_issuer", p.last.Issuer)
+	if p.limited {
+		e.Float64("limit", p.rate).Dur("limit_age", p.age)
+	}
+	if p.issuer != "" {
+		e.Str("limit_issuer", p.issuer)
 	}
 	if len(p.denied) > 0 {
 		e.Strs("limited", p.denied)
@@ -74,7 +82,7 @@
 		return permit.Permit{}, fail.New("relay: permit", s.ID, ident.NotRun, err)
 	}
 	if p.Limited {
-		x.permits.last = p
+		x.permits.limited, x.permits.rate, x.permits.age, x.permits.issuer = true, p.Rate, p.Age, p.Issuer
 		x.h.cfg.Meter.Count("permits_total", "result", "granted", 1)
 	}
 	return p, nil
@@ -82,7 +90,7 @@
 
 // recordDenied records that a server gets no request because of its limit.
 func (x *exchange) recordDenied(s *route.Server, err error) {
-	x.permits.denied = append(x.permits.denied, s.ID)
+	x.addDenied(s)
 	result := "denied"
 	var denied *permit.DeniedError
 	if errors.As(err, &denied) && denied.Err != nil {
@@ -104,10 +112,19 @@
 	if x.h.cfg.Permits.ClosedFor(s.Hash()) == 0 {
 		return false
 	}
-	x.permits.denied = append(x.permits.denied, s.ID)
+	x.addDenied(s)
 	return true
 }
 
+// addDenied records a server that gets no request because of its limit for the decision log line.
+func (x *exchange) addDenied(s *route.Server) {
+	p := &x.permits
+	p.denied = append(p.denied, s.ID)
+	if rate, age, ok := x.h.cfg.Permits.Limit(s); ok {
+		p.limited, p.rate, p.age, p.issuer = true, rate, age, ""
+	}
+}
+
 // retryAfterLimits returns the time after which a rejected caller is expected to be served by one of
 // the servers that got no request because of their limits. It returns false if there are none.
 func (x *exchange) retryAfterLimits() (time.Duration, bool) {
--- a/proxy/permits_test.go
+++ b/proxy/permits_test.go
@@ -132,6 +132,7 @@
 	is.True(first <= 2.1)
 	is.True(last >= float64(len(waits)-1)*0.8 && last <= float64(len(waits)+1)*1.2)
 	is.True(h.log.contains("within the limits that the servers name"))
+	is.True(h.log.contains(`"limit":0.5,"limit_age":`))
 	is.True(h.log.contains(`"limited":[`))
 	ran := make(map[string]int)
 	for _, s := range h.servers {
--- a/wasabi/explain_test.go
+++ b/wasabi/explain_test.go
@@ -28,6 +28,10 @@
 			"stream that broke", "broken.log", "427bc7295e4b9859",
 			[]string{"edge-costa-a-1:\n", "stream broke: at server i-4a3d487f28", "unexpected EOF", "stream cut", "run by 1 of them", "the last event being 67"},
 		},
+		{
+			"refused for limits", "limited.log", "a5",
+			[]string{"within the limits that the servers name", "written to 0 servers", "under a limit of 0.5 requests a second", "left out for the limits that they name", "s1"},
+		},
 		{
 			"outcome unknown", "unknown.log", "db3c79574fe3b2af",
 			[]string{"edge-sierra-a-3:\n", "no answer: at server i-ea54a41b5f", "context deadline exceeded (unknown)", "504 time is up", "written to 1 servers"},
