--- a/gossip/permit_test.go
+++ b/gossip/permit_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"testing"
 	"time"
 
@@ -10,8 +11,11 @@
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/peerpb"
 	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/tick"
@@ -229,3 +233,49 @@
 	is.Equal(len(issuers), 1) // one home for all, in the server's data centre
 	is.True(!issuers["c"])
 }
+
+// BenchmarkHomeOf measures the choice of a home in a data centre of 60 instances among 360.
+func BenchmarkHomeOf(b *testing.B) {
+	h := newHomeHarness()
+	for n := range 360 {
+		h.hear(fmt.Sprint([]string{"a", "b", "c", "d", "e", "f"}[n%6], n), 1)
+	}
+	b.ReportAllocs()
+	for n := uint64(0); b.Loop(); n++ {
+		h.homeOf(n, "a")
+	}
+}
+
+// BenchmarkClaim measures a claim at another instance over the loopback, and prints its size.
+func BenchmarkClaim(b *testing.B) {
+	home := newHomeHarness()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := peer.NewServer(peer.Handlers{News: home.Service}, nil)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	srv.Serve(ctx, l)
+	pool := peer.NewPool(peer.Config{Address: func(i ident.Instance) (string, bool) { return string(i), true }})
+	defer pool.Close()
+	c, err := pool.News(ident.Instance(l.Addr().String()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	req := &peerpb.PermitRequest{
+		Limit: &peerpb.ServerLimit{Server: limitedServer, Rate: 2.5, SentAgeUs: 1e6, ReceivedAgeUs: 1e6}, Centre: "sierra-a", Customer: "customer", Weight: 72_000,
+	}
+	size := proto.Size(req)
+	b.ReportAllocs()
+	for b.Loop() {
+		home.isSteady()
+		resp, err := c.Permit(ctx, req)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = proto.Size(req) + proto.Size(resp)
+	}
+	b.ReportMetric(float64(size), "message-bytes/op")
+	b.ReportMetric(float64(proto.Size(req.GetLimit())), "limit-bytes")
+}
