entry, link: metrics of server limits, and a test of the check before a write

Operators need limit, use and rejections of each limited server. The gauge of a limit goes when the limit does, so that it does not look in force for ever.

link: a request that may not be sent any more when its connection is there is not written, and its outcome is not run.

--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -28,6 +29,9 @@
 type metrics struct {
 	p     metricsDeps
 	start tick.Instant
+
+	mu      sync.Mutex
+	limited map[string]bool // gauges of limits in force
 }
 
 // metricsDeps are the dependencies of metrics.
@@ -72,20 +76,39 @@
 	}
 	servers, ejected := p.Live.Fleet().Len(), 0
 	for _, s := range p.Live.Fleet().All() {
-		if l, ok := p.Limits.Of(s.Hash()); ok {
-			gauge(`server_limit_per_1000_seconds{server="`+s.ID+`"}`, int64(1000*l.Rate))
-		}
 		if !p.Health.Usable(s.Key(), p.Clock.Now()) {
 			ejected++
 		}
 	}
 	gauge("servers_known", int64(servers))
 	gauge("servers_set_aside", int64(ejected))
+	m.updateLimits()
 	routine, important := p.LogWriter.Dropped()
 	gauge(`log_lines_dropped{kind="routine"}`, routine)
 	gauge(`log_lines_dropped{kind="important"}`, important)
 }
 
+// updateLimits updates the gauges of the limits that servers name. The gauge of a limit that is not
+// in force any more is removed.
+func (m *metrics) updateLimits() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	inForce := make(map[string]bool)
+	for _, s := range m.p.Live.Fleet().All() {
+		if l, ok := m.p.Limits.Of(s.Hash()); ok {
+			name := `server_limit_milli{server="` + s.ID + `"}`
+			m.p.Meter.Gauge(name).Update(int64(1000 * l.Rate))
+			inForce[name] = true
+		}
+	}
+	for name := range m.limited {
+		if !inForce[name] {
+			m.p.Meter.Registry().Unregister(name)
+		}
+	}
+	m.limited = inForce
+}
+
 // metricsAddr returns the additional address at which the metrics are served: the host of the
 // readiness check and the given port.
 func metricsAddr(ready, port string) (string, error) {
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -60,10 +60,16 @@
 // documented ones that are not served. It first sends requests with different outcomes.
 func TestMetricsAreDocumented(t *testing.T) {
 	is := is.New(t)
-	st, _ := startServers(t)
+	st, servers := startServers(t)
 	d := startDaemon(t, "a-1", st.Addr())
 	st.Put("op/config", fmt.Appendf(nil, config, 1, "k1"))
 	eventually(t, "ready", d.isReady)
+	servers["app1"].SetLimit("4")
+	eventually(t, "permits are issued", func() bool {
+		_, _, err := d.ask(t, "k1", "/file/1", false)
+		is.NoErr(err)
+		return slices.Contains(servedMetrics(t, d.ready), "server_limit_requests_total")
+	})
 	for range 4 {
 		for _, key := range []string{"k1", "k2"} {
 			_, _, err := d.ask(t, key, "/file/1", false)
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/matryer/is"
 
 	"wasabidock.dev/dock/fail"
@@ -160,6 +161,25 @@
 	is.Equal(<-s.conns, 2)                     // the server received it once, on the reused connection
 }
 
+// TestBeforeWrite guards against a request that is written although it may not be sent any more when
+// its connection is there.
+func TestBeforeWrite(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedServer(t, response("a", "", "1"))
+	c := newClient()
+	errLate := errors.New("late")
+	r := s.request("a")
+	r.BeforeWrite = func() error { return errLate }
+	_, err := get(t, c, r)
+	is.True(errors.Is(err, errLate))
+	is.Equal(fail.Outcome(err), ident.NotRun)
+	is.Equal(c.DialCount(), int64(1)) // after the connection was opened
+	r.BeforeWrite = func() error { return nil }
+	got, err := get(t, c, r)
+	is.NoErr(err)
+	is.Equal(got, "1")
+}
+
 func TestConnectOutcomes(t *testing.T) {
 	is := is.New(t)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
