permit, proxy: a true Retry-After, bounded claims, customers without a rate

A caller was told the turn at a limited server although a server without a limit, or a decode server where only prefill servers were limited, might serve it sooner; the turn is now told only if all servers that could run the request have limits. After a claim that nobody answered, Retry-After was 0.3 s, though a new home issues after 2 s.

A request could claim permits at one limited server after the other, a round trip each; after four denials it goes to servers without a limit.

A customer without a rate had a weight of 1 beside weights of thousands, so that it got next to nothing; it now counts as the largest weight.

--- a/permit/gate.go
+++ b/permit/gate.go
@@ -17,6 +17,9 @@
 	lifetime = time.Second
 	// unreachableWait is how long no claim is made for a server after a claim that was not answered.
 	unreachableWait = 250 * time.Millisecond
+	// unreachableRetry is the Retry-After of a caller after a claim that was not answered. Another
+	// instance issues permits by then.
+	unreachableRetry = 2 * time.Second
 	// minRetryAfter is the shortest Retry-After of a caller rejected for a limit.
 	minRetryAfter = 300 * time.Millisecond
 )
@@ -240,7 +243,7 @@
 	switch {
 	case err != nil:
 		if !abandoned {
-			c.until = now + unreachableWait
+			c.until, c.retryAt = now+unreachableWait, max(c.retryAt, now+unreachableRetry)
 		}
 		c.rejected += rejected
 	case !a.Granted:
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -32,11 +32,11 @@
 
 // Claim is a request of an instance for a permit.
 type Claim struct {
-	Report          // the server, and its limit as the claiming instance knows it
-	Centre   string // data centre of the server
-	Priority int    // 0 is the most urgent
-	Customer string // empty on public routes
-	Weight   float64
+	Report           // the server, and its limit as the claiming instance knows it
+	Centre   string  // data centre of the server
+	Priority int     // 0 is the most urgent
+	Customer string  // empty on public routes
+	Weight   float64 // of the customer, 0 for the largest weight that was seen
 	// Rejected is the number of callers that the instance has rejected for the limit since its
 	// last claim. They are expected to retry.
 	Rejected int
@@ -54,7 +54,7 @@
 
 // customer holds the claims of one customer.
 type customer struct {
-	share    float64      // permits per weight, decaying with shareTime
+	share    float64      // permits by weight, decaying with shareTime
 	updated  tick.Instant // of share
 	deniedAt tick.Instant // the last denied claim, 0 for none
 	priority int          // of that claim
@@ -68,6 +68,7 @@
 	claimants float64      // denied claims whose turn has not come
 	callers   float64      // rejected callers whose turn has not come
 	customers map[string]*customer
+	weight    float64 // the largest weight of a customer
 }
 
 // Issuer issues permits for the servers of which this instance is the home. It is safe for
@@ -137,6 +138,7 @@
 // take takes a permit for a claim. It reports whether there is one. While the bucket is not full, a
 // claim yields to those denied of late that go before it.
 func (b *bucket) take(c *Claim, rate float64, now tick.Instant) bool {
+	b.weight = max(b.weight, c.Weight)
 	own := b.customer(c.Customer, now)
 	if b.level < 1 || b.level < burst(rate) && b.yields(c, own, now) {
 		if own.deniedAt == 0 || now-own.deniedAt > contentionTime || c.Priority < own.priority {
@@ -147,7 +149,7 @@
 	}
 	b.level--
 	b.granted = now
-	own.share += 1 / weight(c)
+	own.share += b.cost(c)
 	own.deniedAt = 0
 	return true
 }
@@ -159,19 +161,20 @@
 		if name == c.Customer || o.deniedAt == 0 || now-o.deniedAt > contentionTime {
 			continue
 		}
-		if o.priority < c.Priority || o.priority == c.Priority && o.decayed(now)+1/weight(c) <= own.share {
+		if o.priority < c.Priority || o.priority == c.Priority && o.decayed(now)+b.cost(c) <= own.share {
 			return true
 		}
 	}
 	return false
 }
 
-// weight returns the weight of a claim's customer.
-func weight(c *Claim) float64 {
-	if c.Weight > 0 {
-		return c.Weight
+// cost returns what a permit adds to the share of the claim's customer. Shares are in permits of the
+// customer with the largest weight.
+func (b *bucket) cost(c *Claim) float64 {
+	if c.Weight <= 0 {
+		return 1
 	}
-	return 1
+	return b.weight / c.Weight
 }
 
 // customer returns the claims of a customer, with the share as of now. Other customers without
--- a/permit/issuer_test.go
+++ b/permit/issuer_test.go
@@ -42,6 +42,7 @@
 	}{
 		{"equal", []Claim{{Customer: "a"}, {Customer: "b"}}, []float64{0.5, 0.5}},
 		{"weighted", []Claim{{Customer: "a", Weight: 3000}, {Customer: "b", Weight: 1000}}, []float64{0.75, 0.25}},
+		{"without a weight", []Claim{{Customer: "a", Weight: 3000}, {Customer: ""}}, []float64{0.5, 0.5}},
 		{"flood", []Claim{{Customer: "a"}, {Customer: "a"}, {Customer: "a"}, {Customer: "a"}, {Customer: "b"}}, []float64{0, 0, 0, 0, 0.5}},
 	}
 	for _, tt := range tests {
--- a/proxy/permits.go
+++ b/proxy/permits.go
@@ -15,6 +15,10 @@
 	"wasabidock.dev/dock/route"
 )
 
+// maxDeniedClaims is the number of denied claims after which a request is sent to servers without a
+// limit only. Each claim may take a round trip to another region.
+const maxDeniedClaims = 4
+
 // maxInvalidLimits bounds the servers whose last invalid limit is kept.
 const maxInvalidLimits = 1024
 
@@ -22,6 +26,7 @@
 type permits struct {
 	held   permit.Permit // taken in advance for a server, and not used yet
 	denied []string      // IDs of the servers that got no request because of their limits
+	claims int           // denied claims
 	// The limit that decided last, in requests per second, the age of the server's statement, and
 	// the instance that issued the permit, which is empty if there was none.
 	limited bool
@@ -91,6 +96,7 @@
 // recordDenied records that a server gets no request because of its limit.
 func (x *exchange) recordDenied(s *route.Server, err error) {
 	x.addDenied(s)
+	x.permits.claims++
 	result := "denied"
 	var denied *permit.DeniedError
 	if errors.As(err, &denied) && denied.Err != nil {
@@ -109,13 +115,27 @@
 
 // limitReached reports whether a server gets no requests now because of its limit, and records it.
 func (x *exchange) limitReached(s *route.Server) bool {
-	if x.h.cfg.Permits.ClosedFor(s.Hash()) == 0 {
+	gate := x.h.cfg.Permits
+	if gate.ClosedFor(s.Hash()) == 0 && (x.permits.claims < maxDeniedClaims || !gate.Limited(s)) {
 		return false
 	}
 	x.addDenied(s)
 	return true
 }
 
+// skipDenied is skipServer for a server that got no request because of its limit. After
+// maxDeniedClaims, all servers with a limit are excluded.
+func (m *modelExchange) skipDenied(s *route.Server) bool {
+	if m.permits.claims == maxDeniedClaims {
+		for _, o := range m.h.cfg.Live.Fleet().ServersOf(m.service.Name) {
+			if m.h.cfg.Permits.Limited(o) {
+				m.exclude(o)
+			}
+		}
+	}
+	return m.skipServer(s)
+}
+
 // addDenied records a server that gets no request because of its limit for the decision log line.
 func (x *exchange) addDenied(s *route.Server) {
 	p := &x.permits
@@ -125,14 +145,24 @@
 	}
 }
 
-// retryAfterLimits returns the time after which a rejected caller is expected to be served by one of
-// the servers that got no request because of their limits. It returns false if there are none.
+// retryAfterLimits returns the time after which a rejected caller is expected to be served, if all
+// servers that could run its request have used up their limits. Otherwise it returns false.
 func (x *exchange) retryAfterLimits() (time.Duration, bool) {
 	if len(x.permits.denied) == 0 {
 		return 0, false
 	}
+	var limited []*route.Server
+	for _, s := range x.h.cfg.Live.Fleet().ServersOf(x.service.Name) {
+		if s.Stage == route.StagePrefill || x.rejectsRequests(s) {
+			continue
+		}
+		if !x.h.cfg.Permits.Limited(s) {
+			return 0, false // it may serve the caller sooner
+		}
+		limited = append(limited, s)
+	}
 	x.h.cfg.Meter.Count("server_limit_rejections_total", "service", x.service.Name, 1)
-	return x.h.cfg.Permits.RetryAfter(x.h.cfg.Live.Fleet().ServersOf(x.service.Name))
+	return x.h.cfg.Permits.RetryAfter(limited)
 }
 
 // recordLimit records the limit that a server names in the header of its response, or that it names
--- a/proxy/permits_test.go
+++ b/proxy/permits_test.go
@@ -147,6 +147,57 @@
 	}
 }
 
+// TestRetryAfterWithoutLimit guards against a caller that is told the turn at a limited server although
+// a server without a limit may serve it sooner.
+func TestRetryAfterWithoutLimit(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain, "s2": fake.Plain})
+	h.servers["s1"].SetLimit("0.1")
+	h.servers["s2"].SetFault(fake.Shed)
+	eventually(t, "the limit is known", func() bool {
+		h.send(t, http.MethodPost, "/file/1", "b")
+		s, _ := h.live.Fleet().Server("s1")
+		return h.gate.Limited(s)
+	})
+	got := h.send(t, http.MethodPost, "/file/1", "b")
+	is.Equal(got.status, 503)
+	retry, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(retry < 1)
+}
+
+// TestManyLimitedServers guards against a request that asks for a permit at one server after the other.
+func TestManyLimitedServers(t *testing.T) {
+	tests := []struct {
+		name    string
+		role    fake.Role
+		path    string
+		changes []func(*http.Request)
+	}{
+		{"plain", fake.Plain, "/file/1", nil},
+		{"decode", fake.Decode, "/once/1", []func(*http.Request){withTokenCounts}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			roles := map[string]fake.Role{"unlimited": tt.role}
+			for n := range 20 {
+				roles[fmt.Sprint("s", n)] = tt.role
+			}
+			h := newHarness(t, roles)
+			for id := range roles {
+				if s, _ := h.live.Fleet().Server(id); id != "unlimited" {
+					h.gate.Record(s, 0.01, true, 0)
+				}
+			}
+			for range 3 {
+				is.Equal(h.send(t, http.MethodPost, tt.path, "b", tt.changes...).status, 200)
+			}
+			is.True(h.counter(`permits_total{result="denied"}`) <= 12)
+		})
+	}
+}
+
 // TestRestartedServerHasNoLimit guards against a limit that outlives the process that named it.
 func TestRestartedServerHasNoLimit(t *testing.T) {
 	is := is.New(t)
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -36,7 +36,7 @@
 	took := h.cfg.Clock.Now() - start
 	if isDenied(err) {
 		m.prefillAttempts-- // the server got no request
-		return m.skipServer(s)
+		return m.skipDenied(s)
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; placing the request again")
@@ -91,7 +91,7 @@
 	h := m.h
 	s := p.Decode
 	if h.cfg.Permits.Limited(s) {
-		return m.holdPermit(ctx, s) || m.skipServer(s)
+		return m.holdPermit(ctx, s) || m.skipDenied(s)
 	}
 	engine := m.service.Engine
 	if engine.ReservationTTL <= 0 {
@@ -109,7 +109,7 @@
 		DialTimeout: m.dialTimeout(s),
 	})
 	if isDenied(err) {
-		return m.skipServer(s)
+		return m.skipDenied(s)
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
