--- a/soak/judge.go
+++ b/soak/judge.go
@@ -9,18 +9,18 @@
 	"wasabidock.dev/dock/platform/fake"
 )
 
-// The bounds of the promises, as the platform's pages set them for its sites.
+// The bounds that the judge checks, as the platform specifies them.
 const (
-	// contactTime is how long after its trouble a daemon is not held to times.
+	// contactTime is the time after a disturbance in which a daemon need not meet time bounds.
 	contactTime = 5 * time.Second
-	// applyTime is the time for a change of the configuration to take hold.
+	// applyTime is the time within which a change of the configuration must be in force.
 	applyTime = 4 * time.Second
-	// backTime is how much later than the effect of a change a daemon may
-	// still handle requests as before it.
+	// backTime is the time after a change is first in force at a daemon in which the daemon may
+	// still handle requests by the previous configuration.
 	backTime = 250 * time.Millisecond
-	// drainTime is the time for a departing server to be left alone.
+	// drainTime is the time within which daemons must stop using a draining server.
 	drainTime = 4 * time.Second
-	// goneTime is how long a server may work for a client that has left.
+	// goneTime is how long a server may work for a client that has disconnected.
 	goneTime = 500 * time.Millisecond
 
 	repeatWindow = 10 * time.Second
@@ -32,8 +32,8 @@
 	// limitSlack is a fraction of the tokens of a window.
 	limitSlack = 0.5
 
-	// restSlack is how long after it a server's wish for no requests may still be
-	// missed, and restMost the requests that may come later.
+	// restSlack is the time after a Retry-After response in which requests may still arrive, and
+	// restMost the number of requests that may arrive later.
 	restSlack = 500 * time.Millisecond
 	restMost  = 2
 
@@ -44,13 +44,12 @@
 	serverLimitExcess = 1.5
 	serverLimitExtra  = 5.0
 
-	// recoverShare of the calls must be served once all trouble is over.
+	// recoverShare is the share of calls that must be served settleTime after the last disturbance.
 	recoverShare = 0.95
-	// settleTime is the time for that.
-	settleTime = 15 * time.Second
+	settleTime   = 15 * time.Second
 )
 
-// judge returns the promises that a record breaks, each with a case of it.
+// judge returns the violated bounds of a record, each with an example.
 func judge(r *record) []string {
 	var broken []string
 	for _, check := range []func(*record) string{
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -8,51 +8,51 @@
 	"wasabidock.dev/dock/platform/fake"
 )
 
-// act is what a step of a plan does.
+// act is the disturbance of a step.
 type act string
 
-// The acts. Those that end undo themselves after the step's time.
+// The acts. An act that "ends" is undone after step.lasts.
 const (
-	stopOne    act = "stop"     // SIGTERM to a daemon, and a fresh one after its end
-	killOne    act = "kill"     // SIGKILL, and a fresh one
+	stopOne    act = "stop"     // SIGTERM to a daemon, which is started again after its exit
+	killOne    act = "kill"     // SIGKILL to a daemon, which is started again
 	pauseOne   act = "pause"    // SIGSTOP, ends
 	hangup     act = "hangup"   // SIGHUP
-	storeMute  act = "mute"     // the store answers nothing, ends
-	storeShed  act = "shed"     // the store refuses all calls, ends
-	storePrune act = "prune"    // the store drops its history
-	cutOne     act = "cut"      // a daemon does not reach the store, ends
+	storeMute  act = "mute"     // the store does not respond, ends
+	storeShed  act = "shed"     // the store rejects all calls, ends
+	storePrune act = "prune"    // the store compacts its history
+	cutOne     act = "cut"      // a daemon cannot reach the store, ends
 	resetOne   act = "reset"    // a daemon's connections to the store are reset
-	slowOne    act = "slow"     // a daemon's bytes from the store come late, ends
-	harm       act = "harm"     // a backend server fails in some way, ends
-	darken     act = "darken"   // a backend server is not reached, ends
-	lag        act = "lag"      // a backend server's bytes come late, ends
-	breakConns act = "break"    // the connections to a backend server are reset
-	depart     act = "depart"   // a backend server leaves and comes back, ends
-	announce   act = "announce" // a backend server says in its answers that it leaves, and starts anew, ends
-	rest       act = "rest"     // a backend server wants no request for a time, ends
+	slowOne    act = "slow"     // responses of the store reach a daemon with a delay, ends
+	harm       act = "harm"     // a backend server has a fake.Fault, ends
+	darken     act = "darken"   // a backend server is unreachable, ends
+	lag        act = "lag"      // responses of a backend server are delayed, ends
+	breakConns act = "break"    // all connections to a backend server are reset
+	depart     act = "depart"   // a backend server is listed as draining, ends
+	announce   act = "announce" // a backend server reports in its responses that it is draining, and restarts, ends
+	rest       act = "rest"     // a backend server answers 503 with a Retry-After, ends
 	nameLimit  act = "limit"    // a backend server names a limit in its responses, ends
 	withdraw   act = "withdraw" // a key is withdrawn
-	publish    act = "publish"  // a configuration that changes nothing is published
+	publish    act = "publish"  // an unchanged configuration is published
 )
 
-// acts are drawn with equal chance.
+// acts are drawn with equal probability.
 var acts = []act{
 	stopOne, killOne, pauseOne, hangup, storeMute, storeShed, storePrune, cutOne, resetOne, slowOne,
 	harm, darken, lag, breakConns, depart, announce, rest, nameLimit, withdraw, publish,
 }
 
-// faults of backend servers that harm draws.
+// faults are the faults of backend servers from which harm draws.
 var faults = []fake.Fault{
 	fake.Shed, fake.InternalError, fake.Hang, fake.Reset, fake.Unsealed, fake.Encoded, fake.StrayResponse, fake.ExtraResponse,
 	fake.TruncatedEvent, fake.Stall, fake.ExpiredKV, fake.NoMemory, fake.NoLength, fake.TruncatedBody,
 }
 
-// serverLimits are the limits that nameLimit draws, as a server writes them.
+// serverLimits are the limits from which nameLimit draws, in requests per second, as sent by a server.
 var serverLimits = []string{"0.5", "2.5", "10"}
 
-// step is one entry of a plan.
+// step is one disturbance of a plan.
 type step struct {
-	at     time.Duration // from the start of the load
+	at     time.Duration // time from the start of the load
 	act    act
 	target int        // index of a daemon or a backend server
 	fault  fake.Fault // of harm
@@ -60,29 +60,28 @@
 	lasts  time.Duration
 }
 
-// shape is what a plan is made for.
+// shape is the size of the fleet and the duration for which a plan is drawn.
 type shape struct {
 	daemons, servers int
-	trouble          time.Duration // time in which steps fall and end
+	trouble          time.Duration // time in which all steps begin
 	gap              time.Duration // mean time between steps
 }
 
 const (
-	// shortest and longest bound the time of a step that ends.
+	// shortest and longest bound the duration of a step that ends.
 	shortest = 200 * time.Millisecond
 	longest  = 2500 * time.Millisecond
-	// departTime is longer than others may take to leave a server alone.
+	// departTime exceeds the time within which daemons stop using a draining server.
 	departTime = 7 * time.Second
-	// limitTime leaves several windows after the time that daemons have to keep to a limit.
+	// limitTime is contactTime, within which a limit need not be kept, and two windows.
 	limitTime = contactTime + 2*serverLimitWindow
-	// seriesChance is how often a step is repeated at once, in percent.
+	// seriesChance is the probability that a step is repeated at once, in percent.
 	seriesChance = 15
-	// maxWithdrawn bounds the withdrawn keys, so that some stay.
+	// maxWithdrawn bounds the number of withdrawn keys, so that some remain valid.
 	maxWithdrawn = spareKeys - 1
 )
 
-// newPlan returns the steps for a seed, by time. The same seed and shape give
-// the same steps.
+// newPlan returns the steps for a seed, ordered by time. It is deterministic.
 func newPlan(seed uint64, sh shape) []step {
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	var plan []step
@@ -123,7 +122,7 @@
 	}
 }
 
-// targets returns how many targets an act has.
+// targets returns the number of targets from which an act is drawn.
 func (sh shape) targets(a act) int {
 	switch a {
 	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit:
--- a/soak/record.go
+++ b/soak/record.go
@@ -8,53 +8,53 @@
 	"wasabidock.dev/dock/platform/fake"
 )
 
-// outcome is what a client saw of a call.
+// outcome is the result of a call as its client observed it.
 type outcome struct {
 	call     fake.Call
 	customer string
 	daemon   int // index
-	started  int // which start of the daemon
+	started  int // number of starts of the daemon up to the call
 	sent     time.Time
-	left     time.Time // the client closed its connection, zero if it did not
+	left     time.Time // when the client closed its connection, zero if it did not
 	ended    time.Time
-	status   int  // 0 if no answer began
-	sealed   bool // the answer bears a server's seal
+	status   int  // 0 if no response header was received
+	sealed   bool // the response has the seal header of a server
 	body     string
-	complete bool   // the answer ended as HTTP has it
-	leaver   string // the server that says in the answer that it leaves, empty for none
+	complete bool   // the response body ended regularly
+	leaver   string // ID of the server that reports in the response that it is draining, empty for none
 }
 
-// served reports whether the call had its whole answer.
+// served reports whether the client received a complete 200 response.
 func (o *outcome) served() bool { return o.status == 200 && o.complete }
 
-// span is a time in which something was not sound.
+// span is an interval in which a component was disturbed.
 type span struct {
 	from, to time.Time
-	planned  bool // a stop that the platform announces
+	planned  bool // a graceful stop
 }
 
-// overlaps reports whether the span, drawn out at its end, meets [from, to].
+// overlaps reports whether the span, extended by after, overlaps [from, to].
 func (s span) overlaps(from, to time.Time, after time.Duration) bool {
 	return s.from.Before(to) && from.Before(s.to.Add(after))
 }
 
-// event is something that the operators did.
+// event is a change made by the operators.
 type event struct {
 	at   time.Time
-	what string // key withdrawn or server that departs
+	what string // the withdrawn key or the ID of the draining server
 }
 
-// record is all that was seen of a run, from outside.
+// record holds the observations of a run.
 type record struct {
-	mu        sync.Mutex // guards the fields below while the run lasts
+	mu        sync.Mutex // guards the fields below during the run
 	calls     []*outcome
-	daemons   map[int][]span    // trouble of a daemon
-	store     []span            // trouble of the store for all
-	servers   map[string][]span // trouble of a backend server
+	daemons   map[int][]span    // disturbances, by index of the daemon
+	store     []span            // disturbances of the store
+	servers   map[string][]span // disturbances, by ID of the backend server
 	withdrawn []event
 	departed  []event
 	returned  []event
-	exits     []string // daemons that ended as they should not
+	exits     []string // unexpected exits of daemons
 	customers map[string]fake.Customer
 
 	runs     map[string][]fake.Run     // by server
@@ -62,7 +62,7 @@
 	rested   map[string][]fake.Backoff // by server
 	called   map[string][]time.Time    // calls of any kind, by server
 	limits   map[string][]fake.LimitSpan
-	calm     time.Time // all trouble is over
+	calm     time.Time // end of the last disturbance
 	end      time.Time
 }
 
@@ -112,8 +112,8 @@
 	r.exits = append(r.exits, how)
 }
 
-// sound reports whether a daemon had no trouble from a while before until to.
-// A planned stop is trouble only if planned is set.
+// sound reports whether a daemon was not disturbed from contactTime before from until to.
+// Graceful stops count as disturbances only if planned is set.
 func (r *record) sound(daemon int, from, to time.Time, planned bool) bool {
 	for _, s := range r.daemons[daemon] {
 		if (planned || !s.planned) && s.overlaps(from, to, contactTime) {
@@ -123,7 +123,7 @@
 	return true
 }
 
-// untouched reports whether no span, drawn out at its end, meets [from, to].
+// untouched reports whether no span, extended by after, overlaps [from, to].
 func untouched(spans []span, from, to time.Time, after time.Duration) bool {
 	for _, s := range spans {
 		if s.overlaps(from, to, after) {
@@ -133,7 +133,7 @@
 	return true
 }
 
-// call returns the call of an id, nil if no client sent it.
+// call returns the call with the given ID, or nil if no client sent it.
 func (r *record) call(id string) *outcome {
 	i := slices.IndexFunc(r.calls, func(o *outcome) bool { return o.call.ID == id })
 	if i < 0 {
@@ -142,7 +142,7 @@
 	return r.calls[i]
 }
 
-// process is one start of a daemon.
+// process identifies one process of a daemon.
 type process struct{ daemon, started int }
 
 func (o *outcome) process() process { return process{o.daemon, o.started} }
