--- a/proxy/permits.go
+++ b/proxy/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,7 +140,9 @@
 // addDenied records a server that gets no request because of its limit for the decision log line.
 func (x *exchange) addDenied(s *route.Server) {
 	p := &x.permits
-	p.denied = append(p.denied, s.ID)
+	if !slices.Contains(p.denied, s.ID) {
+		p.denied = append(p.denied, s.ID)
+	}
 	if rate, age, ok := x.h.cfg.Permits.Limit(s); ok {
 		p.limited, p.rate, p.age, p.issuer = true, rate, age, ""
 	}
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -84,9 +84,9 @@
 }
 
 // reserve reserves memory at the placement's decode server, so that no prefill is wasted
-// on a server without room. At a server with a limit, it takes the permit for the request instead,
-// because a reservation would count against the limit too. It returns false if the server has no room or does not answer. The
-// request must then be placed again.
+// on a server without room. At a server with a limit, it takes the permit for the request
+// instead, because a reservation would count against the limit too. It returns false if the
+// server has no room, has no permit or does not answer. The request must then be placed again.
 func (m *modelExchange) reserve(ctx context.Context, p *admit.Placement) bool {
 	h := m.h
 	s := p.Decode
