--- a/permit/bench_test.go
+++ b/permit/bench_test.go
@@ -14,7 +14,7 @@
 func BenchmarkDecide(b *testing.B) {
 	i := NewIssuer("h", NewLimits())
 	c := Claim{Report: Report{server, limited(1e6, 0, 0)}}
-	now := tick.Instant(time.Second)
+	now := time.Second
 	names := make([]string, 900)
 	for n := range names {
 		names[n] = fmt.Sprint("customer", n)
