permit: one name, one check and no unread fields

Found on a second reading; no behaviour changes. DeniedError carried a rate that nobody read, and the simulation a counter. Whether an unlimited server needs an entry was asked twice for each response to a limited one; Limits.record, where entries are made, now asks it, and Gate keeps its own look only to spare the reading of the clock. Homes, an interface with one method, is Claimer. Two comments say 'recently'.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -167,7 +167,7 @@
 		return errors.Wrap(err, "listen for peers")
 	}
 	d.p.Store.SetShouldWatch(d.p.Gossip.WatchesStore)
-	d.p.Gate.SetHomes(d.p.Gossip)
+	d.p.Gate.SetClaimer(d.p.Gossip)
 	d.peers = peer.NewServer(peer.Handlers{News: d.p.Gossip}, nil)
 	d.peers.Serve(ctx, l)
 	if d.datagrams, err = net.ListenPacket("udp", d.p.Set.DatagramAddr()); err != nil {
--- a/gossip/permit.go
+++ b/gossip/permit.go
@@ -108,7 +108,7 @@
 	return xxhash.Sum64(b[:])
 }
 
-// Claim implements permit.Homes. It calls the home of the server, unless that is this instance.
+// Claim implements permit.Claimer. It calls the home of the server, unless that is this instance.
 func (s *Service) Claim(ctx context.Context, c permit.Claim, now tick.Instant) (permit.Answer, error) {
 	h, ok := s.homeOf(c.Server, c.Centre)
 	if !ok {
--- a/permit/doc.go
+++ b/permit/doc.go
@@ -9,7 +9,7 @@
 //	limits := permit.NewLimits()
 //	issuer := permit.NewIssuer("sierra-a-1", limits) // decides the claims of all instances
 //	gate := permit.NewGate(limits, tick.SinceBoot)   // obtains the permits of this instance
-//	gate.SetHomes(homes)
+//	gate.SetClaimer(claimer)
 //
 //	p, err := gate.Acquire(ctx, server, permit.Caller{Customer: "sur"})
 //	if err != nil {
--- a/permit/gate.go
+++ b/permit/gate.go
@@ -32,8 +32,7 @@
 
 // DeniedError reports that a server with a limit gets no request now.
 type DeniedError struct {
-	Rate float64 // limit of the server, in requests per second
-	Err  error   // why the claim was not answered, nil if it was denied
+	Err error // why the claim was not answered, nil if it was denied
 }
 
 // Error implements error.
@@ -47,8 +46,8 @@
 // Unwrap returns the error of the claim.
 func (e *DeniedError) Unwrap() error { return e.Err }
 
-// Homes forwards claims to the instances that issue permits.
-type Homes interface {
+// Claimer forwards claims to the instances that issue permits.
+type Claimer interface {
 	// Claim forwards a claim to the home of its server and returns the answer. The statement of
 	// the claim is relative to now.
 	Claim(ctx context.Context, c Claim, now tick.Instant) (Answer, error)
@@ -85,28 +84,28 @@
 	now    func() tick.Instant
 
 	mu       sync.Mutex
-	homes    Homes
+	claimer  Claimer
 	closings map[uint64]*closing // by the hash of the server's key
 }
 
-// NewGate returns a Gate that denies all permits until SetHomes is called. now must include the time
+// NewGate returns a Gate that denies all permits until SetClaimer is called. now must include the time
 // in which the machine is suspended.
 func NewGate(limits *Limits, now func() tick.Instant) *Gate {
 	return &Gate{limits: limits, now: now, closings: make(map[uint64]*closing)}
 }
 
-// SetHomes sets the receiver of claims.
-func (g *Gate) SetHomes(h Homes) {
+// SetClaimer sets the receiver of claims.
+func (g *Gate) SetClaimer(c Claimer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.homes = h
+	g.claimer = c
 }
 
 // Record records what a response of a server states about its limit. rate has no meaning unless
 // limited is set. age is the time since the request was sent.
 func (g *Gate) Record(s *route.Server, rate float64, limited bool, age time.Duration) Change {
 	if !limited && !g.limits.known(s.Hash()) {
-		return Unchanged
+		return Unchanged // the usual case, without a system call for the time
 	}
 	now := g.now()
 	c := g.limits.Record(s.Hash(), Statement{Rate: rate, Limited: limited, Sent: now - age, Received: now})
@@ -196,42 +195,42 @@
 		return Permit{}, nil
 	}
 	now := g.now()
-	homes, rejected, ok := g.startClaim(s.Hash(), now)
+	claimer, rejected, ok := g.startClaim(s.Hash(), now)
 	if !ok {
-		return Permit{}, &DeniedError{Rate: l.Rate}
+		return Permit{}, &DeniedError{}
 	}
 	a, err := Answer{}, ErrNoHome
-	if homes != nil {
-		a, err = homes.Claim(ctx, Claim{
+	if claimer != nil {
+		a, err = claimer.Claim(ctx, Claim{
 			Report: Report{s.Hash(), l}, Centre: s.Centre, Priority: by.Priority, Customer: by.Customer, Weight: by.Weight,
 			Rejected: rejected,
 		}, now)
 	}
 	g.endClaim(s.Hash(), a, err, rejected, ctx.Err() != nil)
 	if err != nil {
-		return Permit{}, &DeniedError{Rate: l.Rate, Err: err}
+		return Permit{}, &DeniedError{Err: err}
 	}
 	if !a.Granted {
-		return Permit{}, &DeniedError{Rate: l.Rate}
+		return Permit{}, &DeniedError{}
 	}
 	return Permit{Server: s.Hash(), Rate: l.Rate, Age: now - l.Received, Issuer: a.Issuer, Limited: true, expires: now + lifetime}, nil
 }
 
 // startClaim returns the receiver of a claim and the number of callers rejected since the last one.
 // It returns false while no claim is made for the server.
-func (g *Gate) startClaim(server uint64, now tick.Instant) (Homes, int, bool) {
+func (g *Gate) startClaim(server uint64, now tick.Instant) (Claimer, int, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	c, ok := g.closings[server]
 	if !ok {
-		return g.homes, 0, true
+		return g.claimer, 0, true
 	}
 	if c.until > now {
 		return nil, 0, false
 	}
 	n := c.rejected
 	c.rejected = 0
-	return g.homes, n, true
+	return g.claimer, n, true
 }
 
 // endClaim records the answer to a claim, or that the caller did not wait for it.
--- a/permit/gate_test.go
+++ b/permit/gate_test.go
@@ -12,14 +12,14 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// fakeHomes answers each claim with the same answer or error.
-type fakeHomes struct {
+// fakeClaimer answers each claim with the same answer or error.
+type fakeClaimer struct {
 	answer Answer
 	err    error
 	claims []Claim
 }
 
-func (f *fakeHomes) Claim(_ context.Context, c Claim, _ tick.Instant) (Answer, error) {
+func (f *fakeClaimer) Claim(_ context.Context, c Claim, _ tick.Instant) (Answer, error) {
 	f.claims = append(f.claims, c)
 	return f.answer, f.err
 }
@@ -27,15 +27,15 @@
 // gateHarness is a Gate with a clock that the test sets and a server that names a limit.
 type gateHarness struct {
 	*Gate
-	now    tick.Instant
-	homes  *fakeHomes
-	server *route.Server
+	now     tick.Instant
+	claimer *fakeClaimer
+	server  *route.Server
 }
 
 func newGateHarness(rate float64) *gateHarness {
-	h := &gateHarness{now: time.Minute, homes: &fakeHomes{answer: Answer{Granted: true}}, server: &route.Server{ID: "s"}}
+	h := &gateHarness{now: time.Minute, claimer: &fakeClaimer{answer: Answer{Granted: true}}, server: &route.Server{ID: "s"}}
 	h.Gate = NewGate(NewLimits(), func() tick.Instant { return h.now })
-	h.SetHomes(h.homes)
+	h.SetClaimer(h.claimer)
 	h.Record(h.server, rate, true, time.Millisecond)
 	return h
 }
@@ -51,7 +51,7 @@
 	is.NoErr(err)
 	is.Equal(p, Permit{})
 	is.NoErr(h.Check(p))
-	is.Equal(len(h.homes.claims), 0)
+	is.Equal(len(h.claimer.claims), 0)
 }
 
 func TestPermitExpires(t *testing.T) {
@@ -86,7 +86,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newGateHarness(2)
-			h.homes.answer, h.homes.err = tt.answer, tt.err
+			h.claimer.answer, h.claimer.err = tt.answer, tt.err
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			if tt.cancel {
@@ -103,19 +103,19 @@
 			}
 			_, err = h.acquire()
 			is.True(errors.As(err, &denied)) // without another claim
-			is.Equal(len(h.homes.claims), 1)
+			is.Equal(len(h.claimer.claims), 1)
 			h.now += tt.closed
 			is.Equal(h.ClosedFor(h.server.Hash()), time.Duration(0))
 			_, _ = h.acquire()
-			is.Equal(len(h.homes.claims), 2)
+			is.Equal(len(h.claimer.claims), 2)
 		})
 	}
 }
 
-func TestGateWithoutHomesDenies(t *testing.T) {
+func TestGateWithoutClaimerDenies(t *testing.T) {
 	is := is.New(t)
 	h := newGateHarness(2)
-	h.SetHomes(nil)
+	h.SetClaimer(nil)
 	_, err := h.acquire()
 	is.True(errors.Is(err, ErrNoHome))
 }
@@ -124,7 +124,7 @@
 func TestRetryAfterOfCallersIsInTurn(t *testing.T) {
 	is := is.New(t)
 	h := newGateHarness(2)
-	h.homes.answer = Answer{Wait: time.Second, RetryAfter: 3 * time.Second}
+	h.claimer.answer = Answer{Wait: time.Second, RetryAfter: 3 * time.Second}
 	_, err := h.acquire()
 	is.True(err != nil)
 	list := []*route.Server{{ID: "other"}, h.server}
@@ -135,7 +135,7 @@
 	}
 	h.now += time.Second
 	_, _ = h.acquire()
-	is.Equal(h.homes.claims[1].Rejected, 3) // the home counts them
+	is.Equal(h.claimer.claims[1].Rejected, 3) // the home counts them
 	_, ok := h.RetryAfter(list[:1])
 	is.True(!ok) // no server has a limit
 }
@@ -143,7 +143,7 @@
 func TestLiftedLimitReopensServer(t *testing.T) {
 	is := is.New(t)
 	h := newGateHarness(2)
-	h.homes.answer = Answer{Wait: time.Second}
+	h.claimer.answer = Answer{Wait: time.Second}
 	_, _ = h.acquire()
 	h.now += 10 * time.Millisecond
 	is.Equal(h.Record(h.server, 0, false, time.Millisecond), Lifted)
--- a/permit/issuer.go
+++ b/permit/issuer.go
@@ -136,7 +136,7 @@
 }
 
 // take takes a permit for a claim. It reports whether there is one. While the bucket is not full, a
-// claim yields to those denied of late that go before it.
+// claim yields to recently denied ones that take precedence.
 func (b *bucket) take(c *Claim, rate float64, now tick.Instant) bool {
 	b.weight = max(b.weight, c.Weight)
 	own := b.customer(c.Customer, now)
@@ -154,7 +154,7 @@
 	return true
 }
 
-// yields reports whether a claim that was denied of late goes before c: a more urgent one, or one
+// yields reports whether a recently denied claim takes precedence over c: a more urgent one, or one
 // that is as urgent and whose customer has received less.
 func (b *bucket) yields(c *Claim, own *customer, now tick.Instant) bool {
 	for name, o := range b.customers {
--- a/permit/limits.go
+++ b/permit/limits.go
@@ -73,9 +73,6 @@
 // Record records the statement of a response that this instance has received. It ignores a
 // statement that may be older than the recorded one.
 func (l *Limits) Record(server uint64, s Statement) Change {
-	if !s.Limited && !l.known(server) {
-		return Unchanged
-	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.record(server, s, true)
@@ -92,6 +89,9 @@
 // record records a statement unless it may be older than the recorded one. The caller holds l.mu.
 func (l *Limits) record(server uint64, s Statement, direct bool) Change {
 	e, ok := l.servers[server]
+	if !ok && !s.Limited {
+		return Unchanged
+	}
 	if !ok {
 		l.servers[server] = &limit{Statement: s, direct: direct, listed: s.Received}
 		return Named
--- a/permit/sim_test.go
+++ b/permit/sim_test.go
@@ -44,7 +44,7 @@
 	home   int // index of the instance that it takes for the home
 }
 
-// Claim implements Homes.
+// Claim implements Claimer.
 func (i *simInstance) Claim(_ context.Context, c Claim, now tick.Instant) (Answer, error) {
 	i.w.claims++
 	if i.w.decide != nil {
@@ -60,7 +60,7 @@
 func (i *simInstance) start() {
 	i.limits = NewLimits()
 	i.gate = NewGate(i.limits, func() tick.Instant { return i.w.now })
-	i.gate.SetHomes(i)
+	i.gate.SetClaimer(i)
 	i.issuer = NewIssuer(fmt.Sprint(i.index), i.limits)
 	i.down = false
 }
@@ -81,7 +81,6 @@
 	rate      float64 // limit that the server names, 0 for none
 	pending   []arrival
 	arrivals  []tick.Instant
-	denied    int
 	claims    int
 	// decide replaces the home if it is not nil.
 	decide func(i *simInstance, c Claim, now tick.Instant) (Answer, error)
@@ -117,7 +116,6 @@
 func (w *simulation) send(i *simInstance) {
 	p, err := i.gate.Acquire(context.Background(), w.server, Caller{Customer: "c"})
 	if err != nil {
-		w.denied++
 		return
 	}
 	written := w.now + time.Duration(w.rnd.Int64N(int64(simDelay)))
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -165,7 +165,7 @@
 	})
 }
 
-// soleHome implements permit.Homes for an instance without peers.
+// soleHome implements permit.Claimer for an instance without peers.
 type soleHome struct{ issuer *permit.Issuer }
 
 func (s soleHome) Claim(_ context.Context, c permit.Claim, now tick.Instant) (permit.Answer, error) {
@@ -202,7 +202,7 @@
 	h.health = health.NewTracker()
 	limits := permit.NewLimits()
 	h.gate = permit.NewGate(limits, h.clock.Now)
-	h.gate.SetHomes(soleHome{permit.NewIssuer("h", limits)})
+	h.gate.SetClaimer(soleHome{permit.NewIssuer("h", limits)})
 	scheduler := h.newHandler()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
