link, proxy, entry: log what a connection has instead of the response to its last request

No log line or counter could tell whether a prefill took another one's response, a response to an earlier write of the same ID was believed, or a stream was continued unchecked. No logic changes.

Added: server_response_findings_total{kind}, a line with both IDs, uses and idle time of the connection, and handle and reservation with the echoed IDs in the decision line.

--- a/entry/app.go
+++ b/entry/app.go
@@ -104,8 +104,17 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.MemoryLimit())))
 }
 
-func newLink(clock tick.Clock) *link.Client {
-	return link.New(link.Config{Clock: clock, IDHeader: platform.AttemptHeader})
+func newLink(clock tick.Clock, meter *metric.Meter, log zerolog.Logger) *link.Client {
+	log = logs.Component(log, "link")
+	return link.New(link.Config{Clock: clock, IDHeader: platform.AttemptHeader, Observe: func(f link.Finding) {
+		meter.Count("server_response_findings_total", "kind", string(f.Kind), 1)
+		if f.Kind == link.FindingNoProof {
+			return
+		}
+		log.Info().Str("kind", string(f.Kind)).Str("addr", f.Addr).Str("id", f.Sent).Str("got", f.Got).
+			Int("status", f.Status).Int("use", f.Use).Dur("idle", f.Idle).
+			Msg("link: connection has something else than the response to its last request")
+	}})
 }
 
 func newStore(set *platform.Settings, c *link.Client, clock tick.Clock, live *route.Live, log zerolog.Logger) *platform.Watcher {
--- a/link/link.go
+++ b/link/link.go
@@ -42,6 +42,8 @@
 	Clock tick.Clock
 	// IDHeader is the header field that carries Request.ID in requests and responses.
 	IDHeader string
+	// Observe is called for each Finding. It may be nil. It must not block.
+	Observe func(Finding)
 }
 
 // Client sends requests to backend servers over pooled connections. It is safe for
@@ -134,7 +136,12 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if cn := c.pool(req.Addr).take(c.cfg.Clock.Now()); cn != nil {
+	now := c.cfg.Clock.Now()
+	cn, unread := c.pool(req.Addr).take(now)
+	for _, u := range unread {
+		c.observe(Finding{Kind: FindingUnread, Addr: req.Addr, Use: u.uses, Idle: now - u.returned})
+	}
+	if cn != nil {
 		return cn, nil
 	}
 	c.dialCount.Add(1)
@@ -168,6 +175,7 @@
 			return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
 		}
 	}
+	cn.uses++
 	res := &Response{c: c, addr: req.Addr, conn: cn}
 	if len(buf) > syncWriteBytes {
 		writeDone := make(chan error, 1)
@@ -183,7 +191,7 @@
 		}
 		return nil, fail.New("link: write", req.Addr, outcome, err)
 	}
-	if err := res.readHeader(req, c.cfg.IDHeader); err != nil {
+	if err := res.readHeader(req); err != nil {
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -193,7 +201,7 @@
 }
 
 // readHeader reads the header of the final response to req and skips other responses.
-func (res *Response) readHeader(req *Request, idHeader string) error {
+func (res *Response) readHeader(req *Request) error {
 	res.setReadTimeout(req.HeaderTimeout)
 	for range maxResponses {
 		res.conn.src.remaining = maxHeaderBytes
@@ -205,7 +213,8 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		id := resp.Header.Get(idHeader)
+		res.c.find(res.conn, req, resp)
+		id := resp.Header.Get(res.c.cfg.IDHeader)
 		if req.ID != "" && id != req.ID && (id != "" || resp.StatusCode < http.StatusBadRequest) {
 			// This is a late second response to an earlier request. The response to req follows.
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
@@ -228,6 +237,9 @@
 	return ErrMismatchedID
 }
 
+// EchoedID returns the ID in the header of the response, empty if there is none.
+func (res *Response) EchoedID() string { return res.Header.Get(res.c.cfg.IDHeader) }
+
 // ResetIdleTimeout restarts the idle timeout. It should be called after useful data was read.
 // Received bytes alone do not restart the timeout, because a failing server may send a few
 // bytes from time to time without end.
@@ -268,7 +280,8 @@
 		return
 	}
 	res.setReadTimeout(0)
-	res.conn.expires = res.c.cfg.Clock.Now() + idleLifetime(res.Header)
+	res.conn.returned = res.c.cfg.Clock.Now()
+	res.conn.expires = res.conn.returned + idleLifetime(res.Header)
 	res.c.pool(res.addr).put(res.conn)
 }
 
@@ -289,7 +302,11 @@
 			return false
 		}
 	}
-	return res.conn.idleAndOpen()
+	idle, unread := res.conn.state()
+	if unread {
+		res.c.observe(Finding{Kind: FindingUnread, Addr: res.addr, Use: res.conn.uses})
+	}
+	return idle
 }
 
 // idleLifetime returns how long a connection may be idle and still be reused, given the
--- a/link/pool.go
+++ b/link/pool.go
@@ -40,9 +40,11 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
-	br      *bufio.Reader // buffered reader of src
-	src     *limitedReader
-	expires tick.Instant // time from which the connection is not reused
+	br       *bufio.Reader // buffered reader of src
+	src      *limitedReader
+	uses     int          // number of requests written
+	returned tick.Instant // time of the last return to the pool
+	expires  tick.Instant // time from which the connection is not reused
 }
 
 // limitedReader reads at most remaining bytes of r and then fails with ErrHeaderTooLong.
@@ -63,27 +65,26 @@
 	return n, err
 }
 
-// idleAndOpen reports whether the connection is open and has no unread bytes.
-func (c *conn) idleAndOpen() bool {
+// state reports whether the connection is open and has no unread bytes, and whether it has some.
+func (c *conn) state() (idle, unread bool) {
 	if c.br.Buffered() > 0 {
-		return false
+		return false, true
 	}
 	tc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	rc, err := tc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	open := false
 	err = rc.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = rerr == unix.EAGAIN
+		n, _, rerr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		idle, unread = rerr == unix.EAGAIN, rerr == nil && n > 0
 		return true
 	})
-	return err == nil && open
+	return err == nil && idle, unread
 }
 
 // pool holds the idle connections to one address.
@@ -94,15 +95,20 @@
 }
 
 // take removes and returns the most recently used connection that is still usable, or nil if
-// there is none. It closes the unusable connections that it finds.
-func (p *pool) take(now tick.Instant) *conn {
+// there is none. It closes the unusable connections that it finds, and returns those that have
+// unread bytes.
+func (p *pool) take(now tick.Instant) (cn *conn, unread []*conn) {
 	for {
 		c := p.pop(now)
 		if c == nil {
-			return nil
+			return nil, unread
+		}
+		idle, hasUnread := c.state()
+		if now < c.expires && idle {
+			return c, unread
 		}
-		if now < c.expires && c.idleAndOpen() {
-			return c
+		if hasUnread {
+			unread = append(unread, c)
 		}
 		_ = c.Close()
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -32,9 +32,12 @@
 	maxGap    time.Duration // longest interval between two events
 	prefill   string        // ID of the last prefill server, empty for none
 	decode    string        // ID of the last decode server
-	prefills  int           // completed prefills
-	transfers int           // number of KV caches fetched by a decode server
-	wasted    int           // number of KV caches that were never fetched
+	// The last handle and reservation that servers have given, with the IDs of the responses that
+	// contained them after a slash.
+	handle, reservation string
+	prefills            int // completed prefills
+	transfers           int // number of KV caches fetched by a decode server
+	wasted              int // number of KV caches that were never fetched
 }
 
 // recordMetrics records the result of the request in the meter.
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -80,6 +80,7 @@
 	if err != nil {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
 	}
+	m.stats.handle = handle + "/" + resp.EchoedID()
 	return handle, nil
 }
 
@@ -138,6 +139,7 @@
 		return true
 	}
 	m.reservation = &reservation{server: s, id: id}
+	m.stats.reservation = id + "/" + resp.EchoedID()
 	if m.rejectsRequests(s) { // the header of this response closed the server
 		m.reservation = nil // the reservation expires without a call
 		return m.skipServer(s)
