link, proxy: take a response only if something in it belongs to the request

Cause: the connection alone tied a response to its request. Prefills expected no ID although their responses have one, and reservations, releases and reads of the store have none. An error response without an ID was believed at any place, and an ID that the connection had carried before proved nothing: prefill, run and repeats of a request share it.

Change: a connection carries no ID twice. Prefills expect their ID, and the number of tokens of the prompt. Responses without an ID count only if nothing else can have caused them: on a connection that has carried nothing else, or, for reservations and prefills, if no response with the same body came before, since each has a new name. Error responses without an ID leave the outcome unknown on a reused connection, and end a new one. Calls that nothing ties to their response end their connection, and the state in its header is not believed. A server that is out of step loses its connection.

TestConnectionsAreReused sent five requests with one ID; each now has its own, as each attempt of a client has. It checks the same: one connection. The scripted server of link's tests serves several connections at a time.

--- a/link/doc.go
+++ b/link/doc.go
@@ -15,9 +15,14 @@
 // A request is written at most once. The package never retries a request. The outcome
 // of an error states whether a byte of the request may have been sent.
 //
-// A response belongs to its request. Where requests carry an ID, a response with another ID
-// is skipped, and the next one on the same connection is read. A connection with unread
-// bytes, or whose request was cancelled, is closed and never reused.
+// A response belongs to its request. A server may send the response to an earlier request of a
+// connection once more, at any time. Therefore a connection carries no two requests with the same ID; a
+// response with another ID is skipped; and one without an ID counts only if nothing else can have
+// caused it (see Request.ID and Request.Distinct). What cannot be told from the responses to later
+// requests, such as that to a request without an ID, ends its connection. An error response without
+// an ID on a reused connection leaves the outcome of the request unknown.
+//
+// A connection with unread bytes, or whose request was cancelled, is closed and never reused.
 //
 // # Concurrency
 //
--- a/link/finding.go
+++ b/link/finding.go
@@ -34,7 +34,7 @@
 
 // find reports what the ID of a response on a connection tells.
 func (c *Client) find(cn *conn, req *Request, resp *http.Response) {
-	sent, got := req.Header.Get(c.cfg.IDHeader), resp.Header.Get(c.cfg.IDHeader)
+	sent, got := req.ID, resp.Header.Get(c.cfg.IDHeader)
 	f := Finding{Addr: req.Addr, Sent: sent, Got: got, Status: resp.StatusCode, Use: cn.uses}
 	switch {
 	case sent == "" && got == "":
--- a/link/link.go
+++ b/link/link.go
@@ -33,6 +33,7 @@
 // Errors for responses that are not accepted.
 var (
 	ErrMismatchedID    = errors.New("response belongs to another request")
+	ErrMissingID       = errors.New("response has no ID, so it may belong to another request")
 	ErrContentEncoding = errors.New("response has a content encoding that was not requested")
 	ErrHeaderTooLong   = errors.New("response header exceeds the size limit")
 )
@@ -71,9 +72,11 @@
 	Header http.Header // no hop-by-hop fields and no framing
 	Body   []byte
 	// ID is the value expected in the Config.IDHeader field of the response. It is empty if
-	// responses carry no ID. Error responses may lack the field. The caller must set the
-	// field in Header.
+	// responses carry no ID. The caller must set the field in Header.
 	ID string
+	// Distinct states that no two successful responses to such requests have the same body, because
+	// each contains a new name. It allows responses without an ID.
+	Distinct bool
 
 	// BeforeWrite is called when there is a connection, right before the request is written. If
 	// it returns an error, the request is not written. It may be nil.
@@ -96,6 +99,8 @@
 	conn        *conn
 	resp        *http.Response
 	idleTimeout time.Duration // copy of Request.IdleTimeout
+	proven      bool          // see Proven
+	tellsNext   bool          // the response differs from those to later requests of the connection
 	writeDone   <-chan error  // result of the write that runs in a goroutine, nil if the request was written synchronously
 	stop        func() bool
 	atEOF       bool // the body was read to its end
@@ -137,7 +142,7 @@
 		return nil, err
 	}
 	now := c.cfg.Clock.Now()
-	cn, unread := c.pool(req.Addr).take(now)
+	cn, unread := c.pool(req.Addr).take(now, req.ID)
 	for _, u := range unread {
 		c.observe(Finding{Kind: FindingUnread, Addr: req.Addr, Use: u.uses, Idle: now - u.returned})
 	}
@@ -175,7 +180,7 @@
 			return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
 		}
 	}
-	cn.uses++
+	cn.wrote(req.ID)
 	res := &Response{c: c, addr: req.Addr, conn: cn}
 	if len(buf) > syncWriteBytes {
 		writeDone := make(chan error, 1)
@@ -213,10 +218,12 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		res.c.find(res.conn, req, resp)
-		id := resp.Header.Get(res.c.cfg.IDHeader)
-		if req.ID != "" && id != req.ID && (id != "" || resp.StatusCode < http.StatusBadRequest) {
-			// This is a late second response to an earlier request. The response to req follows.
+		ours, err := res.belongs(req, resp)
+		if err != nil {
+			return err
+		}
+		if !ours {
+			res.conn.outOfStep = true
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return err
 			}
@@ -237,6 +244,44 @@
 	return ErrMismatchedID
 }
 
+// belongs reports whether a response belongs to the request that was written last. A server may
+// send the response to an earlier request of the connection once more.
+func (res *Response) belongs(req *Request, resp *http.Response) (bool, error) {
+	res.c.find(res.conn, req, resp)
+	id := resp.Header.Get(res.c.cfg.IDHeader)
+	success := resp.StatusCode < http.StatusBadRequest
+	res.proven = req.ID != "" || req.Distinct || res.conn.uses == 1
+	res.tellsNext = id != "" || req.Distinct && success
+	switch {
+	case id != "":
+		return id == req.ID, nil
+	case req.Distinct && success:
+		return res.isNew(resp)
+	case req.ID == "" || res.conn.uses == 1 && !success:
+		return true, nil
+	case success:
+		return false, nil
+	default:
+		return false, ErrMissingID
+	}
+}
+
+// isNew reports whether no response with the same body was received on the connection before. It
+// reads the body, up to maxHeaderBytes.
+func (res *Response) isNew(resp *http.Response) (bool, error) {
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return false, err
+	}
+	resp.Body = io.NopCloser(bytes.NewReader(b))
+	return res.conn.received(b), nil
+}
+
+// Proven reports whether the response is known to belong to the request. It is not if the request
+// has neither an ID nor distinct responses and its connection has carried others. The header may
+// then be that of an earlier response.
+func (res *Response) Proven() bool { return res.proven }
+
 // EchoedID returns the ID in the header of the response, empty if there is none.
 func (res *Response) EchoedID() string { return res.Header.Get(res.c.cfg.IDHeader) }
 
@@ -287,7 +332,7 @@
 
 // reusable reports whether the connection can carry another request.
 func (res *Response) reusable() bool {
-	if !res.atEOF || res.resp.Close || res.resp.ContentLength < 0 && len(res.resp.TransferEncoding) == 0 {
+	if !res.atEOF || res.conn.outOfStep || !res.conn.hasRoom() || !res.tellsNext || res.resp.Close || res.resp.ContentLength < 0 && len(res.resp.TransferEncoding) == 0 {
 		return false
 	}
 	if res.writeDone != nil {
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,12 +21,16 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// scriptedServer is a fake server that answers each request on a connection with the next
-// response. An empty response closes the connection.
+// scriptedServer is a fake server that answers each request with the next response. An empty
+// response closes the connection.
 type scriptedServer struct {
 	l         net.Listener
 	responses []string
 	conns     chan int // number of requests on each closed connection
+
+	mu   sync.Mutex
+	next int
+	open []net.Conn
 }
 
 func newScriptedServer(t *testing.T, responses ...string) *scriptedServer {
@@ -38,45 +43,64 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		next := 0
+		var ends sync.WaitGroup
+		defer ends.Wait()
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			next += s.serve(c, next)
+			s.mu.Lock()
+			s.open = append(s.open, c)
+			s.mu.Unlock()
+			ends.Go(func() { s.serve(c) })
 		}
 	}()
 	t.Cleanup(func() {
 		_ = l.Close()
+		s.mu.Lock()
+		for _, c := range s.open {
+			_ = c.Close() // it may be closed before
+		}
+		s.mu.Unlock()
 		<-done
 	})
 	return s
 }
 
-func (s *scriptedServer) serve(c net.Conn, next int) int {
+func (s *scriptedServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	n := 0
 	defer func() { s.conns <- n }()
-	for next+n < len(s.responses) {
+	for {
 		_ = c.SetReadDeadline(time.Now().Add(time.Second))
 		r, err := http.ReadRequest(br)
 		if err != nil {
-			return n
+			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
-		response := s.responses[next+n]
+		response, last := s.take()
 		n++
 		if response == "" {
-			return n
+			return
 		}
 		_, _ = io.WriteString(c, response)
-		if strings.Contains(response, "unframed") {
-			return n
+		if last || strings.Contains(response, "unframed") {
+			return
 		}
 	}
-	return n
+}
+
+// take returns the next response, and whether it is the last one.
+func (s *scriptedServer) take() (response string, last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next == len(s.responses) {
+		return "", true
+	}
+	s.next++
+	return s.responses[s.next-1], s.next == len(s.responses)
 }
 
 func response(id, extra, body string) string {
--- a/link/pool.go
+++ b/link/pool.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"io"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,11 +42,15 @@
 // conn is a connection to a backend server.
 type conn struct {
 	net.Conn
-	br       *bufio.Reader // buffered reader of src
-	src      *limitedReader
-	uses     int          // number of requests written
-	returned tick.Instant // time of the last return to the pool
-	expires  tick.Instant // time from which the connection is not reused
+	br     *bufio.Reader // buffered reader of src
+	src    *limitedReader
+	uses   int     // number of requests written
+	ids    digests // IDs of the requests
+	bodies digests // bodies of the responses that are told apart by them
+	// outOfStep states that the server has sent a response to an earlier request.
+	outOfStep bool
+	returned  tick.Instant // time of the last return to the pool
+	expires   tick.Instant // time from which the connection is not reused
 }
 
 // limitedReader reads at most remaining bytes of r and then fails with ErrHeaderTooLong.
@@ -65,6 +71,46 @@
 	return n, err
 }
 
+// maxDigests bounds the memory of a connection. It is not reused after that many requests.
+const maxDigests = 256
+
+// digests is a set of texts of which only the hashes are kept.
+type digests map[uint64]struct{}
+
+// digestSeed makes the hashes of this process unpredictable for servers.
+var digestSeed = maphash.MakeSeed()
+
+// add adds a text and reports whether the set did not contain it.
+func (d *digests) add(text []byte) bool {
+	if *d == nil {
+		*d = make(digests)
+	}
+	h := maphash.Bytes(digestSeed, text)
+	_, ok := (*d)[h]
+	(*d)[h] = struct{}{}
+	return !ok
+}
+
+// has reports whether the set contains a text.
+func (d digests) has(text string) bool {
+	_, ok := d[maphash.String(digestSeed, text)]
+	return ok
+}
+
+// wrote records that a request is written. The ID is empty for none.
+func (c *conn) wrote(id string) {
+	c.uses++
+	if id != "" {
+		c.ids.add([]byte(id))
+	}
+}
+
+// received records the body of a response and reports whether it is new on the connection.
+func (c *conn) received(body []byte) bool { return c.bodies.add(body) }
+
+// hasRoom reports whether another request can be recorded.
+func (c *conn) hasRoom() bool { return len(c.ids) < maxDigests && len(c.bodies) < maxDigests }
+
 // state reports whether the connection is open and has no unread bytes, and whether it has some.
 func (c *conn) state() (idle, unread bool) {
 	if c.br.Buffered() > 0 {
@@ -94,12 +140,13 @@
 	lastTake tick.Instant
 }
 
-// take removes and returns the most recently used connection that is still usable, or nil if
-// there is none. It closes the unusable connections that it finds, and returns those that have
-// unread bytes.
-func (p *pool) take(now tick.Instant) (cn *conn, unread []*conn) {
+// take removes and returns the most recently used connection that is still usable and that has
+// not carried a request with the ID, or nil if there is none. A response to that request could not be
+// told from one to the next. take closes the unusable connections that it finds, and returns those
+// that have unread bytes.
+func (p *pool) take(now tick.Instant, id string) (cn *conn, unread []*conn) {
 	for {
-		c := p.pop(now)
+		c := p.pop(now, id)
 		if c == nil {
 			return nil, unread
 		}
@@ -122,19 +169,21 @@
 	return n > 0 && now < p.idle[n-1].expires
 }
 
-// pop removes and returns the most recently used connection, or nil if there is none.
-func (p *pool) pop(now tick.Instant) *conn {
+// pop removes and returns the most recently used connection that has not carried a request with
+// the ID, or nil if there is none.
+func (p *pool) pop(now tick.Instant, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lastTake = now
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if id != "" && c.ids.has(id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return c
 	}
-	c := p.idle[n-1]
-	p.idle[n-1] = nil
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
 }
 
 // put adds a connection as the most recently used one.
--- a/proxy/plain_test.go
+++ b/proxy/plain_test.go
@@ -301,8 +301,8 @@
 func TestConnectionsAreReused(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
-	for range 5 {
-		is.Equal(h.send(t, http.MethodPost, "/file/1", "body").status, 200)
+	for _, id := range []string{"b1", "b2", "b3", "b4", "b5"} {
+		is.Equal(h.send(t, http.MethodPost, "/file/1", "body", withHeader("Wasabidock-Attempt-Id", id)).status, 200)
 	}
 	_, _, conns, _ := h.servers["s1"].Counts()
 	is.Equal(conns, 1)
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -60,7 +60,7 @@
 // requestPrefill sends the prompt to a prefill server and returns the handle of the KV cache.
 func (m *modelExchange) requestPrefill(ctx context.Context, s *route.Server, out ForwardInfo) (string, error) {
 	req := m.serverRequest(s, out)
-	req.ID = ""
+	req.Distinct = true
 	resp, err := m.run(ctx, s, req)
 	if err != nil {
 		return "", err
@@ -76,10 +76,14 @@
 	if resp.Status != http.StatusOK {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errors.Errorf("unexpected status %d", resp.Status))
 	}
-	handle, err := m.h.cfg.Protocol.ParseKVHandle(b)
+	handle, tokens, err := m.h.cfg.Protocol.ParseKVHandle(b)
 	if err != nil {
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
 	}
+	if tokens != m.info.PromptTokens {
+		// The KV cache is not freed, because it may be that of another request.
+		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errors.Errorf("KV cache of %d tokens for a prompt of %d", tokens, m.info.PromptTokens))
+	}
 	m.stats.handle = handle + "/" + resp.EchoedID()
 	return handle, nil
 }
@@ -106,7 +110,7 @@
 		return true
 	}
 	resp, err := m.do(ctx, s, &link.Request{
-		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body,
+		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body, Distinct: true,
 		DialTimeout: m.dialTimeout(s),
 	})
 	if isDenied(err) {
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -62,8 +62,9 @@
 	ServerLimit(h http.Header) (float64, bool, error)
 	// Sealed reports whether a response has the seal header of a server.
 	Sealed(h http.Header) bool
-	// ParseKVHandle returns the handle of the KV cache in the response of a prefill server.
-	ParseKVHandle(body []byte) (string, error)
+	// ParseKVHandle returns the handle of the KV cache in the response of a prefill server, and
+	// the number of prompt tokens in it.
+	ParseKVHandle(body []byte) (handle string, tokens int, err error)
 	// ReservationRequest returns the path and the body of the POST that reserves a slot and
 	// memory for a number of tokens at a server.
 	ReservationRequest(tokens int, ttl time.Duration) (path string, body []byte, err error)
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -78,8 +78,10 @@
 	if err != nil {
 		return nil, err
 	}
-	x.recordServerState(s, resp)
-	x.recordLimit(s, resp, x.h.cfg.Clock.Now()-sent)
+	if resp.Proven() {
+		x.recordServerState(s, resp)
+		x.recordLimit(s, resp, x.h.cfg.Clock.Now()-sent)
+	}
 	return resp, nil
 }
 
