event: read a line longer than the buffer as one line

A Scanner reads lines through a buffer of 4096 bytes. Of a longer line it took each part for a line of its own. If a line filled the buffer exactly, the line feed after it counted as the empty line that ends an event, so that callers got part of an event as a whole one, also if the stream broke right there. A part that began with "id:" changed the ID.

TestLongLines failed before in all cases but one: --- FAIL: TestLongLines/line_feed_follows_a_full_buffer --- FAIL: TestLongLines/full_buffer_is_followed_by_id: --- FAIL: TestLongLines/several_buffers

Scan now looks at a line only once it is whole. The tests of the package pass.

--- a/event/event.go
+++ b/event/event.go
@@ -54,9 +54,10 @@
 func (s *Scanner) Scan() bool {
 	s.buf = s.buf[:0]
 	s.id = NoID
+	start := 0 // index of the current line in buf
 	for s.err == nil {
-		line, err := s.r.ReadSlice('\n')
-		s.buf = append(s.buf, line...)
+		part, err := s.r.ReadSlice('\n')
+		s.buf = append(s.buf, part...)
 		if len(s.buf) > s.max {
 			s.err = ErrTooLong
 			return false
@@ -68,11 +69,12 @@
 			s.fail(err)
 			return false
 		}
-		text := bytes.TrimRight(line, "\r\n")
-		if len(text) == 0 {
+		line := bytes.TrimRight(s.buf[start:], "\r\n")
+		if len(line) == 0 {
 			return true
 		}
-		s.field(text)
+		s.field(line)
+		start = len(s.buf)
 	}
 	return false
 }
--- a/event/event_test.go
+++ b/event/event_test.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// TestLongLines guards against taking the rest of a line that exceeds the read buffer for a line of its own.
+func TestLongLines(t *testing.T) {
+	const bufferBytes = 4096
+	tests := []struct {
+		name string
+		line string
+	}{
+		{"line feed follows a full buffer", "data: " + strings.Repeat("x", bufferBytes-len("data: "))},
+		{"full buffer is followed by id:", "data: " + strings.Repeat("x", bufferBytes-len("data: ")) + "id: 9"},
+		{"full buffer is followed by other text", "data: " + strings.Repeat("x", bufferBytes) + " y"},
+		{"several buffers", "data: " + strings.Repeat("x", 3*bufferBytes-len("data: "))},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			want := "id: 1\n" + tt.line + "\n\n"
+			s := event.NewScanner(strings.NewReader(want), 1<<20)
+			is.True(s.Scan())
+			is.Equal(string(s.Bytes()), want) // the whole event
+			is.Equal(s.ID(), int64(1))
+			is.True(!s.Scan())
+			is.NoErr(s.Err())
+		})
+	}
+}
+
 // FuzzScanner checks that the returned events are a prefix of the input, and all of it if the
 // stream ended without an error.
 func FuzzScanner(f *testing.F) {
