proxy: check a response that continues a stream like the one that began it

When a resumable stream broke off and another server continued it, callers found the text of an error, or its whole head, in the middle of their stream, or the stream ended as complete without its last events. The relay looked at the seal of the first response only, at no content type, and took any lines for events. It took the end of an empty response for the end of the stream, and passed on a response that began behind a gap.

A response that continues a stream must now have a seal and the content type of the first response, and begin with the event after the last one, before a byte of it goes out. It ends the stream only after an event of its own. The exception is a stream whose events already contain as many tokens as the request allows: each event contains at least one, so none can be missing if the server, with a seal, adds none. Otherwise the stream is cut, and the caller may resume it.

The same holds within one response, the first one included: each event has the ID that follows the one before it. A gap breaks the stream, since the caller would miss an event, and where the stream may be resumed the next server sends that event. Data without an ID breaks it too. Comments are passed on, but not those that a continuing server sends before its first event. An empty response with a seal to a request that nobody has answered yet is the server's whole response, as before. What was passed on before a failure is flushed at once rather than with the next server's first event.

Other statuses than 200 were kept out of streams before; now they are logged (relay: server did not send a stream), and the line "relay: stream broke" has the field resumed.

--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -152,6 +152,7 @@
 			newRoute("read", "/read/", route.Idempotent, false, 2, "app"),
 			newRoute("once", "/once/", route.Stream, false, 1, "model"),
 			newRoute("again", "/again/", route.Stream, true, 2, "model"),
+			newRoute("thrice", "/thrice/", route.Stream, true, 3, "model"),
 			open, slow,
 		},
 		Services: []*route.Service{
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"mime"
 	"net/http"
 	"time"
 
@@ -13,93 +14,198 @@
 	"wasabidock.dev/dock/tick"
 )
 
+// Errors for responses that are not, or no longer, the stream that the request asked for.
+var (
+	errStreamType   = errors.New("response has another content type than the one that began the stream")
+	errNoEventID    = errors.New("event has no ID")
+	errEventOrder   = errors.New("event ID is not larger than the one before it")
+	errMissingEvent = errors.New("an event is missing before this one")
+	errNoEvents     = errors.New("response that continues the stream has no events")
+)
+
 // relayResponse passes the response of a decode server on to the caller. It returns true if the
 // request has ended.
 func (m *modelExchange) relayResponse(resp *link.Response, p *admit.Placement) bool {
-	h := m.h
-	key := p.Decode.Key()
 	if resp.Status != http.StatusOK {
-		b, err := m.bufferResponse(resp)
-		defer h.bufferedBytes.Add(-int64(len(b)))
-		h.cfg.Health.RecordFailure(key, health.BadResponse, h.cfg.Clock.Now())
-		m.exclude(p.Decode)
-		if m.runs < m.route.MaxAttempts && m.route.Retryable() {
-			if err == nil {
-				m.savedFailure = &response{status: resp.Status, header: resp.Header, body: b}
-			}
-			return false
-		}
-		if err != nil || m.headerWritten {
-			m.giveUp(overloadRetry, "the server failed")
-			return true
-		}
-		m.writeResponse(&response{status: resp.Status, header: resp.Header, body: b})
-		return true
+		return m.relayFailure(resp, p)
 	}
+	h := m.h
+	resumed := m.headerWritten
 	err := m.relayStream(resp, p)
 	if err == nil {
-		h.cfg.Health.RecordSuccess(key, h.cfg.Clock.Now())
+		h.cfg.Health.RecordSuccess(p.Decode.Key(), h.cfg.Clock.Now())
 		m.summary, m.complete = "answered in full", true
 		return true
 	}
 	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
-		Msg("relay: stream broke")
+		Bool("resumed", resumed).Msg("relay: stream broke")
 	m.recordFailure(p.Decode, health.BadResponse)
 	m.exclude(p.Decode)
 	return !m.retryOrGiveUp()
 }
 
-// errEventOrder reports an event whose ID is not larger than that of the event before it.
-var errEventOrder = errors.New("event ID is not larger than the one before it")
+// relayFailure handles a response with another status than 200. The response is passed on only if
+// nothing was passed on before and no other server is tried. It returns true if the request has
+// ended.
+func (m *modelExchange) relayFailure(resp *link.Response, p *admit.Placement) bool {
+	h := m.h
+	b, err := m.bufferResponse(resp)
+	defer h.bufferedBytes.Add(-int64(len(b)))
+	h.cfg.Log.Info().Err(err).Int("status", resp.Status).Str("server", p.Decode.ID).Str("id", m.info.ID).
+		Int64("event", m.lastEventID).Bool("resumed", m.headerWritten).Msg("relay: server did not send a stream")
+	h.cfg.Health.RecordFailure(p.Decode.Key(), health.BadResponse, h.cfg.Clock.Now())
+	m.exclude(p.Decode)
+	if m.runs < m.route.MaxAttempts && m.route.Retryable() {
+		if err == nil {
+			m.savedFailure = &response{status: resp.Status, header: resp.Header, body: b}
+		}
+		return false
+	}
+	if err != nil || m.headerWritten {
+		m.giveUp(overloadRetry, "the server failed")
+		return true
+	}
+	m.writeResponse(&response{status: resp.Status, header: resp.Header, body: b})
+	return true
+}
+
+// streamRelay passes on the events of one response.
+type streamRelay struct {
+	*modelExchange
+	resp        *link.Response
+	placement   *admit.Placement
+	events      *event.Scanner
+	flusher     *http.ResponseController
+	resumed     bool         // another response has begun the stream
+	passed      bool         // an event of this response was passed on
+	first, last tick.Instant // times of the first and the last flush
+	gaps        int          // number of flushes after the first
+}
 
 // relayStream passes whole events on to the caller until the stream ends. It returns nil if the
 // stream ended regularly.
 func (m *modelExchange) relayStream(resp *link.Response, p *admit.Placement) error {
-	if !m.headerWritten && !m.h.cfg.Protocol.Sealed(resp.Header) {
-		return errUnsealed
+	r := &streamRelay{
+		modelExchange: m, resp: resp, placement: p, resumed: m.headerWritten,
+		events:  event.NewScanner(resp.Body, maxEventBytes),
+		flusher: http.NewResponseController(m.w),
 	}
-	rc := http.NewResponseController(m.w)
-	var first, last tick.Instant // times of the first and the last flush
-	gaps := 0
-	s := event.NewScanner(resp.Body, maxEventBytes)
-	for s.Scan() {
-		if id := s.ID(); id != event.NoID {
-			if m.lastEventID != event.NoID && id <= m.lastEventID {
-				return errEventOrder
-			}
-			m.lastEventID = id
-			resp.ResetIdleTimeout()
-		}
-		if !m.headerWritten {
-			m.h.cfg.Placer.FirstEvent(p)
-			m.stats.first = m.h.cfg.Clock.Now() - m.start
-			m.writeHeader(resp)
-		}
-		if _, err := m.w.Write(s.Bytes()); err != nil {
-			return err
+	if err := r.checkHeader(); err != nil {
+		return err
+	}
+	if err := r.relayEvents(); err != nil {
+		if m.headerWritten {
+			_ = r.flusher.Flush() // the events before the failure; err is the error to report
 		}
-		if s.NextBuffered() {
+		return err
+	}
+	return r.end()
+}
+
+// checkHeader returns an error if the header is not that of a server's stream. A response that
+// continues a stream must have the content type with which the stream began.
+func (r *streamRelay) checkHeader() error {
+	if !r.h.cfg.Protocol.Sealed(r.resp.Header) {
+		return errUnsealed
+	}
+	if r.resumed && mediaType(r.resp.Header) != mediaType(r.w.Header()) {
+		return errStreamType
+	}
+	return nil
+}
+
+// mediaType returns the content type without its parameters.
+func mediaType(h http.Header) string {
+	v := h.Get("Content-Type")
+	if t, _, err := mime.ParseMediaType(v); err == nil {
+		return t
+	}
+	return v
+}
+
+// relayEvents passes on the events up to the end of the body. Of a response that continues a
+// stream, comments before the first event are dropped, because only an event shows that it is the
+// same stream.
+func (r *streamRelay) relayEvents() error {
+	for r.events.Scan() {
+		comment := r.events.Comment()
+		if comment && r.resumed && !r.passed {
 			continue
 		}
-		if err := rc.Flush(); err != nil {
-			return err
+		if !comment {
+			if err := r.recordEvent(r.events.ID()); err != nil {
+				return err
+			}
 		}
-		if last = m.recordGap(last); first == 0 {
-			first = last
-		} else {
-			gaps++
+		if err := r.pass(); err != nil {
+			return err
 		}
 	}
-	if err := s.Err(); err != nil {
+	return r.events.Err()
+}
+
+// recordEvent records the event that is passed on next. It returns an error unless the event is
+// the one after the last. Servers number the events of a request 1, 2, 3 and so on, so a gap means
+// that an event is missing, even within the response of one server.
+func (r *streamRelay) recordEvent(id int64) error {
+	switch next := max(r.lastEventID, 0) + 1; {
+	case id == event.NoID:
+		return errNoEventID
+	case id < next:
+		return errEventOrder
+	case id > next:
+		return errMissingEvent
+	}
+	if r.lastEventID == r.info.LastEventID {
+		r.h.cfg.Placer.FirstEvent(r.placement)
+		r.stats.first = r.h.cfg.Clock.Now() - r.start
+	}
+	r.lastEventID, r.passed = id, true
+	r.resp.ResetIdleTimeout()
+	return nil
+}
+
+// pass writes the current event to the caller, and flushes it unless the next one has been read.
+func (r *streamRelay) pass() error {
+	if !r.headerWritten {
+		r.writeHeader(r.resp)
+	}
+	if _, err := r.w.Write(r.events.Bytes()); err != nil {
 		return err
 	}
-	if gaps > 0 {
-		m.h.cfg.Placer.ObserveGap(p, (last-first)/time.Duration(gaps))
+	if r.events.NextBuffered() {
+		return nil
 	}
-	if !m.headerWritten {
-		m.writeHeader(resp)
+	if err := r.flusher.Flush(); err != nil {
+		return err
+	}
+	if r.last = r.recordGap(r.last); r.first == 0 {
+		r.first = r.last
+	} else {
+		r.gaps++
 	}
-	return rc.Flush()
+	return nil
+}
+
+// end ends the stream after the regular end of the body. If a response continues a stream and has
+// no events, its end is not the end of the stream, unless no further event is possible.
+func (r *streamRelay) end() error {
+	if r.resumed && !r.passed && !r.outputExhausted() {
+		return errNoEvents
+	}
+	if r.gaps > 0 {
+		r.h.cfg.Placer.ObserveGap(r.placement, (r.last-r.first)/time.Duration(r.gaps))
+	}
+	if !r.headerWritten {
+		r.writeHeader(r.resp)
+	}
+	return r.flusher.Flush()
+}
+
+// outputExhausted reports whether the events so far contain all output tokens that the request
+// allows. Each event contains at least one token.
+func (m *modelExchange) outputExhausted() bool {
+	return m.info.MaxOutputTokens > 0 && m.lastEventID >= int64(m.info.MaxOutputTokens)
 }
 
 // writeHeader writes the header of a streamed response.
