proxy: take no 2xx response without a seal to a model request

A response with a status such as 206 and without the seal of a server was passed on to the caller of a model request as a success. Only responses with status 200 had to be sealed; those to plain requests had to be with any 2xx.

A 2xx response without a seal now counts as a failed attempt, and is not kept to be passed on later either.

TestFirstResponseOfStream/status_206_without_a_seal failed before with "206 != 502", and passes now. A sealed 206 and a 500 without a seal are passed on as before; the table has both.

--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -51,6 +51,9 @@
 	h := m.h
 	b, err := m.bufferResponse(resp)
 	defer h.bufferedBytes.Add(-int64(len(b)))
+	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
+		err = errUnsealed
+	}
 	h.cfg.Log.Info().Err(err).Int("status", resp.Status).Str("server", p.Decode.ID).Str("id", m.info.ID).
 		Int64("event", m.lastEventID).Bool("resumed", m.headerWritten).Msg("relay: server did not send a stream")
 	h.cfg.Health.RecordFailure(p.Decode.Key(), health.BadResponse, h.cfg.Clock.Now())
