engine: take nothing but tokens and ends for the output of an attempt

In a stream, an event of an unknown name, such as "failed", counted as a token. An error that names the attempt and has no offset counted as an empty token at offset 0, and one in an event "end" as the end of an empty output, so that a caller could get an empty response as a complete one.

Events must now have no name or the default one to be tokens, a token must have an offset, and an end must have a total. Anything else breaks the stream, which is opened again as after any other failure.

New rows of TestStreamEvents; before, three of the six failed: --- FAIL: TestStreamEvents/event_of_another_kind --- FAIL: TestStreamEvents/error_of_the_attempt_as_a_token --- FAIL: TestStreamEvents/error_of_the_attempt_as_an_end Texts of errors and whole responses without the attempt were rejected already. The tests of engine, flow and stand pass.

--- a/engine/client_test.go
+++ b/engine/client_test.go
@@ -271,6 +271,12 @@
 		{"error event", "event: error\ndata: {\"code\":\"attempt\"}\n\n", flow.Event{}, flow.ErrUnknownAttempt},
 		{"not JSON", "data: x\n\n", flow.Event{}, nil},
 		{"missing attempt", "data: {\"offset\":0}\n\n", flow.Event{}, ident.ErrInvalidAttempt},
+		{"text of an error", "{\"error\": \"failed\"}\n\n", flow.Event{}, flow.ErrConnBroken},
+		{"whole response of an error", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}\n\n", flow.Event{}, flow.ErrConnBroken},
+		{"error as a token", "data: {\"error\": \"failed\"}\n\n", flow.Event{}, ident.ErrInvalidAttempt},
+		{"event of another kind", "event: failed\ndata: {\"attempt\":\"a.1.1\",\"offset\":0,\"text\":\"t\"}\n\n", flow.Event{}, nil},
+		{"error of the attempt as a token", "data: {\"attempt\":\"a.1.1\",\"code\":\"failed\"}\n\n", flow.Event{}, nil},
+		{"error of the attempt as an end", "event: end\ndata: {\"attempt\":\"a.1.1\",\"code\":\"failed\"}\n\n", flow.Event{}, nil},
 		{"endless line", "data: " + strings.Repeat("x", 1<<20), flow.Event{}, nil},
 		{"endless data", strings.Repeat("data: xxxxxxxx\n", 1<<16), flow.Event{}, nil},
 	}
--- a/engine/stream.go
+++ b/engine/stream.go
@@ -71,16 +71,24 @@
 			return flow.Event{}, errors.Wrap(err, "decode error event")
 		}
 		return flow.Event{}, cause(r)
-	default:
+	case "", "message":
 		return parseToken(data)
+	default:
+		return flow.Event{}, errors.Errorf("unknown event %q", name)
 	}
 }
 
+// Errors for events that lack a field, or have a negative number in it.
+var (
+	errNoOffset = errors.New("token has no offset")
+	errNoTotal  = errors.New("end has no total")
+)
+
 // Close closes the connection.
 func (s *stream) Close() { s.events.resp.close() }
 
 func parseToken(data []byte) (flow.Event, error) {
-	var t TokenEvent
+	t := TokenEvent{Offset: -1}
 	if err := fastjson.Unmarshal(data, &t); err != nil {
 		return flow.Event{}, errors.Wrap(err, "decode token")
 	}
@@ -88,11 +96,14 @@
 	if err != nil {
 		return flow.Event{}, err
 	}
+	if t.Offset < 0 {
+		return flow.Event{}, errNoOffset
+	}
 	return flow.Event{Attempt: a, Offset: t.Offset, Text: t.Text}, nil
 }
 
 func parseEnd(data []byte) (flow.Event, error) {
-	var e EndEvent
+	e := EndEvent{Total: -1}
 	if err := json.Unmarshal(data, &e); err != nil {
 		return flow.Event{}, errors.Wrap(err, "decode end")
 	}
@@ -100,6 +111,9 @@
 	if err != nil {
 		return flow.Event{}, err
 	}
+	if e.Total < 0 {
+		return flow.Event{}, errNoTotal
+	}
 	return flow.Event{Attempt: a, End: true, Total: e.Total, Reason: e.Reason}, nil
 }
 
