link: reject a header that another response's status line is part of

Callers saw: a part of the header of a refusal, followed by the whole response to their request, made one header with the refusal's status and the request's ID. "Not run" was believed for a request that ran.

Evidence: two new cases of TestCopiesOfEarlierResponses failed and pass. Change: a status line within a status or a field is an error, the outcome is unknown.

--- a/link/copies_test.go
+++ b/link/copies_test.go
@@ -149,6 +149,30 @@
 			},
 			dialCount: 1,
 		},
+		{
+			name: "part of a header, before that of a run",
+			calls: []call{
+				{id: "a", sends: refusal("a"), want: "full"},
+				{id: "b", sends: "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nServer: x" + response("b", "", "2"), want: "!"},
+			},
+			dialCount: 1,
+		},
+		{
+			name: "part of a status line, before that of a run",
+			calls: []call{
+				{id: "a", sends: refusal("a"), want: "full"},
+				{id: "b", sends: "HTTP/1.1 503 Serv" + response("b", "", "2"), want: "!"},
+			},
+			dialCount: 1,
+		},
+		{
+			name: "none, and a protocol name in a field",
+			calls: []call{
+				{id: "a", sends: response("a", "Via: HTTP/1.1 gate\r\n", "1"), want: "1"},
+				{id: "b", sends: response("b", "", "2"), want: "2"},
+			},
+			dialCount: 1,
+		},
 		{
 			name: "body only, of a run",
 			calls: []call{
--- a/link/link.go
+++ b/link/link.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,6 +36,7 @@
 var (
 	ErrMismatchedID    = errors.New("response belongs to another request")
 	ErrMissingID       = errors.New("response has no ID, so it may belong to another request")
+	ErrJoinedHeader    = errors.New("response header contains the status line of another response")
 	ErrContentEncoding = errors.New("response has a content encoding that was not requested")
 	ErrHeaderTooLong   = errors.New("response header exceeds the size limit")
 )
@@ -248,6 +251,9 @@
 // send the response to an earlier request of the connection once more.
 func (res *Response) belongs(req *Request, resp *http.Response) (bool, error) {
 	res.c.find(res.conn, req, resp)
+	if JoinedHeader(resp) {
+		return false, ErrJoinedHeader
+	}
 	id := resp.Header.Get(res.c.cfg.IDHeader)
 	success := resp.StatusCode < http.StatusBadRequest
 	res.proven = req.ID != "" || req.Distinct || res.conn.uses == 1
@@ -266,6 +272,23 @@
 	}
 }
 
+// statusLine matches the status line of a response.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9](\s|$)`)
+
+// JoinedHeader reports whether the header of a response contains a status line. The server has then
+// sent a part of the header of another response before it, and its status or fields may be of either.
+func JoinedHeader(resp *http.Response) bool {
+	if statusLine.MatchString(resp.Status) {
+		return true
+	}
+	for _, vs := range resp.Header {
+		if slices.ContainsFunc(vs, statusLine.MatchString) {
+			return true
+		}
+	}
+	return false
+}
+
 // isNew reports whether no response with the same body was received on the connection before. It
 // reads the body, up to maxHeaderBytes.
 func (res *Response) isNew(resp *http.Response) (bool, error) {
