proxy: take a retry from the budget for every arrival beyond the first

The budget took no retry for a run if no run had been written before, although a rejected or unanswered prefill is an arrival too. A rejected prefill and the run after it took none, two rejected prefills and the run took one. On the other hand, a retry was lost if the prefill that it was taken for reached no server.

Now each request counts its arrivals: before each write, run or prefill, one is counted and, beyond the first, paid for with a retry. It is taken back if the server accepted it as the first prefill or did not receive the request, and what was paid for it is left for the next write, as for a hedged request whose other attempt is still to come. A prefill without an answer stays counted, because the server may have rejected it, or accepted it so that the next one counts. If no retry is left for a second prefill, the request is rejected at once: the run that followed so far is one more arrival as well. The hedge and the attempt that it cancels no longer share a field without a lock.

--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -20,7 +20,8 @@
 // A mutating request, and a stream that is not resumable, is written to one
 // server, and to another one only after the first has reported that it did not run it.
 // Idempotent requests and resumable streams are retried up to the route's maximum number of
-// attempts. Each write after the first takes one retry from the retry budget.
+// attempts. Each write after the first takes one retry from the retry budget, except for the first
+// prefill that a server accepts. A rejected write counts, and one that did not reach its server does not.
 //
 // # Stages of a model request
 //
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -128,10 +128,10 @@
 	mayHaveRun    bool         // a server may have run the request
 	runs          int          // number of servers that may have run the request
 	writes        int          // number of servers to which the request was written
-	retrySpent    bool         // the next write has already been taken from the retry budget
-	headerWritten bool         // the response header was written
-	savedFailure  *response    // error response of a server, passed on if no other attempt succeeds
-	lastEventID   int64        // ID of the last event passed on to the caller, initially RequestInfo.LastEventID
+	arrivals      arrivals
+	headerWritten bool      // the response header was written
+	savedFailure  *response // error response of a server, passed on if no other attempt succeeds
+	lastEventID   int64     // ID of the last event passed on to the caller, initially RequestInfo.LastEventID
 	stats         requestStats
 	servers       []string // IDs of the plain servers to which the request was written
 	permits       permits
@@ -233,20 +233,13 @@
 // callerGone reports whether the caller has disconnected.
 func (x *exchange) callerGone() bool { return x.r.Context().Err() != nil }
 
-// allowAttempt reports whether the request may be written to one more server. It takes
-// a retry from the budget for each write after the first.
+// allowAttempt reports whether the request may be written to one more server, and counts it as an
+// arrival there.
 func (x *exchange) allowAttempt() bool {
 	if x.mayHaveRun && (!x.route.Retryable() || x.runs >= x.route.MaxAttempts) {
 		return false
 	}
-	if x.writes == 0 {
-		return true
-	}
-	if x.retrySpent {
-		x.retrySpent = false
-		return true
-	}
-	return x.spendRetry()
+	return x.arrivals.count(x.spendRetry)
 }
 
 // forwardInfo returns the header values that the router sets for a server.
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -150,8 +150,14 @@
 		return m.callerGone()
 	}
 	defer m.release()
-	if p.Prefill != nil && !m.prefill(ctx, p) {
-		return m.callerGone()
+	if p.Prefill != nil {
+		if !m.allowAttempt() {
+			m.giveUp(overloadRetry, "no repeat is left")
+			return true
+		}
+		if !m.prefill(ctx, p) {
+			return m.callerGone()
+		}
 	}
 	if m.rejectsRequests(p.Decode) { // the server may have been closed since it was chosen
 		m.exclude(p.Decode)
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -206,8 +206,7 @@
 	case <-ctx.Done():
 	case <-t.C():
 		// A server with a limit gets no hedged requests.
-		if x.pickServer(avoid, h.cfg.Permits.Limited) != nil && x.spendRetry() {
-			x.retrySpent = true
+		if x.pickServer(avoid, h.cfg.Permits.Limited) != nil && x.arrivals.pay(x.spendRetry) {
 			cancel()
 		}
 	}
@@ -216,12 +215,15 @@
 // recordNoResponse records an attempt that ended without a response.
 func (x *exchange) recordNoResponse(s *route.Server, err error) {
 	h := x.h
+	notRun := fail.Outcome(err) == ident.NotRun
+	if notRun {
+		x.arrivals.uncount()
+	}
 	if isDenied(err) {
-		x.retrySpent = x.retrySpent || x.writes > 0 // the retry was not used
 		return
 	}
 	h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
-	if fail.Outcome(err) != ident.NotRun {
+	if !notRun {
 		x.recordWrite(s)
 		x.mayHaveRun = true
 		x.runs++
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -16,15 +16,11 @@
 )
 
 // prefill requests a prefill from the placement's prefill server and reports whether it
-// succeeded. After a failure, the server is excluded from further placements of the request.
-// After the second failure, or if no retry is left, the decode server prefills the prompt.
+// succeeded. The caller must have counted the arrival. After a failure, the server is excluded from
+// further placements of the request. After the second failure, the decode server prefills the prompt.
 func (m *modelExchange) prefill(ctx context.Context, p *admit.Placement) bool {
 	h := m.h
 	s := p.Prefill
-	if m.prefillAttempts > 0 && !m.spendRetry() {
-		m.placeReq.LocalPrefill = true
-		return false
-	}
 	m.prefillAttempts++
 	ctx, cancel := context.WithTimeout(ctx, max(minPrefillTimeout, time.Duration(prefillTimeoutFactor*float64(p.ExpectedTTFT))))
 	defer cancel()
@@ -34,6 +30,9 @@
 	start := h.cfg.Clock.Now()
 	handle, err := m.requestPrefill(ctx, s, out)
 	took := h.cfg.Clock.Now() - start
+	if err == nil && m.stats.prefills == 0 || fail.Outcome(err) == ident.NotRun {
+		m.arrivals.uncount() // accepted for the first time, or not received
+	}
 	if isDenied(err) {
 		m.prefillAttempts-- // the server got no request
 		return m.skipDenied(s)
