engine: take a response only for the call that it names

Cause: these calls share kept connections, and net/http returns whatever comes first after a request as its response. What comes while a connection is idle closes it; what comes after the next write cannot be told from the response.

Each call now has an ID in the header, which engines return (the stand-in does). A response with another ID, with none on a reused connection, or whose header contains a second status line fails the call as unknown and closes its connection alone; the callers call again at their usual time. A connection with a response without an ID is not reused, so that engines that do not return it get a connection for each call. The alternative, a new connection for each of these calls, costs the round trip and the connection for each poll and renewal.

The benchmarks' server returns the ID, as engines have to; without it they would measure new connections.

--- a/engine/bench_test.go
+++ b/engine/bench_test.go
@@ -48,8 +48,12 @@
 // benchClient returns a client of a test server with handler h. It reports the bytes per operation on
 // the connections, without TCP and IP headers, as metric wire-B/op.
 func benchClient(b *testing.B, h http.HandlerFunc) *engine.Client {
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(engine.CallIDHeader, r.Header.Get(engine.CallIDHeader))
+		h(w, r)
+	}
 	var bytes atomic.Int64
-	srv := httptest.NewUnstartedServer(h)
+	srv := httptest.NewUnstartedServer(http.HandlerFunc(echo))
 	srv.Listener = countingListener{srv.Listener, &bytes}
 	srv.Start()
 	b.Cleanup(func() { b.ReportMetric(float64(bytes.Load())/float64(b.N), "wire-B/op") })
--- a/engine/call.go
+++ b/engine/call.go
@@ -8,6 +8,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +26,7 @@
 	maxIdlePerHost  = 2
 	maxIdle         = 64
 	idleConnTimeout = 15 * time.Second
+	callIDBase      = 36
 )
 
 // freshTransport opens a new connection for each call. The standard transport retries a request only
@@ -56,11 +59,11 @@
 }
 
 // control makes an idempotent call. After a failure it closes all idle pooled connections, because
-// others may be stalled too.
+// others may be stalled too. A response to another call concerns its own connection only.
 func (c *Client) control(ctx context.Context, step string, s ident.Server, method, path string, in, out any) error {
 	cl := call{step: step, server: s, timeout: c.cfg.CallTimeout, stallTimeout: c.cfg.StallTimeout, method: method, path: path}
 	err := c.call(ctx, c.pooled, cl, in, out)
-	if err != nil {
+	if err != nil && !errors.Is(err, errOtherCall) {
 		c.pooled.CloseIdleConnections()
 	}
 	return err
@@ -108,20 +111,22 @@
 		}
 		body = bytes.NewReader(b)
 	}
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var conn atomic.Pointer[httptrace.GotConnInfo] // of the last try
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { conn.Store(&i) }}
 	w := watch(ctx, c.cfg.Clock, cl.stallTimeout, cl.timeout)
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(w.ctx, trace), cl.method, "http://"+addr+cl.path, body)
 	if err != nil {
 		w.stop()
 		return nil, fail.New(cl.step, string(cl.server), ident.NotRun, err)
 	}
+	id := strconv.FormatUint(c.callID.Add(1), callIDBase)
 	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(CallIDHeader, id)
 	resp, err := t.RoundTrip(req) //nolint:bodyclose // response.close closes it
 	if err != nil {
 		defer w.stop()
 		o := ident.NotRun
-		if connected.Load() {
+		if conn.Load() != nil {
 			o = ident.Unknown
 		}
 		return nil, fail.New(cl.step, string(cl.server), o, w.reason(err))
@@ -129,6 +134,13 @@
 	w.pause()
 	a := &response{watchdog: w, resp: resp}
 	a.body = watchedReader{r: resp.Body, w: w}
+	if err := checkCallID(resp, id, conn.Load()); err != nil {
+		a.close()
+		return nil, fail.New(cl.step, string(cl.server), ident.Unknown, err)
+	}
+	if resp.Header.Get(CallIDHeader) == "" {
+		a.unnamed = conn.Load().Conn
+	}
 	if resp.StatusCode != http.StatusOK {
 		defer a.close()
 		return nil, rejection(cl, resp.StatusCode, a)
@@ -136,15 +148,51 @@
 	return a, nil
 }
 
+// checkCallID returns an error if a response may be to another call than the one with the ID. An engine
+// may send the response to an earlier call once more, or a part of it, when this one's is due. Only on
+// a new connection a response without an ID is to this call.
+func checkCallID(resp *http.Response, id string, conn *httptrace.GotConnInfo) error {
+	got := strings.Join(resp.Header.Values(CallIDHeader), ",")
+	switch {
+	case got == "" && conn.Reused:
+		return errors.Wrap(errOtherCall, "no call ID on a reused connection")
+	case got != "" && got != id:
+		return errors.Wrapf(errOtherCall, "call ID %q, want %q", got, id)
+	case joined(resp):
+		return errors.Wrap(errOtherCall, "header contains a part of another one")
+	}
+	return nil
+}
+
+// joined reports whether a status line follows within the header of a response, because the engine has
+// written a part of another header before it.
+func joined(resp *http.Response) bool {
+	if strings.Contains(resp.Status, "HTTP/") {
+		return true
+	}
+	for _, vs := range resp.Header {
+		for _, v := range vs {
+			if strings.Contains(v, "HTTP/1.") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // response is an open response of an engine.
 type response struct {
 	*watchdog
-	resp *http.Response
-	body io.Reader
+	resp    *http.Response
+	body    io.Reader
+	unnamed net.Conn // connection of a response without a call ID, which is not to be reused
 }
 
 func (r *response) close() {
 	r.stop()
+	if r.unnamed != nil {
+		_ = r.unnamed.Close()
+	}
 	_ = r.resp.Body.Close()
 }
 
@@ -193,4 +241,7 @@
 	}
 }
 
-var errTooLarge = errors.New("response is too large")
+var (
+	errTooLarge  = errors.New("response is too large")
+	errOtherCall = errors.New("response is not known to be to this call")
+)
--- a/engine/client.go
+++ b/engine/client.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -42,6 +44,7 @@
 	cfg    Config
 	fresh  *http.Transport // opens a new connection for each call
 	pooled *http.Transport // reuses connections, for idempotent calls
+	callID atomic.Uint64   // of the last call; starts at random
 }
 
 var (
@@ -55,7 +58,9 @@
 	cfg.StallTimeout = orDefault(cfg.StallTimeout, defaultStallTimeout)
 	cfg.CallTimeout = orDefault(cfg.CallTimeout, defaultCallTimeout)
 	cfg.WorkTimeout = orDefault(cfg.WorkTimeout, defaultWorkTimeout)
-	return &Client{cfg: cfg, fresh: freshTransport(cfg), pooled: pooledTransport(cfg)}
+	c := &Client{cfg: cfg, fresh: freshTransport(cfg), pooled: pooledTransport(cfg)}
+	c.callID.Store(rand.Uint64())
+	return c
 }
 
 // Close closes the idle connections.
--- a/engine/doc.go
+++ b/engine/doc.go
@@ -20,6 +20,10 @@
 // transport never retries. Events uses a new connection as well. The other calls are idempotent and
 // share pooled connections. After a failure of one of them, all idle pooled connections are closed.
 //
+// Each call has an ID in the header field CallIDHeader, which the engine returns. A call fails if its
+// response has another ID, or none on a reused connection. A connection on which a response without an ID
+// arrived is not reused.
+//
 // # Stall detection
 //
 // An engine writes at least every half second on every open response: a token, a comment in an event
--- a/engine/wire.go
+++ b/engine/wire.go
@@ -17,6 +17,10 @@
 	PathKV      = "/v1/kv/"
 )
 
+// CallIDHeader is the header field with the ID of a call. The engine returns it unchanged in the
+// response, whatever its status.
+const CallIDHeader = "Call-Id"
+
 // The codes of rejected calls.
 const (
 	CodeFull             = "full"
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -200,6 +200,9 @@
 
 // ServeHTTP answers one call.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(engine.CallIDHeader); id != "" {
+		w.Header().Set(engine.CallIDHeader, id)
+	}
 	if e.applyFault(w, r) {
 		return
 	}
