engine: test that work calls are written once, each on its own connection

A call that makes an engine work must not be written twice without its caller noticing. TestWorkIsSentOnce shows it for Stream after Reserve; this one shows it for Reserve, Prefill, Import, Stream and Order, with an engine that keeps connections open and closes every second one after reading the request.

--- a/engine/again_test.go
+++ b/engine/again_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"wasabidock.dev/dock/engine"
+	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/flow"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/orders"
@@ -37,6 +38,7 @@
 	again
 	refuse func(n int64) bool
 	ln     net.Listener
+	shut   atomic.Bool // closes the connection after a request has been read
 	read   atomic.Int64
 	conns  atomic.Int64
 	open   sync.WaitGroup
@@ -80,6 +82,9 @@
 		}
 		_, _ = io.Copy(io.Discard, req.Body)
 		own := e.response(req, e.read.Add(1))
+		if e.shut.Load() {
+			return
+		}
 		out := own
 		if last != "" && e.before != nil {
 			out = e.before(last)
@@ -317,3 +322,28 @@
 		})
 	}
 }
+
+// TestWorkCallsAreSentOnce guards against a call that makes an engine work being sent again by the
+// transport when the engine closes a connection that it has kept open.
+func TestWorkCallsAreSentOnce(t *testing.T) {
+	for _, cl := range numberedCalls {
+		if cl.pooled {
+			continue
+		}
+		t.Run(cl.name, func(t *testing.T) {
+			is := is.New(t)
+			e := startNumbered(t, again{}, never)
+			c := newClient(t, e.ln.Addr().String())
+			for n := range int64(10) {
+				e.shut.Store(n%2 == 1)
+				_, err := cl.call(context.Background(), c)
+				is.Equal(err != nil, n%2 == 1)
+				if err != nil {
+					is.Equal(fail.Outcome(err), ident.Unknown)
+				}
+				is.Equal(e.read.Load(), n+1)  // one request for each call
+				is.Equal(e.conns.Load(), n+1) // on a connection of its own
+			}
+		})
+	}
+}
