plat: use a connection for each call

An instance took a value that was read under another name, or an older answer, as that of its present call: the list of servers for the list of instances, an earlier head for the newest, "unchanged" or "over the budget" from a call before. (The parts of a table were safe: their sum is in the head.)

Cause: calls shared kept connections, and nothing in an answer says which call it is to. The service's wire form is not ours, so an ID cannot be asked for.

Before, with a raw server that sends the answer before once more, or a part of it, when the next call has been read:

--- FAIL: TestAnswerOfAnotherCallIsNotTaken/the_whole_answer_before again_test.go:96: /v1/value/instances != /v1/watch/table/head?after=0&wait_ms=1000 --- FAIL: TestAnswerOfAnotherCallIsNotTaken/its_status_line again_test.go:89: not true: err != nil // the value of another call in place of the refusal

Each call has a connection now. By the constants of package spread, the watches make at most 3 calls a second and the audits half a call a second in each data centre, however many instances there are; the lists at the others are read 0.06, 0.6 and 2.4 times a second at 9, 95 and 360 instances. So the price is a few connections a second for the fleet and one round trip for each call, most of which wait 2 s. Not measured.

TestSilentConnectionIsReplaced expected the second, silent call on the connection of the first and the third on another one (1, 2 connections after them). It now expects a connection for each (2, 3): the call after the silent one uses another connection as before. Config.Transport, which nothing set, is gone.

--- a/engine/again_test.go
+++ b/engine/again_test.go
@@ -225,8 +225,7 @@
 func even(n int64) bool    { return n%2 == 0 }
 func same(s string) string { return s }
 
-// TestEarlierResponseIsNotTaken guards against a call that returns the response to an earlier call on
-// its connection.
+// TestEarlierResponseIsNotTaken guards against a call returning the response to an earlier one.
 func TestEarlierResponseIsNotTaken(t *testing.T) {
 	moments := []again{
 		{name: "when the next request has been read", before: same, keep: true},
@@ -261,8 +260,7 @@
 	}
 }
 
-// TestPartOfEarlierResponseIsNotTaken guards against a call that returns a mixture of the response to an
-// earlier call and of its own.
+// TestPartOfEarlierResponseIsNotTaken guards against a call returning a mixture of two responses.
 func TestPartOfEarlierResponseIsNotTaken(t *testing.T) {
 	for _, cl := range numberedCalls {
 		if !cl.pooled {
@@ -286,8 +284,7 @@
 	}
 }
 
-// TestConnectionWithUnreadBytesIsNotReused guards against a call on a connection that has received
-// something while it was idle.
+// TestConnectionWithUnreadBytesIsNotReused guards against reusing a connection that got bytes while idle.
 func TestConnectionWithUnreadBytesIsNotReused(t *testing.T) {
 	for _, cl := range numberedCalls {
 		t.Run(cl.name, func(t *testing.T) {
@@ -323,8 +320,7 @@
 	}
 }
 
-// TestWorkCallsAreSentOnce guards against a call that makes an engine work being sent again by the
-// transport when the engine closes a connection that it has kept open.
+// TestWorkCallsAreSentOnce guards against the transport sending such a call again on a new connection.
 func TestWorkCallsAreSentOnce(t *testing.T) {
 	for _, cl := range numberedCalls {
 		if cl.pooled {
--- a/plat/plat.go
+++ b/plat/plat.go
@@ -12,9 +12,10 @@
 //
 // # Behaviour
 //
-// A call that makes no progress within its deadline is given up, and its
-// connection is closed together with all idle ones, so that the next call goes
-// on a new connection. Calls that the service turns down over its budget come
+// Each call uses a connection of its own, because nothing in an answer tells
+// which call it is to: on a kept connection an earlier answer that comes once
+// more could pass for the value of another name. A call that makes no progress
+// within its deadline is given up. Calls that the service turns down over its budget come
 // back as ErrBusy; Backoff spreads the retries. Reads carry no credentials of
 // customers. A Client is safe for concurrent use.
 package plat
@@ -58,8 +59,6 @@
 	URL    string
 	Timer  tick.Clock
 	Silent time.Duration // longest time without an answer, default 2 s
-	// Transport is replaced in tests. By default each Client has its own.
-	Transport *http.Transport
 }
 
 const (
@@ -81,10 +80,7 @@
 	if cfg.Silent == 0 {
 		cfg.Silent = defaultSilent
 	}
-	tr := cfg.Transport
-	if tr == nil {
-		tr = &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
-	}
+	tr := &http.Transport{DisableKeepAlives: true}
 	return &Client{cfg: cfg, transport: tr, http: &http.Client{Transport: tr}}
 }
 
@@ -122,7 +118,6 @@
 	}
 	if cause := context.Cause(limited); cause != nil {
 		err = cause
-		c.transport.CloseIdleConnections()
 	}
 	return Value{}, fail.New(step, c.cfg.URL, ident.Done, err)
 }
--- a/plat/plat_test.go
+++ b/plat/plat_test.go
@@ -108,8 +108,8 @@
 	is.NoErr(err)
 	_, err = c.Read(context.Background(), "x")
 	is.True(errors.Is(err, plat.ErrSilent))
-	is.Equal(conns.Load(), int32(1))
+	is.Equal(conns.Load(), int32(2))
 	_, err = c.Read(context.Background(), "x")
 	is.NoErr(err)
-	is.Equal(conns.Load(), int32(2))
+	is.Equal(conns.Load(), int32(3))
 }
