peer: let the transport write each call at most once

A charge, a permit or a run that a peer had read and then reset was written to it again and again until the caller's time was over.

Cause: net/http repeats a call over HTTP/2 that is reset with the code for a protocol error (as well as one that is refused or cut off by a shutdown), if its body is empty or can be had again, and connect makes every single message available again. The code says nothing of whether the call ran.

Before, with a raw HTTP/2 peer that reads each call to its end and resets it:

--- FAIL: TestResetCallIsSentOnce/protocol_error (5.00s) again_test.go:180: 6928 != 1

After: once, for all codes, also for an empty call.

A call that a peer refuses unread, because it shuts down or too many calls are open, now fails where it was written again before; callers treat that like any failed call. The tests of gossip, once, quota, sched and spread and the daemon's tests of draining, TLS and superseded processes pass (go test ./wasabid -run 'Drain|TLS|Superseded', once).

--- a/peer/pool.go
+++ b/peer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -147,7 +148,7 @@
 		clear(p.peers)
 	}
 	tr := newTransport(p.tls)
-	c := newClients(&http.Client{Transport: &watched{tr: tr, timedOut: func() { p.drop(addr, tr) }}}, p.scheme+addr)
+	c := newClients(&http.Client{Transport: &watched{tr: unrepeated{tr}, timedOut: func() { p.drop(addr, tr) }}}, p.scheme+addr)
 	c.tr = tr
 	p.peers[addr] = c
 	return c, nil
@@ -164,10 +165,24 @@
 	tr.CloseIdleConnections()
 }
 
+// unrepeated lets the transport write each call at most once. By itself it
+// writes a call anew that the peer has read and then reset, if its body is
+// empty or can be had again.
+type unrepeated struct{ tr *http.Transport }
+
+func (u unrepeated) RoundTrip(r *http.Request) (*http.Response, error) {
+	once := *r
+	once.GetBody = nil
+	if r.Body == nil || r.Body == http.NoBody {
+		once.Body = struct{ io.ReadCloser }{http.NoBody}
+	}
+	return u.tr.RoundTrip(&once)
+}
+
 // watched reports calls that end by their own limit: their connection may have
 // gone silent.
 type watched struct {
-	tr       *http.Transport
+	tr       unrepeated
 	timedOut func()
 }
 
@@ -201,7 +216,7 @@
 	if cfg != nil {
 		scheme = "https://"
 	}
-	return newClients(&http.Client{Transport: newTransport(cfg)}, scheme+addr).fleet
+	return newClients(&http.Client{Transport: unrepeated{newTransport(cfg)}}, scheme+addr).fleet
 }
 
 func newTransport(cfg *tls.Config) *http.Transport {
