peer: never turn to HTTP/1.1

A peer over TLS whose server names no protocol was spoken to in HTTP/1.1 on kept connections, where nothing in an answer tells which call it is to.

Cause: with Protocols set to HTTP/2 alone, net/http offers only "h2", but goes on in HTTP/1.1 if the server answers without a protocol.

--- FAIL: TestNeverSpeaksHTTP1/TLS_without_protocols (0.00s) http1_test.go:88: not true: err != nil

The handshake fails now unless it settles on HTTP/2, after the check of the certificate. Without TLS (HTTP/2 by prior knowledge) and with a server that offers http/1.1 alone the calls failed before and fail now, without a request read. Pool, NewFleetClient and so gossip, which uses a Pool, share this transport.

--- a/peer/doc.go
+++ b/peer/doc.go
@@ -10,7 +10,9 @@
 //
 // # Connections
 //
-// Calls to one instance share one HTTP/2 connection. When a call ends by its own
+// Calls to one instance share one HTTP/2 connection, whose stream numbers tell
+// which call an answer is to; HTTP/1.1 is never used. The transport writes each
+// call at most once. When a call ends by its own
 // limit, the next one dials anew, since the connection may have gone silent. A
 // connection on which nothing arrives for PingAfter is probed, and closed if the
 // probe is not answered within PingTimeout; that ends calls without a limit of
--- a/peer/pool.go
+++ b/peer/pool.go
@@ -219,6 +219,35 @@
 	return newClients(&http.Client{Transport: unrepeated{newTransport(cfg)}}, scheme+addr).fleet
 }
 
+// h2 is the name of HTTP/2 in a TLS handshake.
+const h2 = "h2"
+
+// errNotHTTP2 reports a peer that would be spoken to in HTTP/1.1, where nothing
+// in an answer tells which call it is to.
+var errNotHTTP2 = errors.New("peer does not speak HTTP/2")
+
+// onlyHTTP2 returns cfg with the demand that the handshake settles on HTTP/2.
+// Without it the transport turns to HTTP/1.1 if the server names no protocol.
+func onlyHTTP2(cfg *tls.Config) *tls.Config {
+	if cfg == nil {
+		return nil
+	}
+	next := cfg.VerifyConnection
+	cfg = cfg.Clone()
+	cfg.VerifyConnection = func(cs tls.ConnectionState) error {
+		if next != nil {
+			if err := next(cs); err != nil {
+				return err
+			}
+		}
+		if cs.NegotiatedProtocol != h2 {
+			return errNotHTTP2
+		}
+		return nil
+	}
+	return cfg
+}
+
 func newTransport(cfg *tls.Config) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(cfg != nil)
@@ -232,7 +261,7 @@
 			}
 			return c, nil
 		},
-		TLSClientConfig:     cfg,
+		TLSClientConfig:     onlyHTTP2(cfg),
 		TLSHandshakeTimeout: 2 * dialTimeout,
 		IdleConnTimeout:     idleTimeout,
 		Protocols:           protocols,
