--- a/engine/call.go
+++ b/engine/call.go
@@ -18,6 +18,7 @@
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/flow"
 	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/link"
 )
 
 const (
@@ -158,28 +159,12 @@
 		return errors.Wrap(errOtherCall, "no call ID on a reused connection")
 	case got != "" && got != id:
 		return errors.Wrapf(errOtherCall, "call ID %q, want %q", got, id)
-	case joined(resp):
+	case link.JoinedHeader(resp):
 		return errors.Wrap(errOtherCall, "header contains a part of another one")
 	}
 	return nil
 }
 
-// joined reports whether a status line follows within the header of a response, because the engine has
-// written a part of another header before it.
-func joined(resp *http.Response) bool {
-	if strings.Contains(resp.Status, "HTTP/") {
-		return true
-	}
-	for _, vs := range resp.Header {
-		for _, v := range vs {
-			if strings.Contains(v, "HTTP/1.") {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // response is an open response of an engine.
 type response struct {
 	*watchdog
