--- a/link/copies_test.go
+++ b/link/copies_test.go
@@ -99,6 +99,14 @@
 			},
 			dialCount: 1,
 		},
+		{
+			name: "of a prefill, without the ID that the first one had",
+			calls: []call{
+				{id: "a", distinct: true, sends: response("a", "", "h1"), want: "h1"},
+				{id: "b", distinct: true, sends: noID("h1") + response("b", "", "h2"), want: "h2"},
+			},
+			dialCount: 1,
+		},
 		{
 			name: "of a reservation, when the next reservation is due",
 			calls: []call{
--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -21,6 +22,7 @@
 	l     net.Listener
 	to    string
 	again func(before, r *http.Request) bool
+	strip bool // copies lack the ID
 
 	mu     sync.Mutex
 	conns  []net.Conn
@@ -106,7 +108,11 @@
 			p.mu.Lock()
 			p.copies++
 			p.mu.Unlock()
-			_, _ = c.Write(last) // the client may have closed the connection
+			copied := last
+			if p.strip {
+				copied = regexp.MustCompile("Wasabidock-Attempt-Id: [^\r]*\r\n").ReplaceAll(last, nil)
+			}
+			_, _ = c.Write(copied) // the client may have closed the connection
 		}
 		p.mu.Lock()
 		p.seen = append(p.seen, r)
@@ -146,7 +152,9 @@
 	tests := []struct {
 		name  string
 		again func(before, r *http.Request) bool
+		strip bool // copies lack the ID
 	}{
+		{name: "prefill, copy without ID", again: func(before, r *http.Request) bool { return isPrefill(before) && isPrefill(r) }, strip: true},
 		{name: "prefill", again: func(before, r *http.Request) bool { return isPrefill(before) && isPrefill(r) }},
 		{name: "reservation", again: func(before, r *http.Request) bool { return isReservation(r) }},
 		{name: "any", again: func(_, _ *http.Request) bool { return true }},
@@ -156,6 +164,9 @@
 			is := is.New(t)
 			h := newHarness(t, map[string]fake.Role{"p1": fake.Prefill, "d1": fake.Decode})
 			servers := h.repeat(t, tt.again)
+			for _, p := range servers {
+				p.strip = tt.strip
+			}
 			var results []result
 			for _, id := range []string{"b1", "b2", "b3", "b4"} {
 				results = append(results, h.send(t, http.MethodPost, "/once/1", "prompt", withTokenCounts, withHeader("Wasabidock-Attempt-Id", id)))
