--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -22,6 +22,9 @@
 // Idempotent requests and resumable streams are retried up to the route's maximum number of
 // attempts. Each write after the first takes one retry from the retry budget.
 //
+// Events are passed on only in the order of their IDs and without a gap. A response that continues a
+// stream has a seal and the content type of the first response, and begins with the next event.
+//
 // # Stages of a model request
 //
 // First, a slot and memory are reserved at a decode server. Then a prefill server prefills
