--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -23,6 +23,9 @@
 // attempts. Each write after the first takes one retry from the retry budget, except for the first
 // prefill that a server accepts. A rejected write counts, and one that did not reach its server does not.
 //
+// Events are passed on only in the order of their IDs and without a gap. A response that continues a
+// stream has a seal and the content type of the first response, and begins with the next event.
+//
 // # Stages of a model request
 //
 // First, a slot and memory are reserved at a decode server. Then a prefill server prefills
