link, proxy: copies that lack the ID, have no end or come before the write

- A prefill's copy without the ID that the first one had counted as new (b2 used the handle of b1).
Bodies are recorded for responses with an ID too.
- A copy without a length kept the request waiting until its deadline (1 s), and the body of a copy was read as the response to a HEAD.
Both end the request at once, its outcome unknown.
- A refusal that came before the first write of a connection counted as that to the write.
The connection is looked at once more right before the first write and after any wait.
- A reservation that cannot be parsed left its connection in use, so that the true one could reach the next request.
The connection is closed.

--- a/link/link.go
+++ b/link/link.go
@@ -35,6 +35,7 @@
 // Errors for responses that are not accepted.
 var (
 	ErrMismatchedID    = errors.New("response belongs to another request")
+	ErrNotIdle         = errors.New("connection was closed or has received something before the request was written")
 	ErrMissingID       = errors.New("response has no ID, so it may belong to another request")
 	ErrJoinedHeader    = errors.New("response header contains the status line of another response")
 	ErrContentEncoding = errors.New("response has a content encoding that was not requested")
@@ -183,6 +184,14 @@
 			return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
 		}
 	}
+	if cn.uses == 0 || req.BeforeWrite != nil {
+		if idle, unread := cn.state(); !idle {
+			if unread {
+				c.observe(Finding{Kind: FindingUnread, Addr: req.Addr, Use: cn.uses})
+			}
+			return nil, fail.New("link: write", req.Addr, ident.NotRun, ErrNotIdle)
+		}
+	}
 	cn.wrote(req.ID)
 	res := &Response{c: c, addr: req.Addr, conn: cn}
 	if len(buf) > syncWriteBytes {
@@ -227,6 +236,9 @@
 		}
 		if !ours {
 			res.conn.outOfStep = true
+			if req.Method == http.MethodHead || !framed(resp) {
+				return ErrMismatchedID // its end cannot be told
+			}
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return err
 			}
@@ -259,10 +271,13 @@
 	res.proven = req.ID != "" || req.Distinct || res.conn.uses == 1
 	res.tellsNext = id != "" || req.Distinct && success
 	switch {
-	case id != "":
-		return id == req.ID, nil
+	case id != req.ID && id != "":
+		return false, nil
 	case req.Distinct && success:
-		return res.isNew(resp)
+		isNew, err := res.isNew(resp)
+		return isNew || id != "", err
+	case id != "":
+		return true, nil
 	case req.ID == "" || res.conn.uses == 1 && !success:
 		return true, nil
 	case success:
@@ -353,9 +368,18 @@
 	res.c.pool(res.addr).put(res.conn)
 }
 
+// Drop makes Close close the connection. It is called for a response whose body shows that it is
+// not one to the request.
+func (res *Response) Drop() { res.conn.outOfStep = true }
+
+// framed reports whether the end of a response can be told without the end of its connection.
+func framed(resp *http.Response) bool {
+	return resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+}
+
 // reusable reports whether the connection can carry another request.
 func (res *Response) reusable() bool {
-	if !res.atEOF || res.conn.outOfStep || !res.conn.hasRoom() || !res.tellsNext || res.resp.Close || res.resp.ContentLength < 0 && len(res.resp.TransferEncoding) == 0 {
+	if !res.atEOF || res.conn.outOfStep || !res.conn.hasRoom() || !res.tellsNext || res.resp.Close || !framed(res.resp) {
 		return false
 	}
 	if res.writeDone != nil {
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -77,10 +77,12 @@
 	}
 	handle, tokens, err := m.h.cfg.Protocol.ParseKVHandle(b)
 	if err != nil {
+		resp.Drop()
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
 	}
 	if tokens != m.info.PromptTokens {
 		// The KV cache is not freed, because it may be that of another request.
+		resp.Drop()
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errors.Errorf("KV cache of %d tokens for a prompt of %d", tokens, m.info.PromptTokens))
 	}
 	m.stats.handle = handle + "/" + resp.EchoedID()
@@ -138,6 +140,7 @@
 	}
 	id, err := h.cfg.Protocol.ParseReservation(b)
 	if err != nil {
+		resp.Drop()
 		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Msg("relay: cannot parse the reservation; continuing without one")
 		return true
 	}
