soak: servers answer twice, and the judge sees what belongs to others

The soak could not show callers that get what belongs to others: its servers never answered a second time and stayed connected, all streams had the same events, and nobody compared whose handles and reservations were used.

The act second has a server send responses once more: to each kind of call that servers of its role get, late by up to 1.5 s or right before the next response, whole or only the head or the body, one in five without the ID. The server counts as disturbed meanwhile. Events name their request, and a success must have the ID of its call (whole). The new check mixed reports runs and releases that name what was not given to their request, was used or was released. A run may name its own KV handle once more only while a server is disturbed: it can't know whether the server that did not answer has fetched it, and the second fetch is refused.

Planted: another's answer, another's handle, a handle used twice, a reservation used by two. TestPlanted finds each of them (go test -race -run 'TestPlans|TestJudge|TestFlags|TestPlanted' ./soak passes). Existing cases of TestJudge use events that name their request; TestPlanted wants the name of the promise at the start of a line.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -62,7 +62,7 @@
 		c.disturb(s)
 	case storeMute, storeShed, storePrune:
 		c.store(s)
-	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit:
+	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second:
 		c.server(s)
 	case withdraw:
 		c.f.publish(c.nextKey())
@@ -207,6 +207,8 @@
 	case nameLimit:
 		c.during(id+" limited", s.lasts, func() { v.SetLimit(s.limit) }, func() { v.SetLimit("") })
 		return
+	case second:
+		at = c.during(id+" twice", s.lasts, func() { v.SetSecond(&s.second) }, func() { v.SetSecond(nil) })
 	case rest:
 		at = c.during(id+" rests", s.lasts, func() { v.SetRetryAfter(restTime) }, func() { v.SetRetryAfter("") })
 	default:
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -123,6 +123,7 @@
 	s.SetPublicAddr(p.addr())
 	s.Register()
 	s.SetPace(streamEvents, streamPause)
+	s.SetNamed(true)
 	f.store.Put("servers/"+s.ID(), s.Entry(s.service, "a"))
 	return nil
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -53,7 +53,7 @@
 func judge(r *record) []string {
 	var broken []string
 	for _, check := range []func(*record) string{
-		whole, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, leavers, recovery,
+		whole, mixed, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, leavers, recovery,
 	} {
 		if b := check(r); b != "" {
 			broken = append(broken, b)
@@ -75,6 +75,9 @@
 		if !o.sealed {
 			return fmt.Sprintf("whole: %s: a success without a server's seal", o.call.ID)
 		}
+		if o.echo != o.call.ID {
+			return fmt.Sprintf("whole: %s: a success with the ID %q", o.call.ID, o.echo)
+		}
 		if o.call.Kind == fake.Streaming {
 			if why := stream(o); why != "" {
 				return fmt.Sprintf("whole: stream %s: %s: %q", o.call.ID, why, o.body)
@@ -102,7 +105,7 @@
 	rest := o.body
 	n := int64(0)
 	for {
-		after, ok := strings.CutPrefix(rest, fake.Event(n+1))
+		after, ok := strings.CutPrefix(rest, fake.NamedEvent(o.call.ID, n+1))
 		if !ok {
 			break
 		}
@@ -118,6 +121,24 @@
 	return ""
 }
 
+// mixed checks that runs and releases name only what servers gave to their own
+// request. A run that may have come to nothing may name its KV handle once more.
+func mixed(r *record) string {
+	n, first := 0, ""
+	for _, m := range r.misuses {
+		if o := r.call(m.ID); m.Again && o != nil && !r.calmServers(o) {
+			continue
+		}
+		if n++; n == 1 {
+			first = m.What
+		}
+	}
+	if n == 0 {
+		return ""
+	}
+	return fmt.Sprintf("mixed: %d times, first %s", n, first)
+}
+
 // refusals checks that what must not run twice has not, and that what was
 // refused has not run.
 func refusals(r *record) string {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -36,12 +36,12 @@
 
 func (r *record) serve(c fake.Call, sent float64) *outcome {
 	id := fake.PlainService + "-0"
-	o := &outcome{call: c, customer: customerOf(c.Key), sent: at(sent), ended: at(sent + 0.1), status: 200, sealed: true, complete: true}
+	o := &outcome{call: c, customer: customerOf(c.Key), sent: at(sent), ended: at(sent + 0.1), status: 200, sealed: true, complete: true, echo: c.ID}
 	o.body = fake.Answer(id, c.ID)
 	if c.Kind == fake.Streaming {
 		id, o.body = fake.ModelService+"-5", ""
 		for n := range int64(streamEvents) {
-			o.body += fake.Event(n + 1)
+			o.body += fake.NamedEvent(c.ID, n+1)
 		}
 	}
 	r.calls = append(r.calls, o)
@@ -63,6 +63,7 @@
 func TestJudge(t *testing.T) {
 	file := func(r *record) *outcome { return r.calls[30] }
 	ask := func(r *record) *outcome { return r.calls[32] }
+	second := fake.NamedEvent(ask(soundRecord()).call.ID, 2)
 	tests := []struct {
 		name  string
 		spoil func(r *record)
@@ -73,6 +74,16 @@
 		{"half a body", func(r *record) { file(r).body = "answer of" }, "whole"},
 		{"body of another call", func(r *record) { file(r).body = r.calls[33].body }, "whole"},
 		{"answer of a server that did not run it", func(r *record) { file(r).body = fake.Answer("app-1", file(r).call.ID) }, "whole"},
+		{"events of another call", func(r *record) { ask(r).body = r.calls[35].body }, "whole"},
+		{"event of another call", func(r *record) { ask(r).body = strings.Replace(ask(r).body, second, fake.NamedEvent("2-9", 2), 1) }, "whole"},
+		{"ID of another call", func(r *record) { file(r).echo = r.calls[33].call.ID }, "whole"},
+		{"KV cache of another call", func(r *record) { r.misuses = []fake.Misuse{{ID: ask(r).call.ID}} }, "mixed"},
+		{"KV cache fetched twice", func(r *record) { r.misuses = []fake.Misuse{{ID: ask(r).call.ID, Again: true}} }, "mixed"},
+		{"KV cache named twice while a server fails", func(r *record) {
+			r.misuses = []fake.Misuse{{ID: ask(r).call.ID, Again: true}}
+			r.servers["llm-5"] = []span{{from: at(4), to: at(6)}}
+		}, ""},
+		{"release of what was never given", func(r *record) { r.misuses = []fake.Misuse{{}} }, "mixed"},
 		{"answer cut", func(r *record) { file(r).body, file(r).complete = "ans", false }, "lost"},
 		{"at a server that leaves", func(r *record) {
 			file(r).leaver = "app-1"
@@ -103,11 +114,11 @@
 		{"soon after a server has named its limit", func(r *record) {
 			r.limits["app-0"] = []fake.LimitSpan{{Rate: 0.5, From: at(5), Until: at(13)}}
 		}, ""},
-		{"event missing", func(r *record) { ask(r).body = strings.Replace(ask(r).body, fake.Event(2), "", 1) }, "whole"},
+		{"event missing", func(r *record) { ask(r).body = strings.Replace(ask(r).body, second, "", 1) }, "whole"},
 		{"event twice", func(r *record) {
-			ask(r).body = strings.Replace(ask(r).body, fake.Event(2), fake.Event(2)+fake.Event(2), 1)
+			ask(r).body = strings.Replace(ask(r).body, second, second+second, 1)
 		}, "whole"},
-		{"stream ends early", func(r *record) { ask(r).body = fake.Event(1) }, "whole"},
+		{"stream ends early", func(r *record) { ask(r).body = fake.NamedEvent(ask(r).call.ID, 1) }, "whole"},
 		{"ran twice", func(r *record) { r.ran("app-1", file(r), 5.5) }, "twice"},
 		{"refused and ran", func(r *record) { file(r).status = 503 }, "refused"},
 		{"limited and ran", func(r *record) { file(r).status = 429 }, "refused"},
--- a/soak/load.go
+++ b/soak/load.go
@@ -134,6 +134,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	o.status, o.sealed, o.leaver = resp.StatusCode, fake.Sealed(resp.Header), fake.DrainingServer(resp.Header)
+	o.echo = fake.EchoedID(resp.Header)
 	var b strings.Builder
 	_, err = io.Copy(&b, resp.Body)
 	o.body, o.complete = b.String(), err == nil
--- a/soak/main.go
+++ b/soak/main.go
@@ -115,7 +115,11 @@
 	plan := newPlan(seed, shape{daemons: f.daemons, servers: len(roles), trouble: f.trouble, gap: f.gap})
 	if f.verbose {
 		for _, s := range plan {
-			_, _ = fmt.Fprintf(out, "  %v %s %d %s %v\n", s.at, s.act, s.target, s.fault, s.lasts)
+			_, _ = fmt.Fprintf(out, "  %v %s %d %s %v", s.at, s.act, s.target, s.fault, s.lasts)
+			if s.act == second {
+				_, _ = fmt.Fprintf(out, " %+v", s.second)
+			}
+			_, _ = fmt.Fprintln(out)
 		}
 	}
 	dir, err := workDir(f.dir, seed)
@@ -184,6 +188,7 @@
 	for _, s := range fl.servers {
 		rec.runs[s.ID()], rec.arrivals[s.ID()], rec.rested[s.ID()] = s.Runs(), s.Arrivals(), s.Backoffs()
 		rec.called[s.ID()], rec.limits[s.ID()] = s.Calls(), s.LimitSpans()
+		rec.misuses = append(rec.misuses, s.Misuses()...)
 	}
 	if err := ctx.Err(); err != nil {
 		return nil, errors.Wrap(err, "stopped early")
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -31,6 +31,7 @@
 	announce   act = "announce" // a backend server reports in its responses that it is draining, and restarts, ends
 	rest       act = "rest"     // a backend server answers 503 with a Retry-After, ends
 	nameLimit  act = "limit"    // a backend server names a limit in its responses, ends
+	second     act = "second"   // a backend server answers a second time, ends
 	withdraw   act = "withdraw" // a key is withdrawn
 	publish    act = "publish"  // an unchanged configuration is published
 )
@@ -38,7 +39,7 @@
 // acts are drawn with equal probability.
 var acts = []act{
 	stopOne, killOne, pauseOne, hangup, storeMute, storeShed, storePrune, cutOne, resetOne, slowOne,
-	harm, darken, lag, breakConns, depart, announce, rest, nameLimit, withdraw, publish,
+	harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second, withdraw, publish,
 }
 
 // faults are the faults of backend servers from which harm draws.
@@ -50,6 +51,16 @@
 // serverLimits are the limits from which nameLimit draws, in requests per second, as sent by a server.
 var serverLimits = []string{"0.5", "2.5", "10"}
 
+// secondCalls are the calls from which second draws, by the role of the server.
+var secondCalls = map[fake.Role][]fake.CallKind{
+	fake.Plain:   {fake.AnyCall},
+	fake.Prefill: {fake.AnyCall, fake.PrefillCall, fake.FreeCall},
+	fake.Decode:  {fake.AnyCall, fake.RunCall, fake.ReservationCall, fake.ReleaseCall},
+}
+
+// secondParts are the parts of responses from which second draws.
+var secondParts = []fake.Part{fake.Whole, fake.Whole, fake.Whole, fake.Head, fake.Body}
+
 // step is one disturbance of a plan.
 type step struct {
 	at     time.Duration // time from the start of the load
@@ -57,6 +68,7 @@
 	target int        // index of a daemon or a backend server
 	fault  fake.Fault // of harm
 	limit  string     // of nameLimit
+	second fake.Second
 	lasts  time.Duration
 }
 
@@ -77,6 +89,12 @@
 	limitTime = contactTime + 2*serverLimitWindow
 	// seriesChance is the probability that a step is repeated at once, in percent.
 	seriesChance = 15
+	// nextChance and noIDChance are the probabilities that a second response comes right before
+	// the next one, and that it lacks the ID, in percent.
+	nextChance = 50
+	noIDChance = 20
+	// latest bounds the time after which a second response comes otherwise.
+	latest = 1500 * time.Millisecond
 	// maxWithdrawn bounds the number of withdrawn keys, so that some remain valid.
 	maxWithdrawn = spareKeys - 1
 )
@@ -102,6 +120,8 @@
 			s.lasts = departTime
 		case nameLimit:
 			s.limit, s.lasts = serverLimits[rnd.IntN(len(serverLimits))], limitTime
+		case second:
+			s.second = newSecond(rnd, roles[s.target])
 		}
 		again := 1
 		if rnd.IntN(100) < seriesChance {
@@ -122,10 +142,19 @@
 	}
 }
 
+// newSecond draws how a server of a role answers a second time.
+func newSecond(rnd *rand.Rand, role fake.Role) fake.Second {
+	calls := secondCalls[role]
+	return fake.Second{
+		Call: calls[rnd.IntN(len(calls))], After: time.Duration(rnd.Int64N(int64(latest))), UntilNext: rnd.IntN(100) < nextChance,
+		NoID: rnd.IntN(100) < noIDChance, Part: secondParts[rnd.IntN(len(secondParts))], Every: 1 + rnd.IntN(3),
+	}
+}
+
 // targets returns the number of targets from which an act is drawn.
 func (sh shape) targets(a act) int {
 	switch a {
-	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit:
+	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second:
 		return sh.servers
 	default:
 		return sh.daemons
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/fake"
 )
 
 var testShape = shape{daemons: 3, servers: len(roles), trouble: 12 * time.Second, gap: 300 * time.Millisecond}
@@ -16,6 +18,7 @@
 func TestPlans(t *testing.T) {
 	is := is.New(t)
 	seen := make(map[act]int)
+	seconds := make(map[fake.Second]int)
 	overlaps := 0
 	for seed := range uint64(50) {
 		p := newPlan(seed, testShape)
@@ -30,13 +33,21 @@
 					overlaps++
 				}
 			}
-			if s.act == withdraw {
+			switch s.act {
+			case withdraw:
 				keys++
+			case second:
+				is.True(s.second.After < latest)
+				seconds[fake.Second{Call: s.second.Call}]++
+				seconds[fake.Second{NoID: s.second.NoID}]++
+				seconds[fake.Second{Part: s.second.Part}]++
+				seconds[fake.Second{UntilNext: s.second.UntilNext}]++
 			}
 		}
 		is.True(keys <= maxWithdrawn)
 	}
 	is.Equal(len(seen), len(acts))
+	is.Equal(len(seconds), 1+5+1+2+1) // each kind of call, with and without ID, each part, late and with the next
 	is.True(overlaps > 1000)
 	is.True(!reflect.DeepEqual(newPlan(1, testShape), newPlan(2, testShape)))
 }
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -30,6 +30,10 @@
 	"rests":    runs(atServers(askedForPause)),
 	"named":    runs(atServers(namesLimit)),
 	"gone":     workOn,
+	"answer":   answers(otherAnswer),
+	"handle":   uses(func(id string) (string, []string) { return id + "x", []string{id} }),
+	"again":    uses(func(id string) (string, []string) { return id, []string{id, id} }),
+	"reserved": uses(func(id string) (string, []string) { return "", []string{id + "x", id} }),
 }
 
 var errPlanted = errors.New("planted")
@@ -73,10 +77,28 @@
 }
 
 func dropEvent(resp *http.Response, body string) error {
-	resp.Body = io.NopCloser(strings.NewReader(strings.Replace(body, fake.Event(2), "", 1)))
+	resp.Body = io.NopCloser(strings.NewReader(strings.Replace(body, fake.NamedEvent(fake.ParseCall(resp.Request).ID, 2), "", 1)))
 	return nil
 }
 
+// otherAnswer is the answer to another call, with the header of the right one.
+func otherAnswer(resp *http.Response, body string) error {
+	id := fake.ParseCall(resp.Request).ID
+	resp.Body = io.NopCloser(strings.NewReader(strings.ReplaceAll(body, id, id+"1")))
+	return nil
+}
+
+// uses has calls use KV handles or reservations of an owner, which is empty for a reservation.
+func uses(by func(id string) (owner string, users []string)) func(*fleet, http.RoundTripper) http.RoundTripper {
+	return func(f *fleet, next http.RoundTripper) http.RoundTripper {
+		return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+			owner, users := by(fake.ParseCall(r).ID)
+			f.servers[0].RecordUse(owner, users...)
+			return resp, err
+		}}
+	}
+}
+
 // planted is a call that a fault may have run once more.
 type planted struct {
 	f      *fleet
--- a/soak/record.go
+++ b/soak/record.go
@@ -17,8 +17,9 @@
 	sent     time.Time
 	left     time.Time // when the client closed its connection, zero if it did not
 	ended    time.Time
-	status   int  // 0 if no response header was received
-	sealed   bool // the response has the seal header of a server
+	status   int    // 0 if no response header was received
+	sealed   bool   // the response has the seal header of a server
+	echo     string // attempt ID in the response header
 	body     string
 	complete bool   // the response body ended regularly
 	leaver   string // ID of the server that reports in the response that it is draining, empty for none
@@ -62,7 +63,8 @@
 	rested   map[string][]fake.Backoff // by server
 	called   map[string][]time.Time    // calls of any kind, by server
 	limits   map[string][]fake.LimitSpan
-	calm     time.Time // end of the last disturbance
+	misuses  []fake.Misuse // of KV handles and reservations
+	calm     time.Time     // end of the last disturbance
 	end      time.Time
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -33,25 +33,30 @@
 	is.Equal(code, 0)
 }
 
-// TestPlanted has calls run at servers that are to be left alone, and has the
-// whole tool see it.
+// TestPlanted has calls run at servers that are to be left alone or with what belongs to
+// others, and has the whole tool see it.
 func TestPlanted(t *testing.T) {
 	bin := buildEntry(t)
 	for _, tt := range []struct {
 		plant string
 		step  step
+		want  string // the promise that is broken
 	}{
-		{"drain", step{act: depart, lasts: departTime}},
-		{"leaving", step{act: announce, lasts: departTime}},
-		{"rests", step{act: rest, lasts: longest}},
-		{"named", step{act: nameLimit, limit: "2.5", lasts: limitTime}},
+		{"drain", step{act: depart, lasts: departTime}, "drain"},
+		{"leaving", step{act: announce, lasts: departTime}, "leaving"},
+		{"rests", step{act: rest, lasts: longest}, "rests"},
+		{"named", step{act: nameLimit, limit: "2.5", lasts: limitTime}, "named"},
+		{"answer", step{act: publish}, "whole"},
+		{"handle", step{act: publish}, "mixed"},
+		{"again", step{act: publish}, "mixed"},
+		{"reserved", step{act: publish}, "mixed"},
 	} {
 		t.Run(tt.plant, func(t *testing.T) {
 			is := is.New(t)
 			f := flags{entry: bin, daemons: 2, quiet: time.Second, plant: tt.plant}
 			rec, err := play(t.Context(), f, 1, t.TempDir(), []step{tt.step})
 			is.NoErr(err)
-			is.True(strings.Contains(strings.Join(judge(rec), "\n"), tt.plant+": "))
+			is.True(strings.Contains("\n"+strings.Join(judge(rec), "\n"), "\n"+tt.want+": "))
 		})
 	}
 }
