link, proxy: bounded memory of a connection's IDs, tokens of a resumed prompt

A review counted 9.5 kB for the IDs and bodies of a connection after 255 requests, in maps. They are lists of hashes now, 2 kB each at most. A prefill for a request that its caller resumes may have more tokens than the prompt, those that were generated before, and is not rejected for it.

--- a/link/pool.go
+++ b/link/pool.go
@@ -74,28 +74,24 @@
 // maxDigests bounds the memory of a connection. It is not reused after that many requests.
 const maxDigests = 256
 
-// digests is a set of texts of which only the hashes are kept.
-type digests map[uint64]struct{}
+// digests is a set of texts of which only the hashes are kept, at most maxDigests.
+type digests []uint64
 
 // digestSeed makes the hashes of this process unpredictable for servers.
 var digestSeed = maphash.MakeSeed()
 
 // add adds a text and reports whether the set did not contain it.
 func (d *digests) add(text []byte) bool {
-	if *d == nil {
-		*d = make(digests)
-	}
 	h := maphash.Bytes(digestSeed, text)
-	_, ok := (*d)[h]
-	(*d)[h] = struct{}{}
-	return !ok
+	if slices.Contains(*d, h) {
+		return false
+	}
+	*d = append(*d, h)
+	return true
 }
 
 // has reports whether the set contains a text.
-func (d digests) has(text string) bool {
-	_, ok := d[maphash.String(digestSeed, text)]
-	return ok
-}
+func (d digests) has(text string) bool { return slices.Contains(d, maphash.String(digestSeed, text)) }
 
 // wrote records that a request is written. The ID is empty for none.
 func (c *conn) wrote(id string) {
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/event"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
@@ -56,7 +57,8 @@
 	return true
 }
 
-// requestPrefill sends the prompt to a prefill server and returns the handle of the KV cache.
+// requestPrefill sends the prompt to a prefill server and returns the handle of the KV cache. The
+// cache of a resumed request also has the tokens that were generated before.
 func (m *modelExchange) requestPrefill(ctx context.Context, s *route.Server, out ForwardInfo) (string, error) {
 	req := m.serverRequest(s, out)
 	req.Distinct = true
@@ -80,7 +82,7 @@
 		resp.Drop()
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, err)
 	}
-	if tokens != m.info.PromptTokens {
+	if tokens < m.info.PromptTokens || tokens > m.info.PromptTokens && out.LastEventID == event.NoID {
 		// The KV cache is not freed, because it may be that of another request.
 		resp.Drop()
 		return "", fail.New("relay: prefill", s.ID, ident.Unknown, errors.Errorf("KV cache of %d tokens for a prompt of %d", tokens, m.info.PromptTokens))
