proxy: a draining instance expects streams to take what earlier ones took

Cause: a draining instance expected 2 s and 6 ms for each token, whatever streams took. Change: the time for each expected token is the mean of earlier requests to the service and two mean deviations, 6 ms at least.

--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -96,11 +96,12 @@
 	start         tick.Instant // start of the process
 
 	responseTimes *delay.Estimates // response times by service
+	tokenTimes    *delay.Estimates // times of model requests for each token that they were expected to generate, by service
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, loads: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates()}
+	return &Handler{cfg: cfg, loads: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), tokenTimes: delay.NewEstimates()}
 }
 
 // Active returns the number of requests that are being served.
--- a/proxy/limits.go
+++ b/proxy/limits.go
@@ -10,10 +10,14 @@
 const (
 	// plainDrainTime is the time before its end during which a draining process rejects
 	// requests to plain services. For a model request, this time is modelDrainTime
-	// plus tokenDrainTime for each token that the request is expected to generate.
+	// plus tokenDrainTime, or what earlier requests took if that is longer, for each token
+	// that the request is expected to generate.
 	plainDrainTime = 1500 * time.Millisecond
 	modelDrainTime = 2 * time.Second
 	tokenDrainTime = 6 * time.Millisecond
+	// drainDeviations is the number of mean deviations by which a request may exceed the mean
+	// of earlier ones.
+	drainDeviations = 2
 	// unknownBodyBytes is the size that is assumed for a body of unknown length.
 	unknownBodyBytes = 64 << 10
 	// defaultMaxBodyBytes bounds a request body if the configuration sets no limit.
@@ -29,7 +33,8 @@
 	}
 	need := plainDrainTime
 	if x.info.HasTokenCounts {
-		need = modelDrainTime + time.Duration(x.expectedOutputTokens())*tokenDrainTime
+		perToken := max(tokenDrainTime, x.h.tokenTimes.UpperBound(x.service.Name, drainDeviations))
+		need = modelDrainTime + time.Duration(x.expectedOutputTokens())*perToken
 	}
 	return x.h.cfg.Clock.Now()+need > end
 }
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -56,14 +56,14 @@
 			return false
 		}
 	}
-	if x.outlivesProcess() {
-		x.reject(fail.Refuse(fail.CodeDraining, drainRetry, "this instance ends, another one takes the request"))
-		return false
-	}
 	name := x.route.Pick(rand.Float64())
 	if x.service, ok = x.table.Service(name); !ok {
 		x.service = &route.Service{Name: name}
 	}
+	if x.outlivesProcess() {
+		x.reject(fail.Refuse(fail.CodeDraining, drainRetry, "this instance ends, another one takes the request"))
+		return false
+	}
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -34,6 +34,7 @@
 	err := m.relayStream(resp, p)
 	if err == nil {
 		h.cfg.Health.RecordSuccess(p.Decode.Key(), h.cfg.Clock.Now())
+		h.tokenTimes.Add(m.service.Name, (h.cfg.Clock.Now()-m.start)/time.Duration(max(m.expectedOutputTokens(), 1)))
 		m.summary, m.complete = "answered in full", true
 		return true
 	}
