stand: an engine can answer a call with the answer to the one before

Faults of the stand-in so far broke or delayed calls; none gave an answer twice. The new fault "again" lets a call act and sends the answer to the call before, with its ID, where its own is due, on the paths whose calls may share a connection.

--- a/stand/engine.go
+++ b/stand/engine.go
@@ -104,6 +104,7 @@
 	fence    uint64
 	draining bool
 	faults   []Fault
+	last     *recorded // answer to the last call that may share a connection
 	counts   EngineCounts
 	runs     map[string]int // prefills and decodes begun in this life, by attempt
 }
@@ -206,6 +207,10 @@
 	if e.applyFault(w, r) {
 		return
 	}
+	if sharesConnection(r.URL.Path) {
+		e.answerRecorded(w, r)
+		return
+	}
 	e.mux.ServeHTTP(w, r)
 }
 
--- a/stand/engine_test.go
+++ b/stand/engine_test.go
@@ -302,3 +302,30 @@
 		})
 	}
 }
+
+// TestEngineAnswersAgain guards against a client that takes the answer to the call before as its own.
+func TestEngineAnswersAgain(t *testing.T) {
+	ctx := context.Background()
+	calls := []struct {
+		name string
+		path string
+		call func(b *bench) error
+	}{
+		{"cancel", engine.PathCancel, func(b *bench) error { _, err := b.client.Cancel(ctx, "e1", attempt(1), 0); return err }},
+		{"touch", engine.PathTouch, func(b *bench) error { _, err := b.client.Touch(ctx, "e1", []ident.Attempt{attempt(1)}); return err }},
+		{"holds", engine.PathHolds, func(b *bench) error { _, err := b.client.Holds(ctx, "e1", 0); return err }},
+		{"load", engine.PathLoad, func(b *bench) error { _, err := b.client.Load(ctx, "e1"); return err }},
+	}
+	for _, tt := range calls {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBench(t, func(*stand.EngineConfig) {})
+			for range 3 {
+				is.NoErr(tt.call(b))
+				b.engine.Inject(stand.Fault{Kind: stand.FaultAgain, Path: tt.path, N: 1})
+				is.Equal(fail.Outcome(tt.call(b)), ident.Unknown)
+			}
+			is.NoErr(tt.call(b))
+		})
+	}
+}
--- a/stand/enginefault.go
+++ b/stand/enginefault.go
@@ -20,6 +20,7 @@
 	FaultBefore  = "before"  // the next calls are cut before they act
 	FaultAfter   = "after"   // the next calls act and are cut before their answer
 	FaultLate    = "late"    // the next calls are cut and act after a delay
+	FaultAgain   = "again"   // the next calls act and get the answer to the call before, on paths that share connections
 	FaultRefuse  = "refuse"  // the next calls get status 503 with a code
 	FaultDrain   = "drain"   // takes nothing new
 	FaultUndrain = "undrain" // takes new work again
@@ -164,6 +165,12 @@
 	case FaultRefuse:
 		refuse(w, http.StatusServiceUnavailable, engine.CodeFull, "injected")
 		return true
+	case FaultAgain:
+		if !sharesConnection(r.URL.Path) {
+			return false
+		}
+		e.answerAgain(w, r)
+		return true
 	case FaultAfter:
 		e.mux.ServeHTTP(&discard{header: make(http.Header)}, r)
 	case FaultLate:
