proxy: a reservation is not released beside the run that names it

The caller had left: the run was cancelled, and the release of its reservation, on another connection, overtook it.

Change: once the run may have reached the server, its reservation is forgotten.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -7,6 +7,7 @@
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -183,6 +184,9 @@
 	}
 	resp, err := m.run(ctx, p.Decode, req)
 	if err != nil {
+		if fail.Outcome(err) != ident.NotRun {
+			m.reservation = nil // the run may be using it
+		}
 		m.recordNoResponse(p.Decode, err)
 		m.exclude(p.Decode)
 		return !m.retryOrGiveUp()
--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -70,13 +70,18 @@
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		p.conns = append(p.conns, c)
-		p.mu.Unlock()
+		p.keep(c)
 		ends.Go(func() { p.serve(c) })
 	}
 }
 
+// keep has closeConns close a connection.
+func (p *repeater) keep(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns = append(p.conns, c)
+}
+
 func (p *repeater) closeConns() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -92,6 +97,7 @@
 		return
 	}
 	defer func() { _ = out.Close() }()
+	p.keep(out)
 	in, back := bufio.NewReader(c), bufio.NewReader(out)
 	var before *http.Request
 	var last []byte
@@ -196,3 +202,25 @@
 		})
 	}
 }
+
+// TestReservationIsNotReleasedBesideItsRun guards against a release that overtakes the run that uses the reservation.
+func TestReservationIsNotReleasedBesideItsRun(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"p1": fake.Prefill, "d1": fake.Decode})
+	h.servers["d1"].SetFault(fake.Hang)
+	servers := h.repeat(t, func(_, _ *http.Request) bool { return false })
+	got := h.send(t, http.MethodPost, "/once/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "300"))
+	is.Equal(got.status, 504)
+	_, seen := servers["d1"].counts()
+	used, released := 0, 0
+	for _, r := range seen {
+		if r.Header.Get("Wasabidock-Kv-Hold") != "" {
+			used++
+		}
+		if strings.Contains(r.URL.Path, "/hold-drop/") {
+			released++
+		}
+	}
+	is.Equal(used, 1)
+	is.Equal(released, 0)
+}
