retry: one budget for flow and pool

flow.RetryBudget and pool.retryBudget were the same logic twice: a bounded credit that requests earn and retries spend. retry.Budget takes the place of both. It keeps flow's fractions of a retry and pool's whole numbers, since ten times 0.1 is less than 1 in floating point and either unit would change decisions of the other.

go test ./pool ./flow ./sched ./replay: ok, no test changed.

--- a/flow/runner.go
+++ b/flow/runner.go
@@ -8,6 +8,7 @@
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/retry"
 	"wasabidock.dev/dock/tick"
 )
 
@@ -39,7 +40,7 @@
 	Placer       Placer
 	Holds        HoldKeeper
 	Timer        tick.Clock
-	RetryBudget  *RetryBudget
+	RetryBudget  *retry.Budget
 	HoldTTL      time.Duration // time until an engine drops a hold that is not renewed
 	MaxAttempts  int           // placements tried for one request
 	MaxTransfers int           // imports of one KV cache to one decode engine
@@ -66,7 +67,7 @@
 // New returns a Runner.
 func New(cfg Config) *Runner {
 	if cfg.RetryBudget == nil {
-		cfg.RetryBudget = NewRetryBudget(retryRatio, retryBurst)
+		cfg.RetryBudget = retry.NewBudget(retry.Config{PerRequest: retryRatio, PerRetry: 1, MaxCredit: retryBurst})
 	}
 	if cfg.HoldTTL == 0 {
 		cfg.HoldTTL = defaultHoldTTL
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -8,6 +8,7 @@
 	"wasabidock.dev/dock/fair"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/place"
+	"wasabidock.dev/dock/retry"
 	"wasabidock.dev/dock/tick"
 )
 
@@ -25,6 +26,9 @@
 	expectedUtilization = 0.9
 )
 
+// retryBudget lets 32 retries be placed at once. Ten new requests earn one more.
+var retryBudget = retry.Config{PerRequest: 1, PerRetry: 10, MaxCredit: 320}
+
 // Class is a latency class of the routing table.
 type Class struct {
 	Name             ident.Class
@@ -61,7 +65,7 @@
 	owners          map[ident.Instance]*ownerState
 	decisions       []Decision
 	lastSweep       tick.Instant
-	retryBudget     retryBudget
+	retryBudget     *retry.Budget
 	rejected        []fair.Rejected
 	freeWaiters     []*waiter
 	lastTicket      Ticket
@@ -97,7 +101,7 @@
 		live:            make(map[string]*livePlacement),
 		owners:          make(map[ident.Instance]*ownerState),
 		idPrefix:        placementPrefix(cfg),
-		retryBudget:     retryBudget{credit: maxRetryBurst * requestsPerRetry},
+		retryBudget:     retry.NewBudget(retryBudget),
 	}
 }
 
@@ -149,8 +153,11 @@
 		GapTarget:    w.class.GapTarget,
 	}
 	w.outputEstimate = s.outputEstimator.Estimate(req.Customer, req.MaxOutputTokens)
+	if !req.Resumed {
+		s.retryBudget.RecordRequest()
+	}
 	switch {
-	case !s.retryBudget.allow(req.Resumed):
+	case req.Resumed && !s.retryBudget.Allow():
 		s.reject(w, fail.CodeOverloaded, s.queueDrainTime(), ReasonRetryBudget, now)
 		return t
 	case req.KVSource != "":
--- a/wasabid/app/wire.go
+++ b/wasabid/app/wire.go
@@ -24,6 +24,7 @@
 	"wasabidock.dev/dock/pool"
 	"wasabidock.dev/dock/probe"
 	"wasabidock.dev/dock/quota"
+	"wasabidock.dev/dock/retry"
 	"wasabidock.dev/dock/roster"
 	"wasabidock.dev/dock/sched"
 	"wasabidock.dev/dock/spread"
@@ -204,7 +205,7 @@
 		Placer:      c,
 		Holds:       k,
 		Timer:       t,
-		RetryBudget: flow.NewRetryBudget(retryRatio, retryLimit),
+		RetryBudget: retry.NewBudget(retry.Config{PerRequest: retryRatio, PerRetry: 1, MaxCredit: retryLimit}),
 	})
 }
 
