rate: FleetRetryBudget instead of RetryBudget

Beside retry.Budget, which counts a credit in one process, the name did not tell that this one keeps to a budget of all instances over a sliding window. Renamed with its configuration and its file; rate's tests and entry follow, no assertion changed. go test ./rate ./entry: ok.

--- a/entry/app.go
+++ b/entry/app.go
@@ -124,9 +124,9 @@
 	})
 }
 
-func newRetryBudget(set *platform.Settings, clock tick.Clock, l *rate.Limiter) *rate.RetryBudget {
+func newRetryBudget(set *platform.Settings, clock tick.Clock, l *rate.Limiter) *rate.FleetRetryBudget {
 	ratio, extra, window := set.RetryBudget()
-	return rate.NewRetryBudget(rate.RetryBudgetConfig{Ratio: ratio, Extra: extra, Window: window}, clock, l.InstanceCount)
+	return rate.NewFleetRetryBudget(rate.FleetRetryBudgetConfig{Ratio: ratio, Extra: extra, Window: window}, clock, l.InstanceCount)
 }
 
 // modelServers is the admit.Source of the scheduler. It reads the configuration in force.
@@ -184,7 +184,7 @@
 	Live        *route.Live
 	Link        *link.Client
 	Limiter     *rate.Limiter
-	RetryBudget *rate.RetryBudget
+	RetryBudget *rate.FleetRetryBudget
 	Scheduler   *admit.Scheduler
 	Health      *health.Tracker
 	Gate        *permit.Gate
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,7 +76,7 @@
 	Store       *platform.Watcher
 	Limiter     *rate.Limiter
 	Scheduler   *admit.Scheduler
-	RetryBudget *rate.RetryBudget
+	RetryBudget *rate.FleetRetryBudget
 	Health      *health.Tracker
 	Limits      *permit.Limits
 	Gate        *permit.Gate
--- a/rate/doc.go
+++ b/rate/doc.go
@@ -7,7 +7,7 @@
 //	retryAfter, ok := l.Admit(ctx, customer, tokens, maxWait)
 //	l.SetPeerUsage("sierra-a-2/7", map[string]int64{"sur": 90_000}, now)
 //
-//	b := rate.NewRetryBudget(cfg, clock, l.InstanceCount)
+//	b := rate.NewFleetRetryBudget(cfg, clock, l.InstanceCount)
 //	b.RecordRequest("notes")
 //	if b.Allow("notes") { ... }
 //
--- a/rate/retrybudget.go
+++ b/rate/fleetbudget.go
@@ -18,8 +18,8 @@
 	unknownInstanceCount = 32
 )
 
-// RetryBudgetConfig configures the retry budget of each service for the whole fleet.
-type RetryBudgetConfig struct {
+// FleetRetryBudgetConfig configures the retry budget of each service for the whole fleet.
+type FleetRetryBudgetConfig struct {
 	Ratio  float64 // retries per request
 	Extra  float64 // retries in each window beyond those that Ratio allows, over all instances
 	Window time.Duration
@@ -32,9 +32,10 @@
 	retries  int
 }
 
-// RetryBudget limits the retries to each service. It is safe for concurrent use.
-type RetryBudget struct {
-	cfg       RetryBudgetConfig
+// FleetRetryBudget limits the retries of all instances to each service, over a sliding window. It is
+// safe for concurrent use.
+type FleetRetryBudget struct {
+	cfg       FleetRetryBudgetConfig
 	clock     tick.Clock
 	instances func() int
 
@@ -42,15 +43,15 @@
 	slots map[string]*[windowSlots]slot // by service
 }
 
-// NewRetryBudget returns a RetryBudget without any requests. The function instances
+// NewFleetRetryBudget returns a FleetRetryBudget without any requests. The function instances
 // returns the number of instances, 1 if no peer is known.
-func NewRetryBudget(cfg RetryBudgetConfig, clock tick.Clock, instances func() int) *RetryBudget {
-	return &RetryBudget{cfg: cfg, clock: clock, instances: instances, slots: make(map[string]*[windowSlots]slot)}
+func NewFleetRetryBudget(cfg FleetRetryBudgetConfig, clock tick.Clock, instances func() int) *FleetRetryBudget {
+	return &FleetRetryBudget{cfg: cfg, clock: clock, instances: instances, slots: make(map[string]*[windowSlots]slot)}
 }
 
 // currentSlot returns the slots of a service and the one for the current time. The caller
 // holds r.mu.
-func (r *RetryBudget) currentSlot(service string) (*[windowSlots]slot, *slot) {
+func (r *FleetRetryBudget) currentSlot(service string) (*[windowSlots]slot, *slot) {
 	ring, ok := r.slots[service]
 	if !ok {
 		ring = &[windowSlots]slot{}
@@ -64,15 +65,15 @@
 	return ring, s
 }
 
-// SetLimits replaces Ratio and Extra of the RetryBudgetConfig.
-func (r *RetryBudget) SetLimits(ratio, extra float64) {
+// SetLimits replaces Ratio and Extra of the FleetRetryBudgetConfig.
+func (r *FleetRetryBudget) SetLimits(ratio, extra float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.cfg.Ratio, r.cfg.Extra = ratio, extra
 }
 
 // RecordRequest counts a request to a service.
-func (r *RetryBudget) RecordRequest(service string) {
+func (r *FleetRetryBudget) RecordRequest(service string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	_, s := r.currentSlot(service)
@@ -80,7 +81,7 @@
 }
 
 // Allow reports whether a retry to a service is within the budget, and counts it if so.
-func (r *RetryBudget) Allow(service string) bool {
+func (r *FleetRetryBudget) Allow(service string) bool {
 	instances := r.instances()
 	if instances <= 1 {
 		instances = unknownInstanceCount
--- a/rate/rate_test.go
+++ b/rate/rate_test.go
@@ -348,9 +348,9 @@
 		t.Run(fmt.Sprint(n, " instances"), func(t *testing.T) {
 			clock := tick.NewFake(0)
 			rnd := rand.New(rand.NewPCG(uint64(n), 3))
-			var all []*rate.RetryBudget
+			var all []*rate.FleetRetryBudget
 			for range n {
-				all = append(all, rate.NewRetryBudget(rate.RetryBudgetConfig{Ratio: ratio, Extra: extra, Window: budgetWindow}, clock,
+				all = append(all, rate.NewFleetRetryBudget(rate.FleetRetryBudgetConfig{Ratio: ratio, Extra: extra, Window: budgetWindow}, clock,
 					func() int { return n }))
 			}
 			var requests, retries []time.Duration
@@ -384,7 +384,7 @@
 
 func TestRetryBudgetWithoutKnownPeers(t *testing.T) {
 	is := is.New(t)
-	r := rate.NewRetryBudget(rate.RetryBudgetConfig{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}, tick.NewFake(0),
+	r := rate.NewFleetRetryBudget(rate.FleetRetryBudgetConfig{Ratio: 0.2, Extra: 58, Window: 10 * time.Second}, tick.NewFake(0),
 		func() int { return 1 })
 	n := 0
 	for r.Allow("s") {
