plain: comments and test names in the field's terms

No behaviour changes but two error texts that nothing matches: that of a gate's rejection and that of an abandoned attempt.

--- a/plain/again_test.go
+++ b/plain/again_test.go
@@ -14,7 +14,7 @@
 	"wasabidock.dev/dock/ident"
 )
 
-// echoAgain answers each request with its ID. A part of each answer comes once more at once, and ahead of
+// echoAgain answers each request with its ID. It repeats a part of each answer at once, and again before
 // the next answer on the connection.
 func echoAgain(part func(own string) string) func(*fakeService, *net.TCPConn) {
 	return func(f *fakeService, c *net.TCPConn) {
@@ -50,8 +50,8 @@
 	}{
 		{"whole answer", func(own string) string { return own }, false},
 		{"whole answer, idempotent", func(own string) string { return own }, true},
-		{"half of it", func(own string) string { return own[:len(own)/2] }, false},
-		{"its status line", func(string) string { return "HTTP/1.1 200 " }, false},
+		{"first half", func(own string) string { return own[:len(own)/2] }, false},
+		{"status line", func(string) string { return "HTTP/1.1 200 " }, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/plain/call.go
+++ b/plain/call.go
@@ -7,7 +7,7 @@
 	"wasabidock.dev/dock/ident"
 )
 
-// Call is one call to a plain service. Path and Header carry no customer's key.
+// Call is one call to a plain service. Path and Header contain no API key.
 type Call struct {
 	Request    ident.Request
 	Customer   ident.Customer
@@ -16,13 +16,13 @@
 	Path       string // with the query
 	Header     http.Header
 	Body       []byte
-	Idempotent bool          // may be repeated
+	Idempotent bool          // may run more than once
 	Limit      time.Duration // for the whole call, zero for the default
 	MaxAnswer  int64         // bytes of the answer's body, zero for the default
 	Gate       func() error  // called directly before the first byte is written
 }
 
-// Answer is the whole answer of a service.
+// Answer is the complete answer of a service.
 type Answer struct {
 	Status   int
 	Header   http.Header
@@ -39,21 +39,21 @@
 	URL  string // scheme, host and port
 }
 
-// Servers tells which servers serve a route. Departing servers are left out.
+// Servers returns the servers of a route, without those that are draining.
 type Servers interface {
 	Servers(r ident.Route) []Server
 }
 
-// hopHeaders are the headers that concern one connection only.
+// hopHeaders are the hop-by-hop headers.
 var hopHeaders = []string{
 	"Connection", "Proxy-Connection", "Keep-Alive", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// keyHeaders may carry a customer's key.
+// keyHeaders may contain an API key.
 var keyHeaders = []string{"Authorization", "X-Api-Key", "Proxy-Authorization"}
 
-// EndToEnd returns a copy of h without the headers of one connection.
+// EndToEnd returns a copy of h without the hop-by-hop headers.
 func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
@@ -70,8 +70,8 @@
 	return out
 }
 
-// StripHeaders returns a copy of h without the headers of one connection and
-// without those that may carry a customer's key.
+// StripHeaders returns a copy of h without the hop-by-hop headers and without
+// those that may contain an API key.
 func StripHeaders(h http.Header) http.Header {
 	out := EndToEnd(h)
 	for _, name := range keyHeaders {
--- a/plain/client.go
+++ b/plain/client.go
@@ -28,8 +28,8 @@
 	asideAfterFailure  = 5 * time.Second
 )
 
-// errNoEnd reports an answer that ends with its connection, so that a cut one
-// looks like a whole one.
+// errNoEnd reports an answer that ends when its connection is closed, so that a
+// truncated one cannot be told from a complete one.
 var errNoEnd = errors.New("the answer has neither a length nor chunks")
 
 // Config holds what a Client needs.
@@ -37,10 +37,10 @@
 	Servers     Servers
 	Clock       tick.Clock
 	TLS         *tls.Config   // for servers with an https URL, may be nil
-	Progress    time.Duration // limit of silence on a connection
-	Dial        time.Duration // limit of a dial and its TLS handshake
-	MaxAttempts int           // of a call that may be repeated
-	Rand        *rand.Rand    // used under the client's lock, nil for a fresh one
+	Progress    time.Duration // a connection without a byte for longer is closed
+	Dial        time.Duration // time limit of a dial and of its TLS handshake
+	MaxAttempts int           // attempts of one call
+	Rand        *rand.Rand    // used under the client's lock, nil for a randomly seeded one
 }
 
 // Client calls plain services.
@@ -78,9 +78,9 @@
 	}
 }
 
-// Call makes the call and returns the whole answer. A call that may be
-// repeated is tried on several servers; any other is tried again only while no
-// byte of it has left the process.
+// Call makes the call and returns the complete answer. An idempotent call is
+// retried at other servers; any other is retried only while none of its bytes
+// were written.
 func (c *Client) Call(ctx context.Context, call Call) (Answer, error) {
 	limit := call.Limit
 	if limit == 0 {
@@ -116,7 +116,7 @@
 	return Answer{}, last
 }
 
-// again reports whether the call may be tried once more after err.
+// again reports whether the call may be retried after err.
 func again(ctx context.Context, call Call, err error) bool {
 	if ctx.Err() != nil || held(err) {
 		return false
@@ -127,13 +127,14 @@
 	return call.Idempotent && fail.Outcome(err) == ident.Unknown
 }
 
-// held reports whether the call's gate held it back.
+// held reports whether the call's gate rejected it.
 func held(err error) bool {
 	var h *heldError
 	return errors.As(err, &h)
 }
 
-// worse returns the error that claims less of the two attempts of one call.
+// worse returns the error of two attempts of one call that leaves more open about
+// its outcome.
 func worse(a, b error) error {
 	if a != nil && fail.Outcome(a) != ident.NotRun {
 		return a
@@ -185,8 +186,8 @@
 	return Answer{Status: resp.StatusCode, Header: StripHeaders(resp.Header), Body: body}, nil
 }
 
-// outcome tells what a failed exchange proves. The transport may still hold the
-// connection then, so the trace is sealed first.
+// outcome returns the outcome of a failed exchange. It seals the trace first,
+// because the transport may still write to the connection.
 func outcome(t *trace) ident.Outcome {
 	if t.seal() {
 		return ident.NotRun
@@ -194,8 +195,8 @@
 	return ident.Unknown
 }
 
-// transport returns a transport for one attempt. It keeps no connection, and
-// speaks HTTP/1.1 only because HTTP/2 may send a refused request again.
+// transport returns a transport for one attempt. It keeps no idle connections.
+// It uses HTTP/1.1 only, because HTTP/2 may send a refused request again.
 func (c *Client) transport(t *trace) *http.Transport {
 	d := &dialer{net: net.Dialer{Timeout: c.cfg.Dial}, tls: c.cfg.TLS, progress: c.cfg.Progress, t: t}
 	return &http.Transport{
@@ -208,8 +209,8 @@
 	}
 }
 
-// request builds the request of one attempt. The body can't be rewound, so
-// that the transport never sends it twice.
+// request builds the request of one attempt. Its body cannot be rewound, so the
+// transport never sends it twice.
 func request(ctx context.Context, s Server, call Call) (*http.Request, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.URL+call.Path, http.NoBody)
 	if err != nil {
--- a/plain/client_test.go
+++ b/plain/client_test.go
@@ -22,8 +22,8 @@
 
 const silence = 100 * time.Millisecond
 
-// fakeService serves each connection by the script and counts connections and
-// the requests whose head came whole.
+// fakeService serves each connection with a function of the test. It counts the
+// connections and the requests whose headers are complete.
 type fakeService struct {
 	addr  string
 	conns atomic.Int64
@@ -76,7 +76,7 @@
 	}
 }
 
-// reset drops the connection without a farewell.
+// reset closes the connection with a TCP reset.
 func reset(c *net.TCPConn) {
 	_ = c.SetLinger(0)
 	_ = c.Close()
@@ -114,9 +114,9 @@
 		{"whole answer", "http", answer(whole), ident.Done, true},
 		{"chunked answer", "http", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), ident.Done, true},
 		{"error status", "http", answer("HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n"), ident.Done, true},
-		{"cut body", "http", answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), ident.Unknown, false},
-		{"cut chunks", "http", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), ident.Unknown, false},
-		{"end not told", "http", answer("HTTP/1.1 200 OK\r\n\r\nok"), ident.Unknown, false},
+		{"truncated body", "http", answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok"), ident.Unknown, false},
+		{"truncated chunks", "http", answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"), ident.Unknown, false},
+		{"neither length nor chunks", "http", answer("HTTP/1.1 200 OK\r\n\r\nok"), ident.Unknown, false},
 		{"answer too large", "http", answer("HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n" + strings.Repeat("x", 65)), ident.Done, false},
 		{"no answer", "http", answer(""), ident.Unknown, false},
 		{"reset after the head", "http", func(f *fakeService, c *net.TCPConn) { f.head(c); reset(c) }, ident.Unknown, false},
@@ -155,9 +155,9 @@
 	}
 }
 
-// TestNotRunOnBrokenConnection lets the service end its side at once, so that
-// the transport may notice before or after the first byte. Whenever the call is
-// told not to have run, nothing of it has arrived.
+// TestNotRunOnBrokenConnection guards against the outcome "not run" for a call of
+// which bytes arrived. The service closes its side at once, so that the transport
+// may notice before or after the first byte.
 func TestNotRunOnBrokenConnection(t *testing.T) {
 	arrived := make(chan int, 1)
 	f := serve(t, func(_ *fakeService, c *net.TCPConn) {
@@ -179,9 +179,9 @@
 	t.Logf("%d not run, %d unknown", count[ident.NotRun], count[ident.Unknown])
 }
 
-// TestNoSilentRetry causes what makes the HTTP transport send a request again:
-// a replayable request, by its key or its empty body, and a server that closes
-// its idle connection at the wrong moment.
+// TestNoSilentRetry guards against the HTTP transport sending a request again. It
+// does so with a replayable request, which has an idempotency key or no body,
+// whose connection the server closes while it was idle.
 func TestNoSilentRetry(t *testing.T) {
 	for _, body := range []string{"pupil 7", ""} {
 		t.Run("body "+body, func(t *testing.T) {
@@ -243,7 +243,7 @@
 	is.Equal(good.heads.Load(), int64(4))
 }
 
-func TestGateHoldsBackEveryByte(t *testing.T) {
+func TestRejectingGatePreventsEveryWrite(t *testing.T) {
 	is := is.New(t)
 	read := make(chan int, 1)
 	f := serve(t, func(_ *fakeService, c *net.TCPConn) {
@@ -259,7 +259,7 @@
 	is.Equal(<-read, 0) // bytes that reached the service
 }
 
-func TestHeadersThatStay(t *testing.T) {
+func TestHeadersAreStripped(t *testing.T) {
 	is := is.New(t)
 	f := serve(t, answer(whole))
 	call := confirm()
--- a/plain/conn.go
+++ b/plain/conn.go
@@ -11,17 +11,17 @@
 	"github.com/go-faster/errors"
 )
 
-// heldError reports a call that its gate held back.
+// heldError reports a call that its gate rejected.
 type heldError struct {
 	err error
 }
 
-func (e *heldError) Error() string { return "held back: " + e.err.Error() }
+func (e *heldError) Error() string { return "the gate rejected the call: " + e.err.Error() }
 
 func (e *heldError) Unwrap() error { return e.err }
 
-// errSealed reports a write that comes after its attempt was given up.
-var errSealed = errors.New("the attempt was given up before its first byte")
+// errSealed reports a write that comes after its attempt was abandoned.
+var errSealed = errors.New("the attempt was abandoned before its first byte was written")
 
 // The states of a trace. It leaves idle once, for one of the others.
 const (
@@ -30,21 +30,21 @@
 	stateSealed              // no byte was written and none will be
 )
 
-// trace notes how far the attempt on one connection came.
+// trace records whether the attempt on one connection has written anything.
 type trace struct {
 	gate  func() error
 	state atomic.Int32
 	held  atomic.Pointer[heldError]
 }
 
-// seal gives the attempt up and reports whether that proves that no byte of it
-// was written.
+// seal abandons the attempt and reports whether no byte of it was written and
+// none can be.
 func (t *trace) seal() bool {
 	return t.state.CompareAndSwap(stateIdle, stateSealed) || t.state.Load() == stateSealed
 }
 
-// pass lets the first byte pass, unless the gate holds it back or the attempt
-// was given up.
+// pass permits the first write, unless the gate rejects it or the attempt was
+// abandoned.
 func (t *trace) pass() error {
 	if t.gate != nil {
 		if err := t.gate(); err != nil {
@@ -59,17 +59,17 @@
 	return nil
 }
 
-// conn is a connection that serves one attempt. It carries the plain text of
-// the request, inside of TLS where there is any.
+// conn is a connection for one attempt. Beneath net/http it reads and writes
+// plaintext; with an https URL, it wraps the TLS connection.
 type conn struct {
 	net.Conn
 	t        *trace
 	progress time.Duration
 }
 
-// Write notes that the request starts to leave the process, after a last look
-// at the gate. The deadline is set before the gate is asked, so that a process
-// that pauses between the two does not write when it wakes.
+// Write calls the gate before the first write and records that bytes may have
+// been written. The deadline is set before the gate is called, so that a process
+// that is suspended between the two does not write when it resumes.
 func (c *conn) Write(b []byte) (int, error) {
 	c.extend()
 	if c.t.state.Load() != stateWrote {
@@ -80,14 +80,14 @@
 	return c.Conn.Write(b)
 }
 
-// Read gives the peer the progress limit to say something.
+// Read fails if no byte arrives within the progress limit.
 func (c *conn) Read(b []byte) (int, error) {
 	c.extend()
 	return c.Conn.Read(b)
 }
 
-// extend moves the deadline. Socket deadlines take wall-clock values but run
-// on the monotonic clock.
+// extend sets the deadline to the progress limit from now. Socket deadlines take
+// wall-clock values but run on the monotonic clock.
 func (c *conn) extend() {
 	_ = c.SetDeadline(time.Now().Add(c.progress))
 }
--- a/plain/doc.go
+++ b/plain/doc.go
@@ -1,4 +1,5 @@
-// Package plain calls plain services and tells truthfully whether a call ran.
+// Package plain calls plain services and reports whether a failed call may have
+// run.
 //
 // # Usage
 //
@@ -13,15 +14,16 @@
 //
 // # Outcomes
 //
-// A call that may not be repeated travels on a connection of its own. The
-// connection notes the first byte that is handed to the operating system.
-// Before that byte every failure, of the dial, of the TLS handshake or of the
-// caller's own gate, is "not run"; after it only a whole answer is "done" and
-// all else is "unknown". The HTTP transport gets no chance to send such a call
-// again: its connection is never reused and its body can't be rewound.
+// Each attempt has its own connection, which records the first byte that is
+// handed to the operating system. A failure before that byte, of the dial, the
+// TLS handshake or the caller's gate, has the outcome "not run". After it, a
+// complete answer is "done" and everything else is "unknown". The HTTP transport
+// cannot send a call a second time: its connection is never reused and its body
+// cannot be rewound.
 //
-// A call that may be repeated goes to another server, on a fresh connection,
-// within a budget of attempts and its deadline.
+// An idempotent call is retried at other servers, each time on a new connection,
+// up to the maximum number of attempts and its deadline. Other calls are retried
+// only while their outcome is "not run".
 //
 // # Silent connections
 //
--- a/plain/pick.go
+++ b/plain/pick.go
@@ -6,39 +6,39 @@
 	"wasabidock.dev/dock/ident"
 )
 
-// pick chooses the less busy of two random servers, servers that failed lately
-// only if no other is left, and never one that failed this call. It also
-// returns the runner-up.
+// pick returns the one of two random servers with fewer calls in progress, and
+// the other as the runner-up. It never returns a server that failed this call,
+// and returns one that failed recently only if there is no other.
 func (c *Client) pick(r ident.Route, failed []ident.Server) (best Server, next ident.Server, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.cfg.Clock.Now()
-	var well, ill []Server
+	var healthy, failing []Server
 	for _, s := range c.cfg.Servers.Servers(r) {
 		switch until, found := c.aside[s.Name]; {
 		case slices.Contains(failed, s.Name):
 		case found && now < until:
-			ill = append(ill, s)
+			failing = append(failing, s)
 		default:
 			delete(c.aside, s.Name)
-			well = append(well, s)
+			healthy = append(healthy, s)
 		}
 	}
-	if len(well) == 0 {
-		well = ill
+	if len(healthy) == 0 {
+		healthy = failing
 	}
-	switch len(well) {
+	switch len(healthy) {
 	case 0:
 		return Server{}, "", false
 	case 1:
-		return well[0], "", true
+		return healthy[0], "", true
 	}
-	i := c.rand.IntN(len(well))
-	j := c.rand.IntN(len(well) - 1)
+	i := c.rand.IntN(len(healthy))
+	j := c.rand.IntN(len(healthy) - 1)
 	if j >= i {
 		j++
 	}
-	a, b := well[i], well[j]
+	a, b := healthy[i], healthy[j]
 	if c.open[b.Name] < c.open[a.Name] {
 		a, b = b, a
 	}
@@ -51,7 +51,8 @@
 	c.open[s]++
 }
 
-// end notes the end of an attempt. A server that failed is avoided for a while.
+// end records the end of an attempt. A server that failed is avoided for
+// asideAfterFailure.
 func (c *Client) end(s ident.Server, failed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
