once: comments, names and log texts in the field's terms

A buddy is a backup, as in the glossary; the messages between instances keep the field. The log line for incomplete copies and three errors between instances are worded anew; nothing matches them.

--- a/once/buddies_test.go
+++ b/once/backups_test.go
@@ -11,13 +11,13 @@
 	"wasabidock.dev/dock/peerpb"
 )
 
-// TestBuddiesThatWereNone runs a key while the table names other buddies for
-// its home, and loses the home after the earlier buddies are back. They lack
-// the key, so none of them may vouch that it is fresh.
-func TestBuddiesThatWereNone(t *testing.T) {
+// TestBackupsOfEarlierTable guards against a key running twice: it runs while the
+// table names other backups for its home, and the home is lost after the earlier
+// backups are named again. These lack the key and must not report it as new.
+func TestBackupsOfEarlierTable(t *testing.T) {
 	tests := []struct {
 		name string
-		lose func(w *world, back *view) // leaves another process in a1
+		lose func(w *world, back *view) // replaces the process in a1
 	}{
 		{"home lost at once", func(w *world, back *view) {
 			w.setView(back)
@@ -63,7 +63,7 @@
 	}
 }
 
-// keyAtBoth returns a key whose home is the seat by both tables.
+// keyAtBoth returns a key whose home is the seat in both tables.
 func keyAtBoth(v, u *view, seat ident.Instance) string {
 	for i := 0; ; i++ {
 		key := "key-" + strconv.Itoa(i)
@@ -83,8 +83,9 @@
 	w.view = v
 }
 
-// TestFetchThatLapses has a buddy lose sight of the asker between two pages.
-func TestFetchThatLapses(t *testing.T) {
+// TestFetchIsAbortedWhenInvalidated changes the backups of the asker's seat
+// between two pages of a fetch.
+func TestFetchIsAbortedWhenInvalidated(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
 	owner := &peerpb.Node{Instance: "a1", Incarnation: 77}
@@ -97,5 +98,5 @@
 	w.setView(&next)
 	_ = w.at("a2").svc.Sync(ctx)
 	_, err = h.Fetch(ctx, &peerpb.FetchRequest{Owner: owner, Page: 1})
-	is.True(err != nil) // begin again: nobody else has taken the seat
+	is.True(err != nil) // the asker must start again; it is not superseded
 }
--- a/once/call_test.go
+++ b/once/call_test.go
@@ -79,8 +79,8 @@
 	is.Equal(w.ran(key), 1)
 }
 
-// TestWindowAfterLostJournal checks how long keys are refused after a full
-// restart, and that the caller is told when to come back and what to read.
+// TestWindowAfterLostJournal checks for how long keys are rejected after a full
+// restart, and that the rejection has a Retry-After and names the status path.
 func TestWindowAfterLostJournal(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
@@ -104,7 +104,7 @@
 	is.Equal(codeOf(err), fail.CodeKeyUnknown)
 	w.clock.Advance(time.Millisecond)
 	_, err = w.call("b1", "r4", key)
-	is.NoErr(err) // the age of the first call's key is over
+	is.NoErr(err) // the key of the first call has expired
 	is.Equal(w.ran(key), 2)
 }
 
@@ -124,12 +124,12 @@
 	is.NoErr(err)
 	is.True(a.Replayed)
 	_, err = w.call("b1", "r4", w.keyAt("a1")+"x")
-	is.NoErr(err) // the successor knows that other keys are fresh
+	is.NoErr(err) // the successor knows that other keys are new
 	is.Equal(w.ran(key), 1)
 }
 
-// TestRollingReplacement replaces every process in turn and repeats a call
-// after each step.
+// TestRollingReplacement replaces the processes one after another and repeats a
+// call after each step.
 func TestRollingReplacement(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
@@ -144,7 +144,7 @@
 		is.NoErr(err)
 		is.True(a.Replayed)
 		_, err = w.call("b2", ident.Request(strings.Repeat("t", i+1)), key+"-fresh-"+string(s.Instance))
-		is.NoErr(err) // no window of refusals
+		is.NoErr(err) // no key is rejected in between
 	}
 	is.Equal(w.ran(key), 1)
 }
@@ -163,12 +163,12 @@
 	_, err = w.at("b2").svc.Run(ctx, once.Call{Key: "large", Call: plain.Call{
 		Request: "r3", Customer: "sur", Route: "confirm", Method: "POST", Body: make([]byte, 4<<20+1),
 	}})
-	is.Equal(codeOf(err), fail.CodeTooLarge) // more than instances pass on
+	is.Equal(codeOf(err), fail.CodeTooLarge) // larger than what instances forward
 	is.Equal(fail.Outcome(err), notRun)
 }
 
-// TestTwoViews lets two instances call two seats the home of a key while the
-// table changes.
+// TestTwoViews checks that a key runs once while two instances have different
+// revisions of the table, by which it has different homes.
 func TestTwoViews(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
@@ -183,20 +183,20 @@
 			w.at(seat).own = old
 		}
 	}
-	_, err := w.call("b1", "r1", key) // by the old view
+	_, err := w.call("b1", "r1", key) // by the old table
 	is.NoErr(err)
-	_, err = w.call("b2", "r2", key) // by the new one, whose home can't know
+	_, err = w.call("b2", "r2", key) // by the new one, whose home cannot know the key
 	is.Equal(codeOf(err), fail.CodeKeyUnknown)
 	w.at(moved).own = old
-	_, err = w.call("b2", "r3", key) // the new home does not know that it is one
+	_, err = w.call("b2", "r3", key) // the new home has the old table
 	is.Equal(codeOf(err), fail.CodeHomeUnreachable)
 	is.Equal(fail.Outcome(err), notRun)
 	is.Equal(w.ran(key), 1)
 }
 
-// TestOldHomeOfNewerBuddies calls a home that an edit has taken away and that
-// lags behind, while its buddies have the new table in force.
-func TestOldHomeOfNewerBuddies(t *testing.T) {
+// TestOldHomeWithUpdatedBackups calls a home that the new table no longer has. The
+// home still has the old table, its backups have the new one.
+func TestOldHomeWithUpdatedBackups(t *testing.T) {
 	is := is.New(t)
 	w := newWorld()
 	key := w.keyAt("a1")
@@ -207,7 +207,7 @@
 		_, err := w.call("b1", "r1", key)
 		is.Equal(codeOf(err), fail.CodeHomeUnreachable)
 		is.Equal(fail.Outcome(err), notRun)
-		_ = w.at("a1").svc.Sync(ctx) // does not win them back
+		_ = w.at("a1").svc.Sync(ctx) // the backups still reject its copies
 	}
 	is.Equal(w.ran(key), 0)
 }
@@ -221,21 +221,21 @@
 	}
 	is.Equal(begin(0, "a"), intent.Run)
 	is.Equal(begin(0, "b"), intent.Run)
-	is.Equal(begin(0, "c"), intent.Full) // never forgets early
+	is.Equal(begin(0, "c"), intent.Full) // no entry is removed before it expires
 	_, ok := j.Finish(intent.NewID("sur", "confirm", "a"), intent.Response{Status: 200, Body: []byte("large")})
 	is.True(ok)
 	v, e := j.Begin(1, intent.NewID("sur", "confirm", "a"), intent.Fingerprint{}, keep)
 	is.Equal(v, intent.Replay)
-	is.True(e.Response.Partial) // the body is too large to keep
+	is.True(e.Response.Partial) // the body is too large to record
 	is.Equal(begin(2*keep, "b"), intent.Join)
 	for page := range intent.Shards {
 		j.Expire(2*keep, page)
 	}
-	is.Equal(j.Len(), int64(1)) // what is on its way stays
+	is.Equal(j.Len(), int64(1)) // an entry in flight does not expire
 	is.Equal(begin(2*keep, "c"), intent.Run)
 }
 
-// connected reaches one home over connect, by HTTP on loopback.
+// connected is a Dialer of one home over connect, by HTTP on loopback.
 type connected struct{ url string }
 
 func (c connected) Once(ident.Instance) (peerClient, error) {
@@ -282,7 +282,7 @@
 				Header: http.Header{"Idempotency-Key": {key}, "X-Name": {"Mu\xf1oz"}}, Body: []byte("pupil 7\xff"),
 			}})
 			if err == nil {
-				is.Equal(a.Header.Get("X-Run"), "r1") // bytes that are no text spoil nothing
+				is.Equal(a.Header.Get("X-Run"), "r1") // header values that are not UTF-8 do not break the reply
 				is.Equal(a.Header.Get("X-Name"), "Mu?oz")
 			}
 			is.Equal(fail.Outcome(err), tt.want)
--- a/once/config.go
+++ b/once/config.go
@@ -14,23 +14,23 @@
 )
 
 const (
-	copyLimit      = 500 * time.Millisecond // for the acknowledgement of an intent
-	maxCopyAge     = 2 * time.Second        // between the copy's start and the write
-	fetchLimit     = 2 * time.Second        // for one page of a journal
+	copyLimit      = 500 * time.Millisecond // time limit for a backup's acknowledgement
+	maxCopyAge     = 2 * time.Second        // from the start of the copy to the first write
+	fetchLimit     = 2 * time.Second        // time limit for one page of a journal
 	syncEvery      = 5 * time.Second
-	joinEvery      = 500 * time.Millisecond // between attempts of a process that has not joined
-	maxTries       = 3                      // of a call that its gate held back
-	expirePerTick  = 4                      // journal shards
+	joinEvery      = 500 * time.Millisecond // between rounds until the process has joined
+	maxTries       = 3                      // attempts of a call whose copy became too old
+	expirePerTick  = 4                      // shards of the journal
 	defaultEntries = 20_000
 	defaultBytes   = 8 << 20
-	maxBody        = 4 << 20 // bytes of a call or its answer that are passed between instances
+	maxBody        = 4 << 20 // bytes of a call's body or of its answer between instances
 	defaultAnswer  = 16 << 10
 	retryHome      = 2 * time.Second
 	defaultKeep    = 10 * time.Minute
 	defaultLimit   = 30 * time.Second
 	minKeep        = time.Second
-	maxWait        = 5 * time.Second  // of a call before it is passed on or noted in the journal
-	transit        = 2 * maxWait      // between a call's arrival and its entry in the journal
+	maxWait        = 5 * time.Second  // time until a call is forwarded or recorded in the journal
+	transit        = 2 * maxWait      // at most from a call's arrival to its entry in the journal
 	settleTime     = 15 * time.Second // until a changed table is in force everywhere
 )
 
@@ -40,21 +40,21 @@
 	Key string
 }
 
-// Route is what the table says of a route whose calls may not be repeated.
+// Route is a route of the table whose calls are not idempotent.
 type Route struct {
 	Name      ident.Route
-	Centre    ident.Centre  // home data centre, empty for the choice by hash
-	Keep      time.Duration // age of its keys
+	Centre    ident.Centre  // data centre of the homes; if empty, chosen by hash
+	Keep      time.Duration // time for which a key is remembered
 	Limit     time.Duration
 	MaxAnswer int64  // bytes
 	Status    string // where callers read whether a call took effect
 }
 
-// hold returns how long an entry of the route stays in the journal: the age of
-// its keys and the time that a call may have been on its way to the home.
+// hold returns how long an entry of the route stays in the journal: the time for
+// which its keys are remembered and the time that a call may take to its home.
 func (r Route) hold() time.Duration { return r.keep() + transit }
 
-// limit returns the time for one attempt at the service.
+// limit returns the time limit of one attempt at the service.
 func (r Route) limit() time.Duration {
 	if r.Limit <= 0 {
 		return defaultLimit
@@ -62,7 +62,7 @@
 	return r.Limit
 }
 
-// maxAnswer returns the bound on an answer's body.
+// maxAnswer returns the maximum size of an answer's body.
 func (r Route) maxAnswer() int64 {
 	if r.MaxAnswer <= 0 {
 		return maxBody
@@ -70,7 +70,7 @@
 	return min(r.MaxAnswer, maxBody)
 }
 
-// whole returns the time after which the home has certainly decided.
+// whole returns the time after which the home has decided in any case.
 func (r Route) whole() time.Duration { return maxTries*(r.limit()+copyLimit) + maxWait }
 
 func (r Route) keep() time.Duration {
@@ -88,18 +88,18 @@
 	Routes() []Route
 }
 
-// Table gives the revision in force, and false before there is one.
+// Table returns the revision in force, and false before there is one.
 type Table interface {
 	View() (View, bool)
 }
 
-// Dialer reaches the process that is in a seat. An error proves that nothing
-// was sent.
+// Dialer returns a client of the process in a seat. If it returns an error,
+// nothing was sent.
 type Dialer interface {
 	Once(ident.Instance) (peerpbconnect.OnceServiceClient, error)
 }
 
-// Caller makes the calls.
+// Caller sends the calls to the services.
 type Caller interface {
 	Call(context.Context, plain.Call) (plain.Answer, error)
 }
@@ -113,7 +113,7 @@
 	Clock      tick.Clock
 	Log        zerolog.Logger
 	Superseded func() bool // a later process holds the seat; may be nil
-	Lost       func()      // called once when a buddy says so; may be nil
+	Lost       func()      // called once if a backup reports a later process; may be nil
 	Journal    intent.Config
 	Copies     intent.Config
 }
--- a/once/copy.go
+++ b/once/copy.go
@@ -11,18 +11,18 @@
 	"wasabidock.dev/dock/peerpb"
 )
 
-// buddy is what this process knows of one of its buddies.
-type buddy struct {
+// backup is the state of one backup of this seat.
+type backup struct {
 	incarnation uint64
-	met         bool // it has answered a fetch of this process
-	whole       bool // it holds the whole journal
+	met         bool // it has registered this process, in answer to a fetch
+	whole       bool // it holds the complete journal
 }
 
-// copyIntent copies the entry to all buddies and returns when one of them has
-// acknowledged it, or with an error that proves that the call has not run.
-// Slower copies go on until their time limit.
+// copyIntent copies the entry to all backups and returns when one of them has
+// acknowledged it. If none does, the call has not run. Slower copies continue
+// until their time limit.
 func (s *Service) copyIntent(ctx context.Context, e intent.Entry) error {
-	names := s.buddyNames()
+	names := s.backupNames()
 	if len(names) == 0 {
 		return fail.Refuse(fail.CodeNoServer, fail.NoRetry, "the table has no second seat to copy the call's intent to")
 	}
@@ -38,11 +38,10 @@
 	return fail.Refuse(fail.CodeHomeUnreachable, retryHome, "no other instance could take a copy of the call's intent")
 }
 
-// copyEnd copies how a call ended and returns when a buddy has acknowledged
-// it. Its loss is harmless: a later process of the seat would then call the
-// outcome unknown.
+// copyEnd copies the end of a call and returns when a backup has acknowledged it.
+// If the copy is lost, a later process of the seat reports the outcome as unknown.
 func (s *Service) copyEnd(ctx context.Context, e intent.Entry) {
-	names := s.buddyNames()
+	names := s.backupNames()
 	acks := s.copyAll(ctx, names, []intent.Entry{e})
 	for range names {
 		if <-acks {
@@ -51,8 +50,8 @@
 	}
 }
 
-// copyAll copies the entries to each of names and delivers for each whether it
-// acknowledged them.
+// copyAll copies the entries to each of names. The channel receives for each
+// whether it acknowledged them.
 func (s *Service) copyAll(ctx context.Context, names []ident.Instance, entries []intent.Entry) <-chan bool {
 	acks := make(chan bool, len(names))
 	for _, name := range names {
@@ -67,7 +66,7 @@
 	return acks
 }
 
-// copyTo copies the entries to one buddy and reports whether it holds all of
+// copyTo copies the entries to one backup and reports whether it holds all of
 // them now.
 func (s *Service) copyTo(ctx context.Context, name ident.Instance, entries []intent.Entry) bool {
 	c, err := s.cfg.Dialer.Once(name)
@@ -81,8 +80,8 @@
 	return s.acknowledged(name, res)
 }
 
-// acknowledged reports whether the buddy took the copy. A buddy that has not
-// met this process counts again only after the next join.
+// acknowledged reports whether the backup stored the copy. A backup at which this
+// process is not registered is joined again before its acknowledgements count.
 func (s *Service) acknowledged(name ident.Instance, res *peerpb.CopyResponse) bool {
 	if res.GetSuperseded() {
 		s.supersede()
@@ -90,41 +89,41 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b := s.buddy(name)
+	b := s.backup(name)
 	if res.GetUnmet() || !b.met || b.incarnation != res.GetBuddy().GetIncarnation() {
-		*b = buddy{}
+		*b = backup{}
 		return false
 	}
 	return !res.GetFull()
 }
 
-// buddy returns the record of the buddy with the name. The caller holds mu.
-func (s *Service) buddy(name ident.Instance) *buddy {
-	b, ok := s.buddies[name]
+// backup returns the state of the backup with the name. The caller holds mu.
+func (s *Service) backup(name ident.Instance) *backup {
+	b, ok := s.backups[name]
 	if !ok {
-		b = &buddy{}
-		s.buddies[name] = b
+		b = &backup{}
+		s.backups[name] = b
 	}
 	return b
 }
 
-// buddyNames returns the buddies of this seat by the table in force.
-func (s *Service) buddyNames() []ident.Instance {
+// backupNames returns the backups of this seat by the table in force.
+func (s *Service) backupNames() []ident.Instance {
 	v, ok := s.cfg.Table.View()
 	if !ok {
 		return nil
 	}
-	return s.buddiesBy(v)
+	return s.backupsBy(v)
 }
 
-// buddiesBy returns the buddies of this seat by v and forgets all others: they
-// get no copies, so they must be joined and sent the whole journal if they
-// become buddies again.
-func (s *Service) buddiesBy(v View) []ident.Instance {
+// backupsBy returns the backups of this seat by v and removes the state of all
+// others. These get no copies, so they must be joined and sent the whole journal
+// if they become backups again.
+func (s *Service) backupsBy(v View) []ident.Instance {
 	names := intent.Backups(v.Seats(), s.cfg.Self.Instance)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.buddies, func(name ident.Instance, _ *buddy) bool { return !slices.Contains(names, name) })
+	maps.DeleteFunc(s.backups, func(name ident.Instance, _ *backup) bool { return !slices.Contains(names, name) })
 	return names
 }
 
--- a/once/cost_test.go
+++ b/once/cost_test.go
@@ -74,7 +74,7 @@
 	return &meteredConn{c, l.n}, nil
 }
 
-// TestBytesOfRound measures what one round of a process and its two buddies
+// TestBytesOfRound measures what one round of a process and its two backups
 // sends both ways over HTTP while nothing happens.
 func TestBytesOfRound(t *testing.T) {
 	is := is.New(t)
--- a/once/dispatch.go
+++ b/once/dispatch.go
@@ -14,18 +14,18 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// errStale reports that the copy of an intent is too old to rely on.
+// errStale reports that too much time has passed since an intent was copied.
 var errStale = errors.New("once: the copy of the intent is too old")
 
-// dispatch copies the intent of a fresh call, makes the call and records how
-// it ended.
+// dispatch copies the intent of a new call, makes the call and records its
+// outcome.
 func (s *Service) dispatch(ctx context.Context, cur *run, e intent.Entry, r Route, c Call) {
 	a, err := s.attempt(ctx, e, r, c)
 	s.conclude(ctx, cur, e.ID, r, a, err)
 }
 
-// attempt makes the call. A call that its gate held back is copied and tried
-// again, for no byte of it was written.
+// attempt makes the call. If its gate rejects it because the copy is too old, no
+// byte was written, and the call is copied and tried again.
 func (s *Service) attempt(ctx context.Context, e intent.Entry, r Route, c Call) (plain.Answer, error) {
 	var last error
 	for range maxTries {
@@ -49,7 +49,8 @@
 	return plain.Answer{}, last
 }
 
-// gate checks the right to run of a call whose intent was copied from at on.
+// gate reports why a call whose intent was copied at the instant at must not run
+// now, or returns nil.
 func (s *Service) gate(at tick.Instant, r Route, id intent.ID) error {
 	v, ok := s.cfg.Table.View()
 	if !ok || s.superseded() {
@@ -68,8 +69,8 @@
 	return nil
 }
 
-// conclude records the end of a call, here and at a buddy, and wakes those who
-// wait for it.
+// conclude records the outcome of a call, here and at a backup, and wakes the
+// callers that wait for it.
 func (s *Service) conclude(ctx context.Context, cur *run, id intent.ID, r Route, a plain.Answer, err error) {
 	e, changed := s.settle(id, a, err)
 	if changed {
@@ -88,7 +89,7 @@
 	s.exit()
 }
 
-// settle notes the outcome of a call in the journal and returns the entry to
+// settle records the outcome of a call in the journal and returns the entry to
 // copy, if it has changed.
 func (s *Service) settle(id intent.ID, a plain.Answer, err error) (intent.Entry, bool) {
 	switch fail.Outcome(err) {
@@ -105,7 +106,7 @@
 	}
 }
 
-// lostCall adds to err what the caller can do about a call that may have run.
+// lostCall adds to err how the caller can find out whether the call ran.
 func lostCall(r Route, err error) error {
 	var f *fail.Error
 	peer := ""
@@ -116,14 +117,14 @@
 	return fail.New("once: call", peer, ident.Unknown, errors.Wrap(refusal, err.Error()))
 }
 
-// unknown is the error for a key of which it is not known whether a call with
-// it has run.
+// unknown returns the error for a key if it is not known whether a call with it
+// has run.
 func unknown(r Route, retry time.Duration, reason string) error {
 	return fail.New("once: decide", "", ident.Unknown,
 		fail.Refuse(fail.CodeKeyUnknown, retry, reason+"; "+advice(r)))
 }
 
-// advice tells the caller what to read before repeating a call.
+// advice returns the text on what to check before repeating a call.
 func advice(r Route) string {
 	if r.Status == "" {
 		return "check with the service whether it took effect before repeating it"
@@ -131,7 +132,7 @@
 	return "read " + r.Status + " to see whether it took effect before repeating it"
 }
 
-// record converts an answer for the journal.
+// record converts an answer to a response of the journal.
 func record(a plain.Answer) intent.Response {
 	out := intent.Response{Status: a.Status, Body: a.Body}
 	for name, values := range a.Header {
@@ -153,7 +154,7 @@
 	return a, nil
 }
 
-// line writes the decision about one keyed call.
+// line logs the decision about one keyed call.
 func (s *Service) line(c Call, home ident.Instance, what string, a plain.Answer, err error) {
 	ev := logs.Decision(s.cfg.Log).
 		Str("request", string(c.Request)).
--- a/once/export_test.go
+++ b/once/export_test.go
@@ -1,6 +1,6 @@
 package once
 
-// Idle waits until nothing of the service is on its way.
+// Idle waits until no call and no copy of the service is in progress.
 func (s *Service) Idle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/once/forward.go
+++ b/once/forward.go
@@ -14,8 +14,8 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// forward passes the call on to its home. The reply's loss makes the outcome
-// unknown; a failed dial proves that the call has not run.
+// forward sends the call to its home. If the reply is lost, the outcome is
+// unknown; if the dial fails, the call has not run.
 func (s *Service) forward(ctx context.Context, arrived tick.Instant, home ident.Instance, r Route, c Call, revision uint64) (
 	plain.Answer, error,
 ) {
@@ -44,14 +44,14 @@
 		fail.Refuse(fail.CodeKeyUnknown, retryHome, "the answer of the call's home was lost; "+advice(r)), err.Error()))
 }
 
-// away is the error for a home that can't be reached.
+// away returns the error for a home that cannot be reached.
 func away(home ident.Instance, err error) error {
 	return fail.New("once: forward", string(home), ident.NotRun, errors.Wrap(
 		fail.Refuse(fail.CodeHomeUnreachable, retryHome, "the call's home can't be reached"), err.Error()))
 }
 
-// dialFailed reports whether err proves that no connection was there to write
-// the call to.
+// dialFailed reports whether err means that no connection was established, so
+// that nothing of the call was written.
 func dialFailed(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/once/handler.go
+++ b/once/handler.go
@@ -18,9 +18,9 @@
 
 var (
 	// errLapsed reports a fetch that must begin again with its first page.
-	errLapsed = errors.New("once: the asker has to meet this buddy again")
-	// errNoBuddy reports an asker at another revision of the table.
-	errNoBuddy = errors.New("once: the table in force names other buddies for the asker's seat")
+	errLapsed = errors.New("once: the asker is no longer registered at this backup")
+	// errNotBackup reports an asker at another revision of the table.
+	errNotBackup = errors.New("once: the table in force names other backups for the asker's seat")
 )
 
 // Handler returns the service that the other instances call.
@@ -35,7 +35,7 @@
 	now := s.cfg.Clock.Now()
 	owner := owner(req.GetOwner())
 	res := &peerpb.CopyResponse{Buddy: s.node()}
-	if !s.buddyOf(owner.Instance) {
+	if !s.isBackupOf(owner.Instance) {
 		res.Unmet = true
 		return res, nil
 	}
@@ -49,8 +49,9 @@
 	return res, nil
 }
 
-// Fetch returns a page of the journal of the asker's seat and refuses all
-// earlier processes of the seat from then on.
+// Fetch returns a page of the journal of the asker's seat. With the first page it
+// registers the asker, so that copies of earlier processes of the seat are
+// rejected.
 func (h handler) Fetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.FetchResponse, error) {
 	s := h.s
 	now := s.cfg.Clock.Now()
@@ -60,8 +61,8 @@
 	if page >= intent.Shards {
 		return res, nil
 	}
-	if !s.buddyOf(n.Instance) {
-		return nil, connect.NewError(connect.CodeAborted, errNoBuddy)
+	if !s.isBackupOf(n.Instance) {
+		return nil, connect.NewError(connect.CodeAborted, errNotBackup)
 	}
 	standing := s.copies.State(n)
 	if page == 0 {
@@ -82,14 +83,15 @@
 	return res, nil
 }
 
-// buddyOf reports whether the table in force lets this process hold copies of
-// the seat's journal. Before there is a table nothing contradicts the owner.
-func (s *Service) buddyOf(owner ident.Instance) bool {
+// isBackupOf reports whether this process is a backup of the seat by the table in
+// force. Before there is a table, every seat counts as one that it is a backup of.
+func (s *Service) isBackupOf(owner ident.Instance) bool {
 	v, ok := s.cfg.Table.View()
 	return !ok || slices.Contains(intent.Backups(v.Seats(), owner), s.cfg.Self.Instance)
 }
 
-// Run makes a call that another instance passed on to its home.
+// Run makes a call that another instance has forwarded to this process as its
+// home.
 func (h handler) Run(ctx context.Context, req *peerpb.RunRequest) (*peerpb.RunResponse, error) {
 	a, err := h.s.runForwarded(ctx, req)
 	return runResponse(a, err), nil
--- a/once/join.go
+++ b/once/join.go
@@ -18,17 +18,17 @@
 	errNoView     = errors.New("once: no table is in force")
 )
 
-// fetched is what one buddy knows of this seat's journal.
+// fetched is the content of one backup's replica of this seat's journal.
 type fetched struct {
 	name        ident.Instance
 	incarnation uint64
 	entries     []intent.Entry
 	complete    time.Duration
 	sure        bool // complete is known
-	known       bool // the buddy had met this process before
+	known       bool // this process was the one registered at the backup before
 }
 
-// Start joins the buddies and keeps their copies whole until ctx ends. The
+// Start joins the backups and keeps their copies complete until ctx ends. The
 // returned channel is closed when it has stopped.
 func (s *Service) Start(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
@@ -46,7 +46,7 @@
 		if err := s.Sync(ctx); err != nil {
 			every = joinEvery
 			if !errors.Is(err, errNoView) {
-				s.cfg.Log.Warn().Err(err).Msg("once: the journal's copies are not whole")
+				s.cfg.Log.Warn().Err(err).Msg("once: the backups do not hold the complete journal")
 			}
 		}
 		s.copies.Expire(s.cfg.Clock.Now())
@@ -64,8 +64,8 @@
 	}
 }
 
-// Sync makes one round: it joins buddies that have not met this process, and
-// sends the whole journal to those that lack it.
+// Sync makes one round: it joins the backups if this process is not registered at
+// one of them, and sends the complete journal to those that lack it.
 func (s *Service) Sync(ctx context.Context) error {
 	if s.superseded() {
 		return errSuperseded
@@ -75,7 +75,7 @@
 		return errNoView
 	}
 	s.observe(v)
-	names := s.buddiesBy(v)
+	names := s.backupsBy(v)
 	if len(names) == 0 {
 		return nil
 	}
@@ -88,7 +88,7 @@
 	return s.sendWhole(ctx, names)
 }
 
-// probe sends an empty copy to each buddy, to notice one that was replaced.
+// probe sends an empty copy to each backup, to detect one that was replaced.
 func (s *Service) probe(ctx context.Context, names []ident.Instance) {
 	acks := s.copyAll(ctx, names, nil)
 	for range names {
@@ -96,24 +96,25 @@
 	}
 }
 
-// needsJoin reports whether a buddy has not met this process.
+// needsJoin reports whether this process is not registered at one of its backups.
 func (s *Service) needsJoin(names []ident.Instance) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, name := range names {
-		if !s.buddy(name).met {
+		if !s.backup(name).met {
 			return true
 		}
 	}
 	return !s.joined
 }
 
-// join fetches the journal from all buddies, which fences the predecessors of
-// this process at each of them.
+// join fetches the journal from all backups. From then on each of them rejects
+// the copies of earlier processes of the seat.
 //
-// The journal stays complete if a buddy confirms that no other process has
-// held the seat since the last join. A first join makes it as complete as what
-// the buddies hold. Otherwise it is complete from now on only.
+// The journal stays complete if a backup confirms that no other process has
+// registered for the seat since the last join. After the first join it is as
+// complete as the replicas of the backups. Otherwise it is complete from now on
+// only.
 func (s *Service) join(ctx context.Context, names []ident.Instance) error {
 	var all []fetched
 	for _, name := range names {
@@ -134,14 +135,14 @@
 	s.since = since(now, all, s.joined, s.since)
 	s.joined = true
 	for _, f := range all {
-		b := s.buddy(f.name)
+		b := s.backup(f.name)
 		whole := b.whole && f.known && b.incarnation == f.incarnation
-		*b = buddy{incarnation: f.incarnation, met: true, whole: whole}
+		*b = backup{incarnation: f.incarnation, met: true, whole: whole}
 	}
 	return nil
 }
 
-// since returns from when on the journal holds every call.
+// since returns the instant since which the journal holds every call.
 func since(now tick.Instant, all []fetched, joined bool, old tick.Instant) tick.Instant {
 	if joined {
 		for _, f := range all {
@@ -185,7 +186,7 @@
 			out.complete = time.Duration(res.GetCompleteMs()) * time.Millisecond
 		}
 		if res.GetBuddy().GetIncarnation() != out.incarnation {
-			err := errors.New("the buddy was replaced in between")
+			err := errors.New("the backup was replaced between two pages")
 			return out, fail.New("once: fetch", string(name), ident.Unknown, err)
 		}
 		out.entries = append(out.entries, fromProto(s.cfg.Clock.Now(), res.GetEntries())...)
@@ -204,11 +205,11 @@
 	return fetch(ctx, &peerpb.FetchRequest{Owner: s.node(), Page: uint32(page)})
 }
 
-// sendWhole sends the whole journal to each buddy that lacks it.
+// sendWhole sends the complete journal to each backup that lacks it.
 func (s *Service) sendWhole(ctx context.Context, names []ident.Instance) error {
 	for _, name := range names {
 		s.mu.Lock()
-		b := *s.buddy(name)
+		b := *s.backup(name)
 		since, joined := s.since, s.joined
 		s.mu.Unlock()
 		if b.whole || !joined {
@@ -218,7 +219,7 @@
 			return err
 		}
 		s.mu.Lock()
-		if now := s.buddy(name); now.met && now.incarnation == b.incarnation {
+		if now := s.backup(name); now.met && now.incarnation == b.incarnation {
 			now.whole = true
 		}
 		s.mu.Unlock()
@@ -226,8 +227,8 @@
 	return nil
 }
 
-// sendPages sends the journal shard by shard; the last message says from when
-// on it is complete.
+// sendPages sends the journal shard by shard. The last message contains the time
+// for which it has been complete.
 func (s *Service) sendPages(ctx context.Context, name ident.Instance, since tick.Instant) error {
 	const step = "once: send journal"
 	c, err := s.cfg.Dialer.Once(name)
@@ -248,26 +249,26 @@
 			return fail.New(step, string(name), ident.Unknown, err)
 		}
 		if !s.acknowledged(name, res) {
-			return fail.New(step, string(name), ident.Done, errors.New("the buddy did not take the copy"))
+			return fail.New(step, string(name), ident.Done, errors.New("the backup did not store the copy"))
 		}
 	}
 	return nil
 }
 
-// Leave stops taking calls, waits for those on their way and sends the whole
-// journal to the buddies once more. It does not cut a call when ctx ends.
+// Leave rejects new calls, waits for those in progress and sends the complete
+// journal to the backups once more. It does not interrupt a call when ctx ends.
 func (s *Service) Leave(ctx context.Context) error {
 	s.mu.Lock()
 	s.leaving = true
 	for s.active > 0 {
 		s.quiet.Wait()
 	}
-	for _, b := range s.buddies {
+	for _, b := range s.backups {
 		b.whole = false
 	}
 	s.mu.Unlock()
 	if s.superseded() {
 		return nil
 	}
-	return s.sendWhole(ctx, s.buddyNames())
+	return s.sendWhole(ctx, s.backupNames())
 }
--- a/once/layout.go
+++ b/once/layout.go
@@ -9,24 +9,24 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// maxLayouts bounds the earlier layouts that are remembered.
+// maxLayouts is the maximum number of earlier layouts that are kept.
 const maxLayouts = 16
 
-// layout is the part of the table that decides about homes.
+// layout is the part of the table that determines the homes of calls.
 type layout struct {
 	seats []intent.Member
 	homes map[ident.Route]home
-	until tick.Instant // when the next one was seen
+	until tick.Instant // when the next layout was observed
 }
 
-// home is what decides about the keyed calls of one route.
+// home is the part of a route that determines the homes of its calls.
 type home struct {
 	centre ident.Centre
 	keep   time.Duration
 }
 
-// observe notes a change of what decides about homes. If there are too many
-// changes to remember, the journal counts as complete from now on only.
+// observe records a change of the layout. If there were too many changes, the
+// journal counts as complete from now on only.
 func (s *Service) observe(v View) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,8 +47,8 @@
 	s.seen, s.revision, s.current = true, v.Revision(), next
 }
 
-// lapse gives up the copies of the seats whose buddy this process was not all
-// the time: their calls may have been copied to other buddies only.
+// lapse invalidates the replicas of the seats of which this process was not a
+// backup all the time: their calls may have been copied to other backups only.
 func (s *Service) lapse(was, next []intent.Member) {
 	self := s.cfg.Self.Instance
 	for _, owner := range s.copies.Owners() {
@@ -83,9 +83,8 @@
 	return true
 }
 
-// known returns an error unless every call with the identifier within the
-// age of the route's keys would be in this process's journal. The caller holds
-// mu.
+// known returns an error unless this process's journal would hold every call
+// with the identifier whose key is still remembered. The caller holds mu.
 func (s *Service) known(now tick.Instant, r Route, id intent.ID) error {
 	if !s.joined {
 		return unknown(r, retryHome, "the call's home has not read its journal yet")
@@ -99,9 +98,9 @@
 	return nil
 }
 
-// moved returns for how long yet a call with the identifier may be missing
-// here because its home was another seat or because the age of its keys was
-// shorter. The caller holds mu.
+// moved returns for how much longer a call with the identifier may be missing
+// here, because its home was another seat or because its key was remembered for
+// a shorter time. The caller holds mu.
 func (s *Service) moved(now tick.Instant, r Route, id intent.ID) time.Duration {
 	var wait time.Duration
 	for _, l := range s.earlier {
--- a/once/matrix_test.go
+++ b/once/matrix_test.go
@@ -17,7 +17,7 @@
 	unknown = ident.Unknown
 )
 
-// fault strikes once at a moment. P is the process at which the moment came.
+// fault is injected once, at a moment of a keyed call.
 type fault struct {
 	name   string
 	strike func(w *world, key string, home ident.Instance)
@@ -41,17 +41,17 @@
 			_ = w.start(home).svc.Sync(ctx)
 			_, _ = w.call("b2", "middle", key)
 		}, nil}
-	buddy = fault{"one buddy is lost",
-		func(w *world, _ string, home ident.Instance) { w.kill(w.at(w.buddies(home)[0])) },
-		func(w *world, home ident.Instance) { w.restart(w.buddies(home)[0]) }}
-	both = fault{"both buddies are lost",
+	backup = fault{"one backup is lost",
+		func(w *world, _ string, home ident.Instance) { w.kill(w.at(w.backups(home)[0])) },
+		func(w *world, home ident.Instance) { w.restart(w.backups(home)[0]) }}
+	both = fault{"both backups are lost",
 		func(w *world, _ string, home ident.Instance) {
-			for _, b := range w.buddies(home) {
+			for _, b := range w.backups(home) {
 				w.kill(w.at(b))
 			}
 		},
 		func(w *world, home ident.Instance) {
-			for _, b := range w.buddies(home) {
+			for _, b := range w.backups(home) {
 				w.restart(b)
 			}
 		}}
@@ -73,13 +73,13 @@
 		func(w *world, _ string, _ ident.Instance) { w.broken = true }, nil}
 )
 
-func (w *world) buddies(home ident.Instance) []ident.Instance {
-	return intentBuddies(w.view.seats, home)
+func (w *world) backups(home ident.Instance) []ident.Instance {
+	return intentBackups(w.view.seats, home)
 }
 
-// TestFaultAtMoment states, for each fault and each moment at which it
-// strikes, what the caller learns, what its repeat at another instance learns
-// and how often the call ran.
+// TestFaultAtMoment states, for each fault and each moment at which it is
+// injected, the outcome for the caller, the outcome for a retry at another
+// instance and how often the call ran.
 func TestFaultAtMoment(t *testing.T) {
 	tests := []struct {
 		fault fault
@@ -118,13 +118,13 @@
 		{swift, atWrite, done, unknown, 1},
 		{swift, afterWrite, done, unknown, 1},
 
-		{buddy, atForward, done, done, 1},
-		{buddy, atCopy, done, done, 1},
-		{buddy, afterCopy, done, done, 1},
-		{buddy, atGate, done, done, 1},
-		{buddy, atWrite, done, done, 1},
-		{buddy, afterWrite, done, done, 1},
-		{buddy, atReply, done, done, 1},
+		{backup, atForward, done, done, 1},
+		{backup, atCopy, done, done, 1},
+		{backup, afterCopy, done, done, 1},
+		{backup, atGate, done, done, 1},
+		{backup, atWrite, done, done, 1},
+		{backup, afterWrite, done, done, 1},
+		{backup, atReply, done, done, 1},
 
 		{both, atForward, notRun, unknown, 0},
 		{both, atGate, done, done, 1},
@@ -158,7 +158,7 @@
 				t.Errorf("the first outcome is %v (%v), want %v", first, err, tt.first)
 			}
 			if first == notRun {
-				is.Equal(w.ranAs("first"), 0) // "not run" is true
+				is.Equal(w.ranAs("first"), 0) // the outcome "not run" is correct
 			}
 			if tt.fault.heal != nil {
 				tt.fault.heal(w, "a1")
@@ -170,7 +170,7 @@
 				t.Errorf("the repeat's outcome is %v (%v), want %v", fail.Outcome(err), err, tt.again)
 			}
 			if err == nil && w.ranAs("again") == 0 {
-				is.True(a.Replayed) // an answer without a run is a replay
+				is.True(a.Replayed) // the answer to a retry that did not run is a replay
 			}
 			if n := w.ran(key); n != tt.runs {
 				t.Errorf("the key ran %d times, want %d", n, tt.runs)
--- a/once/net_test.go
+++ b/once/net_test.go
@@ -8,8 +8,8 @@
 	"wasabidock.dev/dock/peerpb"
 )
 
-// link carries messages between two processes while both live and are not cut
-// off from each other.
+// link delivers messages between two processes while both are alive and not
+// partitioned from each other.
 type link struct {
 	w        *world
 	from, to *proc
@@ -34,20 +34,20 @@
 	return res, err
 }
 
-// turn names one copy of one entry, which goes to two buddies.
+// turn identifies a version of an entry, which is copied to two backups.
 type turn struct {
 	owner, serial uint64
 }
 
-// inTurn makes the copy to the second buddy wait for the one to the first, so
-// that faults at copies strike in a fixed order.
+// inTurn makes the copy to the second backup wait for the one to the first, so
+// that faults at copies are injected in a fixed order.
 func (l *link) inTurn(ctx context.Context, req *peerpb.CopyRequest) (end func()) {
 	if len(req.GetEntries()) != 1 || req.GetWhole() {
 		return func() {}
 	}
 	t := turn{req.GetOwner().GetIncarnation(), req.GetEntries()[0].GetSerial()}
-	buddies := intent.Backups(l.from.table().seats, l.from.node.Instance)
-	if len(buddies) == 0 {
+	backups := intent.Backups(l.from.table().seats, l.from.node.Instance)
+	if len(backups) == 0 {
 		return func() {}
 	}
 	l.w.mu.Lock()
@@ -57,7 +57,7 @@
 		l.w.turns[t] = c
 	}
 	l.w.mu.Unlock()
-	if l.to.node.Instance == buddies[0] {
+	if l.to.node.Instance == backups[0] {
 		return func() {
 			l.w.mu.Lock()
 			defer l.w.mu.Unlock()
@@ -68,7 +68,7 @@
 			}
 		}
 	}
-	if _, err := l.w.dial(l.from, buddies[0]); err == nil {
+	if _, err := l.w.dial(l.from, backups[0]); err == nil {
 		select {
 		case <-c:
 		case <-ctx.Done(): // the first copy was never sent
--- a/once/quiet_test.go
+++ b/once/quiet_test.go
@@ -16,7 +16,7 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// awaitTable has no table until one is set, and reaches nobody.
+// awaitTable has no table until one is set. All its dials fail.
 type awaitTable struct {
 	*tick.Fake
 	mu    sync.Mutex
@@ -46,8 +46,8 @@
 	return nil, errLost
 }
 
-// TestQuietUntilThereIsATable counts the log lines of a process that waits for
-// its first table, and of one that then reaches no buddy.
+// TestQuietUntilThereIsATable guards against warnings while a process waits for
+// its first table. After that, it logs that it reaches no backup.
 func TestQuietUntilThereIsATable(t *testing.T) {
 	is := is.New(t)
 	a := &awaitTable{Fake: tick.NewFake(time.Hour), armed: make(chan struct{})}
--- a/once/service.go
+++ b/once/service.go
@@ -12,43 +12,43 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// Service runs the keyed calls whose home is the seat of this process, passes
-// on the others, and holds copies of other seats' journals.
+// Service runs the keyed calls whose home is the seat of this process, forwards
+// the others, and holds replicas of other seats' journals.
 type Service struct {
 	cfg     Config
 	journal *intent.Journal
 	copies  *intent.Replicas
-	lost    atomic.Bool // a buddy said that a later process holds the seat
+	lost    atomic.Bool // a backup reported a later process of the seat
 
 	mu       sync.Mutex // guards the fields below
 	joined   bool
-	since    tick.Instant // the journal holds every call from then on, if joined
-	buddies  map[ident.Instance]*buddy
+	since    tick.Instant // if joined, the journal holds every call since then
+	backups  map[ident.Instance]*backup
 	seen     bool // a table has been in force
 	revision uint64
 	current  layout
 	earlier  []layout
 	leaving  bool
-	active   int        // callers, calls and copies on their way
+	active   int        // callers, calls and copies in progress
 	quiet    *sync.Cond // signalled when active is 0
 	runs     map[intent.ID]*run
 }
 
-// run is a call on its way. Its fields are set before done is closed.
+// run is a call in progress. Its fields are set before done is closed.
 type run struct {
 	done   chan struct{}
 	answer plain.Answer
 	err    error
 }
 
-// New returns a Service. It joins its buddies only after Start, or by Join.
+// New returns a Service. It joins its backups only after Start, or by Join.
 func New(cfg Config) *Service {
 	cfg.setDefaults()
 	s := &Service{
 		cfg:     cfg,
 		journal: intent.NewJournal(cfg.Journal),
 		copies:  intent.NewReplicas(cfg.Copies),
-		buddies: make(map[ident.Instance]*buddy),
+		backups: make(map[ident.Instance]*backup),
 		runs:    make(map[intent.ID]*run),
 	}
 	s.quiet = sync.NewCond(&s.mu)
@@ -98,7 +98,8 @@
 	return s.decide(ctx, arrived, r, c)
 }
 
-// decide acts on the journal's verdict about a call that came at arrived.
+// decide carries out the journal's decision about a call that arrived at the
+// given instant.
 func (s *Service) decide(ctx context.Context, arrived tick.Instant, r Route, c Call) (plain.Answer, error) {
 	id := intent.NewID(c.Customer, c.Route, c.Key)
 	verdict, e, cur, err := s.begin(ctx, arrived, id, r, c)
@@ -124,10 +125,10 @@
 	}
 }
 
-// begin asks the journal about the call and starts it if it is fresh. A call
-// that has started goes on when its caller leaves. It fails for a call that
-// came too long ago, because this process has paused, and for one that is not
-// in the journal but may have been in an earlier one.
+// begin returns the journal's decision about the call and starts it if it is new.
+// A call that has started continues if its caller disconnects. It fails for a
+// call that arrived too long ago, because this process was suspended, and for one
+// that is not in the journal but may have been in an earlier one.
 func (s *Service) begin(ctx context.Context, arrived tick.Instant, id intent.ID, r Route, c Call) (
 	v intent.Decision, e intent.Entry, cur *run, err error,
 ) {
@@ -156,12 +157,12 @@
 	return v, e, cur, nil
 }
 
-// late is the refusal of a call that has waited too long to be taken.
+// late returns the rejection of a call that has waited too long.
 func late() error {
 	return fail.Refuse(fail.CodeDeadline, retryHome, "the call waited too long inside the router")
 }
 
-// await waits for the end of a call, or until its caller leaves.
+// await waits for the end of a call, or until its caller disconnects.
 func await(ctx context.Context, cur *run, r Route) (plain.Answer, error) {
 	select {
 	case <-cur.done:
@@ -172,7 +173,7 @@
 	}
 }
 
-// enter counts a caller in, unless the service is leaving.
+// enter adds a caller to active and returns true, unless the service is leaving.
 func (s *Service) enter() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -183,7 +184,7 @@
 	return true
 }
 
-// begun counts work in that goes on while the service leaves.
+// begun adds work to active that continues while the service is leaving.
 func (s *Service) begun() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,7 +204,7 @@
 	return s.lost.Load() || s.cfg.Superseded()
 }
 
-// supersede notes that a later process holds the seat.
+// supersede records that a later process holds the seat.
 func (s *Service) supersede() {
 	if s.lost.CompareAndSwap(false, true) {
 		s.cfg.Log.Warn().Str("seat", string(s.cfg.Self.Instance)).Msg("once: a later process holds the seat")
--- a/once/walk_test.go
+++ b/once/walk_test.go
@@ -14,8 +14,8 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// walk drives a world through a random schedule and remembers what callers
-// learnt.
+// walk runs a random schedule of faults and calls and records the outcomes for
+// the callers.
 type walk struct {
 	*world
 	t       *rapid.T
@@ -24,7 +24,7 @@
 	result  map[ident.Request]ident.Outcome
 	later   sync.WaitGroup
 	mu      sync.Mutex
-	moved   tick.Instant // when the table changed last
+	moved   tick.Instant // time of the last change of the table
 }
 
 var (
@@ -37,7 +37,7 @@
 	return rapid.SampledFrom(walkSeats).Draw(k.t, label)
 }
 
-// send makes a call and notes its outcome.
+// send makes a call and records its outcome.
 func (k *walk) send(entry ident.Instance, key string) {
 	k.mu.Lock()
 	k.n++
@@ -79,8 +79,8 @@
 	}
 }
 
-// changeTable takes a seat of a out of the table or puts it back. Some
-// processes stay at the old revision for a while.
+// changeTable removes a seat of data centre a from the table or adds it again.
+// Some processes keep the old revision for a while.
 func (k *walk) changeTable() {
 	next := &view{revision: k.view.revision + 1, route: k.view.route}
 	names := []ident.Instance{"a1", "a2", "a3"}
@@ -102,7 +102,8 @@
 	k.moved = k.clock.Now()
 }
 
-// spread ends the lag of the table before it grows too long.
+// spread puts the newest table in force at all processes before the lag exceeds
+// its limit.
 func (k *walk) spread() {
 	if k.clock.Now()-k.moved < 13*time.Second {
 		return
@@ -114,7 +115,7 @@
 	}
 }
 
-// arm lets a fault strike at a random moment of a call that is on its way.
+// arm injects a fault at a random moment of the next call.
 func (k *walk) arm() {
 	m := rapid.SampledFrom(walkMoments).Draw(k.t, "moment")
 	what := rapid.SampledFrom([]string{"kill", "restart", "twin", "pause", "call", "cut"}).Draw(k.t, "strike")
@@ -142,7 +143,7 @@
 	})
 }
 
-// background makes a call while another one is held at a moment.
+// background makes a call while another one is stopped at a moment.
 func (k *walk) background(entry ident.Instance, key string) {
 	k.later.Add(1)
 	go func() {
@@ -151,14 +152,14 @@
 	}()
 }
 
-// quiet waits until no call is on its way.
+// quiet waits until no call is in progress.
 func (k *walk) quiet() {
 	settled(k.world)
 	k.later.Wait()
 	settled(k.world)
 }
 
-// check looks for the broken promises.
+// check fails the test if an invariant was violated.
 func (k *walk) check() {
 	for key, runs := range k.keys {
 		for i, a := range runs {
@@ -176,9 +177,9 @@
 	}
 }
 
-// TestWalk drives random schedules of crashes, pauses, twins of a process,
-// lost messages, cuts, table changes at different times and repeats of calls
-// at any instance, also nested in each other.
+// TestWalk runs random schedules of crashes, pauses, duplicate processes of a
+// seat, lost messages, partitions, table changes that arrive at different times
+// and retries at any instance, also nested in each other.
 func TestWalk(t *testing.T) {
 	var unknowns, all int
 	rapid.Check(t, func(t *rapid.T) {
@@ -209,7 +210,8 @@
 	t.Logf("%d calls, %d of them unknown", all, unknowns)
 }
 
-// TestHomeIsStatic checks that homes depend on the table alone and move little.
+// TestHomeIsStatic checks that homes depend on the table alone, and that only the
+// calls of a removed seat move.
 func TestHomeIsStatic(t *testing.T) {
 	seats := append(seatsOf("a", "a1", "a2", "a3", "a4"), seatsOf("b", "b1")...)
 	moved := 0
--- a/once/wire.go
+++ b/once/wire.go
@@ -162,7 +162,8 @@
 	return out
 }
 
-// text replaces what messages can't carry: header values may hold any bytes.
+// text replaces bytes that are not UTF-8, which header values may contain but
+// messages may not.
 func text(s string) string { return strings.ToValidUTF8(s, "?") }
 
 func headerFromProto(in []*peerpb.Header) http.Header {
--- a/once/world_test.go
+++ b/once/world_test.go
@@ -22,7 +22,8 @@
 
 const keep = time.Minute
 
-// moment is a point in the life of a keyed call at which a fault may strike.
+// moment is a point in the processing of a keyed call at which a fault can be
+// injected.
 type moment string
 
 const (
@@ -38,7 +39,8 @@
 
 var errLost = errors.New("message lost")
 
-// world is a fleet on an in-memory net. Its fake service counts runs.
+// world is a fleet on an in-memory network. Its fake service counts the runs of
+// each call.
 type world struct {
 	clock *tick.Fake
 	view  *view
@@ -49,7 +51,7 @@
 	serial uint64
 	runs   map[ident.Request]int // by request
 	keys   map[string][]ident.Request
-	strike map[moment]func(p *proc) // each is called once
+	strike map[moment]func(p *proc) // each fault is called once
 	cut    map[[2]ident.Instance]bool
 	turns  map[turn]chan struct{}
 	broken bool // the service does not answer
@@ -96,7 +98,7 @@
 	return out
 }
 
-// newWorld returns a fleet whose journals are complete for a whole key age.
+// newWorld returns a fleet whose journals have been complete for longer than keep.
 func newWorld() *world {
 	w := &world{
 		clock:  tick.NewFake(time.Hour),
@@ -121,7 +123,8 @@
 	return w
 }
 
-// start puts a fresh process into a seat. The earlier one lives on, unseen.
+// start starts a new process in a seat. The earlier one keeps running, but nobody
+// can dial it.
 func (w *world) start(seat ident.Instance) *proc {
 	w.mu.Lock()
 	w.serial++
@@ -174,7 +177,7 @@
 	w.cut[[2]ident.Instance{b, a}] = cut
 }
 
-// hit calls the fault that waits for the moment, if there is one.
+// hit injects the fault for the moment, if there is one.
 func (w *world) hit(m moment, p *proc) {
 	w.mu.Lock()
 	f := w.strike[m]
@@ -201,7 +204,7 @@
 	return &link{w: w, from: from, to: p}, nil
 }
 
-// Call is the way of a process to the service.
+// Call sends a call to the fake service.
 func (p *proc) Call(_ context.Context, c plain.Call) (plain.Answer, error) {
 	w := p.w
 	w.hit(atGate, p)
@@ -228,8 +231,8 @@
 	return plain.Answer{Status: 201, Header: http.Header{"X-Run": {string(c.Request)}, "X-Name": {"Mu\xf1oz"}}, Body: []byte("ok")}, nil
 }
 
-// call sends a call with the key through the process in the seat, and returns
-// what its caller learns.
+// call sends a call with the key to the process in the seat and returns the
+// result for its caller.
 func (w *world) call(entry ident.Instance, request ident.Request, key string) (plain.Answer, error) {
 	p := w.at(entry)
 	if !w.alive(p) {
@@ -262,7 +265,7 @@
 	return w.runs[r]
 }
 
-// homeOf returns the home of a key by the world's table.
+// homeOf returns the home of a key by the newest table.
 func (w *world) homeOf(key string) ident.Instance {
 	h, _ := intent.Home(w.view.seats, w.view.route.Centre, intent.NewID("sur", "confirm", key))
 	return h
@@ -289,4 +292,4 @@
 
 var ctx = context.Background()
 
-var intentBuddies = intent.Backups
+var intentBackups = intent.Backups
