--- a/probe/doc.go
+++ b/probe/doc.go
@@ -8,8 +8,8 @@
 //
 // # Bounds
 //
-// Only the schedulers of a pool follow its engines, so that the number of
-// connections of an instance is twice the number of engines in the pools that
-// it schedules, whatever the size of the fleet. Each engine has one poll and
-// one feed; a feed that breaks or falls silent is opened anew after a pause.
+// Only the schedulers of a pool follow its engines. The number of connections of
+// an instance is therefore twice the number of engines in the pools that it
+// schedules, for any size of the fleet. Each engine has one poll and one feed. A
+// feed that fails or times out is reopened after a delay.
 package probe
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -17,44 +17,44 @@
 	defaultRetry = time.Second
 )
 
-// Engines are the calls by which engines tell of themselves.
+// Engines is the client of the engines.
 type Engines interface {
 	Load(ctx context.Context, s ident.Server) (engine.LoadReport, error)
 	Events(ctx context.Context, s ident.Server, after uint64) (*engine.CacheEventStream, error)
 }
 
-// Sink takes in what engines tell.
+// Sink receives the load reports and the cache events of the engines.
 type Sink interface {
 	ApplyReport(r place.LoadReport)
 	ApplyEvents(e place.CacheEvent)
 }
 
-// Config holds what a Prober needs. Zero durations stand for the defaults.
+// Config configures a Prober. Zero durations select the defaults.
 type Config struct {
 	Engines Engines
 	// Targets returns the engines to follow.
 	Targets func() []ident.Server
 	Sink    Sink
-	// Loaded gets each whole load report; it may be nil.
+	// Loaded is called with each complete load report. It may be nil.
 	Loaded func(s ident.Server, l engine.LoadReport)
 	Timer  tick.Clock
 	Log    zerolog.Logger
-	Poll   time.Duration // between two polls of one engine
-	Retry  time.Duration // before a broken feed is opened anew
+	Poll   time.Duration // interval between polls of one engine
+	Retry  time.Duration // delay before a failed feed is reopened
 }
 
-// Prober follows engines.
+// Prober follows the load reports and the cache events of engines.
 type Prober struct {
 	cfg Config
 }
 
-// worker follows one engine until its context is over.
+// worker follows one engine until its context ends.
 type worker struct {
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
-// New returns a Prober that follows nothing yet.
+// New returns a Prober that follows no engine yet.
 func New(cfg Config) *Prober {
 	if cfg.Poll <= 0 {
 		cfg.Poll = defaultPoll
@@ -65,8 +65,8 @@
 	return &Prober{cfg: cfg}
 }
 
-// Run follows the targets, whose set it reads again at each poll, until ctx is
-// over.
+// Run follows the targets until ctx ends. It reads the list of targets again at
+// each poll.
 func (p *Prober) Run(ctx context.Context) error {
 	t := p.cfg.Timer.Every(p.cfg.Poll)
 	defer t.Stop()
@@ -82,7 +82,7 @@
 	}
 }
 
-// adjust starts workers for new targets and ends those of former ones.
+// adjust starts workers for new targets and stops those of removed ones.
 func (p *Prober) adjust(ctx context.Context, workers map[ident.Server]*worker) {
 	wanted := make(map[ident.Server]bool)
 	for _, s := range p.cfg.Targets() {
@@ -125,7 +125,7 @@
 	return w
 }
 
-// poll passes on the load reports of s.
+// poll passes the load reports of s to the sink.
 func (p *Prober) poll(ctx context.Context, s ident.Server) {
 	t := p.cfg.Timer.Every(p.cfg.Poll)
 	defer t.Stop()
@@ -151,9 +151,10 @@
 	}
 }
 
-// follow passes on the cache events of s and opens the feed anew when it ends.
-// Each feed is read from its start: an engine that has restarted counts its
-// events anew and would hold back those up to the last number seen.
+// follow passes the cache events of s to the sink and reopens the feed when it
+// ends. Each feed is read from its start: the sequence numbers of an engine that
+// has restarted begin again, and it would omit the events up to the last number
+// seen.
 func (p *Prober) follow(ctx context.Context, s ident.Server) {
 	for ctx.Err() == nil {
 		err := p.feed(ctx, s)
--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -31,11 +31,11 @@
 	srv *httptest.Server
 
 	mu     sync.Mutex
-	seq    uint64 // of the last event
+	seq    uint64 // sequence number of the last event
 	events []engine.CacheEvent
 	polls  int
-	feeds  int           // open
-	cut    chan struct{} // closed to break the open feeds
+	feeds  int           // open feeds
+	cut    chan struct{} // closed to interrupt the open feeds
 	more   chan struct{} // closed when there are more events
 }
 
@@ -95,7 +95,7 @@
 	return e.feeds
 }
 
-// add publishes an event that adds a piece.
+// add publishes an event that adds a block.
 func (e *fakeEngine) add(piece uint64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -105,8 +105,8 @@
 	e.more = make(chan struct{})
 }
 
-// breakFeeds cuts the open feeds. With restart, the engine counts its events
-// from the start again.
+// breakFeeds interrupts the open feeds. With restart, the sequence numbers of the
+// engine's events begin again.
 func (e *fakeEngine) breakFeeds(restart bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -117,7 +117,7 @@
 	}
 }
 
-// world is the directory, the targets and the sink of a Prober.
+// world implements the directory, the targets and the sink of a Prober.
 type world struct {
 	engines map[ident.Server]*fakeEngine
 
@@ -176,8 +176,8 @@
 	return w.pieces[s][piece]
 }
 
-// start runs a Prober that follows the engines a and b in the beginning. Stop
-// ends it and waits for its end.
+// start runs a Prober that follows the engines a and b at first. The function stop
+// stops it and waits until it has ended.
 func start(t *testing.T) (w *world, timer *tick.Fake, stop func()) {
 	t.Helper()
 	w = &world{
@@ -207,20 +207,20 @@
 }
 
 // await waits until the goroutines of the Prober have made cond true. It
-// advances the timer by step between two looks.
+// advances the timer by step between two checks.
 func await(t *testing.T, timer *tick.Fake, step time.Duration, cond func() bool) {
 	t.Helper()
 	real := tick.NewReal()
 	for !cond() {
 		if real.Now() > 10*time.Second {
-			t.Fatal("condition does not come true")
+			t.Fatal("condition was not met within 10 s")
 		}
 		timer.Advance(step)
 		_ = tick.Sleep(context.Background(), real, time.Millisecond)
 	}
 }
 
-func TestProberPassesOnReports(t *testing.T) {
+func TestProberForwardsReports(t *testing.T) {
 	is := is.New(t)
 	w, timer, stop := start(t)
 	await(t, timer, testPoll, func() bool { return w.reported("a") >= 3 && w.reported("b") >= 3 })
@@ -241,7 +241,7 @@
 	seen := w.reported("b")
 	await(t, timer, testPoll, func() bool { return w.reported("b") >= seen+2 })
 	if got := w.reported("a"); got != polled {
-		t.Errorf("%d reports of a former target, want %d", got, polled)
+		t.Errorf("%d reports of a removed target, want %d", got, polled)
 	}
 	w.follow("a", "b")
 	await(t, timer, testPoll, func() bool { return a.open() == 1 && w.reported("a") > polled })
@@ -250,13 +250,13 @@
 	}
 }
 
-func TestProberOpensBrokenFeedAnew(t *testing.T) {
+func TestProberReopensFailedFeed(t *testing.T) {
 	tests := []struct {
 		name    string
 		restart bool
 	}{
-		{"the connection breaks", false},
-		{"the engine restarts and counts anew", true},
+		{"connection is interrupted", false},
+		{"engine restarts its sequence numbers", true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -273,7 +273,7 @@
 	}
 }
 
-func TestProberEndsWithItsContext(t *testing.T) {
+func TestProberStopsWithContext(t *testing.T) {
 	w, timer, stop := start(t)
 	a, b := w.engines["a"], w.engines["b"]
 	await(t, timer, 0, func() bool { return a.open() == 1 && b.open() == 1 })
--- a/sweep/doc.go
+++ b/sweep/doc.go
@@ -1,10 +1,10 @@
-// Package sweep sees that engines hold nothing for requests that are gone.
+// Package sweep releases what engines hold for requests that have ended.
 //
 // # Usage
 //
 //	k := sweep.NewKeeper(sweep.KeeperConfig{Engines: client, Timer: timer})
 //	k.Start(ctx)
-//	k.Keep("sierra-a-d1", attempt)    // touched from now on
+//	k.Keep("sierra-a-d1", attempt)    // renewed from now on
 //	k.Release("sierra-a-d1", attempt) // cancelled until acknowledged
 //	...
 //	<-k.Done() // after ctx has ended
@@ -14,14 +14,14 @@
 //
 // # How holds end
 //
-// Every hold at an engine has a life without contact, which Keeper renews for
-// the requests that this process carries. A release is repeated until the
-// engine has acknowledged it or the life of the hold is over by itself.
+// Every hold at an engine expires a certain time after the last contact. Keeper
+// renews the holds of the requests of this process. It repeats a release until
+// the engine has acknowledged it or the hold has expired.
 //
-// What a dead process leaves behind ends by that life too. An engine may give
-// holds a longer one than it was asked for, so for each engine a few instances
-// look through its account of holds and cancel what has had no contact for too
-// long. They go by the engine's own account, and the engine checks the idle
-// time again when it cancels: a process that is cut off from its peers and
-// still talks to the engine keeps its holds.
+// The holds of a process that has crashed expire as well. An engine may keep
+// holds for longer than it was asked to, so for each engine a few instances list
+// its holds and cancel those that have been idle for too long. They use the idle
+// time that the engine reports, and the engine checks it again when it cancels a
+// hold. A process that is partitioned from its peers but reaches the engine
+// therefore keeps its holds.
 package sweep
--- a/sweep/keeper.go
+++ b/sweep/keeper.go
@@ -9,16 +9,15 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// KeeperConfig holds the settings of a Keeper. Zero values stand for the
-// defaults.
+// KeeperConfig holds the settings of a Keeper. Zero values select the defaults.
 type KeeperConfig struct {
 	Engines Engines
 	Timer   tick.Clock
-	Life    time.Duration // of holds without contact: releases are repeated for so long
-	Touch   time.Duration // period in which live holds are renewed
+	Life    time.Duration // time until a hold without contact expires; releases are repeated until then
+	Touch   time.Duration // interval between renewals of a live hold
 	Retry   time.Duration // pause after a call to an engine has failed
-	Workers int           // calls at a time
-	Queue   int           // releases that wait
+	Workers int           // maximum number of simultaneous calls
+	Queue   int           // maximum number of pending releases
 	// Streams renews holds with an open stream too, for engines that do not
 	// count the stream as contact.
 	Streams bool
@@ -30,46 +29,45 @@
 	defaultRetry   = 100 * time.Millisecond
 	defaultWorkers = 16
 	defaultQueue   = 4096
-	maxTouch       = 256 // attempts in one call
+	maxTouch       = 256 // maximum number of attempts in one call
 )
 
-// Keeper keeps live holds alive and releases the others. It may be used by
-// many goroutines.
+// Keeper renews live holds and releases the others. It is safe for concurrent use.
 type Keeper struct {
 	cfg     KeeperConfig
 	wake    chan struct{}
 	work    chan ident.Server
 	done    chan struct{}
-	drained chan struct{} // receives when the last release is through
+	drained chan struct{} // receives a value when no release is pending any more
 
 	mu      sync.Mutex // guards everything below
 	servers map[ident.Server]*account
 	counts  KeeperCounts
 }
 
-// KeeperCounts tells what a Keeper did and has to do.
+// KeeperCounts holds the counters of a Keeper.
 type KeeperCounts struct {
-	Live      int   // holds kept alive
+	Live      int   // holds that are renewed
 	Pending   int   // releases not yet acknowledged
 	Released  int64 // acknowledged
 	Touched   int64 // renewals of holds
 	Failed    int64 // calls that failed
-	Abandoned int64 // not acknowledged within the life of the hold
-	Overflow  int64 // not queued; the life of the hold ends them
+	Abandoned int64 // not acknowledged before the hold expired
+	Overflow  int64 // not queued because the queue was full; the holds expire
 }
 
-// account is what this process holds at one engine.
+// account lists what this process holds at one engine.
 type account struct {
 	live    map[ident.Attempt]*live
 	pending []release
-	busy    bool // a worker is on it
+	busy    bool // a worker is processing it
 	touch   tick.Instant
 	retry   tick.Instant
 }
 
-// live is a hold of a request that goes on.
+// live is a hold of a request in progress.
 type live struct {
-	contact   tick.Instant // last known
+	contact   tick.Instant // time of the last contact
 	streaming bool         // an open stream renews the hold
 }
 
@@ -124,18 +122,17 @@
 	}()
 }
 
-// Done is closed when the Keeper has ended.
+// Done returns a channel that is closed when the Keeper has stopped.
 func (k *Keeper) Done() <-chan struct{} { return k.done }
 
-// Keep renews what the engine s holds for the attempt until Release.
+// Keep renews the holds of the attempt at engine s until Release is called.
 func (k *Keeper) Keep(s ident.Server, a ident.Attempt) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.account(s).live[a] = &live{contact: k.cfg.Timer.Now()}
 }
 
-// SetStreaming tells that the engine s has a stream open for the attempt, or has
-// it no longer.
+// SetStreaming records whether a stream of the attempt is open at engine s.
 func (k *Keeper) SetStreaming(s ident.Server, a ident.Attempt, open bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -145,7 +142,7 @@
 	}
 }
 
-// Release lets the engine s drop what it holds for the attempt.
+// Release makes engine s release what it holds for the attempt.
 func (k *Keeper) Release(s ident.Server, a ident.Attempt) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -172,7 +169,7 @@
 	return nil
 }
 
-// Counts returns what the Keeper did and has to do.
+// Counts returns the present counters.
 func (k *Keeper) Counts() KeeperCounts {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -183,7 +180,7 @@
 	return c
 }
 
-// account returns the entry of an engine. The caller holds mu.
+// account returns the account of an engine. The caller holds mu.
 func (k *Keeper) account(s ident.Server) *account {
 	ac := k.servers[s]
 	if ac == nil {
--- a/sweep/keeper_test.go
+++ b/sweep/keeper_test.go
@@ -24,7 +24,7 @@
 	idleOver time.Duration
 }
 
-// fakeEngines hands each call to the test, which answers it.
+// fakeEngines passes each call to the test, which answers it.
 type fakeEngines struct {
 	calls chan call
 	fail  chan error
@@ -103,7 +103,7 @@
 	real := tick.NewReal()
 	for !cond() {
 		if real.Now() > 10*time.Second {
-			t.Fatal("condition does not come true")
+			t.Fatal("condition was not met within 10 s")
 		}
 		_ = tick.Sleep(context.Background(), real, time.Millisecond)
 	}
@@ -129,7 +129,7 @@
 	is.Equal(k.Counts().Live, 0)
 }
 
-func TestKeeperGivesUpAfterLife(t *testing.T) {
+func TestKeeperAbandonsReleaseWhenHoldExpires(t *testing.T) {
 	is := is.New(t)
 	k, engines, timer := startKeeper(t, 0, false)
 	k.Release("d1", attempt("a", 1, 1))
@@ -175,15 +175,15 @@
 			break
 		}
 		if timer.Now() >= testLife {
-			t.Fatalf("%v passed without a renewal, the life of a hold is %v", timer.Now(), testLife)
+			t.Fatalf("no renewal for %v, want one before holds expire after %v", timer.Now(), testLife)
 		}
-		timer.Advance(time.Second) // the engine takes so long for each cancel
+		timer.Advance(time.Second) // duration of each cancel
 		engines.fail <- nil
 	}
 	is.True(timer.Now() < testLife)
 }
 
-func TestKeeperLeavesStreamsToThemselves(t *testing.T) {
+func TestKeeperDoesNotRenewStreams(t *testing.T) {
 	for _, streams := range []bool{false, true} {
 		name := "streams are contact"
 		if streams {
@@ -212,7 +212,7 @@
 	}
 }
 
-func TestKeeperHangingEngineTiesUpNoOther(t *testing.T) {
+func TestKeeperHangingEngineDoesNotDelayOthers(t *testing.T) {
 	is := is.New(t)
 	k, engines, _ := startKeeper(t, 0, false)
 	k.Release("d1", attempt("a", 1, 1))
--- a/sweep/sweep.go
+++ b/sweep/sweep.go
@@ -7,15 +7,14 @@
 	"wasabidock.dev/dock/ident"
 )
 
-// Hold is one entry of an engine's account of what it holds.
+// Hold is one hold in the list that an engine returns.
 type Hold struct {
 	Attempt ident.Attempt
 	Kind    string
-	Idle    time.Duration // since the last contact, by the engine's account
+	Idle    time.Duration // time since the last contact, as measured by the engine
 }
 
-// Engines are the calls that release what engines hold. All of them may be
-// repeated.
+// Engines is the client of the engines. All calls are idempotent.
 type Engines interface {
 	Cancel(ctx context.Context, s ident.Server, a ident.Attempt, idleOver time.Duration) (released int, err error)
 	Touch(ctx context.Context, s ident.Server, as []ident.Attempt) (gone []ident.Attempt, err error)
--- a/sweep/sweeper.go
+++ b/sweep/sweeper.go
@@ -11,7 +11,7 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// View tells who is there.
+// View returns the engines and the instances of a data centre.
 type View interface {
 	// Servers returns the engines of this data centre.
 	Servers() []ident.Server
@@ -19,16 +19,15 @@
 	Instances() []ident.Instance
 }
 
-// SweeperConfig holds the settings of a Sweeper. Zero values stand for the
-// defaults.
+// SweeperConfig holds the settings of a Sweeper. Zero values select the defaults.
 type SweeperConfig struct {
 	Self    ident.Node
 	Engines Engines
 	View    View
 	Timer   tick.Clock
-	Every   time.Duration // period of the sweeps
-	Idle    time.Duration // holds without contact for longer are cancelled
-	Owners  int           // instances that sweep an engine
+	Every   time.Duration // interval between sweeps
+	Idle    time.Duration // holds that have been idle for longer are cancelled
+	Owners  int           // number of instances that sweep an engine
 }
 
 const (
@@ -37,7 +36,7 @@
 	defaultOwners = 2
 )
 
-// Sweeper cancels what dead processes have left at engines.
+// Sweeper cancels the holds that crashed processes have left at engines.
 type Sweeper struct {
 	cfg   SweeperConfig
 	done  chan struct{}
@@ -63,14 +62,14 @@
 	}()
 }
 
-// Done is closed when the Sweeper has ended.
+// Done returns a channel that is closed when the Sweeper has stopped.
 func (s *Sweeper) Done() <-chan struct{} { return s.done }
 
 // Swept returns the number of holds cancelled so far.
 func (s *Sweeper) Swept() int64 { return s.swept.Load() }
 
-// Sweep looks once through the engines that this instance is responsible for.
-// An engine that does not answer is left for the next time.
+// Sweep lists once the holds of the engines that this instance is responsible for
+// and cancels the idle ones. An engine that does not answer is skipped.
 func (s *Sweeper) Sweep(ctx context.Context) {
 	instances := s.cfg.View.Instances()
 	for _, server := range s.cfg.View.Servers() {
@@ -103,8 +102,8 @@
 }
 
 // Owns reports whether self is among the n instances that are responsible for
-// an engine. The choice is by rendezvous: it moves only when one of the n
-// joins or leaves.
+// an engine. They are chosen by rendezvous hashing, so the choice changes only
+// when one of them leaves or a new one is added.
 func Owns(self ident.Instance, server ident.Server, instances []ident.Instance, n int) bool {
 	mine := weight(self, server)
 	ahead := 0
--- a/sweep/sweeper_test.go
+++ b/sweep/sweeper_test.go
@@ -55,7 +55,7 @@
 				engines.fail <- nil
 				is.Equal(c, call{name: "cancel", server: "d1", attempts: []ident.Attempt{tt.hold.Attempt}, idleOver: idle})
 			}
-			<-done // once, although the attempt has two holds
+			<-done // one cancel, although the attempt has two holds
 			is.Equal(s.Swept() > 0, tt.swept)
 		})
 	}
@@ -82,6 +82,6 @@
 		}
 		is.Equal(chosen, owners)
 	}
-	is.True(most < 3*owners*servers/len(instances)) // no instance carries three times its share
-	t.Logf("at most %d engines for one of %d instances", most, len(instances))
+	is.True(most < 3*owners*servers/len(instances)) // no instance is responsible for three times its share
+	t.Logf("at most %d engines for each of %d instances", most, len(instances))
 }
--- a/sweep/worker.go
+++ b/sweep/worker.go
@@ -7,7 +7,7 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// dispatch hands engines with something to do to the workers.
+// dispatch passes the engines with due calls to the workers.
 func (k *Keeper) dispatch(ctx context.Context, sub tick.Timer) {
 	for {
 		select {
@@ -26,8 +26,8 @@
 	}
 }
 
-// due marks and returns the engines with something to do. An engine is given
-// to one worker at a time, so that one that hangs ties up no other.
+// due returns the engines with due calls and marks them as busy. Only one worker
+// at a time processes an engine, so an engine that hangs occupies no other worker.
 func (k *Keeper) due() []ident.Server {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -64,7 +64,7 @@
 	}
 }
 
-// finish frees an engine for the next round.
+// finish marks an engine as no longer busy.
 func (k *Keeper) finish(s ident.Server, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -77,7 +77,7 @@
 	notify(k.wake)
 }
 
-// renew touches the live holds at an engine if that is due.
+// renew renews the live holds at an engine if that is due.
 func (k *Keeper) renew(ctx context.Context, s ident.Server) error {
 	as := k.touchable(s)
 	for len(as) > 0 {
@@ -98,7 +98,7 @@
 	return nil
 }
 
-// touched notes the contact of holds that were renewed.
+// touched records the contact of holds that were renewed.
 func (k *Keeper) touched(s ident.Server, as []ident.Attempt, at tick.Instant) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -110,8 +110,8 @@
 	}
 }
 
-// touchable returns the holds that are to be renewed now. One that is new, or
-// that a stream renews, can wait for the next round.
+// touchable returns the holds to renew now, without those that are new or renewed
+// by an open stream.
 func (k *Keeper) touchable(s ident.Server) []ident.Attempt {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -130,8 +130,8 @@
 }
 
 // releaseAll cancels until nothing is pending at the engine, a call fails or
-// live holds are due to be renewed: a slow engine with many releases must not
-// outlast the life of the others.
+// live holds are due for renewal. Otherwise live holds could expire while a slow
+// engine processes many releases.
 func (k *Keeper) releaseAll(ctx context.Context, s ident.Server) error {
 	for !k.renewalDue(s) {
 		r, ok := k.first(s)
@@ -146,7 +146,7 @@
 	return nil
 }
 
-// renewalDue reports whether live holds at an engine wait to be renewed.
+// renewalDue reports whether live holds at an engine are due for renewal.
 func (k *Keeper) renewalDue(s ident.Server) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -154,8 +154,8 @@
 	return len(ac.live) > 0 && k.cfg.Timer.Now() >= ac.touch
 }
 
-// first returns the oldest pending release, without those whose hold has
-// ended by itself.
+// first returns the oldest pending release. It abandons those whose hold has
+// expired.
 func (k *Keeper) first(s ident.Server) (release, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -175,8 +175,8 @@
 	k.pop(k.servers[s], acknowledged)
 }
 
-// pop takes the oldest pending release off. Only the worker that has the
-// engine does so.
+// pop removes the oldest pending release. Only the worker that processes the
+// engine calls it.
 func (k *Keeper) pop(ac *account, acknowledged bool) {
 	ac.pending = ac.pending[1:]
 	k.counts.Pending--
@@ -190,7 +190,7 @@
 	}
 }
 
-// notify wakes the reader of c, which holds at most one signal.
+// notify sends a signal to c, which buffers one, unless there is one already.
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
