replay: comments, test names and some names in the field's terms

A piece of a prompt is a block and a place of a decode server a slot, as in the glossary; the trace format, the tables and the JSON keep their names.

--- a/replay/call.go
+++ b/replay/call.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// maxAttempts is the most placements of one request.
+	// maxAttempts is the maximum number of placements of one request.
 	maxAttempts = 3
-	// prefillSlack and transferSlack are added to twice the expected time
-	// before a step is given up.
+	// prefillSlack and transferSlack are added to twice the expected time of a
+	// step, which is the timeout of the step.
 	prefillSlack  = 250 * time.Millisecond
 	transferSlack = 100 * time.Millisecond
-	// bindEvery is the time between two tries at a decode server without a
-	// reservation.
+	// bindEvery is the time between two attempts to find a decode server without
+	// a reservation.
 	bindEvery = 20 * time.Millisecond
 )
 
@@ -35,19 +35,19 @@
 	failed
 )
 
-// call is the path of one request through the entry instance.
+// call is the state of one request at its entry instance.
 type call struct {
 	w       *world
 	req     *Request
 	class   pool.Class
-	pieces  []uint64
+	blocks  []uint64
 	arrived tick.Instant
 	entry   int
-	back    bool // its caller comes back after a refusal
+	back    bool // a caller's second request after a refusal
 	inRate  bool // within its customer's limit when it arrived
 	ticket  pool.Ticket
 
-	epoch     int // counts the steps; an answer to an older step is dropped
+	epoch     int // number of the step; responses to earlier steps are ignored
 	attempts  int
 	avoid     []ident.Server
 	placement place.Placement
@@ -63,7 +63,7 @@
 	first   tick.Instant
 	ended   tick.Instant
 	run     int64 // prompt tokens prefilled
-	wasted  int64 // of these, without use
+	wasted  int64 // of these, those whose result was not used
 }
 
 func (w *world) newCall(r *Request, n, round int, at tick.Instant) *call {
@@ -73,13 +73,13 @@
 			c.class = k
 		}
 	}
-	c.pieces = pieces(r, n, round)
+	c.blocks = blocks(r, n, round)
 	return c
 }
 
-// pieces returns hashes that are shared within the preamble and differ in the
-// body.
-func pieces(r *Request, n, round int) []uint64 {
+// blocks returns the block hashes of a prompt. Requests with the same preamble
+// share those of the preamble.
+func blocks(r *Request, n, round int) []uint64 {
 	var out []uint64
 	var prev uint64
 	for i := int64(0); (i+1)*place.BlockTokens <= r.Prompt; i++ {
@@ -114,7 +114,7 @@
 		Class:           c.req.Class,
 		PromptTokens:    c.req.Prompt,
 		MaxOutputTokens: c.req.MaxOutput,
-		BlockHashes:     c.pieces,
+		BlockHashes:     c.blocks,
 		Avoid:           c.avoid,
 		Resumed:         c.attempts > 1,
 		KVSource:        held,
@@ -161,7 +161,7 @@
 	c.report(place.StagePrefill)
 	epoch := c.epoch
 	s := c.w.byName[c.placement.Prefill]
-	c.job = &job{prompt: c.req.Prompt, pieces: c.pieces, urgent: !c.class.Deferrable}
+	c.job = &job{prompt: c.req.Prompt, blocks: c.blocks, urgent: !c.class.Deferrable}
 	c.job.finished = func(j *job) {
 		c.run += j.tokens
 		if j.silent || c.epoch != epoch {
@@ -217,8 +217,8 @@
 	})
 }
 
-// bind looks for a decode server without a reservation and comes back later
-// if there is none.
+// bind chooses a decode server without a reservation. If none is free, it tries
+// again after bindEvery.
 func (c *call) bind() bool {
 	if c.w.now-c.kvAt > kvLife {
 		c.lose()
--- a/replay/doc.go
+++ b/replay/doc.go
@@ -2,9 +2,9 @@
 // measures what the customers get.
 //
 // The decisions are the real ones of packages fair, place and pool, on a fake
-// clock. The backend servers are small fakes: a prefill server works off a
-// queue at a constant rate with a prefix cache, a decode server runs a batch
-// whose token time grows with its size. There is no network and no process.
+// clock. The backend servers are small fakes: a prefill server processes a queue
+// at a constant rate and has a prefix cache, a decode server runs a batch whose
+// token interval increases with its size. There is no network and no process.
 //
 // # Usage
 //
@@ -20,20 +20,21 @@
 // names the kind of a record; times are in milliseconds from the start.
 //
 //	pool,<trace>,<data centre>,<model>,<KV bytes per token>,<length ms>
-//	server,<name>,prefill|decode,<places>,<tokens per second>,<token ms>,<link bytes per second>,<cached pieces>
+//	server,<name>,prefill|decode,<slots>,<tokens per second>,<token ms>,<link bytes per second>,<cached blocks>
 //	class,<name>,<first token ms>,<between tokens ms>,patient|prompt
 //	customer,<name>,<weight>,<rate in tokens per second>,<burst in tokens>
 //	event,<at>,depart|silent|stall|loss,<server>,<for ms, 0 for good>
 //	request,<at>,<customer>,<class>,<prompt>,<max output>,<output>,<preamble>,<preamble tokens>,<cancelled after ms, 0 never>
 //
-// An event "silent" loses the answers of all calls that are open at the
-// server; calls made later are answered. An event "stall" stops the transfers
-// into the server. An event "loss" ends the scheduler, whatever the server;
-// its successor knows nothing and entry instances ask it at once.
+// An event "silent" loses the responses to all calls that are in progress at the
+// server, but not to later calls. An event "stall" stops the transfers into the
+// server. An event "loss" replaces the scheduler, whatever the server; the new
+// one starts without state, and entry instances send it their waiting requests
+// at once.
 //
 // # Load
 //
-// At load f the requests come f times as fast and the trace starts over until
-// its length is filled. Bodies differ from round to round, preambles do not.
-// Events keep their times.
+// At load f the requests arrive f times as fast, and the trace is repeated until
+// its length is filled. Each repetition has other bodies and the same preambles.
+// The times of events do not change.
 package replay
--- a/replay/ending.go
+++ b/replay/ending.go
@@ -8,8 +8,8 @@
 	"wasabidock.dev/dock/pool"
 )
 
-// again gives up a step at a server and asks anew. Held names the prefill
-// server if the KV cache may still be moved.
+// again abandons a step at a server and submits the request again. If the KV
+// cache can still be transferred, held is the prefill server that has it.
 func (c *call) again(s place.Stage, blamed, held ident.Server) {
 	c.report(s)
 	c.stopPrefill()
@@ -29,7 +29,7 @@
 	c.ask(held)
 }
 
-// lose counts a prefill whose result is lost.
+// lose counts a prefill whose result is lost as wasted.
 func (c *call) lose() {
 	if c.kvAt > 0 {
 		c.wasted = c.run
@@ -45,7 +45,7 @@
 	c.end(cancelled)
 }
 
-// end gives back all that the request holds and reports its end.
+// end releases everything that the request holds and reports its end.
 func (c *call) end(o outcome) {
 	if c.outcome != open {
 		return
@@ -76,7 +76,7 @@
 	c.job = nil
 }
 
-// free gives the decode place back.
+// free releases the decode slot.
 func (c *call) free() {
 	if c.placement.Decode != "" {
 		c.w.byName[c.placement.Decode].release()
@@ -99,7 +99,7 @@
 	return p
 }
 
-// report tells the scheduler how far the request has come.
+// report reports the stage of the request to the scheduler.
 func (c *call) report(s place.Stage) {
 	c.stage = s
 	p := c.progress()
@@ -112,13 +112,12 @@
 	})
 }
 
-// comeBack lets the caller of a refused request ask once more after the time
-// that it was told.
+// comeBack sends a refused request once more after the Retry-After of the refusal.
 func (c *call) comeBack(retry time.Duration) {
 	if !c.w.opt.Return || c.back || retry < 0 {
 		return
 	}
-	d := &call{w: c.w, req: c.req, class: c.class, pieces: c.pieces, entry: c.entry, back: true}
+	d := &call{w: c.w, req: c.req, class: c.class, blocks: c.blocks, entry: c.entry, back: true}
 	c.w.calls = append(c.w.calls, d)
 	c.w.after(retry, func() {
 		d.arrived = c.w.now
--- a/replay/engine.go
+++ b/replay/engine.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// kvLife is the time for which a prefill server keeps a result.
+	// kvLife is the time for which a prefill server keeps a KV cache.
 	kvLife = 800 * time.Millisecond
-	// emptyBatch is the part of the full batch's token time that remains with
-	// an empty batch.
+	// emptyBatch is the token interval of an empty batch, as a fraction of that
+	// of a full one.
 	emptyBatch = 0.5
 )
 
@@ -27,13 +27,13 @@
 	running *job
 	cache   cache
 	link    tick.Instant // end of the last transfer into the server
-	stalled tick.Instant // transfers stand still until then
+	stalled tick.Instant // no transfer proceeds until then
 
 	taken   int
 	streams streams
-	done    float64 // tokens that a stream in the batch from the start would have
+	done    float64 // tokens of a stream that was in the batch from the start
 	seen    tick.Instant
-	epoch   int // counts the changes of the batch
+	epoch   int // number of changes of the batch
 	reports uint64
 	events  uint64
 }
@@ -41,15 +41,15 @@
 // job is a prefill in the queue of a server.
 type job struct {
 	prompt   int64
-	pieces   []uint64
-	tokens   int64 // without those in the cache, known when it starts
+	blocks   []uint64
+	tokens   int64 // without those in the cache; set when it starts
 	urgent   bool
 	started  tick.Instant
-	silent   bool // its answer is lost
+	silent   bool // its response is lost
 	finished func(j *job)
 }
 
-// prefill queues a job. Urgent jobs go before the others.
+// prefill queues a job. Urgent jobs come before the others.
 func (e *engine) prefill(j *job) {
 	i := len(e.queue)
 	for j.urgent && i > 0 && !e.queue[i-1].urgent {
@@ -69,19 +69,19 @@
 	e.queue = e.queue[1:]
 	e.running = j
 	j.started = e.w.now
-	j.tokens = max(1, j.prompt-int64(e.cache.match(j.pieces))*place.BlockTokens)
+	j.tokens = max(1, j.prompt-int64(e.cache.match(j.blocks))*place.BlockTokens)
 	e.w.after(seconds(float64(j.tokens)/e.spec.PrefillRate), func() {
 		if e.running != j {
 			return
 		}
 		e.running = nil
-		e.learn(j.pieces)
+		e.learn(j.blocks)
 		j.finished(j)
 		e.startPrefill()
 	})
 }
 
-// cancel takes a job out and returns the tokens that were run for it.
+// cancel removes a job and returns the number of tokens that were run for it.
 func (e *engine) cancel(j *job) int64 {
 	if e.running == j {
 		e.running = nil
@@ -98,9 +98,9 @@
 	return 0
 }
 
-// learn puts pieces into the cache and publishes the change.
-func (e *engine) learn(pieces []uint64) {
-	add, drop := e.cache.add(pieces)
+// learn adds blocks to the cache and publishes the change.
+func (e *engine) learn(blocks []uint64) {
+	add, drop := e.cache.add(blocks)
 	if len(add)+len(drop) == 0 {
 		return
 	}
@@ -108,7 +108,7 @@
 	e.w.publish(place.CacheEvent{Server: e.spec.Name, Seq: e.events, Added: add, Evicted: drop})
 }
 
-// reserve takes a decode place if one is free.
+// reserve takes a decode slot if one is free.
 func (e *engine) reserve() bool {
 	if e.taken >= e.spec.Slots {
 		return false
@@ -119,7 +119,7 @@
 
 func (e *engine) release() { e.taken-- }
 
-// transfer moves a KV cache of n bytes in and returns when it will be there.
+// transfer starts the transfer of a KV cache of n bytes and returns when it ends.
 func (e *engine) transfer(n int64) tick.Instant {
 	e.link = max(e.link, e.stalled, e.w.now) + seconds(float64(n)/e.spec.LinkBandwidth)
 	return e.link
@@ -159,7 +159,7 @@
 	return st
 }
 
-// tokenTime returns the time between two tokens of the batch as it is.
+// tokenTime returns the present token interval of the batch.
 func (e *engine) tokenTime() time.Duration {
 	full := float64(len(e.streams)) / float64(max(e.spec.Slots, 1))
 	return time.Duration(float64(e.spec.TokenInterval) * (emptyBatch + (1-emptyBatch)*full))
@@ -175,7 +175,7 @@
 	return st
 }
 
-// stop takes a stream out of the batch.
+// stop removes a stream from the batch.
 func (e *engine) stop(st *stream) {
 	if st.index < 0 {
 		return
@@ -185,7 +185,7 @@
 	e.plan()
 }
 
-// advance brings the token count up to now.
+// advance updates the token count to the present time.
 func (e *engine) advance() {
 	if len(e.streams) > 0 {
 		e.done += float64(e.w.now-e.seen) / float64(e.tokenTime())
@@ -193,8 +193,8 @@
 	e.seen = e.w.now
 }
 
-// plan sets the end of the stream that ends first, as long as the batch stays
-// as it is.
+// plan schedules the end of the stream that ends first. It is called again when
+// the batch changes.
 func (e *engine) plan() {
 	e.epoch++
 	if len(e.streams) == 0 {
@@ -213,7 +213,7 @@
 	})
 }
 
-// report describes the load as it is now.
+// report returns the present load report.
 func (e *engine) report() place.LoadReport {
 	e.reports++
 	r := place.LoadReport{Server: e.spec.Name, Seq: e.reports, BusySlots: e.taken, TokenInterval: e.tokenTime()}
@@ -226,10 +226,10 @@
 	return r
 }
 
-// cache is a prefix cache that drops the piece that was used longest ago.
+// cache is a prefix cache that evicts the least recently used block.
 type cache struct {
 	room  int
-	order *list.List // of uint64, the last used first
+	order *list.List // of uint64, the most recently used first
 	at    map[uint64]*list.Element
 }
 
@@ -237,20 +237,20 @@
 	return cache{room: room, order: list.New(), at: make(map[uint64]*list.Element)}
 }
 
-// match returns the number of leading pieces in the cache.
-func (c *cache) match(pieces []uint64) int {
-	for n, h := range pieces {
+// match returns the number of leading blocks that are in the cache.
+func (c *cache) match(blocks []uint64) int {
+	for n, h := range blocks {
 		el, ok := c.at[h]
 		if !ok {
 			return n
 		}
 		c.order.MoveToFront(el)
 	}
-	return len(pieces)
+	return len(blocks)
 }
 
-func (c *cache) add(pieces []uint64) (added, dropped []uint64) {
-	for _, h := range pieces {
+func (c *cache) add(blocks []uint64) (added, dropped []uint64) {
+	for _, h := range blocks {
 		if _, ok := c.at[h]; ok || c.room == 0 {
 			continue
 		}
@@ -281,7 +281,7 @@
 func engines(w *world, t *Trace) (set []*engine, byName map[ident.Server]*engine) {
 	byName = make(map[ident.Server]*engine)
 	for _, s := range t.Servers {
-		e := &engine{w: w, spec: s, cache: newCache(s.CachePieces)}
+		e := &engine{w: w, spec: s, cache: newCache(s.CachedBlocks)}
 		set = append(set, e)
 		byName[s.Name] = e
 	}
--- a/replay/measure.go
+++ b/replay/measure.go
@@ -9,55 +9,53 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// warmTime is the time at the start of a run that rates leave out.
+// warmTime is the time at the start of a run that rates do not include.
 const warmTime = 15 * time.Second
 
-// Result is what a run gave.
+// Result holds the measurements of a run.
 type Result struct {
 	Trace     string  `json:"trace"`
 	Policy    Policy  `json:"policy"`
 	Load      float64 `json:"load"`
 	Seed      uint64  `json:"seed"`
 	Requests  int     `json:"requests"`
-	Good      int     `json:"good"` // ended within both targets
-	Late      int     `json:"late"` // ended outside a target
+	Good      int     `json:"good"` // completed within both targets
+	Late      int     `json:"late"` // completed outside a target
 	Refused   int     `json:"refused"`
 	Wrongful  int     `json:"wrongful"` // refused within the customer's limit
 	Failed    int     `json:"failed"`
 	Cancelled int     `json:"cancelled"`
-	// GoodPart is the part of the requests not cancelled that ended within
+	// GoodPart is the fraction of the requests not cancelled that completed within
 	// both targets.
 	GoodPart float64 `json:"good_part"`
 	// GoodRate, GoodTokens and GoodCost are the number, the output tokens and
 	// the cost of the good requests per second between the warm-up and the end
-	// of the trace. A request counts evenly over the time from its placement
+	// of the trace. A request is spread evenly over the time from its placement
 	// to its end.
 	GoodRate   float64 `json:"good_rate"`
 	GoodTokens float64 `json:"good_tokens"`
 	GoodCost   float64 `json:"good_cost"`
 	Prefill    int64   `json:"prefill_tokens"`
 	Wasted     int64   `json:"wasted_tokens"`
-	// Waste is Wasted as a part of Prefill, without cancelled requests.
+	// Waste is Wasted as a fraction of Prefill, without cancelled requests.
 	Waste float64 `json:"waste"`
-	// Worst is the least part of its weighted max-min share that a customer
-	// got of the cost served.
+	// Worst is the smallest fraction that a customer received of its weighted
+	// max-min share of the cost served.
 	Worst float64 `json:"worst"`
-	// Returned counts the callers that came back after a refusal before the
-	// end of the trace, and
-	// ReturnedTaken those that were not refused again.
+	// Returned counts the callers that retried after a refusal before the end of
+	// the trace, and ReturnedTaken those that were not refused again.
 	Returned      int `json:"returned,omitempty"`
 	ReturnedTaken int `json:"returned_taken,omitempty"`
-	// Resends counts the sets of placements that the scheduler asked for.
+	// Resends counts how often a scheduler requested all placements of an instance.
 	Resends  int     `json:"resends,omitempty"`
 	FirstP95 float64 `json:"first_p95_ms"` // interactive
-	// RefusedP50 and RefusedP95 are the times after which refused requests
-	// were told.
+	// RefusedP50 and RefusedP95 are the times from arrival to refusal.
 	RefusedP50 float64          `json:"refused_p50_ms"`
 	RefusedP95 float64          `json:"refused_p95_ms"`
 	Customers  []CustomerResult `json:"customers"`
 }
 
-// CustomerResult is what a run gave one customer.
+// CustomerResult holds the measurements of one customer.
 type CustomerResult struct {
 	Name     ident.Customer `json:"name"`
 	Requests int            `json:"requests"`
@@ -66,12 +64,12 @@
 	Refused  int            `json:"refused"`
 	Wrongful int            `json:"wrongful"`
 	Failed   int            `json:"failed"`
-	// Got is the cost per second of good requests. Demand adds the cost of
-	// those that were not good at their arrival.
+	// Got is the cost per second of good requests. Demand also contains the cost
+	// of the others, which count at their arrival.
 	Demand float64 `json:"demand"`
 	Got    float64 `json:"got"`
 	Share  float64 `json:"share"` // weighted max-min share
-	Part   float64 `json:"part"`  // Got in Share
+	Part   float64 `json:"part"`  // Got as a fraction of Share
 }
 
 func (w *world) measure() Result {
@@ -126,8 +124,8 @@
 	return r
 }
 
-// within returns the part of the request that falls between the warm-up and
-// the end of the trace.
+// within returns the fraction of the request that is between the warm-up and the
+// end of the trace.
 func (w *world) within(c *call) float64 {
 	from, to := c.begun, c.ended
 	if !c.good() {
@@ -178,7 +176,7 @@
 	}
 }
 
-// good reports whether the request ended within both targets.
+// good reports whether the request completed within both targets.
 func (c *call) good() bool {
 	if c.outcome != served || c.first-c.arrived > c.class.FirstTokenTarget {
 		return false
@@ -214,8 +212,8 @@
 	}
 }
 
-// shares compares what the customers got with their weighted max-min shares
-// of what was served.
+// shares computes the customers' weighted max-min shares of the cost served and
+// the fractions of them that they received.
 func (w *world) shares(r *Result) {
 	demand := make([]float64, len(r.Customers))
 	weight := make([]float64, len(r.Customers))
@@ -235,7 +233,7 @@
 }
 
 // MaxMin returns the weighted max-min shares of a capacity: no share exceeds
-// its demand, and what is left goes to the others by weight.
+// its demand, and the rest is divided among the others by weight.
 func MaxMin(capacity float64, demand, weight []float64) []float64 {
 	out := make([]float64, len(demand))
 	order := make([]int, len(demand))
--- a/replay/outcome_test.go
+++ b/replay/outcome_test.go
@@ -30,7 +30,7 @@
 	return tr
 }
 
-func TestTracesComeFromTheirShapes(t *testing.T) {
+func TestTracesMatchTheirShapes(t *testing.T) {
 	for _, name := range traces {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,7 +45,7 @@
 	}
 }
 
-func TestSameSeedSameBytes(t *testing.T) {
+func TestSameSeedGivesSameResult(t *testing.T) {
 	is := is.New(t)
 	tr := read(t, "koperasi")
 	var out [2]bytes.Buffer
@@ -62,8 +62,8 @@
 	is.True(bytes.Equal(out[0].Bytes(), out[1].Bytes()))
 }
 
-// TestBelowCapacity checks the outcomes that are stated for loads of up to 0.9
-// of the capacity.
+// TestBelowCapacity checks the requirements for loads of up to 0.9 of the
+// capacity.
 func TestBelowCapacity(t *testing.T) {
 	for _, name := range traces {
 		for _, load := range []float64{0.5, 0.7, 0.9} {
@@ -78,8 +78,8 @@
 	}
 }
 
-// TestOverload checks the outcomes that are stated for loads above the
-// capacity, while one customer sends five times its rate.
+// TestOverload checks the requirements for loads above the capacity, while one
+// customer sends five times its rate.
 func TestOverload(t *testing.T) {
 	for _, name := range traces {
 		tr := read(t, name)
@@ -104,8 +104,8 @@
 	}
 }
 
-// TestSharedLaggingReport compares eight entry instances that share a report
-// which is 500 ms old with one that has a fresh one.
+// TestSharedLaggingReport compares eight entry instances whose load reports are
+// 500 ms old with a single one whose reports are up to date.
 func TestSharedLaggingReport(t *testing.T) {
 	for _, name := range traces {
 		tr := read(t, name)
@@ -119,8 +119,8 @@
 	}
 }
 
-// TestLostScheduler ends the scheduler in the middle of the trace. Its
-// successor learns from reports and heartbeats what runs.
+// TestLostScheduler replaces the scheduler in the middle of the trace. The new one
+// learns the present placements from load reports and heartbeats.
 func TestLostScheduler(t *testing.T) {
 	for _, name := range traces {
 		tr := read(t, name)
@@ -128,7 +128,7 @@
 		for _, load := range []float64{0.9, 1.5} {
 			r := replay.Run(tr, replay.Options{Load: load, Seed: seed})
 			t.Logf("%s at %.1f: goodput %.2f requests/s, all placements sent %d times", name, load, r.GoodRate, r.Resends)
-			if r.Resends == 0 || r.Resends > 8 { // once by each entry instance
+			if r.Resends == 0 || r.Resends > 8 { // once for each entry instance
 				t.Errorf("%s at %.1f: all placements were sent %d times", name, load, r.Resends)
 			}
 			if r.Waste > 0.01 || r.Worst < 0.9 {
@@ -141,17 +141,17 @@
 	}
 }
 
-// TestBaselinesFallBehind shows that the checks can fail: what they demand is
-// not met by the policies that the router is compared with.
-func TestBaselinesFallBehind(t *testing.T) {
+// TestBaselinesFail checks that the policies that the router is compared with do
+// not meet the requirements of TestOverload.
+func TestBaselinesFail(t *testing.T) {
 	tests := []struct {
 		name   string
 		policy replay.Policy
 		fails  func(r *replay.Result) bool
 	}{
 		{"first come is unfair", replay.FirstCome, func(r *replay.Result) bool { return r.Worst < 0.9 }},
-		{"round robin wastes", replay.RoundRobin, func(r *replay.Result) bool { return r.Waste > 0.01 }},
-		{"least loaded wastes", replay.LeastLoaded, func(r *replay.Result) bool { return r.Waste > 0.01 }},
+		{"round robin wastes prefill", replay.RoundRobin, func(r *replay.Result) bool { return r.Waste > 0.01 }},
+		{"least loaded wastes prefill", replay.LeastLoaded, func(r *replay.Result) bool { return r.Waste > 0.01 }},
 		{"a scheduler in each instance is unfair", replay.Each, func(r *replay.Result) bool { return r.Worst < 0.9 }},
 	}
 	tr := read(t, "intercambio")
@@ -172,10 +172,10 @@
 		weight   []float64
 		want     []float64
 	}{
-		{"enough for all", 10, []float64{2, 3}, []float64{1, 1}, []float64{2, 3}},
+		{"demand below capacity", 10, []float64{2, 3}, []float64{1, 1}, []float64{2, 3}},
 		{"equal", 10, []float64{20, 20}, []float64{1, 1}, []float64{5, 5}},
 		{"by weight", 12, []float64{20, 20}, []float64{1, 3}, []float64{3, 9}},
-		{"what one leaves goes to the others", 12, []float64{2, 20, 20}, []float64{1, 1, 1}, []float64{2, 5, 5}},
+		{"unused share is divided among the others", 12, []float64{2, 20, 20}, []float64{1, 1, 1}, []float64{2, 5, 5}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -185,7 +185,7 @@
 	}
 }
 
-func TestReadNamesTheFaultyLine(t *testing.T) {
+func TestReadErrorNamesLine(t *testing.T) {
 	tests := []struct {
 		name string
 		in   string
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -12,19 +12,18 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// Policy names a way to decide.
+// Policy is the name of a placement policy.
 type Policy string
 
-// The policies. Home is the router's own; the others are what it is compared
-// with.
+// The policies. Home is the router's own; the others are compared with it.
 const (
-	// Home has one scheduler for the pool, which all entry instances ask.
+	// Home has one scheduler for the pool, to which all entry instances send requests.
 	Home Policy = "home"
-	// Each has a scheduler in each entry instance, on shared lagging reports.
+	// Each has a scheduler in each entry instance, with the same delayed reports.
 	Each Policy = "each"
-	// TwoChoices is Each with two random choices for each role.
+	// TwoChoices is Each with the better of two random servers for each role.
 	TwoChoices Policy = "two-choices"
-	// FirstCome is Home without regard to customers and classes.
+	// FirstCome is Home in order of arrival, whatever the customer and class.
 	FirstCome Policy = "first-come"
 	// RoundRobin sends requests to the servers in turn, without reservation.
 	RoundRobin Policy = "round-robin"
@@ -38,24 +37,24 @@
 	return []Policy{Home, Each, TwoChoices, FirstCome, RoundRobin, LeastLoaded}
 }
 
-// policy decides for the entry instances of a run.
+// policy makes the decisions for the entry instances of a run.
 type policy interface {
 	// distance is the time of a message between an entry instance and the
-	// place of decision.
+	// scheduler.
 	distance() time.Duration
 	submit(c *call, a *place.Request, now tick.Instant)
 	cancel(c *call)
 	step(now tick.Instant) []verdict
 	progress(entry int, p *pool.Progress, now tick.Instant)
-	// beat reports whether the scheduler asks for all placements.
+	// beat reports whether the scheduler requests all placements of the instance.
 	beat(entry int, sum pool.Checksum, now tick.Instant) bool
 	heartbeat(entry int, all []pool.Progress, now tick.Instant)
 	report(r place.LoadReport, now tick.Instant)
 	events(e place.CacheEvent)
 	depart(name ident.Server, departing bool)
-	// lose ends the schedulers and starts others that know nothing.
+	// lose replaces the schedulers by new ones without state.
 	lose()
-	// bind names a decode server for a policy that reserves none.
+	// bind returns a decode server, for a policy that reserves none.
 	bind(now tick.Instant) (ident.Server, bool)
 }
 
@@ -76,7 +75,7 @@
 	}
 }
 
-// scheduled decides by the router's schedulers.
+// scheduled makes its decisions with the router's schedulers.
 type scheduled struct {
 	w    *world
 	set  []*pool.Scheduler
@@ -123,7 +122,7 @@
 	return sch
 }
 
-// lose lets the entry instances ask the successors for what was waiting.
+// lose replaces the schedulers and submits the waiting requests to the new ones.
 func (s *scheduled) lose() {
 	for i := range s.set {
 		s.set[i] = s.start(i)
@@ -217,7 +216,7 @@
 
 func entryName(i int) ident.Instance { return ident.Instance("e" + strconv.Itoa(i+1)) }
 
-// blind decides at once and reserves nothing.
+// blind places every request at once, without a queue and without reservations.
 type blind struct {
 	w       *world
 	least   bool
@@ -254,7 +253,8 @@
 	b.out = append(b.out, verdict{call: c, placement: place.Placement{Prefill: name}})
 }
 
-// pick returns the next live server in turn, or the one with the least load.
+// pick returns the next server that is not departing, or the one of these with the
+// least load.
 func (b *blind) pick(set []ident.Server, turn *int, load func(place.LoadReport) int64) ident.Server {
 	best := -1
 	for n := range set {
--- a/replay/shape.go
+++ b/replay/shape.go
@@ -23,21 +23,21 @@
 	Prefill    int           // prefill servers
 	Decode     int           // decode servers
 	Rate       float64       // prompt tokens per second of a prefill server
-	TokenTime  time.Duration // with all places taken
+	TokenTime  time.Duration // token interval with all slots taken
 	Customers  []ShapeCustomer
 	Preambles  int
 	Preamble   int64   // tokens
-	Patient    float64 // part of the requests in the class that can wait
+	Patient    float64 // fraction of the requests that are in the deferrable class
 	LongBody   int64   // median body of a patient request, tokens
 	ShortBody  int64   // median body of the other requests
 	LongOutput int64   // mean output of a patient request
 	Output     int64   // mean output of the other requests
-	Cancelled  float64 // part of the requests that callers cancel
+	Cancelled  float64 // fraction of the requests that callers cancel
 	Events     []Event
 }
 
-// ShapeCustomer is a customer that sends Times its rate. The rates stand in
-// the proportion of the weights.
+// ShapeCustomer is a customer that sends Times its rate. The rates are
+// proportional to the weights.
 type ShapeCustomer struct {
 	Name   ident.Customer
 	Weight float64
@@ -45,15 +45,15 @@
 }
 
 const (
-	decodePlaces = 20
+	decodeSlots  = 20
 	kvBytes      = 100 << 10
 	linkRate     = 10 << 30
-	cachePieces  = 1000
-	// burstTime is the time in which the rate of a customer fills its burst.
+	cachedBlocks = 1000
+	// burstTime is the burst of a customer divided by its rate.
 	burstTime = 20 * time.Second
 )
 
-// ErrShape reports a name that is not one of a shape.
+// ErrShape means that there is no shape with the given name.
 var ErrShape = errors.New("unknown shape")
 
 // Shapes returns the shapes of both deployments.
@@ -100,8 +100,8 @@
 	return Shape{}, errors.Wrapf(ErrShape, "%q", name)
 }
 
-// Generate draws a trace that at load one asks for all that the scarcer of
-// prefill and decode can do with full batches and hot preambles.
+// Generate returns a random trace that at load one takes the whole capacity of the
+// scarcer of prefill and decode, with full batches and all preambles cached.
 func Generate(s Shape, seed uint64) *Trace {
 	g := generator{shape: s, rnd: rand.New(rand.NewPCG(seed, 0))}
 	t := g.header()
@@ -123,14 +123,14 @@
 				Name: ident.Server(fmt.Sprintf("p%d", i+1)), Role: place.RolePrefill,
 				PrefillRate: s.Rate, LinkBandwidth: linkRate,
 			},
-			CachePieces: cachePieces,
+			CachedBlocks: cachedBlocks,
 		})
 	}
 	for i := range s.Decode {
 		t.Servers = append(t.Servers, Server{
 			Server: place.Server{
 				Name: ident.Server(fmt.Sprintf("d%d", i+1)), Role: place.RoleDecode,
-				Slots: decodePlaces, TokenInterval: s.TokenTime, LinkBandwidth: linkRate,
+				Slots: decodeSlots, TokenInterval: s.TokenTime, LinkBandwidth: linkRate,
 			},
 		})
 	}
@@ -141,8 +141,8 @@
 	return t
 }
 
-// requests draws bodies until they fill the length at load one, and then
-// spreads them over the length.
+// requests adds random requests until they take the capacity for the length of
+// the trace.
 func (g *generator) requests(t *Trace) {
 	s := &g.shape
 	var parts []float64
@@ -159,14 +159,14 @@
 		r.At = time.Duration(g.rnd.Float64() * float64(s.Length)).Truncate(time.Millisecond)
 		t.Requests = append(t.Requests, r)
 		prefill += float64(r.Prompt-r.PreambleTokens) / s.Rate / float64(s.Prefill)
-		decode += float64(r.Output) * s.TokenTime.Seconds() / float64(s.Decode*decodePlaces)
+		decode += float64(r.Output) * s.TokenTime.Seconds() / float64(s.Decode*decodeSlots)
 	}
 	sort.SliceStable(t.Requests, func(i, j int) bool { return t.Requests[i].At < t.Requests[j].At })
 	g.limits(t, sum)
 }
 
-// limits gives each customer the rate at which it sends at load one, divided
-// by the multiple of its rate that it sends.
+// limits sets the rate of each customer: the one at which it sends at load one,
+// divided by Times.
 func (g *generator) limits(t *Trace, sum float64) {
 	var tokens float64
 	for i := range t.Requests {
--- a/replay/trace.go
+++ b/replay/trace.go
@@ -13,7 +13,7 @@
 	"wasabidock.dev/dock/pool"
 )
 
-// Trace is a recorded load and the pool that it is meant for.
+// Trace is a recorded load and the pool that it was recorded for.
 type Trace struct {
 	Name      string
 	Centre    ident.Centre
@@ -30,7 +30,7 @@
 // Server is a backend server with the size of its prefix cache.
 type Server struct {
 	place.Server
-	CachePieces int
+	CachedBlocks int
 }
 
 // Customer is a customer with its weight and its limit in tokens.
@@ -41,7 +41,7 @@
 	Burst  float64
 }
 
-// EventKind is what happens to a server.
+// EventKind is the kind of an Event.
 type EventKind string
 
 // The kinds of events.
@@ -52,7 +52,7 @@
 	EventLoss   EventKind = "loss"
 )
 
-// Event is something that happens to a server during the replay.
+// Event is a fault or a change of a server during the replay.
 type Event struct {
 	At     time.Duration
 	Kind   EventKind
@@ -224,7 +224,7 @@
 	s.PrefillRate = float64(p.number(4))
 	s.TokenInterval = p.millis(5)
 	s.LinkBandwidth = float64(p.number(6))
-	s.CachePieces = int(p.number(7))
+	s.CachedBlocks = int(p.number(7))
 	return s
 }
 
@@ -239,7 +239,7 @@
 			role = "decode"
 		}
 		put("server", string(s.Name), role, digits(int64(s.Slots)), digits(int64(s.PrefillRate)),
-			millis(s.TokenInterval), digits(int64(s.LinkBandwidth)), digits(int64(s.CachePieces)))
+			millis(s.TokenInterval), digits(int64(s.LinkBandwidth)), digits(int64(s.CachedBlocks)))
 	}
 	for _, c := range t.Classes {
 		kind := "prompt"
--- a/replay/world.go
+++ b/replay/world.go
@@ -14,16 +14,16 @@
 const (
 	// hop is the time of a message within a data centre.
 	hop = time.Millisecond
-	// stepEvery is the time between two steps of a policy that nothing else
-	// wakes.
+	// stepEvery is the time between two steps of a policy that has received
+	// nothing in between.
 	stepEvery = 10 * time.Millisecond
 	beatEvery = time.Second
 	// drainTime is the time after the end of the trace in which requests may
-	// still end.
+	// complete.
 	drainTime = 90 * time.Second
-	// lostEvents is one over the part of the cache events that are lost.
+	// lostEvents is the number of cache events of which one is lost on average.
 	lostEvents = 50
-	// eventLag is the time that cache events are late.
+	// eventLag is the delay of cache events.
 	eventLag = 300 * time.Millisecond
 )
 
@@ -37,7 +37,7 @@
 	ReportEvery time.Duration // 250 ms by default
 	NoCancels   bool          // callers never cancel
 	NoEvents    bool          // nothing fails
-	Return      bool          // refused callers come back once when they were told to
+	Return      bool          // callers retry once after the Retry-After of a refusal
 	Pool        pool.Config   // parameters of the decisions
 }
 
@@ -73,11 +73,11 @@
 	policy  policy
 	calls   []*call
 	alive   []map[*call]bool // by entry instance
-	asked   bool             // the policy has something to decide
-	resends int              // sets of placements that the policy asked for
+	asked   bool             // the policy has received something since its last step
+	resends int              // requests of the policy for all placements of an instance
 }
 
-// action is something that happens at an instant.
+// action is a function that is called at an instant.
 type action struct {
 	at  tick.Instant
 	seq int
@@ -113,7 +113,7 @@
 	return w
 }
 
-// Run replays the trace and measures it.
+// Run replays the trace and returns the measurements.
 func Run(t *Trace, opt Options) Result {
 	w := newWorld(t, opt.withDefaults())
 	return w.run()
@@ -157,7 +157,7 @@
 	})
 }
 
-// load spreads the requests of the trace over its length at the load.
+// load schedules the arrivals of the requests at the load.
 func (w *world) load() {
 	t := w.trace
 	for round := 0; ; round++ {
@@ -229,8 +229,8 @@
 	w.after(eventLag, func() { w.policy.events(e) })
 }
 
-// beat sends the sum over the reported placements of each entry instance, and
-// all that are alive if the scheduler asks for them.
+// beat sends the checksum of the reported placements of each entry instance, and
+// all present placements if the scheduler requests them.
 func (w *world) beat() {
 	hop := w.policy.distance()
 	for entry, set := range w.alive {
