stand: comments and test names in the field's terms

Three tests and two cases are renamed and a variable of the tests is called slot; no assertion changed, nor any name on the wire. go test -race ./stand: ok.

--- a/stand/engine.go
+++ b/stand/engine.go
@@ -8,9 +8,9 @@
 //	srv := httptest.NewServer(e)
 //	e.Inject(stand.Fault{Kind: stand.FaultBefore, Path: "/v1/cancel", N: 2})
 //
-// All time comes from the timer service and nothing is drawn at random, so
-// that a run repeats. Faults are injected by method or through the paths
-// below /control/.
+// The stand-ins use the given clock and no random numbers, so runs are
+// reproducible. Faults are injected by method calls or through the paths below
+// /control/.
 package stand
 
 import (
@@ -33,34 +33,34 @@
 	RoleBoth    = "both"
 )
 
-// EngineConfig holds the settings of an Engine. The zero durations and counts
-// stand for the defaults.
+// EngineConfig holds the settings of an Engine. Zero durations and counts select
+// the defaults.
 type EngineConfig struct {
 	Server  ident.Server
 	Role    string
 	Models  []engine.LoadedModel
-	Build   string // engines of one build give equal outputs; empty if they differ
+	Build   string // engines of the same build produce the same output; empty if outputs differ
 	Timer   tick.Clock
 	Places  int
-	Fencing bool   // refuse orders with an older fencing number
-	Store   *Store // where models are loaded from; nil loads at once
+	Fencing bool   // reject orders with an older fencing number
+	Store   *Store // weight store; if nil, models load at once
 
-	PrefillToken time.Duration // per prompt token that is not cached
-	TokenTime    time.Duration // between output tokens of an empty engine
-	TokenSlope   time.Duration // more per busy place
-	KVLife       time.Duration // life of an exported KV cache
-	KVTokenBytes int64         // size of the KV cache of one token
-	Link         *Link         // carries exports; nil is unlimited
-	HoldLife     time.Duration // longest life of a hold without contact
-	IgnoreHold   bool          // give every hold the longest life
-	Heartbeat    time.Duration // period of signs of life on open answers
-	TouchOnly    bool          // an open stream is no contact, only calls are
+	PrefillToken time.Duration // time for each prompt token that is not cached
+	TokenTime    time.Duration // token interval with one slot taken
+	TokenSlope   time.Duration // added to TokenTime for each further slot taken
+	KVLife       time.Duration // time until an exported KV cache expires
+	KVTokenBytes int64         // size of the KV cache of one token, in bytes
+	Link         *Link         // link for exports; if nil, unlimited
+	HoldLife     time.Duration // maximum time until a hold without contact expires
+	IgnoreHold   bool          // use HoldLife for every hold, whatever was requested
+	Heartbeat    time.Duration // interval between heartbeats on open responses
+	TouchOnly    bool          // only calls count as contact, an open stream does not
 
-	Pieces      func(prompt string) []uint64 // chained hashes; nil caches nothing
-	CachePieces int                          // memory of the prefix cache
-	ReportEvery time.Duration                // age at which the load report is renewed
-	EventDelay  time.Duration                // lag of cache events
-	EventGap    int                          // every so many events one is lost; 0 loses none
+	Pieces      func(prompt string) []uint64 // block hashes of a prompt; if nil, nothing is cached
+	CachePieces int                          // capacity of the prefix cache, in blocks
+	ReportEvery time.Duration                // interval between updates of the load report
+	EventDelay  time.Duration                // delay of cache events
+	EventGap    int                          // one in so many events is lost; 0 for none
 }
 
 const (
@@ -77,21 +77,21 @@
 	tombstoneLife      = time.Minute
 )
 
-// Engine is a stand-in of an inference engine. It computes nothing: prefill
-// and decode take time, and the output follows from the prompt (see Answer).
+// Engine is a stand-in of an inference engine. It runs no model: prefill and
+// decode take time, and the output depends only on the prompt (see Answer).
 type Engine struct {
 	cfg    EngineConfig
 	mux    *http.ServeMux
-	client *http.Client // pulls exports
+	client *http.Client // client for the exports of other engines
 	ctx    context.Context
 	cancel context.CancelFunc
-	wg     sync.WaitGroup // goroutines that the engine started
+	wg     sync.WaitGroup // waits for the goroutines of the engine
 
 	mu       sync.Mutex // guards everything below
 	life     *lifetime
 	serial   uint64
 	attempts map[string]*attempt
-	gone     map[string]tick.Instant // cancelled attempts, until when they are known
+	gone     map[string]tick.Instant // cancelled attempts, with the time until which they are rejected
 	exports  map[string]*export
 	queue    []*job
 	running  *job
@@ -105,14 +105,14 @@
 	draining bool
 	faults   []Fault
 	counts   EngineCounts
-	runs     map[string]int // prefills and decodes begun in this life, by attempt
+	runs     map[string]int // prefills and decodes started since the last restart, by attempt
 }
 
-// lifetime is one life of the engine's process, ended by Kill.
+// lifetime is one run of the engine's process. Kill ends it.
 type lifetime struct {
 	ctx    context.Context
 	cancel context.CancelFunc
-	muted  context.Context // ended when open connections go silent
+	muted  context.Context // ended by FaultSilence
 	mute   context.CancelFunc
 }
 
@@ -180,7 +180,7 @@
 	e.mux.HandleFunc("GET /control/counts", e.controlCounts)
 }
 
-// reset empties the engine's memory and begins a lifetime.
+// reset clears the engine's memory and begins a lifetime.
 func (e *Engine) reset() {
 	l := &lifetime{}
 	l.ctx, l.cancel = context.WithCancel(e.ctx)
@@ -209,8 +209,8 @@
 	e.mux.ServeHTTP(w, r)
 }
 
-// Kill ends the engine's process: open connections break, memory is lost, and
-// calls fail until Restart.
+// Kill simulates a crash of the engine's process: connections are closed, memory
+// is lost, and calls fail until Restart.
 func (e *Engine) Kill() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -220,7 +220,7 @@
 	e.queue, e.running = nil, nil
 }
 
-// Restart begins a new process with empty memory.
+// Restart simulates the start of a new process with empty memory.
 func (e *Engine) Restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -228,14 +228,14 @@
 	e.reset()
 }
 
-// Close ends the engine for good and waits for its goroutines.
+// Close stops the engine and waits for its goroutines.
 func (e *Engine) Close() {
 	e.cancel()
 	e.wg.Wait()
 	e.client.CloseIdleConnections()
 }
 
-// alive returns the current lifetime, or nil if the engine is dead.
+// alive returns the current lifetime, or nil after Kill.
 func (e *Engine) alive() *lifetime {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -265,7 +265,7 @@
 
 const maxRequestBytes = 8 << 20
 
-// readJSON reads the body of a call, and answers the call if that fails.
+// readJSON decodes the body of a call. If that fails, it writes the error response.
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into)
 	if err != nil {
--- a/stand/engine_test.go
+++ b/stand/engine_test.go
@@ -21,7 +21,7 @@
 
 const model = ident.Model("dossier")
 
-// bench is one engine on a fake clock and a client on the real one.
+// bench is an engine with a fake clock and its client with the real clock.
 type bench struct {
 	t      *testing.T
 	clock  *tick.Fake
@@ -60,7 +60,7 @@
 	return b
 }
 
-// pieces makes a piece of every word.
+// pieces returns a block hash for every word.
 func pieces(prompt string) []uint64 {
 	var out []uint64
 	h := uint64(7)
@@ -79,7 +79,7 @@
 	return b.client.Reserve(context.Background(), "e1", flow.ReserveRequest{Attempt: attempt(serial), Model: model, TTL: 5 * time.Second})
 }
 
-// prefill runs a prefill and lets the clock go on until it has ended.
+// prefill runs a prefill and advances the clock until it has ended.
 func (b *bench) prefill(serial uint64, prompt string) (flow.KV, error) {
 	type result struct {
 		kv  flow.KV
@@ -104,18 +104,18 @@
 	}
 }
 
-// decoding brings an attempt to its decode.
+// decoding prepares an attempt up to its decode.
 func (b *bench) decoding(serial uint64, prompt string) {
 	b.t.Helper()
 	is := is.New(b.t)
-	seat, err := b.reserve(serial)
+	slot, err := b.reserve(serial)
 	is.NoErr(err)
 	kv, err := b.prefill(serial+1000, prompt)
 	is.NoErr(err)
-	is.NoErr(b.client.Import(context.Background(), "e1", flow.ImportRequest{Attempt: attempt(serial), Slot: seat.ID, KV: kv.Name, Source: "e1"}))
+	is.NoErr(b.client.Import(context.Background(), "e1", flow.ImportRequest{Attempt: attempt(serial), Slot: slot.ID, KV: kv.Name, Source: "e1"}))
 }
 
-func TestEnginePlacesAreLimited(t *testing.T) {
+func TestEngineSlotsAreLimited(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, func(*stand.EngineConfig) {})
 	first, err := b.reserve(1)
@@ -135,10 +135,10 @@
 	_, err = b.reserve(3)
 	is.NoErr(err)
 	_, err = b.reserve(1)
-	is.True(errors.Is(err, flow.ErrFull) || errors.Is(err, flow.ErrUnknownAttempt)) // a late call revives nothing
+	is.True(errors.Is(err, flow.ErrFull) || errors.Is(err, flow.ErrUnknownAttempt)) // a late call takes no slot
 }
 
-func TestEngineHoldsEndWithoutContact(t *testing.T) {
+func TestEngineHoldsExpireWithoutContact(t *testing.T) {
 	is := is.New(t)
 	ctx := context.Background()
 	b := newBench(t, func(*stand.EngineConfig) {})
@@ -154,11 +154,11 @@
 	}
 	holds, err := b.client.Holds(ctx, "e1", 0)
 	is.NoErr(err)
-	is.Equal(len(holds), 1) // the second one had no contact
+	is.Equal(len(holds), 1) // the second hold had no contact
 	is.Equal(holds[0].Attempt, attempt(1))
 	holds, err = b.client.Holds(ctx, "e1", time.Second)
 	is.NoErr(err)
-	is.Equal(len(holds), 0) // none was without contact for so long
+	is.Equal(len(holds), 0) // no hold was without contact for so long
 	gone, err := b.client.Touch(ctx, "e1", []ident.Attempt{attempt(2)})
 	is.NoErr(err)
 	is.Equal(gone, []ident.Attempt{attempt(2)})
@@ -189,7 +189,7 @@
 	is.Equal(kv.CachedTokens, int64(0))
 	kv, err = b.prefill(2, "aa bbb c"+long)
 	is.NoErr(err)
-	is.Equal(kv.CachedTokens, int64(2000)) // two pieces of a thousand tokens
+	is.Equal(kv.CachedTokens, int64(2000)) // two blocks of a thousand tokens
 	_, err = b.prefill(3, "dddd")
 	is.NoErr(err)
 
@@ -203,20 +203,20 @@
 	is.Equal(first.Added, pieces("aa bbb "+long))
 	second, err := feed.Next()
 	is.NoErr(err)
-	is.Equal(second.Seq, uint64(3))  // one was lost
-	is.Equal(len(second.Evicted), 1) // the memory is limited
+	is.Equal(second.Seq, uint64(3))  // one event was lost
+	is.Equal(len(second.Evicted), 1) // the capacity of the cache is limited
 }
 
-func TestEngineExportEnds(t *testing.T) {
+func TestEngineExportExpires(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, func(*stand.EngineConfig) {})
-	seat, err := b.reserve(1)
+	slot, err := b.reserve(1)
 	is.NoErr(err)
 	kv, err := b.prefill(2, "letter")
 	is.NoErr(err)
 	is.True(kv.TTL > 0 && kv.TTL <= 900*time.Millisecond)
 	b.clock.Advance(time.Second)
-	err = b.client.Import(context.Background(), "e1", flow.ImportRequest{Attempt: attempt(1), Slot: seat.ID, KV: kv.Name, Source: "e1"})
+	err = b.client.Import(context.Background(), "e1", flow.ImportRequest{Attempt: attempt(1), Slot: slot.ID, KV: kv.Name, Source: "e1"})
 	is.True(errors.Is(err, flow.ErrKVGone))
 }
 
@@ -247,7 +247,7 @@
 	_, err := b.client.Stream(context.Background(), "e1", attempt(1), 6)
 	is.True(err != nil)
 	is.Equal(b.engine.Counts().Decodes, int64(1))
-	is.Equal(b.engine.Counts().Busy, 0) // a finished decode gives its place back
+	is.Equal(b.engine.Counts().Busy, 0) // a completed decode releases its slot
 }
 
 func TestEngineLoadReportLags(t *testing.T) {
@@ -289,7 +289,7 @@
 			is.NoErr(b.client.Order(ctx, load))
 			is.NoErr(b.client.Order(ctx, load))
 			loads, _ := store.Loads()
-			is.Equal(loads, 1) // a repeated order does nothing
+			is.Equal(loads, 1) // a repeated order has no effect
 			is.Equal(b.engine.Serves("opinion"), false)
 			b.clock.Advance(time.Minute)
 			is.Equal(b.engine.Serves("opinion"), true)
--- a/stand/engineanswer.go
+++ b/stand/engineanswer.go
@@ -13,14 +13,14 @@
 	lengthMark      = "[output="
 )
 
-// words are the tokens of which answers consist.
+// words are the possible tokens of an output.
 var words = strings.Fields(`the family letter pupil school host garden paint door house
 old street officer opinion report summary fits well near far with and of in
 keeps colour roof wood stone heritage careful quiet music sport travel home`)
 
 // Answer returns the output of the stand-in engines for a prompt: its tokens
-// and the reason of its end. It depends on nothing else. A prompt that holds
-// "[output=N]" asks for N tokens.
+// and its finish reason. It depends on nothing else. A prompt that contains
+// "[output=N]" gets N tokens of output.
 func Answer(prompt string, maxOutput int64) (tokens []string, reason string) {
 	h := xxhash.Sum64String(prompt)
 	n, reason := answerLength(prompt, h), "stop"
--- a/stand/enginefault.go
+++ b/stand/enginefault.go
@@ -15,48 +15,49 @@
 // The kinds of faults.
 const (
 	FaultStall   = "stall"   // the next exports hang
-	FaultCross   = "cross"   // the next tokens come with a stray and a doubled one
+	FaultCross   = "cross"   // the next tokens are preceded by one of another attempt and a repeated one
 	FaultStatus  = "status"  // the next calls get status 500
-	FaultBefore  = "before"  // the next calls are cut before they act
-	FaultAfter   = "after"   // the next calls act and are cut before their answer
-	FaultLate    = "late"    // the next calls are cut and act after a delay
+	FaultBefore  = "before"  // connections of the next calls are closed before the calls run
+	FaultAfter   = "after"   // connections of the next calls are closed before the response
+	FaultLate    = "late"    // connections of the next calls are closed, and the calls run after a delay
 	FaultRefuse  = "refuse"  // the next calls get status 503 with a code
-	FaultDrain   = "drain"   // takes nothing new
-	FaultUndrain = "undrain" // takes new work again
-	FaultSilence = "silence" // open connections go silent for good
-	FaultCut     = "cut"     // open streams break
-	FaultKill    = "kill"    // the process dies
-	FaultRestart = "restart" // the process starts with empty memory
+	FaultDrain   = "drain"   // the engine is draining
+	FaultUndrain = "undrain" // the engine is no longer draining
+	FaultSilence = "silence" // nothing more is sent on open connections
+	FaultCut     = "cut"     // open streams are interrupted
+	FaultKill    = "kill"    // see Engine.Kill
+	FaultRestart = "restart" // see Engine.Restart
 )
 
 // Fault is a fault to inject, the body of POST /control/fault.
 type Fault struct {
 	Kind    string `json:"kind"`
-	Path    string `json:"path,omitempty"` // prefix of the calls concerned
-	N       int    `json:"n,omitempty"`    // number of calls concerned
+	Path    string `json:"path,omitempty"` // path prefix of the calls that the fault affects
+	N       int    `json:"n,omitempty"`    // number of calls that the fault affects
 	DelayMS int64  `json:"delay_ms,omitempty"`
 }
 
-// EngineCounts tells what an engine did, the answer of GET /control/counts.
+// EngineCounts holds the counters of an engine, the response to GET
+// /control/counts.
 type EngineCounts struct {
-	Holds         int   `json:"holds"` // now
-	Busy          int   `json:"busy"`  // now
+	Holds         int   `json:"holds"` // at present
+	Busy          int   `json:"busy"`  // slots taken at present
 	Prefills      int64 `json:"prefills"`
-	PrefillTokens int64 `json:"prefill_tokens"` // computed, not cached
-	Exports       int64 `json:"exports"`        // begun
-	Imports       int64 `json:"imports"`        // finished
+	PrefillTokens int64 `json:"prefill_tokens"` // without cached tokens
+	Exports       int64 `json:"exports"`        // started
+	Imports       int64 `json:"imports"`        // completed
 	Decodes       int64 `json:"decodes"`
 	Streams       int64 `json:"streams"`
 	Tokens        int64 `json:"tokens"`
 	Cancels       int64 `json:"cancels"`
-	Expired       int64 `json:"expired"` // attempts whose hold life ran out
+	Expired       int64 `json:"expired"` // attempts whose hold has expired
 	Full          int64 `json:"full"`
 	Orders        int64 `json:"orders"`
 	Loads         int64 `json:"loads"`
-	Repeated      int   `json:"repeated"` // attempts that ran more than once in this life
+	Repeated      int   `json:"repeated"` // attempts that ran more than once since the last restart
 }
 
-// Inject causes a fault.
+// Inject injects a fault.
 func (e *Engine) Inject(f Fault) {
 	switch f.Kind {
 	case FaultKill:
@@ -88,7 +89,7 @@
 	}
 }
 
-// Counts returns what the engine did so far and holds now.
+// Counts returns the present counters.
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -116,7 +117,8 @@
 	writeJSON(w, e.Counts())
 }
 
-// takeFault uses up one fault of a kind, if there is one for the path.
+// takeFault reports whether there is a fault of a kind for the path, and counts it as
+// used once.
 func (e *Engine) takeFault(kind, path string) bool {
 	for i := range e.faults {
 		f := &e.faults[i]
@@ -129,7 +131,8 @@
 	return false
 }
 
-// nextFault uses up the first fault that concerns calls to a path.
+// nextFault returns the first fault that affects calls to a path, and counts it as
+// used once.
 func (e *Engine) nextFault(path string) (Fault, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -145,7 +148,7 @@
 	return Fault{}, false
 }
 
-// applyFault answers a call that a fault concerns and reports whether it did.
+// applyFault handles a call if a fault affects it, and reports whether one did.
 func (e *Engine) applyFault(w http.ResponseWriter, r *http.Request) bool {
 	if strings.HasPrefix(r.URL.Path, "/control/") {
 		return false
@@ -172,7 +175,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// actLate lets a call act after a delay, when its connection is gone.
+// actLate runs a call after a delay, when its connection is closed.
 func (e *Engine) actLate(r *http.Request, d time.Duration) {
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxRequestBytes))
 	if err != nil {
@@ -183,14 +186,14 @@
 	e.wg.Add(1)
 	go func() {
 		defer e.wg.Done()
-		defer func() { _ = recover() }() // the handler aborts if the engine is killed meanwhile
+		defer func() { _ = recover() }() // the handler panics if the engine is killed meanwhile
 		if tick.Sleep(e.ctx, e.cfg.Timer, d) == nil && e.alive() != nil {
 			e.mux.ServeHTTP(&discard{header: make(http.Header)}, late)
 		}
 	}()
 }
 
-// discard is an answer that nobody reads.
+// discard is a ResponseWriter that discards everything.
 type discard struct{ header http.Header }
 
 func (d *discard) Header() http.Header         { return d.header }
--- a/stand/enginehold.go
+++ b/stand/enginehold.go
@@ -11,22 +11,22 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// attempt is what the engine holds for one attempt. Engine.mu guards it.
+// attempt is the state of one attempt at the engine. Engine.mu guards it.
 type attempt struct {
 	name    string
-	contact tick.Instant // last sign of life from a router
+	contact tick.Instant // time of the last contact by a router
 	life    time.Duration
 
-	job *job    // queued or running prefill
+	job *job    // prefill, queued or running
 	kv  *export // result of the prefill
 
-	place     string // decode place
+	place     string // name of the decode slot
 	maxOutput int64
-	transfer  *transfer // import in flight or finished
+	transfer  *transfer // import, in progress or completed
 	decode    *decode
 }
 
-// drop ends everything that runs for the attempt.
+// drop stops everything that runs for the attempt.
 func (a *attempt) drop() {
 	if a.job != nil {
 		a.job.cancel()
@@ -39,7 +39,7 @@
 	}
 }
 
-// kinds lists the holds of the attempt.
+// kinds returns the kinds of the attempt's holds.
 func (a *attempt) kinds(now tick.Instant) []string {
 	var ks []string
 	if a.job != nil && !a.job.finished {
@@ -57,7 +57,7 @@
 	return ks
 }
 
-// expire drops the holds whose life is over.
+// expire releases the holds that have expired.
 func (e *Engine) expire() {
 	now := e.cfg.Timer.Now()
 	for name, x := range e.exports {
@@ -92,8 +92,8 @@
 	}
 }
 
-// release drops all holds of an attempt and returns how many there were. Calls
-// for the attempt that arrive later are refused.
+// release releases all holds of an attempt and returns their number. Later calls
+// for the attempt are rejected.
 func (e *Engine) release(name string) int {
 	now := e.cfg.Timer.Now()
 	e.gone[name] = now + tombstoneLife
@@ -110,8 +110,8 @@
 	return n
 }
 
-// take returns the entry of an attempt and notes the contact. It returns nil
-// if the attempt was released before.
+// take returns the state of an attempt and records the contact. It returns nil
+// if the attempt has been released.
 func (e *Engine) take(name string, holdMS int64) *attempt {
 	if _, gone := e.gone[name]; gone {
 		return nil
@@ -129,7 +129,7 @@
 	return a
 }
 
-// busy returns the number of taken places.
+// busy returns the number of slots taken.
 func (e *Engine) busy() int {
 	now := e.cfg.Timer.Now()
 	n := 0
--- a/stand/enginekv.go
+++ b/stand/enginekv.go
@@ -12,16 +12,16 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// Link is a network link of a limited rate. Transfers in flight share it
-// evenly.
+// Link is a network link of limited bandwidth, which the transfers in progress
+// share equally.
 type Link struct {
-	rate int64 // bytes a second, 0 for no limit
+	rate int64 // bytes per second, 0 for no limit
 
 	mu     sync.Mutex
 	flight int
 }
 
-// NewLink returns a link that carries rate bytes a second, or any number if
+// NewLink returns a link with a bandwidth of rate bytes per second, unlimited if
 // rate is zero.
 func NewLink(rate int64) *Link { return &Link{rate: rate} }
 
@@ -37,7 +37,8 @@
 	l.flight--
 }
 
-// time returns how long n bytes take at the present share of a transfer.
+// time returns how long a transfer of n bytes takes at the present bandwidth of
+// one transfer.
 func (l *Link) time(n int64) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -47,26 +48,26 @@
 	return time.Duration(float64(n*int64(l.flight)) / float64(l.rate) * float64(time.Second))
 }
 
-// export is a KV cache that waits to be pulled. Engine.mu guards it.
+// export is a KV cache that another engine may import. Engine.mu guards it.
 type export struct {
 	name    string
 	attempt string
 	prompt  string
 	bytes   int64
 	until   tick.Instant
-	readers int // transfers in flight keep it
+	readers int // transfers in progress; the export does not expire before they end
 }
 
-// kvPayload ends the answer of an export. The bytes of the cache are not sent,
-// only the time that they take is spent.
+// kvPayload is the end of the response with an export. The bytes of the cache are
+// not sent; the response only takes as long as they would.
 type kvPayload struct {
 	Prompt string `json:"prompt"`
 	Bytes  int64  `json:"bytes"`
 }
 
 const (
-	transferSlices = 20                    // least number of parts in which an export is sent
-	sliceTime      = 20 * time.Millisecond // of a part on an idle link, at most
+	transferSlices = 20                    // minimum number of parts in which an export is sent
+	sliceTime      = 20 * time.Millisecond // maximum time for a part on an idle link
 )
 
 // slice returns the size of the parts in which n bytes are sent.
@@ -128,12 +129,12 @@
 	x.readers--
 }
 
-// transfer is an import in flight or finished. Engine.mu guards it, except
-// for done and moved.
+// transfer is an import, in progress or completed. Engine.mu guards it, except for
+// done and moved.
 type transfer struct {
 	cancel context.CancelFunc
-	moved  chan struct{} // receives after bytes have come in
-	done   chan struct{} // closed at the end
+	moved  chan struct{} // receives a value after bytes have arrived
+	done   chan struct{} // closed when the transfer has ended
 	ok     bool
 	answer engine.ImportResponse
 }
@@ -167,8 +168,8 @@
 	}
 }
 
-// startImport begins a transfer. A finished one of the same attempt is
-// answered again, one in flight is replaced.
+// startImport starts a transfer. If the attempt has a completed one, that one is
+// returned; one in progress is replaced.
 func (e *Engine) startImport(w http.ResponseWriter, in engine.ImportRequest) (*transfer, *lifetime) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -218,8 +219,8 @@
 	}
 }
 
-// pull reads an export of another engine. The older transfer is ended once
-// the new one is open, so that the export is in use throughout.
+// pull reads an export of another engine. It ends the older transfer after it has
+// opened the new one, so that the export does not expire in between.
 func (e *Engine) pull(ctx context.Context, in engine.ImportRequest, t, old *transfer) (p kvPayload, refused engine.Refusal, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, in.Source+engine.PathKV+in.KV, nil)
 	if err != nil {
@@ -245,7 +246,7 @@
 	return p, refused, err
 }
 
-// movedReader tells moved about every byte that comes in.
+// movedReader sends to moved after each read that returned bytes.
 type movedReader struct {
 	r     io.Reader
 	moved chan<- struct{}
--- a/stand/engineload.go
+++ b/stand/engineload.go
@@ -9,10 +9,10 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// pieceTokens is the number of prompt tokens in a piece of the prefix cache.
+// pieceTokens is the number of prompt tokens in a block of the prefix cache.
 const pieceTokens = 1000
 
-// reports holds the load report that is given out and the one that follows it.
+// reports holds the load report that is sent until the next update.
 type reports struct {
 	seq  uint64
 	told engine.LoadReport
@@ -63,18 +63,18 @@
 	return l
 }
 
-// pieceCache holds the prompt pieces that were used last.
+// pieceCache is a prefix cache. It evicts the least recently used blocks.
 type pieceCache struct {
 	size  int
 	clock uint64
-	used  map[uint64]uint64 // piece to the time of its last use
+	used  map[uint64]uint64 // time of the last use of each block
 }
 
 func newPieceCache(size int) *pieceCache {
 	return &pieceCache{size: size, used: make(map[uint64]uint64)}
 }
 
-// match returns how many leading pieces are cached.
+// match returns the number of leading blocks that are cached.
 func (c *pieceCache) match(pieces []uint64) int64 {
 	for i, p := range pieces {
 		if _, ok := c.used[p]; !ok {
@@ -84,7 +84,7 @@
 	return int64(len(pieces))
 }
 
-// add caches the pieces and returns what changed.
+// add adds the blocks to the cache and returns those added and evicted.
 func (c *pieceCache) add(pieces []uint64) (added, dropped []uint64) {
 	for _, p := range pieces {
 		c.clock++
@@ -110,10 +110,10 @@
 	return oldest
 }
 
-// maxFeedEvents is how many cache events a feed keeps for late readers.
+// maxFeedEvents is the number of cache events that a feed keeps.
 const maxFeedEvents = 1024
 
-// eventFeed holds the latest cache events.
+// eventFeed holds the most recent cache events.
 type eventFeed struct {
 	delay  time.Duration
 	gap    int
@@ -148,7 +148,7 @@
 	}
 }
 
-// due returns the events after a sequence number that have become visible.
+// due returns the events after a sequence number whose delay has passed.
 func (f *eventFeed) due(now tick.Instant, after uint64) []engine.CacheEvent {
 	var out []engine.CacheEvent
 	for _, ev := range f.events {
@@ -159,7 +159,7 @@
 	return out
 }
 
-// events sends the cache events as they fall due, and a heartbeat otherwise.
+// events sends the cache events when their delay has passed, and heartbeats.
 func (e *Engine) events(w http.ResponseWriter, r *http.Request) {
 	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
 	if err != nil {
--- a/stand/engineorder.go
+++ b/stand/engineorder.go
@@ -11,7 +11,7 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// Store is a weight store of a limited rate. Loads follow one another.
+// Store is a weight store that serves one load at a time.
 type Store struct {
 	timer tick.Clock
 	load  time.Duration // time of one load
@@ -19,15 +19,15 @@
 	mu     sync.Mutex
 	free   tick.Instant
 	loads  int
-	queued int // longest queue seen
+	queued int // maximum length of the queue so far
 }
 
-// NewStore returns a store that takes load for each model.
+// NewStore returns a store that needs the time load for each model.
 func NewStore(timer tick.Clock, load time.Duration) *Store {
 	return &Store{timer: timer, load: load}
 }
 
-// fetch queues a load and returns when it will be finished.
+// fetch queues a load and returns the time at which it will complete.
 func (s *Store) fetch() tick.Instant {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -40,7 +40,7 @@
 	return s.free
 }
 
-// Loads returns the number of loads and the longest queue of them so far.
+// Loads returns the number of loads and the maximum length of their queue so far.
 func (s *Store) Loads() (loads, queued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,7 +84,7 @@
 	writeJSON(w, struct{}{})
 }
 
-// startLoad loads a model unless it is there or on its way.
+// startLoad starts to load a model unless it is loaded or loading.
 func (e *Engine) startLoad(m engine.LoadedModel) {
 	if slices.Contains(e.models, m) {
 		return
@@ -103,7 +103,7 @@
 	e.finishLoads()
 }
 
-// finishLoads moves the models whose load is over into memory.
+// finishLoads marks the models whose loading has completed as loaded.
 func (e *Engine) finishLoads() {
 	now := e.cfg.Timer.Now()
 	rest := e.loading[:0]
--- a/stand/engineprefill.go
+++ b/stand/engineprefill.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// startPrefill queues the prefill, or joins the one of the same attempt.
+// startPrefill queues the prefill, or returns the one of the same attempt.
 func (e *Engine) startPrefill(w http.ResponseWriter, in engine.PrefillRequest) (*job, *lifetime) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -135,7 +135,7 @@
 	return j.serial < o.serial
 }
 
-// end records the answer of the job. It is called once.
+// end records the response of the job. It is called once.
 func (j *job) end(answer engine.PrefillResponse) {
 	j.finished = true
 	j.answer = answer
@@ -143,8 +143,8 @@
 	close(j.done)
 }
 
-// prefillTime looks the prompt up in the prefix cache and returns the time
-// that the rest takes.
+// prefillTime returns the time for the part of the prompt that is not in the prefix
+// cache.
 func (e *Engine) prefillTime(j *job) time.Duration {
 	j.answer.Tokens = promptTokens(j.prompt)
 	j.answer.CachedTokens = min(e.cache.match(e.pieces(j.prompt))*pieceTokens, j.answer.Tokens)
@@ -182,8 +182,8 @@
 	j.end(out)
 }
 
-// prefillAnswer returns the answer of a job that has ended, with the rest of
-// the life of its export.
+// prefillAnswer returns the response of a job that has ended, with the time until
+// its export expires.
 func (e *Engine) prefillAnswer(j *job) engine.PrefillResponse {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -201,8 +201,8 @@
 	return e.cfg.Pieces(prompt)
 }
 
-// speak reports whether an open answer may still write. It waits for the end
-// of the connection if connections that were open then have gone silent.
+// speak reports whether an open response may be written to. After FaultSilence, it
+// waits until the connection is closed and returns false.
 func speak(r *http.Request, l *lifetime) bool {
 	if l.muted.Err() == nil {
 		return true
--- a/stand/enginequeue_test.go
+++ b/stand/enginequeue_test.go
@@ -15,8 +15,8 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// pump lets the fake clock go on until every call has ended, and returns how
-// long that took by it.
+// pump advances the fake clock until every call has ended, and returns the time
+// by which it has advanced.
 func (b *bench) pump(calls ...<-chan error) time.Duration {
 	b.t.Helper()
 	real := tick.NewReal()
@@ -45,7 +45,7 @@
 	return c
 }
 
-// awaitQueue waits until the engine has taken in n prefills.
+// awaitQueue waits until the engine has received n prefills.
 func (b *bench) awaitQueue(n int) {
 	b.t.Helper()
 	real := tick.NewReal()
@@ -60,7 +60,7 @@
 func TestEnginePrefillsByPriority(t *testing.T) {
 	is := is.New(t)
 	b := newBench(t, func(*stand.EngineConfig) {})
-	exports := make(map[int]int) // number of the export by priority
+	exports := make(map[int]int) // number of the export, by priority
 	var mu sync.Mutex
 	submit := func(serial uint64, priority int) <-chan error {
 		return async(func() error {
@@ -83,7 +83,7 @@
 	third := submit(3, 1)
 	b.awaitQueue(3)
 	b.pump(first, second, third)
-	is.True(exports[5] < exports[1]) // the running one is not interrupted
+	is.True(exports[5] < exports[1]) // the running prefill is not interrupted
 	is.True(exports[1] < exports[9])
 }
 
@@ -104,7 +104,7 @@
 	is.NoErr(err)
 	b.pump(first)
 	is.True(<-second != nil)
-	is.Equal(b.engine.Counts().Prefills, int64(1)) // the released one was never begun
+	is.Equal(b.engine.Counts().Prefills, int64(1)) // the released prefill was never started
 }
 
 func TestTransfersShareTheLink(t *testing.T) {
@@ -129,12 +129,12 @@
 			})
 			var calls []<-chan error
 			for n := uint64(1); n <= tt.transfers; n++ {
-				seat, err := b.reserve(n)
+				slot, err := b.reserve(n)
 				is.NoErr(err)
 				kv, err := b.prefill(n+100, prompt)
 				is.NoErr(err)
 				calls = append(calls, async(func() error {
-					return b.client.Import(context.Background(), "e1", flow.ImportRequest{Attempt: attempt(n), Slot: seat.ID, KV: kv.Name, Source: "e1"})
+					return b.client.Import(context.Background(), "e1", flow.ImportRequest{Attempt: attempt(n), Slot: slot.ID, KV: kv.Name, Source: "e1"})
 				}))
 			}
 			for b.engine.Counts().Exports < int64(tt.transfers) {
--- a/stand/enginestream.go
+++ b/stand/enginestream.go
@@ -12,17 +12,17 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// decode is the output of an attempt. It is not produced but follows from the
-// time since its start. Engine.mu guards it.
+// decode is the output of an attempt. The tokens that are ready are computed from
+// the time since the start. Engine.mu guards it.
 type decode struct {
 	tokens  []string
 	reason  string
 	started bool
 	start   tick.Instant
 	step    time.Duration
-	stream  context.CancelCauseFunc // ends the open stream, nil if there is none
-	open    uint64                  // serial of the open stream
-	life    *lifetime               // in which the stream was opened
+	stream  context.CancelCauseFunc // cancels the open stream; nil if there is none
+	open    uint64                  // serial number of the open stream
+	life    *lifetime               // lifetime in which the stream was opened
 }
 
 func newDecode(a *attempt, prompt string) *decode {
@@ -30,7 +30,7 @@
 	return &decode{tokens: tokens, reason: reason}
 }
 
-// produced returns the number of tokens that are there by now.
+// produced returns the number of tokens that are ready at now.
 func (d *decode) produced(now tick.Instant) int64 {
 	if !d.started {
 		return 0
@@ -45,7 +45,7 @@
 	return d.started && d.produced(now) == int64(len(d.tokens))
 }
 
-// audible reports whether a stream is open and its connection not silent.
+// audible reports whether a stream is open and not affected by FaultSilence.
 func (d *decode) audible() bool {
 	return d.stream != nil && d.life.muted.Err() == nil
 }
@@ -87,8 +87,8 @@
 	}
 }
 
-// openStream starts the decode if it has not begun, and takes it over from an
-// older connection.
+// openStream starts the decode if it has not started, and closes an older stream
+// of it.
 func (e *Engine) openStream(w http.ResponseWriter, r *http.Request, offset int64) *openStream {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -131,8 +131,8 @@
 	}
 }
 
-// send writes tokens from offset on, and the end. It reports whether the
-// stream came to its end.
+// send writes the tokens from offset on and the end event. It reports whether the
+// stream is complete.
 func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *openStream, offset int64) bool {
 	beats := e.cfg.Timer.Every(e.cfg.Heartbeat)
 	defer beats.Stop()
@@ -156,7 +156,7 @@
 	}
 }
 
-// ready returns the tokens that are there and the time until the next one.
+// ready returns the number of tokens that are ready and the time until the next.
 func (e *Engine) ready(d *decode) (int64, time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -165,8 +165,8 @@
 	return n, d.start + time.Duration(n)*d.step - now
 }
 
-// await waits for the next token and sends heartbeats meanwhile. It reports
-// whether the stream goes on.
+// await waits for the next token and sends heartbeats meanwhile. It returns false if
+// the stream was closed.
 func (e *Engine) await(w http.ResponseWriter, r *http.Request, s *openStream, beats tick.Timer, d time.Duration) bool {
 	next := e.cfg.Timer.After(max(d, time.Microsecond))
 	defer next.Stop()
--- a/stand/plain.go
+++ b/stand/plain.go
@@ -11,29 +11,30 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// The kinds of faults that only a Plain knows. It also knows FaultBefore,
+// The kinds of faults that only a Plain supports. It also supports FaultBefore,
 // FaultAfter, FaultStatus and FaultRefuse.
 const (
 	FaultSlow = "slow" // the next calls take DelayMS longer to run
-	FaultHang = "hang" // the next calls run and are never answered
-	FaultDeaf = "deaf" // the next calls neither run nor are answered
+	FaultHang = "hang" // the next calls run and get no response
+	FaultDeaf = "deaf" // the next calls do not run and get no response
 )
 
-// plainIDHeaders name a call, the first that is present counts.
+// plainIDHeaders are the headers with the ID of a call. The first one that is
+// present is used.
 var plainIDHeaders = []string{"X-Call-Id", "Idempotency-Key", "X-Request-Id"}
 
-// plainKeyHeaders would carry a caller's key.
+// plainKeyHeaders are the headers that may contain a caller's key.
 var plainKeyHeaders = []string{"Authorization", "X-Api-Key", "Proxy-Authorization"}
 
 // PlainConfig holds the settings of a Plain.
 type PlainConfig struct {
 	Name  string
 	Timer tick.Clock
-	Delay time.Duration // time that each call takes
+	Delay time.Duration // duration of each call
 }
 
-// Plain is a stand-in of a service without a model, which counts how often
-// each call has run. GET /status/{id} tells the count and is no run itself.
+// Plain is a stand-in of a service without a model. It counts how often each call
+// has run. GET /status/{id} returns the count and does not count as a run.
 type Plain struct {
 	cfg    PlainConfig
 	ctx    context.Context
@@ -45,19 +46,19 @@
 	counts PlainCounts
 }
 
-// PlainCounts tells what a Plain did, the answer of GET /control/counts.
+// PlainCounts holds the counters of a Plain, the response to GET /control/counts.
 type PlainCounts struct {
 	Calls   int64 `json:"calls"`
 	Runs    int64 `json:"runs"`
 	Doubled int   `json:"doubled"` // calls that ran more than once
-	Keys    int64 `json:"keys"`    // calls that came with a caller's key
+	Keys    int64 `json:"keys"`    // calls with a caller's key
 }
 
-// PlainAnswer is the answer to a call.
+// PlainAnswer is the response to a call.
 type PlainAnswer struct {
 	Service string `json:"service"`
 	ID      string `json:"id"`
-	Run     int    `json:"run"` // how often the call has run, with this time
+	Run     int    `json:"run"` // number of runs of the call, including this one
 	Method  string `json:"method"`
 	Path    string `json:"path"`
 	Bytes   int    `json:"bytes"` // size of the body
@@ -72,7 +73,7 @@
 // Close ends the calls that hang.
 func (p *Plain) Close() { p.cancel() }
 
-// Inject causes a fault.
+// Inject injects a fault.
 func (p *Plain) Inject(f Fault) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,7 +87,7 @@
 	return p.runs[id]
 }
 
-// Counts returns what the service did so far.
+// Counts returns the present counters.
 func (p *Plain) Counts() PlainCounts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -99,7 +100,7 @@
 	return c
 }
 
-// ServeHTTP answers one call.
+// ServeHTTP serves one call.
 func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/control/fault":
@@ -169,7 +170,7 @@
 	})
 }
 
-// arrive counts a call and returns the fault that concerns it.
+// arrive counts a call and returns the fault that affects it.
 func (p *Plain) arrive(r *http.Request) Fault {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -197,7 +198,7 @@
 	return p.runs[id]
 }
 
-// hang waits until the connection or the service ends.
+// hang waits until the connection or the service is closed.
 func (p *Plain) hang(r *http.Request) {
 	select {
 	case <-r.Context().Done():
--- a/stand/plain_test.go
+++ b/stand/plain_test.go
@@ -20,8 +20,8 @@
 		runs     int
 	}{
 		{"no fault", "", true, 1},
-		{"cut before it runs", stand.FaultBefore, false, 0},
-		{"cut after it ran", stand.FaultAfter, false, 1},
+		{"connection closed before it runs", stand.FaultBefore, false, 0},
+		{"connection closed after it ran", stand.FaultAfter, false, 1},
 		{"refused", stand.FaultRefuse, false, 0},
 		{"fails after it ran", stand.FaultStatus, false, 1},
 	}
@@ -46,7 +46,7 @@
 			}
 			is.Equal(post(), tt.answered)
 			is.Equal(p.Runs("k1"), tt.runs)
-			is.True(post()) // the fault is used up
+			is.True(post()) // the fault affected one call only
 			is.Equal(p.Runs("k1"), tt.runs+1)
 			is.Equal(p.Counts().Doubled, tt.runs)
 			is.Equal(p.Counts().Keys, int64(0))
--- a/stand/platform.go
+++ b/stand/platform.go
@@ -18,38 +18,38 @@
 type PlatformConfig struct {
 	Timer  tick.Clock
 	Budget int           // calls per second, 0 for no limit
-	Lag    time.Duration // time after which a change of a list is seen
+	Lag    time.Duration // time until a change of a list is visible
 }
 
-// Platform stands in for the platform's configuration service: values with
-// revisions that are read and watched, a budget of calls, outages and stale
-// answers. It is an http.Handler with control handlers under /control/.
+// Platform is a stand-in of the platform's configuration service. It has values with
+// revisions that can be read and watched, a limit on calls, outages and stale
+// responses. It is an http.Handler with control handlers under /control/.
 type Platform struct {
 	cfg PlatformConfig
 
 	mu     sync.Mutex
 	values map[string]*platformValue
 	down   bool
-	stale  int // versions by which answers are behind
+	stale  int // number of versions by which responses are stale
 	second time.Duration
 	spent  int
 	counts PlatformCounts
 	wake   chan struct{} // closed and replaced at each change
 }
 
-// PlatformCounts counts the calls that a Platform got.
+// PlatformCounts counts the calls that a Platform received.
 type PlatformCounts struct {
 	Calls   int `json:"calls"`
-	Refused int `json:"refused"` // over the budget
-	Peak    int `json:"peak"`    // most calls within one second
+	Refused int `json:"refused"` // calls over the limit
+	Peak    int `json:"peak"`    // maximum number of calls in one second
 }
 
 type platformValue struct {
-	versions [][]byte       // nil for the oldest, which are dropped
-	visible  []tick.Instant // when each version can be seen
+	versions [][]byte       // nil for the oldest ones, which are removed
+	visible  []tick.Instant // time at which each version becomes visible
 }
 
-// maxPlatformVersions bounds the versions that are kept of a value.
+// maxPlatformVersions is the maximum number of versions that are kept of a value.
 const maxPlatformVersions = 16
 
 // NewPlatform returns an empty platform.
@@ -57,7 +57,8 @@
 	return &Platform{cfg: cfg, values: make(map[string]*platformValue), wake: make(chan struct{})}
 }
 
-// Put publishes a value. The lists of instances and servers are seen late.
+// Put publishes a value. Changes of the lists of instances and servers become
+// visible after the lag.
 func (p *Platform) Put(name string, data []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,7 +79,7 @@
 	p.changed()
 }
 
-// SetDown starts or ends an outage, in which no call is answered usefully.
+// SetDown starts or ends an outage, in which every call gets status 503.
 func (p *Platform) SetDown(down bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -86,7 +87,7 @@
 	p.changed()
 }
 
-// SetStale has all answers lag by the given number of versions.
+// SetStale makes all responses stale by the given number of versions.
 func (p *Platform) SetStale(versions int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -94,14 +95,14 @@
 	p.changed()
 }
 
-// SetBudget sets the number of calls that are answered in a second.
+// SetBudget sets the maximum number of calls per second.
 func (p *Platform) SetBudget(calls int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cfg.Budget = calls
 }
 
-// Counts returns the counters.
+// Counts returns the present counters.
 func (p *Platform) Counts() PlatformCounts {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -120,7 +121,7 @@
 	p.wake = make(chan struct{})
 }
 
-// ServeHTTP answers reads, watches and the control handlers.
+// ServeHTTP serves reads, watches and control calls.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case strings.HasPrefix(r.URL.Path, "/v1/value/"):
@@ -152,8 +153,8 @@
 	_, _ = w.Write(data)
 }
 
-// admit counts a call against the budget and returns the status of a call that
-// is not answered, or zero.
+// admit counts a call. It returns the status with which the call must be rejected,
+// or zero.
 func (p *Platform) admit() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -174,8 +175,8 @@
 	return 0
 }
 
-// look returns the version of a value that is seen now and its revision, which
-// is zero if there is none, and a channel that is closed at the next change.
+// look returns the visible version of a value and its revision, which is zero if
+// there is none, and a channel that is closed at the next change.
 func (p *Platform) look(name string) ([]byte, uint64, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -200,7 +201,8 @@
 	return v.versions[n-1], uint64(n), p.wake
 }
 
-// watchPoll is the period at which a watch looks for lagging changes.
+// watchPoll is the interval at which a watch checks whether changes have become
+// visible.
 const watchPoll = 50 * time.Millisecond
 
 func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request, name string) {
@@ -250,12 +252,12 @@
 	return p.down
 }
 
-// serveControl handles the control calls of tests and demos:
+// serveControl serves the control calls of tests and demos:
 //
 //	POST /control/value/{name}     body is the value
 //	POST /control/down?on=true     starts or ends an outage
-//	POST /control/stale?versions=1 answers older versions
-//	POST /control/budget?calls=N   sets the calls per second
+//	POST /control/stale?versions=1 makes responses stale
+//	POST /control/budget?calls=N   sets the maximum calls per second
 //	POST /control/reset            sets the counters to zero
 //	GET  /control/counts           returns the counters
 func (p *Platform) serveControl(w http.ResponseWriter, r *http.Request) {
