--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -11,18 +11,19 @@
 	"github.com/go-faster/errors"
 )
 
-// proxy forwards connections of the loopback and harms them on demand.
+// proxy forwards TCP connections on the loopback interface and injects faults into
+// them.
 type proxy struct {
 	l     net.Listener
 	to    string
-	dark  atomic.Bool  // bytes vanish, connections stay
-	delay atomic.Int64 // of each piece of an answer, nanoseconds
+	dark  atomic.Bool  // bytes are discarded, connections stay open
+	delay atomic.Int64 // delay of each write towards the client, nanoseconds
 
 	mu    sync.Mutex // guards conns
 	conns map[net.Conn]bool
 }
 
-// newProxy returns a proxy to an address. It ends with ctx, and says so on
+// newProxy returns a proxy to an address. It stops when ctx ends and then sends to
 // done.
 func newProxy(ctx context.Context, to string, done chan<- struct{}) (*proxy, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -61,7 +62,7 @@
 	defer p.drop(in)
 	out, err := net.Dial("tcp", p.to)
 	if err != nil {
-		return // the caller sees a closed connection, as it would there
+		return // the client sees a closed connection, as it would without the proxy
 	}
 	defer p.drop(out)
 	p.keep(in, out)
@@ -86,12 +87,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.conns, c)
-	_ = c.Close() // it may be closed before
+	_ = c.Close() // it may be closed already
 }
 
-// copy carries bytes one way until an end closes, and then closes the other.
+// copy forwards bytes in one direction until src is closed, and then closes dst.
 func (p *proxy) copy(dst, src net.Conn, answer bool) {
-	defer func() { _ = dst.Close() }() // the other way ends as well
+	defer func() { _ = dst.Close() }() // ends the other direction as well
 	b := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(b)
@@ -112,13 +113,13 @@
 	}
 }
 
-// reset closes all connections without the usual end.
+// reset closes all connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
 		if t, ok := c.(*net.TCPConn); ok {
-			_ = t.SetLinger(0) // else it ends in the usual way
+			_ = t.SetLinger(0) // Close sends a reset instead of FIN
 		}
 		_ = c.Close()
 	}
