soak: a daemon that was suspended during its grace may still be there at its end

The check looked only at whether it was suspended at the end of the grace. A disturbance within contactTime before counts as it does for every other promise. A daemon that is not disturbed is held to the bound as before.

That a stop takes 2.6 s, most of it the wait for calls of peers ("calls of peers did not end in time"), is older and stays open.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -89,7 +89,7 @@
 	if s.act == stopOne {
 		how = syscall.SIGTERM
 		late := time.AfterFunc(grace, func() {
-			if !c.isHarmed(d.name) {
+			if !c.isHarmed(d.name) && c.rec.undisturbed(s.target, from) {
 				c.rec.exited(d.name + " was there at the end of its grace")
 			}
 			d.signal(syscall.SIGKILL)
--- a/soak/record.go
+++ b/soak/record.go
@@ -125,6 +125,13 @@
 	return true
 }
 
+// undisturbed is sound from an instant until now, while the run goes on.
+func (r *record) undisturbed(daemon int, from time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sound(daemon, from, time.Now(), false)
+}
+
 // untouched reports whether no span, extended by after, overlaps [from, to].
 func untouched(spans []span, from, to time.Time, after time.Duration) bool {
 	for _, s := range spans {
