--- a/standin/demo.sh
+++ b/standin/demo.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Runs the whole path: stand-ins, three instances, and requests of both
-# deployments. Exits 0 only if every answer was whole.
+# Runs stand-ins and three instances and sends them requests of both
+# deployments. Exits 0 only if every response is complete.
 set -eu
 
 bin=$1
--- a/standin/drive.go
+++ b/standin/drive.go
@@ -17,19 +17,19 @@
 	"wasabidock.dev/dock/stand"
 )
 
-// exchange is one request of the demo and what its answer must be.
+// exchange is one request of the demo and the expected response.
 type exchange struct {
 	name   string
 	method string
 	path   string
-	key    string // customer's key of the demo table
+	key    string // customer of the demo table whose key is used
 	idem   string // idempotency key
 	model  string
 	prompt string
 	tokens int64
 	stream bool
 	status int
-	holds  string // text that the answer must hold, for plain services
+	holds  string // text that the response of a plain service must contain
 }
 
 const (
@@ -45,7 +45,7 @@
 	return &ffcli.Command{
 		Name:       "drive",
 		ShortUsage: "standin drive -entries URL,URL -admins URL,URL",
-		ShortHelp:  "Sends requests of both deployments and checks that every answer is whole.",
+		ShortHelp:  "Sends requests of both deployments and checks that every response is complete.",
 		FlagSet:    fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			return drive(ctx, strings.Split(*entries, ","), strings.Split(*admins, ","))
@@ -61,13 +61,13 @@
 		{name: "no key", method: http.MethodPost, path: "/v1/chat/completions", model: "dossier", prompt: "x", tokens: 5, status: http.StatusUnauthorized},
 		{name: "dossier streamed", method: http.MethodPost, path: "/v1/chat/completions", key: "quito", model: "dossier", prompt: preamble + "Letter of Ana.", tokens: 40, stream: true, status: http.StatusOK},
 		{name: "dossier, same preamble", method: http.MethodPost, path: "/v1/chat/completions", key: "quito", model: "dossier", prompt: preamble + "Letter of Luis.", tokens: 40, stream: true, status: http.StatusOK},
-		{name: "dossier in one piece", method: http.MethodPost, path: "/v1/chat/completions", key: "loja", model: "dossier", prompt: preamble, tokens: 25, status: http.StatusOK},
+		{name: "dossier not streamed", method: http.MethodPost, path: "/v1/chat/completions", key: "loja", model: "dossier", prompt: preamble, tokens: 25, status: http.StatusOK},
 		{name: "opinion streamed", method: http.MethodPost, path: "/v1/chat/completions", key: "lasem", model: "opinion", prompt: "House in Lasem, teak doors, indigo.", tokens: 30, stream: true, status: http.StatusOK},
 		{name: "confirmation", method: http.MethodPost, path: "/placements/confirm", key: "quito", idem: "pupil-7", status: http.StatusOK, holds: `"run":1`},
 		{name: "confirmation repeated", method: http.MethodPost, path: "/placements/confirm", key: "quito", idem: "pupil-7", status: http.StatusOK, holds: `"run":1`},
 		{name: "filing", method: http.MethodPost, path: "/filings", key: "lasem", idem: "door-3", status: http.StatusOK, holds: `"run":1`},
 		{name: "filing repeated", method: http.MethodPost, path: "/filings", key: "lasem", idem: "door-3", status: http.StatusOK, holds: `"run":1`},
-		{name: "status read", method: http.MethodGet, path: "/placements/pupil-7", key: "quito", status: http.StatusOK, holds: `"service":`},
+		{name: "status of a call", method: http.MethodGet, path: "/placements/pupil-7", key: "quito", status: http.StatusOK, holds: `"service":`},
 		{name: "unknown route", method: http.MethodGet, path: "/nowhere", key: "quito", status: http.StatusNotFound},
 	}
 }
@@ -83,7 +83,7 @@
 	for i, x := range list {
 		entry := entries[i%len(entries)]
 		text, err := x.send(ctx, entry)
-		verdict := "whole"
+		verdict := "complete"
 		if err != nil {
 			verdict = "FAILED: " + err.Error()
 			failed++
@@ -95,7 +95,7 @@
 	}
 	fmt.Printf("%d passed, %d failed\n", len(list)-failed, failed)
 	if failed > 0 {
-		return errors.Errorf("%d answers were not whole", failed)
+		return errors.Errorf("%d of %d requests failed", failed, len(list))
 	}
 	return nil
 }
@@ -118,8 +118,8 @@
 	}
 }
 
-// send sends the request and checks its answer. A refusal that time heals
-// is tried again after a second until driveLimit has passed.
+// send sends the request and checks the response. A request that was rejected for
+// a while is retried every second until driveLimit has passed.
 func (x exchange) send(ctx context.Context, entry string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, driveLimit)
 	defer cancel()
@@ -128,11 +128,11 @@
 		if err != nil {
 			return "", err
 		}
-		if x.status == http.StatusOK && comesBack(status, body) {
-			fmt.Printf("    refused for now: %s\n", shorten(body))
+		if x.status == http.StatusOK && isTemporary(status, body) {
+			fmt.Printf("    rejected, retrying: %s\n", shorten(body))
 			select {
 			case <-ctx.Done():
-				return "", errors.New("refused until the limit of the demo")
+				return "", errors.Errorf("rejected for %v", driveLimit)
 			case <-time.After(time.Second):
 				continue
 			}
@@ -147,9 +147,10 @@
 	}
 }
 
-// comesBack reports whether the answer is a refusal that time heals: tokens that
-// have not accrued, or a home that cannot know yet which calls ran before.
-func comesBack(status int, body string) bool {
+// isTemporary reports whether the response is a rejection that ends with time: the
+// customer is over its limit, or the home of a keyed call does not know yet which
+// calls have run before.
+func isTemporary(status int, body string) bool {
 	return status == http.StatusTooManyRequests || status >= http.StatusBadRequest && strings.Contains(body, `"key_unknown"`)
 }
 
@@ -182,13 +183,13 @@
 
 func (x exchange) checkPlain(body string) error {
 	if !strings.Contains(body, x.holds) {
-		return errors.Errorf("answer lacks %s", x.holds)
+		return errors.Errorf("response does not contain %s", x.holds)
 	}
 	return nil
 }
 
-// checkText compares the answer with the output that the stand-in engines give
-// for the prompt.
+// checkText compares the response with the output of the stand-in engines for the
+// prompt.
 func (x exchange) checkText(body string) (string, error) {
 	got, err := x.text(body)
 	if err != nil {
@@ -196,7 +197,7 @@
 	}
 	tokens, _ := stand.Answer("user:\n"+x.prompt+"\n\nassistant:\n", x.tokens)
 	if want := strings.Join(tokens, ""); got != want {
-		return got, errors.Errorf("answer differs: %d bytes, want %d", len(got), len(want))
+		return got, errors.Errorf("wrong output of %d bytes, want %d", len(got), len(want))
 	}
 	return got, nil
 }
@@ -209,12 +210,12 @@
 			}
 		}
 		if err := json.Unmarshal([]byte(body), &one); err != nil || len(one.Choices) != 1 {
-			return body, errors.New("not a chat answer")
+			return body, errors.New("response is not a chat completion")
 		}
 		return one.Choices[0].Message.Content, nil
 	}
 	var text strings.Builder
-	whole := false
+	complete := false
 	sc := bufio.NewScanner(strings.NewReader(body))
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
@@ -222,7 +223,7 @@
 			continue
 		}
 		if data == "[DONE]" {
-			whole = true
+			complete = true
 			continue
 		}
 		var chunk struct {
@@ -237,7 +238,7 @@
 			text.WriteString(c.Delta.Content)
 		}
 	}
-	if !whole {
+	if !complete {
 		return text.String(), errors.New("stream ended without [DONE]")
 	}
 	return text.String(), nil
@@ -246,7 +247,7 @@
 func call(ctx context.Context, method, url string, h http.Header, body []byte) (int, string, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(string(body)))
 	if err != nil {
-		return 0, "", errors.Wrap(err, "make the request")
+		return 0, "", errors.Wrap(err, "create the request")
 	}
 	if h != nil {
 		req.Header = h
@@ -258,7 +259,7 @@
 	defer func() { _ = resp.Body.Close() }()
 	data, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return resp.StatusCode, string(data), errors.Wrap(err, "read the answer")
+		return resp.StatusCode, string(data), errors.Wrap(err, "read the response")
 	}
 	return resp.StatusCode, string(data), nil
 }
--- a/standin/late.go
+++ b/standin/late.go
@@ -5,14 +5,14 @@
 	"sync/atomic"
 )
 
-// lateHandler is a handler that is set after its server listens.
+// lateHandler is a handler that is set after its server has started to listen.
 type lateHandler struct {
 	h atomic.Pointer[http.Handler]
 }
 
 func (l *lateHandler) set(h http.Handler) { l.h.Store(&h) }
 
-// ServeHTTP answers 503 until a handler is set.
+// ServeHTTP responds with status 503 until a handler is set.
 func (l *lateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h := l.h.Load()
 	if h == nil {
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,5 +1,5 @@
-// Standin runs small stand-ins of the systems that the router meets: engines, the
-// platform and plain services, and sends requests to a fleet that uses them.
+// Standin runs small stand-ins of the systems that the router calls: engines, the
+// platform and plain services. It also sends requests to a fleet that uses them.
 //
 // # Usage
 //
@@ -37,7 +37,7 @@
 	fs := flag.NewFlagSet("standin", flag.ContinueOnError)
 	root := &ffcli.Command{
 		ShortUsage:  "standin <serve|list|drive> [flags]",
-		ShortHelp:   "Stand-ins of engines, platform and plain services.",
+		ShortHelp:   "Stand-ins of engines, the platform and plain services.",
 		FlagSet:     fs,
 		Subcommands: []*ffcli.Command{serveCommand(), listCommand(), driveCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
--- a/standin/serve.go
+++ b/standin/serve.go
@@ -25,7 +25,7 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// The sizes of the stand-ins.
+// The parameters of the stand-ins.
 const (
 	pieceTokens  = 1000
 	cachePieces  = 200
@@ -44,7 +44,7 @@
 //go:embed demo.csv
 var demoTable string
 
-// world is the stand-ins of one run with their servers.
+// world holds the stand-ins and their HTTP servers.
 type world struct {
 	timer    tick.Clock
 	platform *stand.Platform
@@ -57,12 +57,12 @@
 
 func serveCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("standin serve", flag.ContinueOnError)
-	tableFile := fs.String("table", "", "`file` of the table, with {{addr \"SERVER\"}} for addresses; a built-in one if empty")
+	tableFile := fs.String("table", "", "`file` of the table, with {{addr \"SERVER\"}} for addresses; if empty, the demo table")
 	revision := fs.Uint64("revision", 1, "`revision` under which the table is published")
 	return &ffcli.Command{
 		Name:       "serve",
 		ShortUsage: "standin serve [flags]",
-		ShortHelp:  "Runs the stand-ins on free ports of the loopback until it gets a signal.",
+		ShortHelp:  "Runs the stand-ins on free loopback ports until it receives a signal.",
 		FlagSet:    fs,
 		Exec: func(ctx context.Context, _ []string) error {
 			return serve(ctx, *tableFile, *revision)
@@ -111,8 +111,8 @@
 	}
 }
 
-// publish starts the backend servers that the table names, fills in their
-// addresses and publishes it.
+// publish starts the backend servers of the table, inserts their addresses into the
+// table and publishes it.
 func (w *world) publish(text string, revision uint64) (*table.Table, error) {
 	addrs := make(map[string]*lateHandler)
 	var failed error
@@ -130,7 +130,7 @@
 	}
 	var b bytes.Buffer
 	if err := tmpl.Execute(&b, nil); err != nil {
-		return nil, errors.Wrap(err, "fill in the table")
+		return nil, errors.Wrap(err, "insert the addresses into the table")
 	}
 	if failed != nil {
 		return nil, failed
@@ -183,7 +183,7 @@
 	return e
 }
 
-// listen serves h on a free port of the loopback and returns its address.
+// listen serves h on a free loopback port and returns its address.
 func (w *world) listen(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
