--- a/front/config.go
+++ b/front/config.go
@@ -20,11 +20,11 @@
 	maxHeaderBytes           = 32 << 10
 	defaultHeaderTimeout     = 5 * time.Second  // limit for reading the headers of a request
 	defaultBodyIdleTimeout   = 10 * time.Second // limit between two reads of a request body
-	bodyTimeout              = 60 * time.Second // limit for reading a whole request body
+	bodyTimeout              = 60 * time.Second // limit for reading a complete request body
 	idleTimeout              = 2 * time.Minute  // longest idle time of a keep-alive connection between requests
 	defaultStallTimeout      = 10 * time.Second // limit for a caller to read the written bytes
 	defaultDrainDelay        = 5 * time.Second  // time for the load balancer to detect a drain
-	defaultGenerationTimeout = 10 * time.Minute // limit for a whole response of a model
+	defaultGenerationTimeout = 10 * time.Minute // limit for a complete response of a model
 	defaultMaxOutput         = 512              // tokens
 	bytesPerToken            = 4
 	maxIdempotencyKey        = 255      // bytes of an idempotency key
@@ -45,7 +45,7 @@
 	Name             ident.Class
 	FirstTokenTarget time.Duration // target for the time to first token
 	GapTarget        time.Duration // target for the time between tokens
-	Timeout          time.Duration // limit for the whole response; zero means defaultGenerationTimeout
+	Timeout          time.Duration // limit for the complete response; zero means defaultGenerationTimeout
 }
 
 // Route maps a path prefix to a plain service.
@@ -112,7 +112,7 @@
 	Attempts       int
 	Prefills       int
 	Transfers      int
-	Resumes        int   // streams reopened after a break
+	Resumes        int   // streams reopened after an interruption
 	Restarts       int   // new runs after a part of the response was sent
 	StrayEvents    int64 // dropped events that did not belong to the response
 	Prefill        ident.Server
@@ -171,7 +171,7 @@
 	Clock     tick.Clock
 	Log       zerolog.Logger
 
-	// ErrorCode returns the code and the Retry-After time of an error that is no
+	// ErrorCode returns the code and the Retry-After time of an error that is not a
 	// fail.Refusal. If it is nil, such errors get fail.CodeBackendFailed.
 	ErrorCode func(error) (fail.Code, time.Duration)
 	// NewID returns an identifier for a request that has no valid X-Request-Id.
--- a/front/doc.go
+++ b/front/doc.go
@@ -25,7 +25,7 @@
 //
 // A streamed response ends with "data: [DONE]" only if it is complete; a
 // truncated one ends with an event named error. Any other response has a
-// Content-Length or is an error. Error bodies carry a code, a message, the
+// Content-Length or is an error. Error bodies have a code, a message, the
 // outcome and the request identifier.
 //
 // # Cancellation
--- a/front/exchange.go
+++ b/front/exchange.go
@@ -154,7 +154,7 @@
 	return !leak
 }
 
-// readBody reads the whole request body, of at most limit bytes, within the idle
+// readBody reads the complete request body, of at most limit bytes, within the idle
 // and total time limits. If it fails, it writes the error.
 func (x *exchange) readBody(limit int64) ([]byte, bool) {
 	r := &bodyReader{r: http.MaxBytesReader(x.c.Writer, x.c.Request.Body, limit), rc: x.rc, idleTimeout: x.s.cfg.BodyIdleTimeout, deadline: time.Now().Add(bodyTimeout)}
--- a/front/live_test.go
+++ b/front/live_test.go
@@ -70,7 +70,7 @@
 		name, in, want string
 	}{
 		{"stream", chat(`,"stream":true`, auth), "event: error\ndata: {\"error\":{\"code\":\"key_withdrawn\""},
-		{"whole", chat("", auth), "HTTP/1.1 401 Unauthorized"},
+		{"not streamed", chat("", auth), "HTTP/1.1 401 Unauthorized"},
 	}
 	const other = "sk-another-customer-000000"
 	for _, tt := range tests {
@@ -265,8 +265,8 @@
 		set  func(*testServer)
 		want int64
 	}{
-		{"whole", nil, 10 + 3},
-		{"cut", failAfter("a", "b"), 10 + 2},
+		{"complete", nil, 10 + 3},
+		{"truncated", failAfter("a", "b"), 10 + 2},
 		{"not run", rejectRun(fail.CodeOverloaded, time.Second, "full"), 0},
 	}
 	for _, tt := range tests {
--- a/front/output.go
+++ b/front/output.go
@@ -101,7 +101,7 @@
 }
 
 // finish ends a complete response: it writes the last events of a stream, or the
-// whole response if it is not streamed.
+// complete response if it is not streamed.
 func (o *output) finish(res Result, prompt int64) {
 	usage := chatUsage{PromptTokens: prompt, CompletionTokens: res.OutputTokens, TotalTokens: prompt + res.OutputTokens}
 	if !o.stream {
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -146,7 +146,7 @@
 }
 
 // planRole orders the desired role, unless a model would lose its last replica in a role that the
-// server gives up.
+// server no longer has then.
 func (p *plan) planRole(s server) {
 	if s.state.Role == s.desired.Role || s.state.Draining {
 		return
@@ -210,7 +210,7 @@
 )
 
 // remains reports whether enough servers have a model in a role and should keep both. The server that
-// is to give one of them up is never among them. A server that has received the revision rejects all
+// is to lose one of them is never among them. A server that has received the revision rejects all
 // older orders and is enough by itself. Servers that should receive the revision are added to raise.
 func (p *plan) remains(m Model, role string) bool {
 	weight := 0
@@ -258,7 +258,7 @@
 
 func hasRole(actual, role string) bool { return actual == role || actual == RoleBoth }
 
-// lostRoles returns the roles that a server gives up.
+// lostRoles returns the roles that a server loses by a change from one role to another.
 func lostRoles(from, to string) []string {
 	var lost []string
 	for _, r := range []string{RolePrefill, RoleDecode} {
