--- a/once/matrix_test.go
+++ b/once/matrix_test.go
@@ -20,8 +20,8 @@
 // fault is injected once, at a moment of a keyed call.
 type fault struct {
 	name   string
-	strike func(w *world, key string, home ident.Instance)
-	heal   func(w *world, home ident.Instance)
+	inject func(w *world, key string, home ident.Instance)
+	repair func(w *world, home ident.Instance)
 }
 
 var (
@@ -150,7 +150,7 @@
 			is := is.New(t)
 			w := newWorld()
 			key := w.keyAt("a1")
-			w.on(tt.at, func(*proc) { tt.fault.strike(w, key, "a1") })
+			w.on(tt.at, func(*proc) { tt.fault.inject(w, key, "a1") })
 			_, err := w.call("b1", "first", key)
 			settled(w)
 			first := fail.Outcome(err)
@@ -160,8 +160,8 @@
 			if first == notRun {
 				is.Equal(w.ranAs("first"), 0) // the outcome "not run" is correct
 			}
-			if tt.fault.heal != nil {
-				tt.fault.heal(w, "a1")
+			if tt.fault.repair != nil {
+				tt.fault.repair(w, "a1")
 			}
 			w.sync()
 			a, err := w.call("b2", "again", key)
--- a/once/walk_test.go
+++ b/once/walk_test.go
@@ -118,8 +118,8 @@
 // arm injects a fault at a random moment of the next call.
 func (k *walk) arm() {
 	m := rapid.SampledFrom(walkMoments).Draw(k.t, "moment")
-	what := rapid.SampledFrom([]string{"kill", "restart", "twin", "pause", "call", "cut"}).Draw(k.t, "strike")
-	seat, other := k.seat("struck"), k.seat("other")
+	what := rapid.SampledFrom([]string{"kill", "restart", "twin", "pause", "call", "cut"}).Draw(k.t, "fault")
+	seat, other := k.seat("seat"), k.seat("other")
 	key := rapid.SampledFrom(walkKeys).Draw(k.t, "key")
 	pause := time.Duration(rapid.IntRange(0, 4000).Draw(k.t, "pause")) * time.Millisecond
 	k.on(m, func(p *proc) {
--- a/once/world_test.go
+++ b/once/world_test.go
@@ -51,7 +51,7 @@
 	serial uint64
 	runs   map[ident.Request]int // by request
 	keys   map[string][]ident.Request
-	strike map[moment]func(p *proc) // each fault is called once
+	faults map[moment]func(p *proc) // each fault is called once
 	cut    map[[2]ident.Instance]bool
 	turns  map[turn]chan struct{}
 	broken bool // the service does not answer
@@ -105,7 +105,7 @@
 		procs:  make(map[ident.Instance]*proc),
 		runs:   make(map[ident.Request]int),
 		keys:   make(map[string][]ident.Request),
-		strike: make(map[moment]func(*proc)),
+		faults: make(map[moment]func(*proc)),
 		cut:    make(map[[2]ident.Instance]bool),
 		turns:  make(map[turn]chan struct{}),
 	}
@@ -180,8 +180,8 @@
 // hit injects the fault for the moment, if there is one.
 func (w *world) hit(m moment, p *proc) {
 	w.mu.Lock()
-	f := w.strike[m]
-	delete(w.strike, m)
+	f := w.faults[m]
+	delete(w.faults, m)
 	w.mu.Unlock()
 	if f != nil {
 		f(p)
@@ -191,7 +191,7 @@
 func (w *world) on(m moment, f func(*proc)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.strike[m] = f
+	w.faults[m] = f
 }
 
 func (w *world) dial(from *proc, to ident.Instance) (peerClient, error) {
