soak: a reset of connections counts as trouble from its start

The trouble of the acts break and reset began when all connections were reset, up to some ms after the first.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -149,8 +149,9 @@
 	case slowOne:
 		at = c.during(d.name+" slow", s.lasts, func() { d.store.delay.Store(int64(lagTime)) }, func() { d.store.delay.Store(0) })
 	default:
+		at.from = time.Now()
 		d.store.reset()
-		at = span{from: time.Now(), to: time.Now()}
+		at.to = time.Now()
 	}
 	c.rec.trouble(s.target, at)
 }
@@ -212,8 +213,9 @@
 	case rest:
 		at = c.during(id+" rests", s.lasts, func() { v.SetRetryAfter(restTime) }, func() { v.SetRetryAfter("") })
 	default:
+		at.from = time.Now()
 		v.proxy.reset()
-		at = span{from: time.Now(), to: time.Now()}
+		at.to = time.Now()
 	}
 	c.rec.serverTrouble(id, at)
 }
