soak, fake: streams that must not run twice

All streams of the soak could be resumed, so nothing checked that a refused or repeated run at the model servers is a promise kept: refused and twice looked at calls to plain servers alone. A fourth kind of call, Once, streams on a route without resumable; both checks look at it, and repeats counts it with the model's. Two new cases in TestJudge.

--- a/soak/judge.go
+++ b/soak/judge.go
@@ -78,7 +78,7 @@
 		if o.echo != o.call.ID {
 			return fmt.Sprintf("whole: %s: a success with the ID %q", o.call.ID, o.echo)
 		}
-		if o.call.Kind == fake.Streaming {
+		if o.call.Kind.Stream() {
 			if why := stream(o); why != "" {
 				return fmt.Sprintf("whole: stream %s: %s: %q", o.call.ID, why, o.body)
 			}
@@ -149,7 +149,7 @@
 		}
 	}
 	for _, o := range r.calls {
-		if o.call.Kind != fake.Mutating {
+		if !o.call.Kind.AtMostOnce() {
 			continue
 		}
 		n := count[o.call.ID]
@@ -191,7 +191,7 @@
 	for _, plain := range []bool{true, false} {
 		var sent, extra []time.Time
 		for _, o := range r.calls {
-			if (o.call.Kind != fake.Streaming) == plain {
+			if o.call.Kind.Stream() != plain {
 				sent = append(sent, o.sent)
 			}
 		}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -38,7 +38,7 @@
 	id := fake.PlainService + "-0"
 	o := &outcome{call: c, customer: customerOf(c.Key), sent: at(sent), ended: at(sent + 0.1), status: 200, sealed: true, complete: true, echo: c.ID}
 	o.body = fake.Answer(id, c.ID)
-	if c.Kind == fake.Streaming {
+	if c.Kind.Stream() {
 		id, o.body = fake.ModelService+"-5", ""
 		for n := range int64(streamEvents) {
 			o.body += fake.NamedEvent(c.ID, n+1)
@@ -121,6 +121,13 @@
 		{"stream ends early", func(r *record) { ask(r).body = fake.NamedEvent(ask(r).call.ID, 1) }, "whole"},
 		{"ran twice", func(r *record) { r.ran("app-1", file(r), 5.5) }, "twice"},
 		{"refused and ran", func(r *record) { file(r).status = 503 }, "refused"},
+		{"stream that must not run twice ran twice", func(r *record) {
+			o := r.serve(fake.Call{ID: "once", Kind: fake.Once, Key: "calm"}, 20)
+			r.ran("llm-6", o, 20.1)
+		}, "twice"},
+		{"stream that must not run twice refused and ran", func(r *record) {
+			r.serve(fake.Call{ID: "once", Kind: fake.Once, Key: "calm"}, 20).status = 503
+		}, "refused"},
 		{"limited and ran", func(r *record) { file(r).status = 429 }, "refused"},
 		{"failed and ran", func(r *record) { file(r).status, file(r).sealed = 504, false }, ""},
 		{"nobody sent it", func(r *record) {
--- a/soak/load.go
+++ b/soak/load.go
@@ -89,7 +89,7 @@
 func (c *client) call(ctx context.Context) *outcome {
 	c.serial++
 	o := &outcome{daemon: c.daemon, customer: "calm", call: fake.Call{
-		ID: fmt.Sprintf("c%d-%d", c.n, c.serial), Kind: fake.Kind(c.rnd.IntN(3)), Key: "calm",
+		ID: fmt.Sprintf("c%d-%d", c.n, c.serial), Kind: fake.Kind(c.rnd.IntN(fake.Kinds)), Key: "calm",
 	}}
 	if c.rnd.IntN(4) == 0 {
 		o.call.Key = spareKey(c.rnd.IntN(spareKeys))
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -20,7 +20,7 @@
 	"refused":  answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusServiceUnavailable; return nil }),
 	"recovery": answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusBadGateway; return nil }),
 	"lost":     answers(func(*http.Response, string) error { return errPlanted }),
-	"twice":    runs(func(p planted) bool { return p.call.Kind == fake.Mutating && p.status == http.StatusOK }),
+	"twice":    runs(func(p planted) bool { return p.call.Kind.AtMostOnce() && p.status == http.StatusOK }),
 	"unasked":  runs(func(p planted) bool { p.call.ID += "x"; p.f.servers[0].RecordRun(p.call, "calm", true); return false }),
 	"repeats":  runs(func(p planted) bool { return p.call.Kind == fake.Idempotent }),
 	"limits":   runs(func(p planted) bool { return p.status == http.StatusTooManyRequests }),
