--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/fake"
 )
 
 // buildEntry builds the daemon's program.
@@ -74,3 +76,49 @@
 	is.NoErr(err)
 	is.Equal(serverLimitsKept(rec), "")
 }
+
+// TestNoRequestUsesAnothersHandle guards against a run with what a server's second response names, which is another request's.
+func TestNoRequestUsesAnothersHandle(t *testing.T) {
+	bin := buildEntry(t)
+	tests := []struct {
+		name    string
+		targets []int
+		second  fake.Second
+	}{
+		{"KV handle", []int{3, 4}, fake.Second{Call: fake.PrefillCall, UntilNext: true}},
+		{"KV handle, without ID", []int{3, 4}, fake.Second{Call: fake.PrefillCall, UntilNext: true, NoID: true}},
+		{"reservation", []int{5, 6, 7}, fake.Second{Call: fake.ReservationCall, UntilNext: true}},
+		{"reservation answered by a run's response", []int{5, 6, 7}, fake.Second{Call: fake.RunCall, UntilNext: true, Every: 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var plan []step
+			for _, n := range tt.targets {
+				plan = append(plan, step{act: second, target: n, second: tt.second, lasts: 3 * time.Second})
+			}
+			rec, err := play(t.Context(), flags{entry: bin, daemons: 2, quiet: time.Second}, 1, t.TempDir(), plan)
+			is.NoErr(err)
+			is.Equal(mixed(rec), "")
+			is.Equal(whole(rec), "")
+			is.Equal(refusals(rec), "")
+		})
+	}
+}
+
+// TestRefusalWithoutIDFreesNothing guards against a request that is running and is sent again because of an earlier request's refusal.
+func TestRefusalWithoutIDFreesNothing(t *testing.T) {
+	is := is.New(t)
+	var plan []step
+	for n := range 3 {
+		plan = append(plan, step{act: second, target: n, second: fake.Second{UntilNext: true, NoID: true}, lasts: 5 * time.Second})
+	}
+	for i := range 30 {
+		at := time.Duration(i+1) * 150 * time.Millisecond
+		plan = append(plan, step{at: at, act: harm, target: i % 3, fault: fake.Shed, lasts: shortest / 2})
+	}
+	rec, err := play(t.Context(), flags{entry: buildEntry(t), daemons: 2, quiet: time.Second}, 1, t.TempDir(), plan)
+	is.NoErr(err)
+	is.Equal(refusals(rec), "")
+	is.Equal(whole(rec), "")
+}
