--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -111,10 +111,10 @@
 	is := is.New(t)
 	var plan []step
 	for n := range 3 {
-		plan = append(plan, step{act: second, target: n, second: fake.Second{UntilNext: true, NoID: true}, lasts: 4 * time.Second})
+		plan = append(plan, step{act: second, target: n, second: fake.Second{UntilNext: true, NoID: true}, lasts: 5 * time.Second})
 	}
-	for i := range 10 {
-		at := time.Duration(i+1) * 350 * time.Millisecond
+	for i := range 30 {
+		at := time.Duration(i+1) * 150 * time.Millisecond
 		plan = append(plan, step{at: at, act: harm, target: i % 3, fault: fake.Shed, lasts: shortest / 2})
 	}
 	rec, err := play(t.Context(), flags{entry: buildEntry(t), daemons: 2, quiet: time.Second}, 1, t.TempDir(), plan)
