proxy: a KV cache is not freed beside the run that names it

As with reservations, the caller had left, and the release overtook the run on another connection.

Evidence: the test of reservations counts releases of KV caches too; it failed and passes.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -44,7 +44,8 @@
 	server        *route.Server
 	handle        string
 	createdAt     tick.Instant
-	failedFetches int // number of decode servers that did not run the request with this KV cache
+	inUse         bool // a run whose outcome is unknown may fetch it
+	failedFetches int  // number of decode servers that did not run the request with this KV cache
 }
 
 // reservation is a slot and memory reserved at a decode server.
@@ -185,7 +186,10 @@
 	resp, err := m.run(ctx, p.Decode, req)
 	if err != nil {
 		if fail.Outcome(err) != ident.NotRun {
-			m.reservation = nil // the run may be using it
+			m.reservation = nil // the run may be using it, and the KV cache
+			if m.kv != nil {
+				m.kv.inUse = true
+			}
 		}
 		m.recordNoResponse(p.Decode, err)
 		m.exclude(p.Decode)
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -176,7 +176,8 @@
 	m.reservation = nil
 }
 
-// freeKV frees a KV cache that no server will fetch.
+// freeKV frees a KV cache that no server will fetch. It leaves one to expire that a run may still
+// fetch.
 func (m *modelExchange) freeKV() {
 	kv := m.kv
 	m.kv = nil
@@ -184,8 +185,8 @@
 		return
 	}
 	m.stats.wasted++
-	if m.h.cfg.Clock.Now()-kv.createdAt > m.service.Engine.HandleTTL {
-		return // the KV cache has expired
+	if kv.inUse || m.h.cfg.Clock.Now()-kv.createdAt > m.service.Engine.HandleTTL {
+		return
 	}
 	m.deleteAt(kv.server, m.h.cfg.Protocol.KVHandlePath(kv.handle))
 }
--- a/proxy/repeat_test.go
+++ b/proxy/repeat_test.go
@@ -203,22 +203,24 @@
 	}
 }
 
-// TestReservationIsNotReleasedBesideItsRun guards against a release that overtakes the run that uses the reservation.
-func TestReservationIsNotReleasedBesideItsRun(t *testing.T) {
+// TestNothingIsReleasedBesideItsRun guards against a release that overtakes the run that uses the reservation or the KV cache.
+func TestNothingIsReleasedBesideItsRun(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"p1": fake.Prefill, "d1": fake.Decode})
 	h.servers["d1"].SetFault(fake.Hang)
 	servers := h.repeat(t, func(_, _ *http.Request) bool { return false })
 	got := h.send(t, http.MethodPost, "/once/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "300"))
 	is.Equal(got.status, 504)
-	_, seen := servers["d1"].counts()
 	used, released := 0, 0
-	for _, r := range seen {
-		if r.Header.Get("Wasabidock-Kv-Hold") != "" {
-			used++
-		}
-		if strings.Contains(r.URL.Path, "/hold-drop/") {
-			released++
+	for _, p := range servers {
+		_, seen := p.counts()
+		for _, r := range seen {
+			if r.Header.Get("Wasabidock-Kv-Hold") != "" && r.Header.Get("Wasabidock-Kv-Source") != "" {
+				used++
+			}
+			if r.Method == http.MethodDelete {
+				released++
+			}
 		}
 	}
 	is.Equal(used, 1)
