proxy, KNOWN-RED: a stream is cut for its server's silence although no retry is left

Suspected, not shown: the idle timeout of a resumable stream ends it also when no retry is left. The test shows that this happens; it is not mended here.

--- a/proxy/stream_test.go
+++ b/proxy/stream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -223,3 +224,17 @@
 		})
 	}
 }
+
+// TestSilenceWithoutRetryDoesNotEndStream guards against a stream that is cut because its server is silent for a while, although no retry is left.
+func TestSilenceWithoutRetryDoesNotEndStream(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"d1": fake.Decode, "d2": fake.Decode})
+	h.budget.left = 0
+	for _, s := range h.servers {
+		s.SetPace(2, 1700*time.Millisecond)
+	}
+	got := h.send(t, http.MethodPost, "/slow/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "5900"))
+	is.Equal(got.status, 200)
+	is.Equal(got.body, eventText(1, 2))
+	is.NoErr(got.err)
+}
