--- a/review/_cases/kit.go
+++ b/review/_cases/kit.go
@@ -39,6 +39,9 @@
 	maxBodyBytes = 4194304
 )
 
+// settleTime is how long the daemons have to know each other.
+const settleTime = 2500 * time.Millisecond
+
 // errSetup reports that a case could not run.
 var errSetup = errors.New("the case could not run")
 
@@ -226,8 +229,10 @@
 // daemon is a process of the deploy file's role.
 type daemon struct {
 	name, ip, front, ready string
+	conf                   string // path of the settings
 	cmd                    *exec.Cmd
 	log                    *os.File
+	ended                  bool // the case has ended its process
 }
 
 // bed is a small deployment: the platform's store and the daemons.
@@ -293,18 +298,32 @@
 			return err
 		}
 		d.log = log
-		d.cmd = exec.Command("target/entry", "-measures", "9464")
-		d.cmd.Dir = b.root
-		d.cmd.Env = []string{"WASABIDOCK_CONFIG=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
-		d.cmd.Stdout, d.cmd.Stderr = log, log
-		if err := d.cmd.Start(); err != nil {
+		d.conf = path
+		if err := b.launch(d); err != nil {
 			return err
 		}
-		b.rec.add("daemon %s starts, process %d, front %s", d.name, d.cmd.Process.Pid, d.front)
 	}
+	return b.awaitReady()
+}
+
+// launch starts the process of a daemon with the command of the deploy file.
+func (b *bed) launch(d *daemon) error {
+	d.cmd = exec.Command("target/entry", "-measures", "9464")
+	d.cmd.Dir = b.root
+	d.cmd.Env = []string{"WASABIDOCK_CONFIG=" + d.conf, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C"}
+	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
+	if err := d.cmd.Start(); err != nil {
+		return err
+	}
+	b.rec.add("daemon %s starts, process %d, front %s", d.name, d.cmd.Process.Pid, d.front)
+	return nil
+}
+
+// awaitReady waits until all daemons are ready and know each other.
+func (b *bed) awaitReady() error {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		if b.allReady() {
-			time.Sleep(2500 * time.Millisecond) // until the daemons know each other
+			time.Sleep(settleTime)
 			b.rec.add("all daemons are ready")
 			return nil
 		}
