review: a stream without a length counts as whole if its replica's machine is gone

The end of such a response is told by one new connection. Only a refusal counts as a crash; a time-out, or a replica that has started again, does not.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -24,11 +24,15 @@
 var cases = map[string]func(b *bed, trouble bool) (result, error){
 	"early-reset": runEarlyReset,
 	"memory":      runMemory,
+	"cut-stream":  runCutStream,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) > 1 && os.Args[1] == "replica" {
+		return runReplica(os.Args[2:])
+	}
 	if len(os.Args) != 3 {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME FOLDER")
 		return exitFailed
