review: a request is sent to a decode server that has left since it was placed

The server is chosen before the prompt is read, and the list of servers is not asked again before the write.

--- a/review/_cases/kit.go
+++ b/review/_cases/kit.go
@@ -47,9 +47,10 @@
 
 // record writes what was sent, answered and run, with the time since the start of the case.
 type record struct {
-	mu    sync.Mutex
-	f     *os.File
-	start time.Time
+	mu       sync.Mutex
+	f        *os.File
+	start    time.Time
+	arrivals map[string][]time.Duration // times at which requests reached a replica, by its ID
 }
 
 func newRecord(path string) (*record, error) {
@@ -57,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &record{f: f, start: time.Now()}, nil
+	return &record{f: f, start: time.Now(), arrivals: make(map[string][]time.Duration)}, nil
 }
 
 func (r *record) add(format string, args ...any) {
@@ -66,6 +67,22 @@
 	fmt.Fprintf(r.f, "%8.3f s  %s\n", time.Since(r.start).Seconds(), fmt.Sprintf(format, args...))
 }
 
+// now returns the time since the start of the case.
+func (r *record) now() time.Duration { return time.Since(r.start) }
+
+// arrived records that a request has reached a replica.
+func (r *record) arrived(replica string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.arrivals[replica] = append(r.arrivals[replica], time.Since(r.start))
+}
+
+func (r *record) arrivalsAt(replica string) []time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.arrivals[replica]
+}
+
 // item is an item of the store.
 type item struct {
 	Key     string `json:"key"`
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -25,6 +25,7 @@
 	"early-reset": runEarlyReset,
 	"memory":      runMemory,
 	"cut-stream":  runCutStream,
+	"drain":       runDrain,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_cases/model.go
+++ b/review/_cases/model.go
@@ -25,10 +25,10 @@
 	perToken        time.Duration // to read a token of a prompt
 	unframed        bool          // streams have no length and end with their connection
 
-	prefill sync.Mutex // prompts are read one after the other
 	mu      sync.Mutex
 	serial  int
 	handles map[string]string // requests by the handles of their prompts
+	free    time.Time         // when the prompts that have come so far are read
 }
 
 // runReplica runs a replica until the process is killed.
@@ -91,6 +91,7 @@
 		r.serial++
 		hold := fmt.Sprintf("h%s%d", r.id, r.serial)
 		r.mu.Unlock()
+		r.say("sets memory aside for %d tokens", want.Tokens)
 		reply(c, 200, "", "Content-Type: application/json", fmt.Sprintf(`{"hold":%q}`, hold))
 	case strings.HasPrefix(req.URL.Path, "/api/"):
 		reply(c, 200, "", "Content-Type: application/json", "{}")
@@ -101,6 +102,7 @@
 	case r.stage == "prefill":
 		r.readPrompt(c, req, id)
 	default:
+		r.say("reached by %s", id)
 		return r.stream(c, req, id)
 	}
 	return true
@@ -123,9 +125,14 @@
 // readPrompt reads a prompt after those that came before.
 func (r *modelReplica) readPrompt(c net.Conn, req *http.Request, id string) {
 	tokens := promptTokens(req)
-	r.prefill.Lock()
-	time.Sleep(time.Duration(tokens) * r.perToken)
-	r.prefill.Unlock()
+	r.mu.Lock()
+	if now := time.Now(); r.free.Before(now) {
+		r.free = now
+	}
+	r.free = r.free.Add(time.Duration(tokens) * r.perToken)
+	done := r.free
+	r.mu.Unlock()
+	time.Sleep(time.Until(done))
 	r.mu.Lock()
 	r.serial++
 	handle := fmt.Sprintf("%s%06d", strings.TrimPrefix(r.id, "i-"), r.serial)
@@ -200,6 +207,12 @@
 	go func() {
 		for sc := bufio.NewScanner(out); sc.Scan(); {
 			b.rec.add("%s", sc.Text())
+			switch {
+			case strings.Contains(sc.Text(), ": reached by "):
+				b.rec.arrived(p.id)
+			case strings.Contains(sc.Text(), ": sets memory aside"):
+				b.rec.arrived(p.id + " hold")
+			}
 		}
 	}()
 	p.born = time.Now().UnixMilli()
@@ -228,6 +241,9 @@
 	return addr, ln.Close()
 }
 
+// patience is how long clients wait for the next event of a stream, four times the objective of 900 ms.
+const patience = 3600 * time.Millisecond
+
 // streamed is what a client has received of a stream.
 type streamed struct {
 	status   int
@@ -245,7 +261,7 @@
 		return streamed{err: err}
 	}
 	defer func() { _ = c.Close() }()
-	_ = c.SetDeadline(time.Now().Add(14 * time.Second))
+	_ = c.SetDeadline(time.Now().Add(patience))
 	body := strings.Repeat("x", 3000)
 	head := requestHead(streamPrefix+"2f", id, 14000, "Wasabidock-Model: m", fmt.Sprintf("Wasabidock-Token-Count: %d,%d", tokens, maxOutput),
 		fmt.Sprintf("Wasabidock-Prompt-Prefix: %s:%d", id, tokens), fmt.Sprintf("Content-Length: %d", len(body)), "")
@@ -261,6 +277,7 @@
 		line, err := br.ReadString('\n')
 		if strings.HasPrefix(line, "id: ") {
 			s.events++
+			_ = c.SetDeadline(time.Now().Add(patience))
 			if seen != nil {
 				seen(s.events)
 			}
