review: a plain request is sent to a replica just before the process ends

Whether a request outlasts a draining process is asked before its body is read, and not again before the write.

--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -26,6 +26,7 @@
 	"memory":      runMemory,
 	"cut-stream":  runCutStream,
 	"drain":       runDrain,
+	"late-body":   runLateBody,
 }
 
 func main() { os.Exit(run()) }
--- a/review/_cases/memory.go
+++ b/review/_cases/memory.go
@@ -38,6 +38,7 @@
 	id    string
 	addr  string
 	slots chan struct{}
+	work  time.Duration
 
 	mu   sync.Mutex
 	runs map[string]bool // by request that has arrived, whether it was run to its end
@@ -48,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &soundReplica{id: id, addr: ln.Addr().String(), slots: make(chan struct{}, 6), runs: make(map[string]bool)}
+	r := &soundReplica{id: id, addr: ln.Addr().String(), slots: make(chan struct{}, 6), work: memoryWork, runs: make(map[string]bool)}
 	go func() { _ = http.Serve(ln, r) }()
 	return r, nil
 }
@@ -68,7 +69,7 @@
 	s.runs[id] = false
 	s.mu.Unlock()
 	s.slots <- struct{}{}
-	time.Sleep(memoryWork)
+	time.Sleep(s.work)
 	<-s.slots
 	w.Header().Set(sealHeader, "seal-"+s.id)
 	_, _ = io.WriteString(w, wholeAnswer(id)) // the caller may have disconnected
