--- a/review/_cases/earlyreset.go
+++ b/review/_cases/earlyreset.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -17,15 +18,18 @@
 const (
 	earlyRequests = 12
 
-	answerBytes = 800      // as the published deployments say
-	smallBuffer = 16 << 10 // links have small windows
+	answerBytes  = 800      // as the published deployments say
+	smallBuffer  = 16 << 10 // links have small windows
+	segmentBytes = 1448     // of a link, and not of loopback
 )
 
-// smallWindows limits what a listener's connections take in unread.
+// smallWindows limits what a listener's connections take in unread, and the size of their segments, with which the buffers of
+// the other end grow.
 var smallWindows = net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 	var err error
 	cerr := c.Control(func(fd uintptr) {
-		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer)
+		err = errors.Join(syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, smallBuffer),
+			syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes))
 	})
 	if cerr != nil {
 		return cerr
@@ -221,4 +225,4 @@
 }
 
 // earlyBody is the size of a request, within maxBodyBytes.
-var earlyBody = envInt("BODY", 4_000_000)
+var earlyBody = envInt("BODY", 2_000_000)
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of all cases. It needs the standard library alone.
 set -eu
 cd "$(dirname "$0")/.."
-go build -o review/bin/cases ./review/_cases
+go build -buildvcs=false -o review/bin/cases ./review/_cases
