--- a/review/_cases/model.go
+++ b/review/_cases/model.go
@@ -125,6 +125,7 @@
 // readPrompt reads a prompt after those that came before.
 func (r *modelReplica) readPrompt(c net.Conn, req *http.Request, id string) {
 	tokens := promptTokens(req)
+	r.say("gets the prompt of %s", id)
 	r.mu.Lock()
 	if now := time.Now(); r.free.Before(now) {
 		r.free = now
@@ -210,6 +211,8 @@
 			switch {
 			case strings.Contains(sc.Text(), ": reached by "):
 				b.rec.arrived(p.id)
+			case strings.Contains(sc.Text(), ": gets the prompt of "):
+				b.rec.arrived(p.id + " prompt")
 			case strings.Contains(sc.Text(), ": sets memory aside"):
 				b.rec.arrived(p.id + " hold")
 			}
@@ -272,6 +275,7 @@
 	if err != nil {
 		return streamed{err: err}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	s := streamed{status: resp.StatusCode, seal: resp.Header.Get(sealHeader)}
 	for br := bufio.NewReader(resp.Body); ; {
 		line, err := br.ReadString('\n')
