link, proxy: a reset that a pending write takes does not end an early response

Cause: the kernel reports a reset once. For requests over 64 KiB, which are written while the response is read, the write got it, the read then got a plain end of file, and the error of the write was asked for only when the connection was to be used again.

Requests of 3,000 bytes were never affected, so it is not the question to the server.

Change: at the end of a response that ends with its connection, link waits for the write of the request, and the response is whole only if that succeeded. The end of the request's context bounds the wait. All readers of the body go through this. The metric open_ended_responses_total has a new value, reset.

--- a/entry/app.go
+++ b/entry/app.go
@@ -232,7 +232,7 @@
 	for _, v := range []crash.Verdict{crash.Suspect, crash.Blocked} {
 		p.Meter.Count("prompt_part_rejections_total", "verdict", v.String(), 0)
 	}
-	for _, end := range []string{proxy.EndWhole, proxy.EndCrash} {
+	for _, end := range []string{proxy.EndWhole, proxy.EndCrash, proxy.EndReset} {
 		p.Meter.Count("open_ended_responses_total", "end", end, 0)
 	}
 	return proxy.New(proxy.Config{
--- a/link/link.go
+++ b/link/link.go
@@ -106,11 +106,37 @@
 	idleTimeout time.Duration // copy of Request.IdleTimeout
 	proven      bool          // see Proven
 	tellsNext   bool          // the response differs from those to later requests of the connection
-	writeDone   <-chan error  // result of the write that runs in a goroutine, nil if the request was written synchronously
+	write       *write        // write that runs in a goroutine, nil if the request was written synchronously
 	stop        func() bool
 	atEOF       bool // the body was read to its end
 }
 
+// write is the write of a request in a goroutine.
+type write struct {
+	done chan struct{} // closed at the end of the write
+	err  error         // result, valid once done is closed
+}
+
+// startWrite writes a request to a connection in a goroutine, which ends when the connection is closed.
+func startWrite(cn *conn, b []byte) *write {
+	w := &write{done: make(chan struct{})}
+	go func() {
+		defer close(w.done)
+		_, w.err = cn.Write(b)
+	}()
+	return w
+}
+
+// succeeded reports whether the whole request has been written.
+func (w *write) succeeded() bool {
+	select {
+	case <-w.done:
+		return w.err == nil
+	default:
+		return false
+	}
+}
+
 // Do writes the request once and returns when the response header has been read. If ctx ends
 // before the Response is closed, the connection is closed.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -197,12 +223,7 @@
 	cn.src.endWait = req.EndWait
 	res := &Response{c: c, addr: req.Addr, conn: cn}
 	if len(buf) > syncWriteBytes {
-		writeDone := make(chan error, 1)
-		go func() {
-			_, err := cn.Write(buf)
-			writeDone <- err
-		}()
-		res.writeDone = writeDone
+		res.write = startWrite(cn, buf)
 	} else if n, err := cn.Write(buf); err != nil {
 		outcome := ident.Unknown
 		if n == 0 {
@@ -232,6 +253,8 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		res.resp = resp
+		resp.Body = &body{res: res, ReadCloser: resp.Body, openEnded: !framed(resp) && req.Method != http.MethodHead}
 		ours, err := res.belongs(req, resp)
 		if err != nil {
 			return err
@@ -252,8 +275,7 @@
 		res.conn.src.remaining = unlimited
 		res.Status = resp.StatusCode
 		res.Header = resp.Header
-		res.resp = resp
-		res.Body = &body{res: res, r: resp.Body}
+		res.Body = resp.Body
 		res.idleTimeout = req.IdleTimeout
 		res.ResetIdleTimeout()
 		return nil
@@ -284,15 +306,28 @@
 	_ = res.conn.SetReadDeadline(at) // fails only on a closed connection, on which the next read fails too
 }
 
-// body records when the response body has been read to its end.
+// body is a response body. It records when the body has been read to its end.
 type body struct {
-	res *Response
-	r   io.Reader
+	io.ReadCloser
+	res       *Response
+	openEnded bool // the body ends with the connection
+	err       error
 }
 
+// Read implements io.Reader. A reset is reported once: to a write if one is pending, and reads then end as if the server
+// had closed the connection. At the end of an open-ended body, Read therefore waits for the write of the request,
+// which ends with the context of the request at the latest.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.r.Read(p)
-	if err == io.EOF {
+	if b.err != nil {
+		return 0, b.err
+	}
+	n, err := b.ReadCloser.Read(p)
+	if w := b.res.write; errors.Is(err, io.EOF) && b.openEnded && w != nil {
+		if <-w.done; w.err != nil {
+			err = errors.Wrap(w.err, "the request was not written, and the response ended with its connection")
+		}
+	}
+	if b.err = err; errors.Is(err, io.EOF) {
 		b.res.atEOF = true
 	}
 	return n, err
@@ -329,17 +364,8 @@
 	if !res.atEOF || res.conn.outOfStep || !res.conn.hasRoom() || !res.tellsNext || res.resp.Close || !framed(res.resp) {
 		return false
 	}
-	if res.writeDone != nil {
-		// If the response came before the whole request was written, the rest of the
-		// request body is still to be sent on the connection.
-		select {
-		case err := <-res.writeDone:
-			if err != nil {
-				return false
-			}
-		default:
-			return false
-		}
+	if res.write != nil && !res.write.succeeded() {
+		return false // the rest of the request body is still to be sent on the connection
 	}
 	idle, unread := res.conn.state()
 	if unread {
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -24,6 +24,7 @@
 const (
 	EndWhole = "whole" // their server was still there
 	EndCrash = "crash" // their server had ended
+	EndReset = "reset" // their connection failed
 )
 
 // promptParts are the parts of a request's prompt that other requests may share.
@@ -141,12 +142,18 @@
 	return false
 }
 
-// checkEnd returns an error unless the end of a response that was read to its end is the end of what the
-// server sent. A response with neither a length nor chunks ends with its connection, so a crash of its server
+// checkEnd returns an error unless the end of a response is the end of what the server sent. readErr is the error with which
+// its body was read. A response with neither a length nor chunks ends with its connection, so a crash of its server
 // looks the same, and is told by a new connection.
-func (x *exchange) checkEnd(s *route.Server, resp *link.Response) error {
+func (x *exchange) checkEnd(s *route.Server, resp *link.Response, readErr error) error {
 	if resp.Framed() || x.r.Method == http.MethodHead {
-		return nil
+		return readErr
+	}
+	if readErr != nil {
+		if endsConnection(readErr) {
+			x.h.cfg.Meter.Count("open_ended_responses_total", "end", EndReset, 1)
+		}
+		return readErr
 	}
 	if !x.hasEnded(s) {
 		x.h.cfg.Meter.Count("open_ended_responses_total", "end", EndWhole, 1)
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -45,6 +45,7 @@
 	log     logBuffer
 
 	registry metrics.Registry
+	maxBody  int64 // limit for the sum of all request bodies
 }
 
 // counter returns the value of a counter of the handler.
@@ -134,8 +135,8 @@
 
 const testKey = "customer-key"
 
-// testTable is a configuration with each kind of route.
-func testTable() *route.Table {
+// testSpec is a configuration with each kind of route.
+func testSpec() route.Spec {
 	newRoute := func(name, prefix string, k route.Kind, resumable bool, tries int, service string) *route.Route {
 		return &route.Route{
 			Name: name, Host: "host.example", Prefix: prefix, Kind: k, Resumable: resumable, MaxAttempts: tries,
@@ -147,7 +148,7 @@
 	slow.Timeout, slow.GapTarget = 5*time.Second, 700*time.Millisecond
 	open := newRoute("open", "/open/", route.Idempotent, false, 1, "app")
 	open.Public = true
-	return route.NewTable(route.Spec{
+	return route.Spec{
 		Version: 1, Revision: 1, KeysRequired: true,
 		Routes: []*route.Route{
 			newRoute("file", "/file/", route.Mutating, false, 1, "app"),
@@ -165,7 +166,7 @@
 		},
 		Customers: []*route.Customer{{Name: "sur", Keys: []route.Key{route.HashKey(testKey)}, DefaultTokens: 200}},
 		Limits:    route.Limits{BodyBytes: 1000, HeaderBytes: 2000},
-	})
+	}
 }
 
 // soleHome implements permit.Claimer for an instance without peers.
@@ -181,9 +182,9 @@
 	t.Helper()
 	h := &harness{
 		live: route.NewLive(), servers: make(map[string]*fake.Server), clock: tick.NewReal(),
-		budget: &fakeBudget{left: 10}, limiter: &fakeLimiter{}, registry: metrics.NewRegistry(),
+		budget: &fakeBudget{left: 10}, limiter: &fakeLimiter{}, registry: metrics.NewRegistry(), maxBody: 500,
 	}
-	h.live.SetTable(testTable())
+	h.live.SetTable(route.NewTable(testSpec()))
 	stages := map[fake.Role]route.Stage{
 		fake.Plain: route.StageBoth, fake.Prefill: route.StagePrefill, fake.Decode: route.StageDecode,
 	}
@@ -225,7 +226,7 @@
 	h.handler = proxy.New(proxy.Config{
 		Centre: "a", Region: "r", Live: h.live, Protocol: platform.Protocol{},
 		Client:  link.New(link.Config{Clock: h.clock, IDHeader: platform.AttemptHeader}),
-		Limiter: h.limiter, RetryBudget: h.budget, Placer: scheduler, MaxBodyBytes: 500, MaxBufferedBytes: 1 << 20, Health: h.health, Permits: h.gate, Crashes: h.crashes, Clock: h.clock,
+		Limiter: h.limiter, RetryBudget: h.budget, Placer: scheduler, MaxBodyBytes: h.maxBody, MaxBufferedBytes: 1 << 20, Health: h.health, Permits: h.gate, Crashes: h.crashes, Clock: h.clock,
 		Meter: metric.New(metric.Config{Registry: h.registry, Clock: h.clock}), Log: zerolog.New(&h.log),
 	})
 	return scheduler
@@ -239,6 +240,16 @@
 	h.proxy.Config.Handler = h.handler
 }
 
+// allowBodies replaces the handler by one that accepts bodies of n bytes.
+func (h *harness) allowBodies(n int) {
+	spec := testSpec()
+	spec.Version, spec.Revision, spec.Limits.BodyBytes = 2, 2, n
+	h.live.SetTable(route.NewTable(spec))
+	h.maxBody = 8 * int64(n)
+	h.newHandler()
+	h.proxy.Config.Handler = h.handler
+}
+
 // result is the response that a caller receives.
 type result struct {
 	status     int
--- /dev/null
+++ b/proxy/openend_test.go
@@ -0,0 +1,60 @@
+package proxy_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/fake"
+)
+
+// TestResetBesideWriteIsNoEnd guards against half of an early response that is passed on as a whole one after its connection was reset.
+func TestResetBesideWriteIsNoEnd(t *testing.T) {
+	const bodyBytes = 8 << 20
+	plain := map[string]fake.Role{"s1": fake.Plain, "s2": fake.Plain}
+	model := map[string]fake.Role{"s1": fake.Decode, "s2": fake.Decode}
+	tests := []struct {
+		name   string
+		path   string
+		roles  map[string]fake.Role
+		fault  fake.Fault
+		status int  // of a whole response, or 0 for one that is visibly cut
+		whole  bool // the body is that of a server
+		ends   int64
+	}{
+		{name: "mutating", path: "/file/1", roles: plain, fault: fake.EarlyReset, status: 502, ends: 1},
+		{name: "idempotent", path: "/read/1", roles: plain, fault: fake.EarlyReset, status: 502, ends: 2},
+		{name: "stream", path: "/once/1", roles: model, fault: fake.EarlyReset, ends: 1},
+		{name: "resumable stream", path: "/again/1", roles: model, fault: fake.EarlyReset, ends: 2},
+		{name: "mutating, sound", path: "/file/1", roles: plain, fault: fake.EarlyEnd, status: 200, whole: true},
+		{name: "stream, sound", path: "/once/1", roles: model, fault: fake.EarlyEnd, status: 200, whole: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.roles)
+			h.allowBodies(bodyBytes)
+			for _, s := range h.servers {
+				s.SetFault(tt.fault)
+			}
+			var change []func(*http.Request)
+			if tt.roles["s1"] == fake.Decode {
+				change = append(change, withTokenCounts)
+			}
+			got := h.send(t, http.MethodPost, tt.path, strings.Repeat("b", bodyBytes), change...)
+			is.Equal(h.counter(`open_ended_responses_total{end="reset"}`), tt.ends)
+			if tt.status == 0 {
+				is.True(got.err != nil)
+				return
+			}
+			is.NoErr(got.err)
+			is.Equal(got.status, tt.status)
+			if !tt.whole {
+				return
+			}
+			is.True(got.body == fake.Answer("s1", "a1") || got.body == fake.Answer("s2", "a1") || got.body == eventText(1, 4))
+		})
+	}
+}
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -169,9 +169,7 @@
 	x.runs++
 	b, err := x.bufferResponse(resp)
 	defer h.bufferedBytes.Add(-int64(len(b)))
-	if err == nil {
-		err = x.checkEnd(s, resp)
-	}
+	err = x.checkEnd(s, resp, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
--- a/proxy/startup_test.go
+++ b/proxy/startup_test.go
@@ -38,7 +38,7 @@
 			}
 			if tt.configAfter > 0 {
 				time.AfterFunc(tt.configAfter, func() {
-					h.live.SetTable(testTable())
+					h.live.SetTable(route.NewTable(testSpec()))
 					h.live.SetFleet(route.NewFleet(2, servers))
 				})
 			}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -59,9 +59,7 @@
 	h := m.h
 	b, err := m.bufferResponse(resp)
 	defer h.bufferedBytes.Add(-int64(len(b)))
-	if err == nil {
-		err = m.checkEnd(p.Decode, resp)
-	}
+	err = m.checkEnd(p.Decode, resp, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
@@ -111,7 +109,7 @@
 		if m.headerWritten {
 			_ = r.flusher.Flush() // the events before the failure; err is the error to report
 		}
-		return err
+		return r.checkEnd(p.Decode, resp, err)
 	}
 	return r.end()
 }
@@ -212,7 +210,7 @@
 		return errNoEvents
 	}
 	if !r.outputExhausted() {
-		if err := r.checkEnd(r.placement.Decode, r.resp); err != nil {
+		if err := r.checkEnd(r.placement.Decode, r.resp, nil); err != nil {
 			return err
 		}
 	}
