proxy: a request is not written to a server that has left since it was chosen

Cause: the decode server is chosen before the prompt is read, and before the write only its own responses were asked, not the list.

Change: rejectsRequests asks the list too, for the same incarnation, and checkWrite asks it for a request of any kind right before the write, after the waits for a permit and a connection. A withheld request is placed again with the KV cache that it has, without a second prefill, outside the retry budget and charged once. Since callers are refused after 3.6 times the objective, and the prompt may take longer, a request whose prompt is read may be placed while its KV cache lives.

--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -146,6 +146,8 @@
 	}
 	slow := newRoute("slow", "/slow/", route.Stream, true, 2, "model")
 	slow.Timeout, slow.GapTarget = 5*time.Second, 700*time.Millisecond
+	soon := newRoute("soon", "/soon/", route.Stream, false, 1, "model")
+	soon.LatencyTarget = 60 * time.Millisecond
 	open := newRoute("open", "/open/", route.Idempotent, false, 1, "app")
 	open.Public = true
 	return route.Spec{
@@ -156,7 +158,7 @@
 			newRoute("once", "/once/", route.Stream, false, 1, "model"),
 			newRoute("again", "/again/", route.Stream, true, 2, "model"),
 			newRoute("thrice", "/thrice/", route.Stream, true, 3, "model"),
-			open, slow,
+			open, slow, soon,
 		},
 		Services: []*route.Service{
 			{Name: "app", MaxConns: 10},
@@ -185,24 +187,10 @@
 		budget: &fakeBudget{left: 10}, limiter: &fakeLimiter{}, registry: metrics.NewRegistry(), maxBody: 500,
 	}
 	h.live.SetTable(route.NewTable(testSpec()))
-	stages := map[fake.Role]route.Stage{
-		fake.Plain: route.StageBoth, fake.Prefill: route.StagePrefill, fake.Decode: route.StageDecode,
-	}
-	var list []*route.Server
+	h.live.SetFleet(route.NewFleet(1, nil))
 	for name, role := range roles {
-		s := fake.NewServer(name, role)
-		s.Register()
-		t.Cleanup(s.Close)
-		h.servers[name] = s
-		service := "model"
-		if role == fake.Plain {
-			service = "app"
-		}
-		list = append(list, &route.Server{
-			ID: name, Service: service, Addr: s.Addr(), Centre: "a", Region: "r", Stage: stages[role], Slots: 8,
-		})
+		h.addServer(t, name, role)
 	}
-	h.live.SetFleet(route.NewFleet(2, list))
 	h.health = health.NewTracker()
 	limits := permit.NewLimits()
 	h.gate = permit.NewGate(limits, h.clock.Now)
@@ -217,6 +205,26 @@
 	return h
 }
 
+// addServer starts a server and adds it to the server list.
+func (h *harness) addServer(t *testing.T, name string, role fake.Role) {
+	t.Helper()
+	stages := map[fake.Role]route.Stage{
+		fake.Plain: route.StageBoth, fake.Prefill: route.StagePrefill, fake.Decode: route.StageDecode,
+	}
+	s := fake.NewServer(name, role)
+	s.Register()
+	t.Cleanup(s.Close)
+	h.servers[name] = s
+	service := "model"
+	if role == fake.Plain {
+		service = "app"
+	}
+	old := h.live.Fleet()
+	h.live.SetFleet(route.NewFleet(old.Revision()+1, append(old.All(), &route.Server{
+		ID: name, Service: service, Addr: s.Addr(), Centre: "a", Region: "r", Stage: stages[role], Slots: 8,
+	})))
+}
+
 // newHandler replaces the handler and returns its new scheduler.
 func (h *harness) newHandler() *admit.Scheduler {
 	h.source = serverSource{h.live}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -175,8 +175,8 @@
 			return m.callerGone()
 		}
 	}
-	if m.rejectsRequests(p.Decode) { // the server may have been closed since it was chosen
-		m.exclude(p.Decode)
+	if m.rejectsRequests(p.Decode) { // the prompt may have waited for longer than a server that leaves accepts requests
+		m.skipServer(p.Decode)
 		return m.callerGone()
 	}
 	if !m.allowAttempt() {
@@ -203,6 +203,11 @@
 		m.arrivals.uncount()
 		return m.callerGone()
 	}
+	if errors.Is(err, errClosed) {
+		m.arrivals.uncount()
+		m.skipServer(p.Decode)
+		return m.callerGone()
+	}
 	if err != nil {
 		if fail.Outcome(err) != ident.NotRun {
 			m.reservation = nil // the run may be using it, and the KV cache
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -220,7 +220,7 @@
 	if notRun {
 		x.arrivals.uncount()
 	}
-	if isDenied(err) {
+	if isWithheld(err) {
 		return
 	}
 	h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -43,6 +43,10 @@
 		m.prefillAttempts--
 		return false
 	}
+	if errors.Is(err, errClosed) {
+		m.prefillAttempts--
+		return m.skipServer(s)
+	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; placing the request again")
 		m.recordFailure(s, classifyFailure(err))
@@ -60,6 +64,8 @@
 	m.stats.prefills++
 	m.kv = &kvCache{server: s, handle: handle, createdAt: h.cfg.Clock.Now()}
 	m.placeReq.Prefilled = true
+	// The first event follows at once from the KV cache, at whichever decode server fetches it.
+	m.placeReq.Deadline = max(m.placeReq.Deadline, min(m.deadline, m.kv.createdAt+m.service.Engine.HandleTTL))
 	return true
 }
 
@@ -125,6 +131,9 @@
 	if isDenied(err) {
 		return m.skipDenied(s)
 	}
+	if errors.Is(err, errClosed) {
+		return m.skipServer(s)
+	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
 		// The call costs the server no work, so a server that does not answer is unreachable.
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -17,6 +17,9 @@
 // errWrongServer reports that a different server now uses the address.
 var errWrongServer = errors.New("a different server uses the address")
 
+// errClosed reports that a server accepts no requests any more, so that nothing was written to it.
+var errClosed = errors.New("the server has left, or accepts no requests, since it was chosen")
+
 // classifyFailure returns the kind of server failure for the error of a failed call.
 func classifyFailure(err error) health.Failure {
 	switch {
@@ -45,6 +48,9 @@
 	}
 }
 
+// WithheldClosed is the reason, for metrics, for a request that was not written because its server has left or accepts none.
+const WithheldClosed = "closed"
+
 // do sends a request to a server and records the state that the server reports in the header
 // of its response. If the server has a limit, do first takes a permit; if there is none, the error
 // is a permit.DeniedError.
@@ -66,28 +72,29 @@
 	if err := x.checkParts(); err != nil {
 		return nil, fail.New("relay: parts", s.ID, ident.NotRun, err)
 	}
-	if len(x.prompt.parts) > 0 {
-		req.BeforeWrite = x.checkParts
-	}
 	x.h.cfg.Health.RecordRequest(s.Key(), x.h.cfg.Clock.Now())
+	req.BeforeWrite = x.checkParts
 	return x.send(ctx, s, req, p)
 }
 
 // send sends a request for which there is a permit.
 func (x *exchange) send(ctx context.Context, s *route.Server, req *link.Request, p permit.Permit) (*link.Response, error) {
-	if p.Limited {
-		before := req.BeforeWrite
-		req.BeforeWrite = func() error {
-			if err := x.h.cfg.Permits.Check(p); err != nil || before == nil {
-				return err
-			}
-			return before()
+	check := req.BeforeWrite
+	req.BeforeWrite = func() error {
+		if err := x.checkWrite(s, p); err != nil || check == nil {
+			return err
 		}
+		return check()
+	}
+	if p.Limited {
 		x.h.cfg.Meter.Count("server_limit_requests_total", "server", s.ID, 1)
 	}
 	sent := x.h.cfg.Clock.Now()
 	resp, err := x.h.cfg.Client.Do(ctx, req)
 	if err != nil {
+		if errors.Is(err, errClosed) {
+			x.h.cfg.Meter.Count("writes_withheld_total", "reason", WithheldClosed, 1)
+		}
 		return nil, err
 	}
 	if resp.Proven() {
@@ -97,6 +104,18 @@
 	return resp, nil
 }
 
+// checkWrite returns an error unless a request of any kind may be written to a server now. What was decided
+// before a wait for a place, a prompt, a permit or a connection is decided again here, right before the write.
+func (x *exchange) checkWrite(s *route.Server, p permit.Permit) error {
+	if x.rejectsRequests(s) {
+		return errClosed
+	}
+	if p.Limited {
+		return x.h.cfg.Permits.Check(p)
+	}
+	return nil
+}
+
 // recordServerState records the state of a server from the header of its response: whether the
 // server is draining, and for how long it accepts no requests.
 func (x *exchange) recordServerState(s *route.Server, resp *link.Response) {
@@ -117,8 +136,15 @@
 	}
 }
 
-// rejectsRequests reports whether a server accepts no requests now.
+// rejectsRequests reports whether a server accepts no requests now: it is not listed any more, has restarted, or has said so.
 func (x *exchange) rejectsRequests(s *route.Server) bool {
+	listed, ok := x.h.cfg.Live.Fleet().Server(s.ID)
+	if !ok || listed.Key() != s.Key() {
+		return true
+	}
 	now := x.h.cfg.Clock.Now()
 	return x.h.cfg.Health.ClosedUntil(s.Key(), now) > now
 }
+
+// isWithheld reports whether a request was not written for a reason that is no failure of its server.
+func isWithheld(err error) bool { return isDenied(err) || errors.Is(err, errClosed) }
