proxy: a request that waited is not sent to a server if its key was withdrawn meanwhile

A request whose key was withdrawn while it waited for a place, a prompt or a permit was run all the same.

Cause: the key is looked up once, when the request arrives.

Change: checkWork asks the configuration in force right before each prefill and run. The caller gets 401 with key_withdrawn (not run), and a stream that has begun is cut. A change of the route is not asked for again: it applies to requests that arrive after it.

--- a/entry/app.go
+++ b/entry/app.go
@@ -235,7 +235,9 @@
 	for _, end := range []string{proxy.EndWhole, proxy.EndCrash, proxy.EndReset} {
 		p.Meter.Count("open_ended_responses_total", "end", end, 0)
 	}
-	p.Meter.Count("writes_withheld_total", "reason", proxy.WithheldClosed, 0)
+	for _, reason := range proxy.WithheldReasons() {
+		p.Meter.Count("writes_withheld_total", "reason", reason, 0)
+	}
 	return proxy.New(proxy.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Protocol: platform.Protocol{}, Client: p.Link, Limiter: p.Limiter, RetryBudget: p.RetryBudget,
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -113,3 +113,38 @@
 		is.Equal(h.counter(`writes_withheld_total{reason="closed"}`), int64(1))
 	}
 }
+
+// TestKeyWithdrawnWhileRequestWaits guards against a request that is sent to a server although its key was withdrawn while it waited.
+func TestKeyWithdrawnWhileRequestWaits(t *testing.T) {
+	withdraw := func(h *harness) {
+		spec := testSpec()
+		spec.Version, spec.Revision, spec.Customers = 2, 2, nil
+		h.live.SetTable(route.NewTable(spec))
+	}
+	t.Run("permit", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(t, map[string]fake.Role{"s1": fake.Plain, "s2": fake.Plain})
+		for _, s := range h.live.Fleet().All() {
+			h.gate.Record(s, 100, true, 0)
+		}
+		h.gate.SetClaimer(leavingHome{func() { withdraw(h) }})
+		got := h.send(t, http.MethodPost, "/read/1", "b")
+		is.Equal(got.status, 401)
+		is.Equal(h.runCount(), 0)
+		is.Equal(h.limiter.charged, 0)
+	})
+	t.Run("prompt", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(t, map[string]fake.Role{"p1": fake.Prefill, "d1": fake.Decode, "d2": fake.Decode})
+		h.servers["p1"].SetFault(fake.Slow)
+		h.servers["p1"].SetSlowDelay(200 * time.Millisecond)
+		got := make(chan result, 1)
+		go func() { got <- h.send(t, http.MethodPost, "/again/1", "b", withTokenCounts) }()
+		eventually(t, "the prompt is sent", func() bool { return len(h.servers["p1"].Arrivals()) == 1 })
+		withdraw(h)
+		is.Equal((<-got).status, 401)
+		is.Equal(h.runCount(), 0)
+		is.Equal(h.limiter.charged, 0)
+		is.Equal(h.counter(`writes_withheld_total{reason="key"}`), int64(1))
+	})
+}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -64,7 +64,7 @@
 	m := &modelExchange{exchange: x, placeReq: x.placementRequest()}
 	defer m.freeKV()
 	for ; m.placements < maxPlacements; m.placements++ {
-		if !m.admitParts(ctx) {
+		if m.endIfWithdrawn() || !m.admitParts(ctx) {
 			return
 		}
 		p, err := x.h.cfg.Placer.Place(ctx, m.placeReq)
@@ -203,7 +203,7 @@
 		m.arrivals.uncount()
 		return m.callerGone()
 	}
-	if errors.Is(err, errClosed) {
+	if isWithheld(err) {
 		m.arrivals.uncount()
 		m.skipServer(p.Decode)
 		return m.callerGone()
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -70,7 +70,7 @@
 // servePlain serves a request to a plain service. It tries one server after the other.
 func (x *exchange) servePlain(ctx context.Context) {
 	avoid := make(map[string]bool)
-	for {
+	for !x.endIfWithdrawn() {
 		s := x.pickServer(avoid, x.limitReached)
 		if s == nil {
 			x.giveUp(x.retryAfter(), "no server of "+x.service.Name+" is left to try"+x.permits.reason())
@@ -220,7 +220,7 @@
 	if notRun {
 		x.arrivals.uncount()
 	}
-	if isWithheld(err) {
+	if isDenied(err) || isWithheld(err) {
 		return
 	}
 	h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -43,7 +43,7 @@
 		m.prefillAttempts--
 		return false
 	}
-	if errors.Is(err, errClosed) {
+	if isWithheld(err) {
 		m.prefillAttempts--
 		return m.skipServer(s)
 	}
@@ -131,7 +131,7 @@
 	if isDenied(err) {
 		return m.skipDenied(s)
 	}
-	if errors.Is(err, errClosed) {
+	if isWithheld(err) {
 		return m.skipServer(s)
 	}
 	if err != nil {
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -17,9 +17,6 @@
 // errWrongServer reports that a different server now uses the address.
 var errWrongServer = errors.New("a different server uses the address")
 
-// errClosed reports that a server accepts no requests any more, so that nothing was written to it.
-var errClosed = errors.New("the server has left, or accepts no requests, since it was chosen")
-
 // classifyFailure returns the kind of server failure for the error of a failed call.
 func classifyFailure(err error) health.Failure {
 	switch {
@@ -48,9 +45,6 @@
 	}
 }
 
-// WithheldClosed is the reason, for metrics, for a request that was not written because its server has left or accepts none.
-const WithheldClosed = "closed"
-
 // do sends a request to a server and records the state that the server reports in the header
 // of its response. If the server has a limit, do first takes a permit; if there is none, the error
 // is a permit.DeniedError.
@@ -69,11 +63,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := x.checkParts(); err != nil {
-		return nil, fail.New("relay: parts", s.ID, ident.NotRun, err)
+	if err := x.checkWork(); err != nil {
+		return nil, fail.New("relay: write", s.ID, ident.NotRun, err)
 	}
 	x.h.cfg.Health.RecordRequest(s.Key(), x.h.cfg.Clock.Now())
-	req.BeforeWrite = x.checkParts
+	req.BeforeWrite = x.checkWork
 	return x.send(ctx, s, req, p)
 }
 
@@ -92,9 +86,6 @@
 	sent := x.h.cfg.Clock.Now()
 	resp, err := x.h.cfg.Client.Do(ctx, req)
 	if err != nil {
-		if errors.Is(err, errClosed) {
-			x.h.cfg.Meter.Count("writes_withheld_total", "reason", WithheldClosed, 1)
-		}
 		return nil, err
 	}
 	if resp.Proven() {
@@ -104,18 +95,6 @@
 	return resp, nil
 }
 
-// checkWrite returns an error unless a request of any kind may be written to a server now. What was decided
-// before a wait for a place, a prompt, a permit or a connection is decided again here, right before the write.
-func (x *exchange) checkWrite(s *route.Server, p permit.Permit) error {
-	if x.rejectsRequests(s) {
-		return errClosed
-	}
-	if p.Limited {
-		return x.h.cfg.Permits.Check(p)
-	}
-	return nil
-}
-
 // recordServerState records the state of a server from the header of its response: whether the
 // server is draining, and for how long it accepts no requests.
 func (x *exchange) recordServerState(s *route.Server, resp *link.Response) {
@@ -145,6 +124,3 @@
 	now := x.h.cfg.Clock.Now()
 	return x.h.cfg.Health.ClosedUntil(s.Key(), now) > now
 }
-
-// isWithheld reports whether a request was not written for a reason that is no failure of its server.
-func isWithheld(err error) bool { return isDenied(err) || errors.Is(err, errClosed) }
--- /dev/null
+++ b/proxy/write.go
@@ -0,0 +1,84 @@
+package proxy
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/permit"
+	"wasabidock.dev/dock/route"
+)
+
+// withheldError reports that a request was not written because something has changed since it was decided.
+type withheldError struct {
+	reason string // for metrics
+	text   string
+}
+
+// Error implements error.
+func (e *withheldError) Error() string { return e.text }
+
+// The reasons for which requests are not written.
+var (
+	errClosed       = &withheldError{"closed", "the server has left, has restarted or accepts no requests since it was chosen"}
+	errKeyWithdrawn = &withheldError{"key", "the key was withdrawn since the request arrived"}
+)
+
+// WithheldReasons returns the reasons for which requests are not written, for metrics.
+func WithheldReasons() []string { return []string{errClosed.reason, errKeyWithdrawn.reason} }
+
+// withhold counts a request that is not written, and returns the reason as an error.
+func (x *exchange) withhold(why *withheldError) error {
+	x.h.cfg.Meter.Count("writes_withheld_total", "reason", why.reason, 1)
+	return why
+}
+
+// isWithheld reports whether a call failed because its request was not written.
+func isWithheld(err error) bool {
+	_, ok := errors.Into[*withheldError](err)
+	return ok
+}
+
+// checkWrite returns an error unless a request of any kind may be written to a server now. What was decided
+// before a wait for a place, a prompt, a permit or a connection is decided again here, right before the write.
+func (x *exchange) checkWrite(s *route.Server, p permit.Permit) error {
+	if x.rejectsRequests(s) {
+		return x.withhold(errClosed)
+	}
+	if p.Limited {
+		return x.h.cfg.Permits.Check(p)
+	}
+	return nil
+}
+
+// checkWork is the part of checkWrite for requests that make a server work.
+func (x *exchange) checkWork() error {
+	if x.keyWithdrawn() {
+		return x.withhold(errKeyWithdrawn)
+	}
+	return x.checkParts()
+}
+
+// keyWithdrawn reports whether the caller's key no longer belongs to the customer to whom the request is charged.
+func (x *exchange) keyWithdrawn() bool {
+	t := x.h.cfg.Live.Table()
+	if x.customer == nil || t == x.table {
+		return false
+	}
+	c, ok := t.Customer(route.HashKey(x.info.APIKey))
+	return !ok || c.Name != x.customer.Name
+}
+
+// endIfWithdrawn ends the request if its key was withdrawn. It returns true if it has.
+func (x *exchange) endIfWithdrawn() bool {
+	if !x.keyWithdrawn() {
+		return false
+	}
+	if x.mayHaveRun || x.headerWritten || x.callerGone() {
+		x.giveUp(0, errKeyWithdrawn.text)
+		return true
+	}
+	x.clientError(http.StatusUnauthorized, fail.CodeKeyWithdrawn, errKeyWithdrawn.text)
+	return true
+}
