proxy, link: a server gets the time that is left at the write

After a wait for a permit or a connection, a server was handed the time that had been left before it: in the test 1,900 ms in place of 1,300.

Cause: the header was made before the waits. Found beside the fault of leaving servers: decided before a wait, not asked again at the write.

Change: the deadline is set in the callback that runs right before the write, and link encodes the request after it.

--- a/link/link.go
+++ b/link/link.go
@@ -80,8 +80,8 @@
 	// each contains a new name. It allows responses without an ID.
 	Distinct bool
 
-	// BeforeWrite is called when there is a connection, right before the request is written. If
-	// it returns an error, the request is not written. It may be nil.
+	// BeforeWrite is called when there is a connection, right before the request is written. It may change
+	// Header. If it returns an error, the request is not written. It may be nil.
 	BeforeWrite func() error
 
 	DialTimeout   time.Duration // longest wait for a connection, 0 for defaultDialTimeout
@@ -202,7 +202,6 @@
 
 // roundTrip writes the request to the connection and reads the response header.
 func (c *Client) roundTrip(ctx context.Context, cn *conn, req *Request) (*Response, error) {
-	buf := req.encode()
 	if err := ctx.Err(); err != nil {
 		return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
 	}
@@ -219,6 +218,7 @@
 			return nil, fail.New("link: write", req.Addr, ident.NotRun, ErrNotIdle)
 		}
 	}
+	buf := req.encode()
 	cn.wrote(req.ID)
 	cn.src.endWait = req.EndWait
 	res := &Response{c: c, addr: req.Addr, conn: cn}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -250,7 +250,6 @@
 // forwardInfo returns the header values that the router sets for a server.
 func (x *exchange) forwardInfo(s *route.Server) ForwardInfo {
 	out := newForwardInfo(s)
-	out.Remaining = x.remaining()
 	out.LastEventID = x.info.LastEventID
 	if x.customer != nil {
 		out.Customer = x.customer.Name
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -148,3 +149,17 @@
 		is.Equal(h.counter(`writes_withheld_total{reason="key"}`), int64(1))
 	})
 }
+
+// TestDeadlineIsThatAtTheWrite guards against a server that is given more time than is left after a wait for a permit.
+func TestDeadlineIsThatAtTheWrite(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
+	s, _ := h.live.Fleet().Server("s1")
+	h.gate.Record(s, 100, true, 0)
+	const wait = 600 * time.Millisecond
+	h.gate.SetClaimer(leavingHome{func() { time.Sleep(wait) }})
+	is.Equal(h.send(t, http.MethodPost, "/file/1", "b", withHeader("Wasabidock-Deadline-Ms", "1900")).status, 200)
+	ms, err := strconv.Atoi(h.servers["s1"].Runs()[0].Header.Get("Wasabidock-Deadline-Ms"))
+	is.NoErr(err)
+	is.True(ms > 0 && ms <= 1900-int(wait.Milliseconds()))
+}
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -26,15 +26,14 @@
 
 // ForwardInfo holds the header values that the router sets on a request to a server.
 type ForwardInfo struct {
-	ServerID      string        // ID of the server that must run the request
-	Remaining     time.Duration // time until the caller's deadline
-	Customer      string        // name of the customer, empty on public routes
-	Urgency       int           // 0 to 9, 0 is the most urgent
-	HasUrgency    bool          // Urgency is sent
-	LastEventID   int64         // ID of the event after which to resume the stream, event.NoID for none
-	PrefillOnly   bool          // prefill the prompt and stop
-	KVSource      string        // address/handle of the KV cache to fetch, empty for none
-	ReservationID string        // ID of the reservation to use, empty for none
+	ServerID      string // ID of the server that must run the request
+	Customer      string // name of the customer, empty on public routes
+	Urgency       int    // 0 to 9, 0 is the most urgent
+	HasUrgency    bool   // Urgency is sent
+	LastEventID   int64  // ID of the event after which to resume the stream, event.NoID for none
+	PrefillOnly   bool   // prefill the prompt and stop
+	KVSource      string // address/handle of the KV cache to fetch, empty for none
+	ReservationID string // ID of the reservation to use, empty for none
 }
 
 // newForwardInfo returns a ForwardInfo for a server, without an event to resume after.
@@ -48,6 +47,8 @@
 	ParseRequest(h http.Header) RequestInfo
 	// ForwardHeader returns the header to send to a server.
 	ForwardHeader(h http.Header, s ForwardInfo) http.Header
+	// SetRemaining sets the time until the caller's deadline in the header of a request to a server.
+	SetRemaining(h http.Header, d time.Duration)
 	// WrongServer reports whether a response states that a different server uses the address.
 	WrongServer(status int) bool
 	// NotExecuted reports whether a response states that the server did not run the
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -67,7 +67,10 @@
 		return nil, fail.New("relay: write", s.ID, ident.NotRun, err)
 	}
 	x.h.cfg.Health.RecordRequest(s.Key(), x.h.cfg.Clock.Now())
-	req.BeforeWrite = x.checkWork
+	req.BeforeWrite = func() error {
+		x.h.cfg.Protocol.SetRemaining(req.Header, x.remaining())
+		return x.checkWork()
+	}
 	return x.send(ctx, s, req, p)
 }
 
