proxy, entry: requests without a response are answered before the process closes

Around a SIGTERM, callers of silent servers got a closed connection: the request was at a server, and the daemon closed all connections at the end of its grace period (LOST).

Cause: entry closed the connections of requests of which no byte had been answered, although a truthful answer was still possible.

TestFinishAnswersWhatHasNotBegun does not end without it.

Change: Handler.Finish, 150 ms before the close, rejects what no server has run (503), answers 502 to the rest and ends the wait for bodies. Streams that have begun go on to the close. A daemon that was suspended past its end answers first, too. The decision line says that the process ends, where it said that the caller had left. Each response that is begun while draining closes its connection, also that of a request that came before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -45,6 +45,8 @@
 	idleMargin = 2 * time.Second
 	// peersShutdownTimeout bounds the wait for running calls of peers at exit.
 	peersShutdownTimeout = 100 * time.Millisecond
+	// finalAnswerTime is the time before the connections are closed at which requests without a response are answered.
+	finalAnswerTime = 150 * time.Millisecond
 	// drainPollPeriod is the period at which a draining daemon checks whether its requests have
 	// ended.
 	drainPollPeriod = 20 * time.Millisecond
@@ -261,19 +263,29 @@
 }
 
 // waitDrained blocks until stop is closed, and then drains the daemon. It returns when all requests
-// have ended and minDrainTime has passed, or shutdownMargin before the end of the grace period.
+// have ended and minDrainTime has passed, or shutdownMargin before the end of the grace period. Requests whose
+// responses have not begun finalAnswerTime earlier are answered then.
 func (d *daemon) waitDrained(stop <-chan struct{}) {
 	<-stop
 	start := d.p.Clock.Now()
 	d.draining.Store(true)
-	d.p.Handler.Drain(start + d.p.Set.ShutdownGrace() - shutdownMargin)
+	d.p.Handler.Drain(start + d.p.Set.ShutdownGrace() - shutdownMargin - finalAnswerTime)
 	d.p.Gossip.Leave()
 	d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: draining")
 	t := d.p.Clock.Every(drainPollPeriod)
 	defer t.Stop()
+	var finished tick.Instant
 	for range t.C() {
-		passed := d.p.Clock.Now() - start
-		if passed >= d.p.Set.ShutdownGrace()-shutdownMargin || passed >= minDrainTime && d.p.Handler.Active() == 0 {
+		now := d.p.Clock.Now()
+		left := start + d.p.Set.ShutdownGrace() - shutdownMargin - now
+		switch {
+		case now-start >= minDrainTime && d.p.Handler.Active() == 0:
+			return
+		case finished == 0 && left <= finalAnswerTime:
+			finished = now
+			d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: requests without a response are answered, since the process ends")
+			d.p.Handler.Finish()
+		case left <= 0 && now-finished >= finalAnswerTime: // a process that was suspended answers later than planned
 			return
 		}
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -58,6 +58,12 @@
 
 // startDaemon runs a daemon with a settings file like the platform's.
 func startDaemon(t *testing.T, name, store string, seeds ...string) *testDaemon {
+	t.Helper()
+	return startDaemonWith(t, name, store, 4*time.Second, seeds...)
+}
+
+// startDaemonWith is startDaemon with the time from the begin of the stop to the end of the process.
+func startDaemonWith(t *testing.T, name, store string, grace time.Duration, seeds ...string) *testDaemon {
 	t.Helper()
 	d := &testDaemon{front: fake.FreeAddr(), ready: fake.FreeAddr(), done: make(chan error, 1)}
 	peers := fake.FreeAddr()
@@ -69,8 +75,8 @@
 		t.Fatal(err)
 	}
 	text := fmt.Sprintf("node=%s\nzone=a\nzones.a=r\nip=127.0.0.1\nlisten.front=%s\nlisten.ready=%s\n"+
-		"listen.control=%s\nportRange=%s,%s\nseeds=%s\nplatform.address=%s\nbounds.graceS=4\n",
-		name, d.front, d.ready, peers, port, port, strings.Join(seeds, ","), store)
+		"listen.control=%s\nportRange=%s,%s\nseeds=%s\nplatform.address=%s\nbounds.graceS=%g\n",
+		name, d.front, d.ready, peers, port, port, strings.Join(seeds, ","), store, grace.Seconds())
 	path := filepath.Join(t.TempDir(), "settings.conf")
 	d.settings = path
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -1,6 +1,8 @@
 package proxy_test
 
 import (
+	"context"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -48,3 +50,65 @@
 	is.Equal(h.send(t, http.MethodPost, "/once/1", "body", withTokenCounts).status, 503)
 	is.Equal(len(h.servers["d1"].Runs()), 0)
 }
+
+// TestFinishAnswersWhatHasNotBegun guards against requests that the end of the process cuts off although they could be answered.
+func TestFinishAnswersWhatHasNotBegun(t *testing.T) {
+	tests := []struct {
+		name   string
+		roles  map[string]fake.Role
+		path   string
+		fault  fake.Fault
+		slow   bool // the body never ends
+		status int  // 0 for a response that is cut
+		runs   int
+	}{
+		{name: "no response", roles: map[string]fake.Role{"s1": fake.Plain}, path: "/file/1", fault: fake.Hang, status: 502, runs: 1},
+		{name: "no response, idempotent", roles: map[string]fake.Role{"s1": fake.Plain}, path: "/read/1", fault: fake.Hang, status: 502, runs: 1},
+		{name: "body that does not end", roles: map[string]fake.Role{"s1": fake.Plain}, path: "/file/1", slow: true, status: 503},
+		{name: "no place", roles: map[string]fake.Role{"d1": fake.Decode}, path: "/once/1", fault: fake.NoMemory, status: 503},
+		{name: "prompt", roles: splitPools, path: "/once/1", fault: fake.Hang, status: 503},
+		{name: "no event", roles: map[string]fake.Role{"d1": fake.Decode}, path: "/once/1", fault: fake.Hang, status: 502, runs: 1},
+		{name: "events", roles: map[string]fake.Role{"d1": fake.Decode}, path: "/once/1", fault: fake.Stall, status: 0, runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.roles)
+			for _, s := range h.servers {
+				s.SetFault(tt.fault)
+			}
+			var changes []func(*http.Request)
+			if tt.path == "/once/1" {
+				changes = append(changes, withTokenCounts)
+			}
+			if tt.slow {
+				changes = append(changes, func(r *http.Request) {
+					r.Body, r.ContentLength = io.NopCloser(endless{r.Context()}), 100
+				})
+			}
+			h.handler.Drain(h.clock.Now() + 10*time.Second)
+			time.AfterFunc(200*time.Millisecond, h.handler.Finish)
+			start := time.Now()
+			got := h.send(t, http.MethodPost, tt.path, "body", changes...)
+			if tt.status == 0 {
+				is.True(got.err != nil || time.Since(start) > time.Second) // Finish leaves it alone
+			} else {
+				is.Equal(got.status, tt.status)
+				is.True(got.closesConn)
+				is.True(time.Since(start) < time.Second)
+			}
+			is.Equal(h.runCount(), tt.runs)
+			for _, s := range h.live.Fleet().All() {
+				is.True(tt.status == 0 || h.health.Usable(s.Key(), h.clock.Now())) // no server is at fault
+			}
+		})
+	}
+}
+
+// endless is a body that does not end before its context.
+type endless struct{ ctx context.Context }
+
+func (e endless) Read([]byte) (int, error) {
+	<-e.ctx.Done()
+	return 0, e.ctx.Err()
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -92,7 +92,9 @@
 	bodyBytes       atomic.Int64 // bytes accounted for the request bodies in progress
 	// bufferedBytes is the size of the responses that are being buffered.
 	bufferedBytes atomic.Int64
-	endsAt        atomic.Int64 // tick.Instant at which the process ends, 0 while not draining
+	endsAt        atomic.Int64       // tick.Instant at which Finish is called, 0 while not draining
+	finishing     context.Context    // ends with the call of Finish
+	finish        context.CancelFunc // ends finishing
 	loads         serverLoads
 	invalidLimits invalidLimits
 	start         tick.Instant // start of the process
@@ -103,17 +105,14 @@
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, loads: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), tokenTimes: delay.NewEstimates()}
+	h := &Handler{cfg: cfg, loads: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), tokenTimes: delay.NewEstimates()}
+	h.finishing, h.finish = context.WithCancel(context.Background())
+	return h
 }
 
 // Active returns the number of requests that are being served.
 func (h *Handler) Active() int64 { return h.active.Load() }
 
-// Drain announces that the process ends at the given instant. After the call, each response
-// closes its connection, and requests that would not finish before that instant are
-// rejected at once.
-func (h *Handler) Drain(end tick.Instant) { h.endsAt.Store(int64(end)) }
-
 // exchange is one request of a caller and its response.
 type exchange struct {
 	h             *Handler
@@ -139,21 +138,22 @@
 	servers       []string // IDs of the plain servers to which the request was written
 	permits       permits
 	prompt        promptParts
-	summary       string    // description of the outcome, for the decision log line
-	status        int       // HTTP status of the response, 0 before its header was written
-	code          fail.Code // reason of the rejection, empty if the request was not rejected
-	complete      bool      // the whole response of a server was passed on
+	state         atomic.Int32 // see stateReading
+	summary       string       // description of the outcome, for the decision log line
+	status        int          // HTTP status of the response, 0 before its header was written
+	code          fail.Code    // reason of the rejection, empty if the request was not rejected
+	complete      bool         // the whole response of a server was passed on
 }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	if h.endsAt.Load() != 0 {
-		w.Header().Set("Connection", "close")
-	}
 	x := &exchange{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
 	defer x.finish()
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	defer x.watch(cancel)()
 	if !x.resolve() {
 		return
 	}
@@ -168,11 +168,11 @@
 		x.reject(fail.Refuse(fail.CodeOverloaded, overloadRetry, "this instance has no memory left for the body"))
 		return
 	}
-	if !x.readAndCharge() {
+	if !x.readAndCharge(ctx) {
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), x.deadline-h.cfg.Clock.Now())
-	defer cancel()
+	ctx, cancelAtDeadline := context.WithTimeout(ctx, x.deadline-h.cfg.Clock.Now())
+	defer cancelAtDeadline()
 	x.setWriteDeadline()
 	h.cfg.RetryBudget.RecordRequest(x.service.Name)
 	switch {
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -74,7 +74,7 @@
 		}
 		if !m.mayHaveRun && m.outlivesProcess() { // it has waited for the placement
 			m.h.cfg.Placer.Release(p)
-			m.reject(fail.Refuse(fail.CodeDraining, drainRetry, "this instance ends, another one takes the request"))
+			m.rejectDraining()
 			return
 		}
 		if m.runPlacement(ctx, p) {
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -62,7 +63,7 @@
 	}
 	x.nameParts()
 	if x.outlivesProcess() {
-		x.reject(fail.Refuse(fail.CodeDraining, drainRetry, "this instance ends, another one takes the request"))
+		x.rejectDraining()
 		return false
 	}
 	timeout := x.route.Timeout
@@ -100,8 +101,13 @@
 
 // readAndCharge reads the body and charges the customer's rate limit. It returns false if the
 // request has ended.
-func (x *exchange) readAndCharge() bool {
+func (x *exchange) readAndCharge(ctx context.Context) bool {
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, x.maxBodyBytes()))
+	x.advance(stateReading, stateWaiting)
+	if x.cutOff() {
+		x.rejectDraining()
+		return false
+	}
 	if err != nil {
 		if _, ok := errors.Into[*http.MaxBytesError](err); ok {
 			x.clientError(http.StatusRequestEntityTooLarge, fail.CodeTooLarge, "the body is too large")
@@ -121,11 +127,15 @@
 		tokens = x.info.PromptTokens + x.info.MaxOutputTokens
 	}
 	maxWait := time.Duration(limitWaitShare * float64(x.route.LatencyTarget))
-	wait, ok := x.h.cfg.Limiter.Admit(x.r.Context(), x.customer, tokens, maxWait)
+	wait, ok := x.h.cfg.Limiter.Admit(ctx, x.customer, tokens, maxWait)
 	if !ok && x.callerGone() {
 		x.summary = "caller left: it waited for its limit"
 		return false
 	}
+	if !ok && x.cutOff() {
+		x.rejectDraining()
+		return false
+	}
 	if !ok {
 		x.reject(fail.Refuse(fail.CodeRateLimited, wait, "the customer's limit is reached"))
 		return false
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -59,6 +59,7 @@
 		x.h.cfg.Log.Error().Err(err).Msg("relay: cannot encode the error body; sending it empty")
 	}
 	hd := x.w.Header()
+	x.closeIfDraining()
 	hd.Set("Content-Type", "application/json")
 	hd.Set("Content-Length", strconv.Itoa(len(b)))
 	x.headerWritten, x.status = true, status
@@ -82,11 +83,20 @@
 	switch {
 	case x.headerWritten:
 		x.summary = "stream cut: " + reason
+		if x.h.finishing.Err() != nil {
+			x.summary += ", " + stopReason
+		}
 		panic(http.ErrAbortHandler)
+	case x.callerGone() && x.h.finishing.Err() != nil:
+		x.summary = "cut off, " + stopReason + ": " + reason
 	case x.callerGone():
 		x.summary = "caller left: " + reason
 	case x.savedFailure != nil:
 		x.writeResponse(x.savedFailure)
+	case !x.mayHaveRun && x.cutOff():
+		x.rejectDraining()
+	case x.cutOff():
+		x.gatewayError(false, stopReason+": "+reason)
 	case !x.mayHaveRun:
 		x.reject(fail.Refuse(code, retry, reason))
 	default:
@@ -104,4 +114,12 @@
 		}
 		dst[k] = v
 	}
+	x.closeIfDraining()
+}
+
+// closeIfDraining makes the response close its connection if the process drains.
+func (x *exchange) closeIfDraining() {
+	if x.h.draining() {
+		x.w.Header().Set("Connection", "close")
+	}
 }
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -29,10 +29,10 @@
 	}
 }
 
-// recordFailure records a failure of a server, unless the caller has disconnected and may
-// have caused it.
+// recordFailure records a failure of a server, unless the caller has disconnected, or the request was
+// cut off, and may have caused it.
 func (x *exchange) recordFailure(s *route.Server, failure health.Failure) {
-	if !x.callerGone() {
+	if !x.callerGone() && !x.cutOff() {
 		x.h.cfg.Health.RecordFailure(s.Key(), failure, x.h.cfg.Clock.Now())
 	}
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -234,6 +234,7 @@
 
 // writeHeader writes the header of a streamed response.
 func (m *modelExchange) writeHeader(resp *link.Response) {
+	m.advance(stateWaiting, stateAnswering)
 	m.copyHeader(resp.Header)
 	m.headerWritten, m.status = true, resp.Status
 	m.placeReq.Resumed = true
