proxy: whether a request can end before a draining process is asked at the write

Cause: outlivesProcess was asked when the head had come, before the body and the customer's limit were waited for, and only model requests were asked again.

TestDrainIsAskedAtTheWrite fails without it (200).

Change: checkWork asks at each prefill and run that is a first one, and each wait ends with endIfTooLate.

--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -112,3 +112,18 @@
 	<-e.ctx.Done()
 	return 0, e.ctx.Err()
 }
+
+// TestDrainIsAskedAtTheWrite guards against a request whose body ends late in the grace period and that is written to a server right before
+// the process ends.
+func TestDrainIsAskedAtTheWrite(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
+	h.handler.Drain(h.clock.Now() + 1700*time.Millisecond) // 0.2 s more than requests need
+	body, w := io.Pipe()
+	time.AfterFunc(400*time.Millisecond, func() { _, _ = io.WriteString(w, "body"); _ = w.Close() })
+	got := h.send(t, http.MethodPost, "/file/1", "", func(r *http.Request) { r.Body, r.ContentLength = body, -1 })
+	is.Equal(got.status, 503)
+	is.Equal(h.runCount(), 0)
+	is.Equal(h.limiter.charged, 0)
+	is.Equal(h.counter(`writes_withheld_total{reason="ends"}`), int64(0)) // it is rejected before a server is chosen
+}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -64,7 +64,7 @@
 	m := &modelExchange{exchange: x, placeReq: x.placementRequest()}
 	defer m.freeKV()
 	for ; m.placements < maxPlacements; m.placements++ {
-		if m.endIfWithdrawn() || !m.admitParts(ctx) {
+		if m.endIfTooLate() || !m.admitParts(ctx) {
 			return
 		}
 		p, err := x.h.cfg.Placer.Place(ctx, m.placeReq)
@@ -72,9 +72,8 @@
 			m.rejectUnplaced(err)
 			return
 		}
-		if !m.mayHaveRun && m.outlivesProcess() { // it has waited for the placement
+		if m.endIfTooLate() { // it has waited for the placement
 			m.h.cfg.Placer.Release(p)
-			m.rejectDraining()
 			return
 		}
 		if m.runPlacement(ctx, p) {
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -70,7 +70,7 @@
 // servePlain serves a request to a plain service. It tries one server after the other.
 func (x *exchange) servePlain(ctx context.Context) {
 	avoid := make(map[string]bool)
-	for !x.endIfWithdrawn() {
+	for !x.endIfTooLate() {
 		s := x.pickServer(avoid, x.limitReached)
 		if s == nil {
 			x.giveUp(x.retryAfter(), "no server of "+x.service.Name+" is left to try"+x.permits.reason())
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -23,10 +23,13 @@
 var (
 	errClosed       = &withheldError{"closed", "the server has left, has restarted or accepts no requests since it was chosen"}
 	errKeyWithdrawn = &withheldError{"key", "the key was withdrawn since the request arrived"}
+	errProcessEnds  = &withheldError{"ends", "the request may not end before the process"}
 )
 
 // WithheldReasons returns the reasons for which requests are not written, for metrics.
-func WithheldReasons() []string { return []string{errClosed.reason, errKeyWithdrawn.reason} }
+func WithheldReasons() []string {
+	return []string{errClosed.reason, errKeyWithdrawn.reason, errProcessEnds.reason}
+}
 
 // withhold counts a request that is not written, and returns the reason as an error.
 func (x *exchange) withhold(why *withheldError) error {
@@ -57,6 +60,9 @@
 	if x.keyWithdrawn() {
 		return x.withhold(errKeyWithdrawn)
 	}
+	if !x.mayHaveRun && x.outlivesProcess() {
+		return x.withhold(errProcessEnds)
+	}
 	return x.checkParts()
 }
 
@@ -70,15 +76,19 @@
 	return !ok || c.Name != x.customer.Name
 }
 
-// endIfWithdrawn ends the request if its key was withdrawn. It returns true if it has.
-func (x *exchange) endIfWithdrawn() bool {
-	if !x.keyWithdrawn() {
-		return false
-	}
-	if x.mayHaveRun || x.headerWritten || x.callerGone() {
+// endIfTooLate ends a request that may not be sent to a server any more: its key was withdrawn, or the process ends. It
+// returns true if it has.
+func (x *exchange) endIfTooLate() bool {
+	withdrawn := x.keyWithdrawn()
+	switch {
+	case withdrawn && (x.mayHaveRun || x.headerWritten || x.callerGone()):
 		x.giveUp(0, errKeyWithdrawn.text)
-		return true
+	case withdrawn:
+		x.clientError(http.StatusUnauthorized, fail.CodeKeyWithdrawn, errKeyWithdrawn.text)
+	case !x.mayHaveRun && x.outlivesProcess():
+		x.rejectDraining()
+	default:
+		return false
 	}
-	x.clientError(http.StatusUnauthorized, fail.CodeKeyWithdrawn, errKeyWithdrawn.text)
 	return true
 }
