proxy, entry: late in the grace period a stream is taken only if all its tokens fit

Streams that came to a draining daemon late were cut at its end (LOST).

Cause: a stream was held to have as many tokens as its caller estimates, and callers' estimates are right in the median only.

From then on a stream must fit with all tokens that its caller allows.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -269,7 +269,7 @@
 	<-stop
 	start := d.p.Clock.Now()
 	d.draining.Store(true)
-	d.p.Handler.Drain(start + d.p.Set.ShutdownGrace() - shutdownMargin - finalAnswerTime)
+	d.p.Handler.Drain(start+minDrainTime, start+d.p.Set.ShutdownGrace()-shutdownMargin-finalAnswerTime)
 	d.p.Gossip.Leave()
 	d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: draining")
 	t := d.p.Clock.Every(drainPollPeriod)
--- a/entry/stop_test.go
+++ b/entry/stop_test.go
@@ -127,7 +127,7 @@
 
 // TestStopAnswersAll guards against requests that a stopping daemon has sent to a server and leaves without an answer.
 func TestStopAnswersAll(t *testing.T) {
-	for _, kind := range []string{"plain", "silent", "upload", "stream"} {
+	for _, kind := range []string{"plain", "silent", "upload", "stream", "late"} {
 		t.Run(kind, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -21,7 +21,7 @@
 	for range 2 {
 		is.Equal(h.send(t, http.MethodPost, "/slow/1", "body", withTokenCounts, slow).status, 200) // in 3.5 s
 	}
-	h.handler.Drain(h.clock.Now() + 3*time.Second)
+	h.handler.Drain(h.clock.Now(), h.clock.Now()+3*time.Second)
 	is.Equal(h.send(t, http.MethodPost, "/slow/1", "body", withTokenCounts, slow).status, 503)
 }
 
@@ -34,7 +34,7 @@
 	for range 2 {
 		is.Equal(h.send(t, http.MethodPost, "/file/1", "body").status, 200)
 	}
-	h.handler.Drain(h.clock.Now() + 1650*time.Millisecond)
+	h.handler.Drain(h.clock.Now(), h.clock.Now()+1650*time.Millisecond)
 	is.Equal(h.send(t, http.MethodPost, "/file/1", "body").status, 503)
 	is.Equal(len(h.servers["s1"].Runs()), 2)
 }
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"d1": fake.Decode})
 	h.servers["d1"].SetFault(fake.NoMemory)
-	h.handler.Drain(h.clock.Now() + 2600*time.Millisecond)
+	h.handler.Drain(h.clock.Now(), h.clock.Now()+2600*time.Millisecond)
 	time.AfterFunc(time.Second, func() { h.servers["d1"].SetFault(fake.NoFault) })
 	is.Equal(h.send(t, http.MethodPost, "/once/1", "body", withTokenCounts).status, 503)
 	is.Equal(len(h.servers["d1"].Runs()), 0)
@@ -86,7 +86,7 @@
 					r.Body, r.ContentLength = io.NopCloser(endless{r.Context()}), 100
 				})
 			}
-			h.handler.Drain(h.clock.Now() + 10*time.Second)
+			h.handler.Drain(h.clock.Now(), h.clock.Now()+10*time.Second)
 			time.AfterFunc(200*time.Millisecond, h.handler.Finish)
 			start := time.Now()
 			got := h.send(t, http.MethodPost, tt.path, "body", changes...)
@@ -118,7 +118,7 @@
 func TestDrainIsAskedAtTheWrite(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
-	h.handler.Drain(h.clock.Now() + 1700*time.Millisecond) // 0.2 s more than requests need
+	h.handler.Drain(h.clock.Now(), h.clock.Now()+1700*time.Millisecond) // 0.2 s more than requests need
 	body, w := io.Pipe()
 	time.AfterFunc(400*time.Millisecond, func() { _, _ = io.WriteString(w, "body"); _ = w.Close() })
 	got := h.send(t, http.MethodPost, "/file/1", "", func(r *http.Request) { r.Body, r.ContentLength = body, -1 })
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -92,6 +92,7 @@
 	bodyBytes       atomic.Int64 // bytes accounted for the request bodies in progress
 	// bufferedBytes is the size of the responses that are being buffered.
 	bufferedBytes atomic.Int64
+	noticedAt     atomic.Int64       // tick.Instant from which the load balancer sends no new connections, 0 while not draining
 	endsAt        atomic.Int64       // tick.Instant at which Finish is called, 0 while not draining
 	finishing     context.Context    // ends with the call of Finish
 	finish        context.CancelFunc // ends finishing
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -10,13 +10,14 @@
 )
 
 const (
-	// plainDrainTime is the time before its end during which a draining process rejects
-	// requests to plain services, or what earlier requests took if that is longer. For a model request, this time
+	// A draining process rejects requests to plain services for which less time is left than earlier ones took, and
+	// than minPlainDrainTime, or than plainDrainTime if there were none. For a model request, this time
 	// is modelDrainTime plus tokenDrainTime, or what earlier requests took if that is longer, for each token
-	// that the request is expected to generate.
-	plainDrainTime = 1500 * time.Millisecond
-	modelDrainTime = 2 * time.Second
-	tokenDrainTime = 6 * time.Millisecond
+	// that the request is expected to generate, or may generate once the load balancer sends no new connections.
+	minPlainDrainTime = 300 * time.Millisecond
+	plainDrainTime    = 1500 * time.Millisecond
+	modelDrainTime    = 2 * time.Second
+	tokenDrainTime    = 6 * time.Millisecond
 	// drainDeviations is the number of mean deviations by which a request may exceed the mean
 	// of earlier ones.
 	drainDeviations = 2
@@ -24,10 +25,14 @@
 	stopReason = "this instance ends"
 )
 
-// Drain announces that the process ends: Finish will be called at the given instant. After the call, each response
-// closes its connection, and requests that would not finish before that instant are
-// rejected at once.
-func (h *Handler) Drain(end tick.Instant) { h.endsAt.Store(int64(end)) }
+// Drain announces that the process ends: the load balancer sends no new connections from noticed on, and Finish will be
+// called at end. After the call, each response closes its connection, and requests that would not finish before end are
+// rejected at once. From noticed on, their callers reach another instance, so that only those are accepted that are
+// sure to finish.
+func (h *Handler) Drain(noticed, end tick.Instant) {
+	h.noticedAt.Store(int64(noticed))
+	h.endsAt.Store(int64(end))
+}
 
 // Finish answers the requests whose responses have not begun: a request that no server has run is rejected, and the
 // outcome of the others is unknown. Responses that have begun go on.
@@ -43,12 +48,26 @@
 	if end == 0 {
 		return false
 	}
-	need := max(plainDrainTime, x.h.responseTimes.UpperBound(x.service.Name, drainDeviations))
-	if x.info.HasTokenCounts {
-		perToken := max(tokenDrainTime, x.h.tokenTimes.UpperBound(x.service.Name, drainDeviations))
-		need = modelDrainTime + time.Duration(x.expectedOutputTokens())*perToken
+	now := x.h.cfg.Clock.Now()
+	return now+x.drainTime(now >= tick.Instant(x.h.noticedAt.Load())) > end
+}
+
+// drainTime returns how long the request may take. If sure is set, a stream is held to have all tokens that its caller allows,
+// as callers' estimates are often too low.
+func (x *exchange) drainTime(sure bool) time.Duration {
+	if !x.info.HasTokenCounts {
+		took := x.h.responseTimes.UpperBound(x.service.Name, lateDeviations)
+		if took == 0 {
+			return plainDrainTime
+		}
+		return max(minPlainDrainTime, took)
+	}
+	tokens := x.expectedOutputTokens()
+	if sure {
+		tokens = x.info.MaxOutputTokens
 	}
-	return x.h.cfg.Clock.Now()+need > end
+	perToken := max(tokenDrainTime, x.h.tokenTimes.UpperBound(x.service.Name, drainDeviations))
+	return modelDrainTime + time.Duration(tokens)*perToken
 }
 
 // rejectDraining answers a request that is left to another instance.
