entry: the listener waits for connections that are still active before it closes them

Change: the listener is shut down, for 100 ms at most, and closed then. What is cut off is logged with its number.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,6 +43,8 @@
 	// idleMargin is added to the operator's idle timeout, to avoid closing a connection just as its
 	// next request arrives.
 	idleMargin = 2 * time.Second
+	// flushTimeout bounds the wait for connections whose responses are not sent to the end at exit.
+	flushTimeout = 100 * time.Millisecond
 	// peersShutdownTimeout bounds the wait for running calls of peers at exit.
 	peersShutdownTimeout = 100 * time.Millisecond
 	// finalAnswerTime is the time before the connections are closed at which requests without a response are answered.
@@ -293,7 +295,13 @@
 
 // shutdown closes the listeners, stops the background loops and waits for them.
 func (d *daemon) shutdown(ctx context.Context) error {
-	// Requests that are still active now would be cut off by SIGKILL in any case.
+	// The handler of a response returns before the last bytes of it are sent. What is active after flushTimeout would be cut
+	// off by SIGKILL in any case.
+	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
+	defer cancelFlush()
+	if err := d.front.Shutdown(flush); err != nil {
+		d.log.Info().Err(err).Int64("active", d.p.Handler.Active()).Msg("entry: requests did not end in time and were cut off")
+	}
 	err := errors.Join(d.front.Close(), d.ready.Close(), d.datagrams.Close())
 	d.stop()
 	short, cancel := context.WithTimeout(ctx, peersShutdownTimeout)
