proxy, link: a response that ends with its connection is whole only if its server confirms it

Cause: any result of a new connection but a refusal counted as "the server is there": a timeout, and a server that had started again.

Evidence: open_ended_responses_total counted the cut streams as whole. TestServerThatIsBackConfirmsNothing: 5 of 7 cases fail with the question of before.

Change: a second connection is opened when such a response begins, and its server must answer a call on it after the end. A process that ends takes all its connections with it. The call takes a permit of a limited server. Streams whose last token has come need no proof. The fake server's crash ends all connections before it closes one, as the end of a process does; one could still answer.

--- a/entry/app.go
+++ b/entry/app.go
@@ -236,7 +236,7 @@
 	for _, v := range []crash.Verdict{crash.Suspect, crash.Blocked} {
 		p.Meter.Count("prompt_part_rejections_total", "verdict", v.String(), 0)
 	}
-	for _, end := range []string{proxy.EndWhole, proxy.EndCrash, proxy.EndReset} {
+	for _, end := range []string{proxy.EndWhole, proxy.EndCrash, proxy.EndReset, proxy.EndUnproven} {
 		p.Meter.Count("open_ended_responses_total", "end", end, 0)
 	}
 	for _, reason := range proxy.WithheldReasons() {
--- a/link/link.go
+++ b/link/link.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -20,9 +19,6 @@
 )
 
 const (
-	// syncWriteBytes is the size up to which a request is written before its response
-	// is read. Larger requests are written while the response is read.
-	syncWriteBytes = 64 << 10
 	// maxResponses bounds the number of responses that are read for one request. Interim
 	// responses and responses to other requests are skipped but counted.
 	maxResponses = 4
@@ -116,36 +112,6 @@
 	account     *memory.Account // of the header
 }
 
-// write is the write of a request in a goroutine.
-type write struct {
-	done chan struct{} // closed at the end of the write
-	err  error         // result, valid once done is closed
-}
-
-// startWrite writes the parts of a request to a connection in a goroutine, which ends when the connection is closed.
-func startWrite(cn *conn, parts ...[]byte) *write {
-	w := &write{done: make(chan struct{})}
-	go func() {
-		defer close(w.done)
-		for _, b := range parts {
-			if _, w.err = cn.Write(b); w.err != nil {
-				return
-			}
-		}
-	}()
-	return w
-}
-
-// succeeded reports whether the whole request has been written.
-func (w *write) succeeded() bool {
-	select {
-	case <-w.done:
-		return w.err == nil
-	default:
-		return false
-	}
-}
-
 // Do writes the request once and returns when the response header has been read. If ctx ends
 // before the Response is closed, the connection is closed.
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
@@ -444,29 +410,3 @@
 	defer p.mu.Unlock()
 	return len(p.idle) == 0 && p.lastTake < before
 }
-
-// encode returns the request in HTTP/1.1 format, without its body if that is over syncWriteBytes, so that large bodies
-// are not copied.
-func (req *Request) encode() []byte {
-	var b bytes.Buffer
-	inline := req.Body
-	if len(inline) > syncWriteBytes {
-		inline = nil
-	}
-	b.Grow(len(inline) + 1024)
-	b.WriteString(req.Method)
-	b.WriteByte(' ')
-	b.WriteString(req.Path)
-	b.WriteString(" HTTP/1.1\r\nHost: ")
-	b.WriteString(req.Host)
-	b.WriteString("\r\n")
-	_ = req.Header.Write(&b) // writing to a bytes.Buffer cannot fail
-	if len(req.Body) > 0 || req.Method == http.MethodPost || req.Method == http.MethodPut {
-		b.WriteString("Content-Length: ")
-		b.WriteString(strconv.Itoa(len(req.Body)))
-		b.WriteString("\r\n")
-	}
-	b.WriteString("\r\n")
-	b.Write(inline)
-	return b.Bytes()
-}
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -17,14 +17,18 @@
 	"wasabidock.dev/dock/route"
 )
 
+// errUnproven reports that a response ended with its connection, and that its server does not confirm the end.
+var errUnproven = errors.New("the response ended with its connection, and its server does not confirm the end")
+
 // errServerEnded reports that a response ended with its connection, and that its server has ended too.
 var errServerEnded = errors.New("the server ended, and with it a response without a length")
 
 // How responses with neither a length nor chunks end, for metrics.
 const (
-	EndWhole = "whole" // their server was still there
-	EndCrash = "crash" // their server had ended
-	EndReset = "reset" // their connection failed
+	EndWhole    = "whole"    // their server has confirmed it
+	EndCrash    = "crash"    // their server had ended
+	EndReset    = "reset"    // their connection failed
+	EndUnproven = "unproven" // their server did not confirm it
 )
 
 // promptParts are the parts of a request's prompt that other requests may share.
@@ -142,23 +146,57 @@
 	return false
 }
 
+// witness opens a second connection to a server whose response ends with its connection. It returns nil if the response
+// does not, or if there is no connection. The caller must close it.
+func (x *exchange) witness(s *route.Server, resp *link.Response) *link.Witness {
+	if !x.openEnded(resp) {
+		return nil
+	}
+	w, err := x.h.cfg.Client.Witness(x.r.Context(), s.Addr, x.dialTimeout(s))
+	if err != nil {
+		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no second connection to a server whose response has no length")
+		return nil
+	}
+	return w
+}
+
+// openEnded reports whether the end of a response is that of its connection.
+func (x *exchange) openEnded(resp *link.Response) bool {
+	return !resp.Framed() && x.r.Method != http.MethodHead
+}
+
 // checkEnd returns an error unless the end of a response is the end of what the server sent. readErr is the error with which
-// its body was read. A response with neither a length nor chunks ends with its connection, so a crash of its server
-// looks the same, and is told by a new connection.
-func (x *exchange) checkEnd(s *route.Server, resp *link.Response, readErr error) error {
-	if resp.Framed() || x.r.Method == http.MethodHead {
+// its body was read, and w the result of witness. A response with neither a length nor chunks ends with its
+// connection, so the end of its server or of the path to it looks the same. It is whole if the server answers on the
+// second connection.
+func (x *exchange) checkEnd(s *route.Server, resp *link.Response, w *link.Witness, readErr error) error {
+	if !x.openEnded(resp) {
 		return readErr
 	}
-	if readErr != nil {
-		if endsConnection(readErr) {
-			x.h.cfg.Meter.Count("open_ended_responses_total", "end", EndReset, 1)
-		}
+	end, err := EndWhole, readErr
+	switch {
+	case readErr != nil && !endsConnection(readErr):
 		return readErr
+	case readErr != nil:
+		end = EndReset
+	case w != nil && x.confirm(s, w):
+	case x.hasEnded(s):
+		end, err = EndCrash, errServerEnded
+	default:
+		end, err = EndUnproven, errUnproven
 	}
-	if !x.hasEnded(s) {
-		x.h.cfg.Meter.Count("open_ended_responses_total", "end", EndWhole, 1)
-		return nil
+	x.h.cfg.Meter.Count("open_ended_responses_total", "end", end, 1)
+	return err
+}
+
+// confirm reports whether a server answers on the second connection. The call counts against the limit of the server.
+func (x *exchange) confirm(s *route.Server, w *link.Witness) bool {
+	if _, err := x.takePermit(x.r.Context(), s); err != nil {
+		return false
+	}
+	err := w.Confirm(x.r.Context(), x.h.cfg.Protocol.StatusPath(), x.r.Host, x.dialTimeout(s))
+	if err != nil {
+		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: server does not confirm the end of a response without a length")
 	}
-	x.h.cfg.Meter.Count("open_ended_responses_total", "end", EndCrash, 1)
-	return errServerEnded
+	return err == nil
 }
--- a/proxy/openend_test.go
+++ b/proxy/openend_test.go
@@ -1,9 +1,13 @@
 package proxy_test
 
 import (
+	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -58,3 +62,56 @@
 		})
 	}
 }
+
+// TestServerThatIsBackConfirmsNothing guards against a part of an open-ended response that is passed on as a whole one because its server
+// has ended and listens again, or because nothing answers at its address.
+func TestServerThatIsBackConfirmsNothing(t *testing.T) {
+	tests := []struct {
+		path string
+		role fake.Role
+		at   fake.CrashPoint
+		gone bool // the machine does not answer
+	}{
+		{"/file/1", fake.Plain, fake.AfterOpenHead, false},
+		{"/file/1", fake.Plain, fake.InsideOpenBody, false},
+		{"/file/1", fake.Plain, fake.InsideOpenBody, true},
+		{"/once/1", fake.Decode, fake.AfterOpenHead, false},
+		{"/once/1", fake.Decode, fake.InsideOpenBody, false},
+		{"/once/1", fake.Decode, fake.InsideOpenBody, true},
+		{"/again/1", fake.Decode, fake.InsideOpenBody, false},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprint(tt.path, " ", tt.at, ", gone ", tt.gone), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, map[string]fake.Role{"s1": tt.role})
+			s := h.servers["s1"]
+			var gate sync.Once
+			part := fake.FatalPart{ID: "bad", At: tt.at}
+			if tt.gone {
+				part.Down = time.Minute
+				part.OnCrash = func() { gate.Do(func() { holdAddr(t, s) }) }
+			}
+			s.AddFatalPart(part)
+			change := []func(*http.Request){withHeader("Wasabidock-Prompt-Prefix", "bad:1,own:1")}
+			if tt.role == fake.Decode {
+				change = []func(*http.Request){withParts("bad")}
+			}
+			got := h.send(t, http.MethodPost, tt.path, "b", change...)
+			is.True(got.err != nil || got.status == 502)
+			is.Equal(h.counter(`open_ended_responses_total{end="whole"}`), int64(0))
+		})
+	}
+}
+
+// holdAddr listens at the address of a server that is about to crash, as soon as it is free, and answers nobody.
+func holdAddr(t *testing.T, s *fake.Server) {
+	go func() {
+		for range 1000 {
+			if l, err := net.Listen("tcp", s.ListenAddr()); err == nil {
+				t.Cleanup(func() { _ = l.Close() })
+				return
+			}
+			time.Sleep(100 * time.Microsecond)
+		}
+	}()
+}
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -164,8 +164,10 @@
 	}
 	x.mayHaveRun = true
 	x.runs++
+	witness := x.witness(s, resp)
+	defer witness.Close()
 	b, err := x.bufferResponse(resp)
-	err = x.checkEnd(s, resp, err)
+	err = x.checkEnd(s, resp, witness, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
--- a/proxy/protocol.go
+++ b/proxy/protocol.go
@@ -49,6 +49,8 @@
 	ForwardHeader(h http.Header, s ForwardInfo) http.Header
 	// SetRemaining sets the time until the caller's deadline in the header of a request to a server.
 	SetRemaining(h http.Header, d time.Duration)
+	// StatusPath returns a path whose GET costs a server no work.
+	StatusPath() string
 	// WrongServer reports whether a response states that a different server uses the address.
 	WrongServer(status int) bool
 	// NotExecuted reports whether a response states that the server did not run the
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -57,8 +57,10 @@
 // ended.
 func (m *modelExchange) relayFailure(resp *link.Response, p *admit.Placement) bool {
 	h := m.h
+	witness := m.witness(p.Decode, resp)
+	defer witness.Close()
 	b, err := m.bufferResponse(resp)
-	err = m.checkEnd(p.Decode, resp, err)
+	err = m.checkEnd(p.Decode, resp, witness, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
@@ -85,6 +87,7 @@
 	*modelExchange
 	resp        *link.Response
 	placement   *admit.Placement
+	witness     *link.Witness // see exchange.witness
 	events      *event.Scanner
 	flusher     *http.ResponseController
 	resumed     bool         // another response has begun the stream
@@ -105,11 +108,13 @@
 	if err := r.checkHeader(); err != nil {
 		return err
 	}
+	r.witness = m.witness(p.Decode, resp)
+	defer r.witness.Close()
 	if err := r.relayEvents(); err != nil {
 		if m.headerWritten {
 			_ = r.flusher.Flush() // the events before the failure; err is the error to report
 		}
-		return r.checkEnd(p.Decode, resp, err)
+		return r.checkEnd(p.Decode, resp, r.witness, err)
 	}
 	return r.end()
 }
@@ -206,11 +211,11 @@
 // end ends the stream after the regular end of the body. If a response continues a stream and has
 // no events, its end is not the end of the stream, unless no further event is possible.
 func (r *streamRelay) end() error {
-	if (r.resumed || !r.resp.Framed()) && !r.passed && !r.outputExhausted() {
-		return errNoEvents
-	}
-	if !r.outputExhausted() {
-		if err := r.checkEnd(r.placement.Decode, r.resp, nil); err != nil {
+	if !r.outputExhausted() { // the last token proves the end
+		if (r.resumed || !r.resp.Framed()) && !r.passed {
+			return errNoEvents
+		}
+		if err := r.checkEnd(r.placement.Decode, r.resp, r.witness, nil); err != nil {
 			return err
 		}
 	}
