logs: the time format is set once

The format is set when the package is initialised. The test with the race detector: failed in the whole run, passes now.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -22,6 +22,9 @@
 	"github.com/rs/zerolog"
 )
 
+// The format is that of the whole process, and loggers may be in use when another one is made.
+func init() { zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro }
+
 // New returns the root logger, which writes JSON lines to w. The level is debug, info, warn or
 // error. Higher levels are rejected because they would suppress decision lines.
 func New(w io.Writer, level string) (zerolog.Logger, error) {
@@ -29,7 +32,6 @@
 	if err != nil || l < zerolog.DebugLevel || l > zerolog.ErrorLevel {
 		return zerolog.Nop(), errors.Errorf("log level %q is not one of debug, info, warn, error", level)
 	}
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMicro
 	return zerolog.New(w).Level(l).With().Timestamp().Logger(), nil
 }
 
