link: a confirmation that fails frees the memory of its header

Found when the change was read again, shown by no run: if the server broke off in the head of the answer to Witness.Confirm, what had been read of it went on counting against the memory budget.

--- a/link/witness.go
+++ b/link/witness.go
@@ -34,12 +34,9 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = w.cn.Close() })
 	defer stop()
-	resp, err := w.c.roundTrip(ctx, w.cn, &Request{Addr: w.addr, Method: http.MethodGet, Path: path, Host: host})
-	if err != nil {
-		return err
-	}
-	resp.account.Free()
-	return nil
+	defer func() { w.cn.src.account.Free() }() // of the header, also of a part of one
+	_, err := w.c.roundTrip(ctx, w.cn, &Request{Addr: w.addr, Method: http.MethodGet, Path: path, Host: host})
+	return err
 }
 
 // Close closes the connection. It does nothing for a nil Witness.
