proxy: TestSameIDIsAnotherRequest has slow decode servers, as it was meant

Cause: since the stand-in's fault Slow holds up prefills too, and the test set it on all servers. Both prefills of the first request then timed out after 300 ms each, its response began after 950 ms, and the second request, which waits 1 s for its turn, was rejected by the time.

The log of a failed run has two lines of prefill failed (context deadline exceeded) and a decision line that took 963 ms with the verdict suspect. Ruled out: the clock of a machine that was just started, whose origin is above any age.

Change: the test sets the fault on the decode servers only, which is what it did in effect before. What it expects is unchanged.

--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -208,8 +208,8 @@
 	now := h.crashes.Now()
 	h.crashes.Tracker().Broke(1, crash.NewParts("model", "m", []string{"new"}), []string{"new"}, now)
 	h.crashes.Tracker().Confirm(1, now)
-	for _, s := range h.servers {
-		s.SetFault(fake.Slow) // the first request's response does not begin for a while
+	for _, name := range []string{"d1", "d2"} {
+		h.servers[name].SetFault(fake.Slow) // the first request's response does not begin for a while
 	}
 	statuses := make(chan int, 2)
 	for range 2 {
