proxy, front: a caller that is refused while it sends its body sees why

They hold such a request to be lost, although it was never passed on.

Cause: after a response without the whole body, net/http closes the connection after 500 ms, and a connection that is closed while bytes arrive is reset. Bodies of more than 256 KiB or in chunks also hold the response back until 256 KiB are read.

Related paths: every rejection before the body is read (401, 404, 413, 429, 503 while draining) in proxy, and front, where a rest of the body on plain connections would have been taken for a request whose header did not come in time.

Change: package unread sends the response at once, with Connection: close, and drops the rest of the body, up to 16 MiB and 5 s, and until the process finishes. Short bodies are left to net/http, so that their connections are kept.

--- a/front/exchange.go
+++ b/front/exchange.go
@@ -16,6 +16,7 @@
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/logs"
 	"wasabidock.dev/dock/tick"
+	"wasabidock.dev/dock/unread"
 )
 
 // exchange is one request of a caller and its response. It is used only by the
@@ -32,6 +33,8 @@
 	keys       apiKeys
 	sum        [32]byte
 	registered bool // the request is registered in Server.active under sum
+	bodyRead   bool // the body was read to its end
+	discards   bool // the response was written before that
 	customer   ident.Customer
 	admitted   bool
 	callerLeft bool // the caller disconnected or stopped reading before the end
@@ -92,6 +95,10 @@
 	x.cancel(nil)
 	x.logDecision()
 	x.s.requestDone()
+	if x.discards {
+		markLast(x.c.Request)
+		unread.Discard(x.c.Request.Context(), x.c.Writer, x.c.Request)
+	}
 }
 
 // retryWhenFull is the Retry-After time of an instance that has MaxActive requests.
@@ -163,6 +170,7 @@
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
+		x.bodyRead = true
 		return body, true
 	case errors.As(err, &large):
 		x.writeError(rejection(fail.CodeTooLarge, "the body is too large"))
@@ -197,6 +205,7 @@
 		f = x.withdrawnError(f)
 	}
 	x.recordFailure(f)
+	x.discards = !x.bodyRead && unread.Prepare(x.c.Writer, x.c.Request)
 	if n := f.retrySeconds(); n > 0 {
 		x.c.Header("Retry-After", strconv.FormatInt(n, 10))
 	}
--- a/front/listen.go
+++ b/front/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"syscall"
@@ -106,11 +107,26 @@
 	net.Conn
 	requestPending bool // bytes were read and nothing was written since
 	readTimedOut   bool // the last read exceeded its deadline
+	last           bool // what is read belongs to a request that has its response
 }
 
 const requestTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nContent-Type: text/plain; charset=utf-8\r\n" +
 	"Connection: close\r\n\r\n408 Request Timeout"
 
+// connKey is the key of the connection in the context of its requests.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// markLast states that no request follows on the connection of a request.
+func markLast(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*plaintextConn); ok {
+		c.last = true
+	}
+}
+
 func (c *plaintextConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
@@ -128,7 +144,7 @@
 // Close closes the connection. If a request timed out before its headers were
 // complete, Close sends a 408 response first.
 func (c *plaintextConn) Close() error {
-	if c.requestPending && c.readTimedOut {
+	if c.requestPending && c.readTimedOut && !c.last {
 		_ = c.SetWriteDeadline(time.Now().Add(errorWriteTimeout))
 		_, _ = c.Write([]byte(requestTimeoutResponse))
 	}
--- a/front/live_test.go
+++ b/front/live_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -214,6 +215,36 @@
 	is.NoErr(<-w.done)
 }
 
+// TestRejectionBeforeEndOfBodyIsSeen guards against callers whose connection is reset while they send a body that is not wanted,
+// before they have read why.
+func TestRejectionBeforeEndOfBodyIsSeen(t *testing.T) {
+	const parts = 150 // of 64 KiB, which is more than any route reads
+	tests := []struct {
+		name, path, want string
+	}{
+		{"too long", "/v1/chat/completions", "HTTP/1.1 413 "},
+		{"method", "/v1/models", "HTTP/1.1 405 "},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := newTestServer(t)
+			in := w.dial()
+			_, err := io.WriteString(in, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: dock\r\nAuthorization: Bearer pupil\r\nContent-Length: %d\r\n\r\n", tt.path, parts<<16))
+			is.NoErr(err)
+			for range parts {
+				_, err = in.Write(make([]byte, 64<<10))
+				is.NoErr(err)
+				time.Sleep(10 * time.Millisecond)
+			}
+			got := readAll(t, in)
+			is.True(strings.HasPrefix(got, tt.want))
+			is.Equal(strings.Count(got, "HTTP/1.1"), 1)
+		})
+	}
+}
+
 // TestReadTimeouts checks that a caller that does not finish its headers or its body
 // gets an error response, and that an idle connection is closed without one.
 func TestReadTimeouts(t *testing.T) {
--- a/front/server.go
+++ b/front/server.go
@@ -55,6 +55,7 @@
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
+		ConnContext:       withConn,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s, nil
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -137,6 +137,7 @@
 	servers       []string // IDs of the plain servers to which the request was written
 	permits       permits
 	prompt        promptParts
+	discards      bool         // the response was written before the body was read
 	state         atomic.Int32 // see stateReading
 	summary       string       // description of the outcome, for the decision log line
 	status        int          // HTTP status of the response, 0 before its header was written
@@ -149,6 +150,7 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	x := &exchange{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
+	defer x.discardBody()
 	defer x.finish()
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
@@ -157,7 +159,6 @@
 		return
 	}
 	if r.ContentLength > x.maxBodyBytes() {
-		x.w.Header().Set("Connection", "close")
 		x.clientError(http.StatusRequestEntityTooLarge, fail.CodeTooLarge, "the body is too large")
 		return
 	}
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -11,6 +11,7 @@
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/memory"
 	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/unread"
 )
 
 const (
@@ -99,6 +100,13 @@
 	}
 }
 
+// discardBody drops what was not read of the body after the response, so that its caller sees it.
+func (x *exchange) discardBody() {
+	if x.discards {
+		unread.Discard(x.h.finishing, x.w, x.r)
+	}
+}
+
 // readAndCharge reads the body and charges the customer's rate limit. It returns false if the
 // request has ended.
 func (x *exchange) readAndCharge(ctx context.Context) bool {
@@ -110,7 +118,6 @@
 		return false
 	}
 	if errors.Is(err, memory.ErrFull) {
-		x.w.Header().Set("Connection", "close") // the rest of the body is not read
 		x.reject(fail.Refuse(fail.CodeOverloaded, overloadRetry, "this instance has no memory left for the body"))
 		return false
 	}
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -10,6 +10,7 @@
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/plain"
+	"wasabidock.dev/dock/unread"
 )
 
 // errorBody is the JSON body of an error response that the router itself generates.
@@ -62,6 +63,7 @@
 	x.closeIfDraining()
 	hd.Set("Content-Type", "application/json")
 	hd.Set("Content-Length", strconv.Itoa(len(b)))
+	x.discards = x.body == nil && unread.Prepare(x.w, x.r)
 	x.headerWritten, x.status = true, status
 	if o == ident.NotRun {
 		x.code = code
