soak: bodies that are sent slowly, prompts that are read slowly, and planted cases of both promises

Its watch over the memory of the daemons had no planted case.

Change: 4 of 100 bodies are sent in two parts up to 2 s apart, over stops as well, and each must get an answer (promise unanswered; requests that may have met the end of an idle connection are left out). Planted cases unanswered and memory, and two cases of the judge.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -25,7 +25,9 @@
 	// startTime bounds the start of a fleet.
 	startTime = 20 * time.Second
 	readyPoll = 20 * time.Millisecond
-	askTime   = 500 * time.Millisecond
+	// slowTime is how long a prompt is read at a slow server, less than the router waits for.
+	slowTime = 250 * time.Millisecond
+	askTime  = 500 * time.Millisecond
 )
 
 // daemon is one seat of the router's daemons, with the process in it.
@@ -57,6 +59,7 @@
 	store   *fake.Store
 	rec     *record
 	proxies int
+	memory  atomic.Int64  // of a daemon, in bytes
 	done    chan struct{} // a proxy has ended
 
 	mu      sync.Mutex // guards the fields below
@@ -71,6 +74,7 @@
 // ready. The caller ends ctx and then calls wait.
 func newFleet(ctx context.Context, bin, dir string, n int, rec *record) (*fleet, error) {
 	f := &fleet{store: fake.NewStore(), rec: rec, done: make(chan struct{}, n+len(roles)), version: 1}
+	f.memory.Store(processMemory)
 	for _, c := range customers() {
 		rec.customers[c.Name] = c
 	}
@@ -124,6 +128,7 @@
 	s.Register()
 	s.SetPace(streamEvents, streamPause)
 	s.SetNamed(true)
+	s.SetSlowDelay(slowTime)
 	f.store.Put("servers/"+s.ID(), s.Entry(s.service, "a"))
 	return nil
 }
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -44,6 +44,9 @@
 	serverLimitExcess = 1.5
 	serverLimitExtra  = 5.0
 
+	// idleEndTime is the time within which a request fails that meets the end of its connection.
+	idleEndTime = 300 * time.Millisecond
+
 	// recoverShare is the share of calls that must be served settleTime after the last disturbance.
 	recoverShare = 0.95
 	settleTime   = 15 * time.Second
@@ -53,7 +56,7 @@
 func judge(r *record) []string {
 	var broken []string
 	for _, check := range []func(*record) string{
-		whole, mixed, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, leavers, fatalParts, besideFatalParts, recovery,
+		whole, mixed, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, unanswered, leavers, fatalParts, besideFatalParts, recovery,
 	} {
 		if b := check(r); b != "" {
 			broken = append(broken, b)
@@ -300,6 +303,20 @@
 	return ""
 }
 
+// unanswered checks that a request whose body is being sent gets an answer, also from a daemon that is stopped as planned. It leaves
+// out requests that may have met the end of an idle connection.
+func unanswered(r *record) string {
+	for _, o := range r.calls {
+		if o.slow < idleEndTime || o.status != 0 || !o.left.IsZero() || o.ended.Sub(o.sent) < idleEndTime {
+			continue
+		}
+		if r.sound(o.daemon, o.sent, o.ended, false) && r.calmServers(o) {
+			return fmt.Sprintf("unanswered: %s, whose body took %v, had no answer after %v", o.call.ID, o.slow, o.ended.Sub(o.sent))
+		}
+	}
+	return ""
+}
+
 // calmServers reports whether no server was in trouble while a call ran: any of
 // them may have broken its answer off.
 func (r *record) calmServers(o *outcome) bool {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -209,6 +209,17 @@
 			r.daemons[0] = []span{{at(4), at(6), true}}
 			file(r).complete, file(r).status, file(r).body = false, 0, ""
 		}, "lost"},
+		{"slow body without an answer at a planned stop", func(r *record) {
+			r.daemons[0] = []span{{at(4), at(6), true}}
+			o := file(r)
+			o.complete, o.status, o.body, o.slow, o.ended = false, 0, "", time.Second, o.sent.Add(time.Second/2)
+			delete(r.arrivals, "app-0")
+		}, "unanswered"},
+		{"slow body on a connection that ends", func(r *record) {
+			o := file(r)
+			o.complete, o.status, o.body, o.slow = false, 0, "", time.Second
+			delete(r.arrivals, "app-0")
+		}, ""},
 		{"cut by a kill", func(r *record) {
 			r.daemons[0] = []span{{at(4), at(6), false}}
 			file(r).complete, file(r).status, file(r).body = false, 0, ""
--- a/soak/load.go
+++ b/soak/load.go
@@ -29,6 +29,11 @@
 	// largeChance is how often a body is large, in percent, and maxLarge how large.
 	largeChance = 3
 	maxLarge    = 2 << 20
+	// slowChance is how often a body is sent slowly, in percent, and maxSlow how slowly. It leaves the router time
+	// within fake.RouteTimeout.
+	slowChance = 4
+	maxSlow    = 2 * time.Second
+	slowBytes  = 4 // sent at once
 	// clientTime is how long a client waits for an answer.
 	clientTime = 6 * time.Second
 	// spareKeys is the number of keys that may be withdrawn.
@@ -103,6 +108,9 @@
 	if c.rnd.IntN(100) < largeChance {
 		o.call.Large = c.rnd.IntN(maxLarge)
 	}
+	if c.rnd.IntN(100) < slowChance {
+		o.slow = time.Duration(c.rnd.Int64N(int64(maxSlow)))
+	}
 	if c.rnd.IntN(4) == 0 {
 		o.call.Key = spareKey(c.rnd.IntN(spareKeys))
 	}
@@ -151,6 +159,9 @@
 	if err != nil {
 		panic(err) // the address is one of ours
 	}
+	if o.slow > 0 {
+		r.Body = &slowBody{ReadCloser: r.Body, lasts: o.slow}
+	}
 	resp, err := c.http.RoundTrip(r)
 	if err != nil {
 		return
@@ -163,6 +174,23 @@
 	o.body, o.complete = b.String(), err == nil
 }
 
+// slowBody is the body of a request that is sent in two parts, the second after a time.
+type slowBody struct {
+	io.ReadCloser
+	lasts time.Duration
+	begun bool
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if !b.begun {
+		b.begun = true
+		return b.ReadCloser.Read(p[:min(len(p), slowBytes)])
+	}
+	time.Sleep(b.lasts)
+	b.lasts = 0
+	return b.ReadCloser.Read(p)
+}
+
 // load runs all clients until ctx ends.
 func load(ctx context.Context, seed uint64, f *fleet, rec *record, plant func(*fleet, http.RoundTripper) http.RoundTripper) {
 	var ends sync.WaitGroup
--- a/soak/memory.go
+++ b/soak/memory.go
@@ -38,7 +38,7 @@
 	for ctx.Err() == nil {
 		for _, d := range f.daemons {
 			pid := d.pid()
-			if n, err := privateBytes(pid); err == nil && n > processMemory && !over[pid] {
+			if n, err := privateBytes(pid); err == nil && n > f.memory.Load() && !over[pid] {
 				over[pid] = true
 				f.rec.exited(fmt.Sprintf("%s used %d MB of memory", d.name, n/1_000_000))
 			}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -47,7 +47,7 @@
 var faults = []fake.Fault{
 	fake.Shed, fake.InternalError, fake.Hang, fake.Reset, fake.Unsealed, fake.Encoded, fake.StrayResponse, fake.ExtraResponse,
 	fake.TruncatedEvent, fake.Stall, fake.ExpiredKV, fake.NoMemory, fake.NoLength, fake.TruncatedBody,
-	fake.EarlyReset, fake.EarlyEnd, fake.Endless, fake.EndlessHead, fake.EndlessLine, fake.EndlessJunk, fake.EndlessEvent,
+	fake.EarlyReset, fake.EarlyEnd, fake.Slow, fake.Endless, fake.EndlessHead, fake.EndlessLine, fake.EndlessJunk, fake.EndlessEvent,
 }
 
 // serverLimits are the limits from which nameLimit draws, in requests per second, as sent by a server.
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -15,28 +15,30 @@
 // plants are faults that stand between the clients and the daemons, for each
 // promise one that the judge must see. They show that its checks can fail.
 var plants = map[string]func(f *fleet, next http.RoundTripper) http.RoundTripper{
-	"whole":    answers(cutBody),
-	"seal":     answers(func(r *http.Response, _ string) error { fake.Unseal(r.Header); return nil }),
-	"order":    answers(dropEvent),
-	"refused":  answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusServiceUnavailable; return nil }),
-	"recovery": answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusBadGateway; return nil }),
-	"lost":     answers(func(*http.Response, string) error { return errPlanted }),
-	"twice":    runs(func(p planted) bool { return p.call.Kind.AtMostOnce() && p.status == http.StatusOK }),
-	"unasked":  runs(func(p planted) bool { p.call.ID += "x"; p.f.servers[0].RecordRun(p.call, "calm", true); return false }),
-	"repeats":  runs(func(p planted) bool { return p.call.Kind == fake.Idempotent }),
-	"limits":   runs(func(p planted) bool { return p.status == http.StatusTooManyRequests }),
-	"key":      withdrawnKeys,
-	"drain":    runs(atServers(departed)),
-	"leaving":  runs(atServers(saysItLeaves)),
-	"rests":    runs(atServers(askedForPause)),
-	"named":    runs(atServers(namesLimit)),
-	"fatal":    runs(func(p planted) bool { return p.isFatal() && p.crash() }),
-	"beside":   fails(func(p planted) bool { return p.call.Kind.Stream() && !p.isFatal() && p.f.anyFatal() }),
-	"gone":     workOn,
-	"answer":   answers(otherAnswer),
-	"handle":   uses(func(id string) (string, []string) { return id + "x", []string{id} }),
-	"again":    uses(func(id string) (string, []string) { return id, []string{id, id} }),
-	"reserved": uses(func(id string) (string, []string) { return "", []string{id + "x", id} }),
+	"whole":      answers(cutBody),
+	"seal":       answers(func(r *http.Response, _ string) error { fake.Unseal(r.Header); return nil }),
+	"order":      answers(dropEvent),
+	"refused":    answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusServiceUnavailable; return nil }),
+	"recovery":   answers(func(r *http.Response, _ string) error { r.StatusCode = http.StatusBadGateway; return nil }),
+	"unanswered": noAnswer,
+	"memory":     littleMemory,
+	"lost":       answers(func(*http.Response, string) error { return errPlanted }),
+	"twice":      runs(func(p planted) bool { return p.call.Kind.AtMostOnce() && p.status == http.StatusOK }),
+	"unasked":    runs(func(p planted) bool { p.call.ID += "x"; p.f.servers[0].RecordRun(p.call, "calm", true); return false }),
+	"repeats":    runs(func(p planted) bool { return p.call.Kind == fake.Idempotent }),
+	"limits":     runs(func(p planted) bool { return p.status == http.StatusTooManyRequests }),
+	"key":        withdrawnKeys,
+	"drain":      runs(atServers(departed)),
+	"leaving":    runs(atServers(saysItLeaves)),
+	"rests":      runs(atServers(askedForPause)),
+	"named":      runs(atServers(namesLimit)),
+	"fatal":      runs(func(p planted) bool { return p.isFatal() && p.crash() }),
+	"beside":     fails(func(p planted) bool { return p.call.Kind.Stream() && !p.isFatal() && p.f.anyFatal() }),
+	"gone":       workOn,
+	"answer":     answers(otherAnswer),
+	"handle":     uses(func(id string) (string, []string) { return id + "x", []string{id} }),
+	"again":      uses(func(id string) (string, []string) { return id, []string{id, id} }),
+	"reserved":   uses(func(id string) (string, []string) { return "", []string{id + "x", id} }),
 }
 
 var errPlanted = errors.New("planted")
@@ -91,6 +93,23 @@
 	return nil
 }
 
+// noAnswer drops the responses to requests whose bodies are sent slowly.
+func noAnswer(_ *fleet, next http.RoundTripper) http.RoundTripper {
+	return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+		if _, ok := r.Body.(*slowBody); err != nil || !ok {
+			return resp, err
+		}
+		_ = resp.Body.Close() // it is not read
+		return nil, errPlanted
+	}}
+}
+
+// littleMemory gives the daemons less memory than they use.
+func littleMemory(f *fleet, next http.RoundTripper) http.RoundTripper {
+	f.memory.Store(1 << 20)
+	return next
+}
+
 // uses has calls use KV handles or reservations of an owner, which is empty for a reservation.
 func uses(by func(id string) (owner string, users []string)) func(*fleet, http.RoundTripper) http.RoundTripper {
 	return func(f *fleet, next http.RoundTripper) http.RoundTripper {
--- a/soak/record.go
+++ b/soak/record.go
@@ -17,9 +17,10 @@
 	sent     time.Time
 	left     time.Time // when the client closed its connection, zero if it did not
 	ended    time.Time
-	status   int    // 0 if no response header was received
-	sealed   bool   // the response has the seal header of a server
-	echo     string // attempt ID in the response header
+	slow     time.Duration // time over which the body was sent, 0 for at once
+	status   int           // 0 if no response header was received
+	sealed   bool          // the response has the seal header of a server
+	echo     string        // attempt ID in the response header
 	body     string
 	complete bool   // the response body ended regularly
 	leaver   string // ID of the server that reports in the response that it is draining, empty for none
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -53,6 +53,8 @@
 		{"answer", step{act: publish}, "whole"},
 		{"whole", step{act: harm, fault: fake.EarlyReset, lasts: longest}, "whole"},
 		{"lost", step{act: stopOne}, "lost"},
+		{"unanswered", step{act: stopOne}, "unanswered"},
+		{"memory", step{act: publish}, "exit"},
 		{"handle", step{act: publish}, "mixed"},
 		{"again", step{act: publish}, "mixed"},
 		{"reserved", step{act: publish}, "mixed"},
