--- a/link/probe.go
+++ b/link/probe.go
@@ -11,10 +11,9 @@
 // Probe opens a connection to a server and keeps it for the next request. The error wraps
 // syscall.ECONNREFUSED if nothing listens at the address.
 func (c *Client) Probe(ctx context.Context, addr string, timeout time.Duration) error {
-	c.dialCount.Add(1)
-	cn, err := dial(ctx, addr, timeout)
+	cn, err := c.open(ctx, addr, timeout)
 	if err != nil {
-		return fail.New("link: probe", addr, ident.NotRun, err)
+		return err
 	}
 	cn.returned = c.cfg.Clock.Now()
 	cn.expires = cn.returned + defaultIdleLifetime
@@ -22,6 +21,16 @@
 	return nil
 }
 
+// open opens a connection to a server that is not one of the pool yet.
+func (c *Client) open(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
+	c.dialCount.Add(1)
+	cn, err := dial(ctx, addr, timeout)
+	if err != nil {
+		return nil, fail.New("link: open", addr, ident.NotRun, err)
+	}
+	return cn, nil
+}
+
 // Framed reports whether the response has a length or chunks. The end of another one is the end of its
 // connection.
 func (res *Response) Framed() bool { return framed(res.resp) }
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -146,18 +146,18 @@
 	return false
 }
 
-// witness opens a second connection to a server whose response ends with its connection. It returns nil if the response
+// secondConn opens a second connection to a server whose response ends with its connection. It returns nil if the response
 // does not, or if there is no connection. The caller must close it.
-func (x *exchange) witness(s *route.Server, resp *link.Response) *link.Witness {
+func (x *exchange) secondConn(s *route.Server, resp *link.Response) *link.SecondConn {
 	if !x.openEnded(resp) {
 		return nil
 	}
-	w, err := x.h.cfg.Client.Witness(x.r.Context(), s.Addr, x.dialTimeout(s))
+	c, err := x.h.cfg.Client.OpenSecond(x.r.Context(), s.Addr, x.dialTimeout(s))
 	if err != nil {
 		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no second connection to a server whose response has no length")
 		return nil
 	}
-	return w
+	return c
 }
 
 // openEnded reports whether the end of a response is that of its connection.
@@ -166,10 +166,10 @@
 }
 
 // checkEnd returns an error unless the end of a response is the end of what the server sent. readErr is the error with which
-// its body was read, and w the result of witness. A response with neither a length nor chunks ends with its
+// its body was read, and c the result of secondConn. A response with neither a length nor chunks ends with its
 // connection, so the end of its server or of the path to it looks the same. It is whole if the server answers on the
 // second connection.
-func (x *exchange) checkEnd(s *route.Server, resp *link.Response, w *link.Witness, readErr error) error {
+func (x *exchange) checkEnd(s *route.Server, resp *link.Response, c *link.SecondConn, readErr error) error {
 	if !x.openEnded(resp) {
 		return readErr
 	}
@@ -179,7 +179,7 @@
 		return readErr
 	case readErr != nil:
 		end = EndReset
-	case w != nil && x.confirm(s, w):
+	case c != nil && x.confirm(s, c):
 	case x.hasEnded(s):
 		end, err = EndCrash, errServerEnded
 	default:
@@ -190,11 +190,11 @@
 }
 
 // confirm reports whether a server answers on the second connection. The call counts against the limit of the server.
-func (x *exchange) confirm(s *route.Server, w *link.Witness) bool {
+func (x *exchange) confirm(s *route.Server, c *link.SecondConn) bool {
 	if _, err := x.takePermit(x.r.Context(), s); err != nil {
 		return false
 	}
-	err := w.Confirm(x.r.Context(), x.h.cfg.Protocol.StatusPath(), x.r.Host, x.dialTimeout(s))
+	err := c.Confirm(x.r.Context(), x.h.cfg.Protocol.StatusPath(), x.r.Host, x.dialTimeout(s))
 	if err != nil {
 		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: server does not confirm the end of a response without a length")
 	}
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -164,10 +164,10 @@
 	}
 	x.mayHaveRun = true
 	x.runs++
-	witness := x.witness(s, resp)
-	defer witness.Close()
+	second := x.secondConn(s, resp)
+	defer second.Close()
 	b, err := x.bufferResponse(resp)
-	err = x.checkEnd(s, resp, witness, err)
+	err = x.checkEnd(s, resp, second, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -57,10 +57,10 @@
 // ended.
 func (m *modelExchange) relayFailure(resp *link.Response, p *admit.Placement) bool {
 	h := m.h
-	witness := m.witness(p.Decode, resp)
-	defer witness.Close()
+	second := m.secondConn(p.Decode, resp)
+	defer second.Close()
 	b, err := m.bufferResponse(resp)
-	err = m.checkEnd(p.Decode, resp, witness, err)
+	err = m.checkEnd(p.Decode, resp, second, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
@@ -87,7 +87,7 @@
 	*modelExchange
 	resp        *link.Response
 	placement   *admit.Placement
-	witness     *link.Witness // see exchange.witness
+	second      *link.SecondConn // see exchange.secondConn
 	events      *event.Scanner
 	flusher     *http.ResponseController
 	resumed     bool         // another response has begun the stream
@@ -108,13 +108,13 @@
 	if err := r.checkHeader(); err != nil {
 		return err
 	}
-	r.witness = m.witness(p.Decode, resp)
-	defer r.witness.Close()
+	r.second = m.secondConn(p.Decode, resp)
+	defer r.second.Close()
 	if err := r.relayEvents(); err != nil {
 		if m.headerWritten {
 			_ = r.flusher.Flush() // the events before the failure; err is the error to report
 		}
-		return r.checkEnd(p.Decode, resp, r.witness, err)
+		return r.checkEnd(p.Decode, resp, r.second, err)
 	}
 	return r.end()
 }
@@ -215,7 +215,7 @@
 		if (r.resumed || !r.resp.Framed()) && !r.passed {
 			return errNoEvents
 		}
-		if err := r.checkEnd(r.placement.Decode, r.resp, r.witness, nil); err != nil {
+		if err := r.checkEnd(r.placement.Decode, r.resp, r.second, nil); err != nil {
 			return err
 		}
 	}
