entry: a changed memory limit applies to what requests and responses share

A daemon whose memory limit was lowered in the settings went on to take as much of bodies as before, and could be ended for it; after a rise it refused what it had memory for.

Change: the budget follows too, and the log line names the limit.

--- a/entry/app.go
+++ b/entry/app.go
@@ -79,7 +79,6 @@
 		case <-time.After(logFlushTimeout):
 		}
 	}()
-	setMemoryLimit(set)
 	var d *daemon
 	app := fx.New(
 		fx.NopLogger,
@@ -101,12 +100,17 @@
 	return app.Stop(stopCtx)
 }
 
-func setMemoryLimit(set *platform.Settings) {
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(set.MemoryLimit())))
+// setMemoryLimit applies the memory limit of the settings to the process and to what requests and responses share.
+func setMemoryLimit(set *platform.Settings, b *memory.Budget) {
+	most := float64(set.MemoryLimit())
+	debug.SetMemoryLimit(int64(memoryLimitShare * most))
+	b.SetMax(int64(budgetShare * most))
 }
 
 func newMemory(set *platform.Settings) *memory.Budget {
-	return memory.NewBudget(int64(budgetShare * float64(set.MemoryLimit())))
+	b := memory.NewBudget(0)
+	setMemoryLimit(set, b)
+	return b
 }
 
 func newLink(clock tick.Clock, budget *memory.Budget, meter *metric.Meter, log zerolog.Logger) *link.Client {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -19,6 +19,7 @@
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/logs"
+	"wasabidock.dev/dock/memory"
 	"wasabidock.dev/dock/peer"
 	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/platform"
@@ -78,6 +79,7 @@
 	Clock       tick.Clock
 	Live        *route.Live
 	Link        *link.Client
+	Memory      *memory.Budget
 	Store       *platform.Watcher
 	Limiter     *rate.Limiter
 	Scheduler   *admit.Scheduler
@@ -250,8 +252,8 @@
 	}
 	ratio, extra, _ := d.p.Set.RetryBudget()
 	d.p.RetryBudget.SetLimits(ratio, extra)
-	setMemoryLimit(d.p.Set)
-	d.log.Info().Float64("repeats", ratio).Float64("extra", extra).Dur("grace", d.p.Set.ShutdownGrace()).Msg("entry: settings changed")
+	setMemoryLimit(d.p.Set, d.p.Memory)
+	d.log.Info().Float64("repeats", ratio).Float64("extra", extra).Int64("memory", d.p.Set.MemoryLimit()).Dur("grace", d.p.Set.ShutdownGrace()).Msg("entry: settings changed")
 }
 
 // serveReady answers the readiness check of the load balancer. The daemon is ready if it is not
--- a/entry/metrics_test.go
+++ b/entry/metrics_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"regexp"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"testing"
@@ -112,3 +113,28 @@
 	is.NoErr(os.WriteFile(d.settings, append(good, "bounds.budgetRatio=0.7\n"...), 0o600))
 	eventually(t, "the change is logged", func() bool { return strings.Contains(d.log.String(), `"repeats":0.7`) })
 }
+
+// TestMemoryLimitReload guards against a daemon whose memory limit was lowered and that takes as much of bodies as before.
+func TestMemoryLimitReload(t *testing.T) {
+	was := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(was) })
+	is := is.New(t)
+	st, _ := startServers(t)
+	st.Put("op/config", fake.Config{Version: 9, Customers: []fake.Customer{{Name: "calm", Keys: []string{"calm"}, Rate: 1e6, Burst: 1e6}}}.JSON())
+	d := startDaemon(t, "a-1", st.Addr())
+	eventually(t, "the daemon is ready", d.isReady)
+	send := func() int {
+		r, err := fake.Call{ID: "x", Kind: fake.Idempotent, Key: "calm", Large: fake.MaxBodyBytes}.Request(t.Context(), d.front)
+		is.NoErr(err)
+		resp, err := http.DefaultTransport.RoundTrip(r)
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	is.Equal(send(), http.StatusOK)
+	set, err := os.ReadFile(d.settings)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(d.settings, append(set, "limits.memoryMb=10\n"...), 0o600))
+	eventually(t, "the change is logged", func() bool { return strings.Contains(d.log.String(), `"memory":10000000`) })
+	is.Equal(send(), http.StatusServiceUnavailable)
+}
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -41,16 +41,21 @@
 
 // Budget is the memory that all accounts share. A nil Budget has no bound.
 type Budget struct {
-	max, maxLarge int64
-	used          atomic.Int64
-	refused       atomic.Int64
+	max     atomic.Int64
+	used    atomic.Int64
+	refused atomic.Int64
 }
 
 // NewBudget returns a Budget of max bytes.
 func NewBudget(max int64) *Budget {
-	return &Budget{max: max, maxLarge: int64(largeShare * float64(max))}
+	b := &Budget{}
+	b.SetMax(max)
+	return b
 }
 
+// SetMax changes the size of the budget. Accounts keep what they have.
+func (b *Budget) SetMax(max int64) { b.max.Store(max) }
+
 // Used returns the bytes of all accounts.
 func (b *Budget) Used() int64 { return b.used.Load() }
 
@@ -71,9 +76,9 @@
 	if a.b == nil {
 		return true
 	}
-	limit := a.b.max
+	limit := a.b.max.Load()
 	if a.n+n > SmallBytes {
-		limit = a.b.maxLarge
+		limit = int64(largeShare * float64(limit))
 	}
 	if a.b.used.Add(n) > limit {
 		a.b.used.Add(-n)
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -80,3 +80,16 @@
 	is.NoErr(err)
 	is.Equal(string(got), "body")
 }
+
+func TestBudgetChanges(t *testing.T) {
+	is := is.New(t)
+	b := memory.NewBudget(100)
+	a := b.Account()
+	is.True(a.Grow(100))
+	b.SetMax(50)
+	is.True(!a.Grow(1))
+	is.Equal(a.Size(), int64(100)) // it keeps what it has
+	b.SetMax(200)
+	is.True(a.Grow(100))
+	is.True(!a.Grow(1))
+}
