unread: a rejected request is not asked for its body

A test that a response before the body of a request with Expect: 100-continue is not followed by a 100, and the usage says what the response must have for that.

--- a/unread/unread.go
+++ b/unread/unread.go
@@ -8,10 +8,12 @@
 //	if unread.Prepare(w, r) {
 //		defer unread.Discard(ctx, w, r)
 //	}
-//	http.Error(w, "the body is too large", http.StatusRequestEntityTooLarge)
+//	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+//	w.WriteHeader(http.StatusRequestEntityTooLarge)
+//	io.WriteString(w, text)
 //
-// The response, which should have a Content-Length, is sent at once, and the connection is closed after the rest of the body was
-// dropped. That takes no memory of its own.
+// The response, which must have a body and its length, is sent at once. The connection is closed after the rest of the
+// request was dropped, which takes no memory of its own.
 package unread
 
 import (
--- a/unread/unread_test.go
+++ b/unread/unread_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -112,3 +113,25 @@
 		t.Fatal("the rest of the body is read after ctx has ended")
 	}
 }
+
+// TestRejectionBeforeContinue guards against a server that asks for a body that it has rejected.
+func TestRejectionBeforeContinue(t *testing.T) {
+	is := is.New(t)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if unread.Prepare(w, r) {
+			defer unread.Discard(t.Context(), w, r)
+		}
+		http.Error(w, "not wanted", http.StatusUnauthorized)
+	}))
+	t.Cleanup(s.Close)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	_, err = c.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\nExpect: 100-continue\r\n\r\n"))
+	is.NoErr(err)
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(got), "HTTP/1.1 401 "))
+	is.True(!strings.Contains(string(got), "100 Continue"))
+}
