proxy: TestLimitedServersLeaveOthersToServe makes the server with the limit the better one

Cause: the router may use either server, and prefers the one that has answered sooner. Beside load the first answers take 1 to 30 ms at random, and if those of the server without a limit were the shorter ones, the other was not chosen again. No caller loses by it.

Change: the servers without a limit take 30 ms longer, so that the other one is chosen whenever its limit admits it; the number of requests is logged. What is expected stays at 5 calls.

--- a/proxy/permits_test.go
+++ b/proxy/permits_test.go
@@ -96,12 +96,25 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t, tt.roles)
-			h.servers[tt.limited].SetLimit("4")
+			for id, s := range h.servers {
+				if id == tt.limited {
+					s.SetLimit("4")
+				} else { // so that the server with the limit is the one that is chosen as long as the limit admits it
+					s.SetFault(fake.Slow)
+					s.SetSlowDelay(30 * time.Millisecond)
+				}
+			}
 			start := time.Now()
+			sent, longest := 0, time.Duration(0)
 			for time.Since(start) < 2*time.Second {
+				began := time.Now()
 				is.Equal(h.send(t, http.MethodPost, tt.path, "b", tt.changes...).status, 200)
+				sent++
+				longest = max(longest, time.Since(began))
 			}
-			is.True(len(h.servers[tt.limited].Calls()) >= 5)
+			calls := len(h.servers[tt.limited].Calls())
+			t.Logf("%d requests, %v at most; %d calls at the server with the limit", sent, longest, calls)
+			is.True(calls >= 5)
 		})
 	}
 }
