link: one place opens connections

Behaviour is unchanged, but for the operation in the error of Probe and OpenSecond, which is that of all connections again.

--- a/link/link.go
+++ b/link/link.go
@@ -117,7 +117,7 @@
 func (c *Client) Do(ctx context.Context, req *Request) (*Response, error) {
 	cn, err := c.connect(ctx, req)
 	if err != nil {
-		return nil, fail.New("link: connect", req.Addr, ident.NotRun, err)
+		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	res, err := c.roundTrip(ctx, cn, req)
@@ -146,7 +146,7 @@
 // connect returns an idle connection to the server, or a new one if there is none.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, err
+		return nil, fail.New("link: connect", req.Addr, ident.NotRun, err)
 	}
 	now := c.cfg.Clock.Now()
 	cn, unread := c.pool(req.Addr).take(now, req.ID)
@@ -156,12 +156,21 @@
 	if cn != nil {
 		return cn, nil
 	}
-	c.dialCount.Add(1)
 	timeout := req.DialTimeout
 	if timeout <= 0 {
 		timeout = defaultDialTimeout
 	}
-	return dial(ctx, req.Addr, timeout)
+	return c.open(ctx, req.Addr, timeout)
+}
+
+// open opens a connection to a server.
+func (c *Client) open(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
+	c.dialCount.Add(1)
+	cn, err := dial(ctx, addr, timeout)
+	if err != nil {
+		return nil, fail.New("link: connect", addr, ident.NotRun, err)
+	}
+	return cn, nil
 }
 
 // HasIdleConn reports whether the pool of an address has an idle connection that has not
--- a/link/probe.go
+++ b/link/probe.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"wasabidock.dev/dock/fail"
-	"wasabidock.dev/dock/ident"
 )
 
 // Probe opens a connection to a server and keeps it for the next request. The error wraps
@@ -21,16 +18,6 @@
 	return nil
 }
 
-// open opens a connection to a server that is not one of the pool yet.
-func (c *Client) open(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
-	c.dialCount.Add(1)
-	cn, err := dial(ctx, addr, timeout)
-	if err != nil {
-		return nil, fail.New("link: open", addr, ident.NotRun, err)
-	}
-	return cn, nil
-}
-
 // Framed reports whether the response has a length or chunks. The end of another one is the end of its
 // connection.
 func (res *Response) Framed() bool { return framed(res.resp) }
