--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -86,9 +86,7 @@
 // watch cuts the request off when Finish is called and its response has not begun: it ends the read of the body, or
 // calls cancel. The caller must call the result at the end of the request.
 func (x *exchange) watch(cancel context.CancelFunc) (unwatch func()) {
-	done := make(chan struct{})
-	stop := context.AfterFunc(x.h.finishing, func() {
-		defer close(done)
+	return tick.AfterEnd(x.h.finishing, func() {
 		if x.advance(stateReading, stateCut) {
 			// The error is ignored because not every ResponseWriter supports deadlines, for example in tests.
 			_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
@@ -96,11 +94,6 @@
 			cancel()
 		}
 	})
-	return func() {
-		if !stop() {
-			<-done
-		}
-	}
 }
 
 // advance records that the request has left a state. It returns false if the request is in another one.
--- a/tick/timeout.go
+++ b/tick/timeout.go
@@ -31,6 +31,21 @@
 	}
 }
 
+// AfterEnd calls f in a goroutine when ctx ends. The caller must call stop once, which prevents the call of f or waits until
+// f has returned.
+func AfterEnd(ctx context.Context, f func()) (stop func()) {
+	done := make(chan struct{})
+	prevent := context.AfterFunc(ctx, func() {
+		defer close(done)
+		f()
+	})
+	return func() {
+		if !prevent() {
+			<-done
+		}
+	}
+}
+
 // Sleep waits until d has passed on the clock or ctx has ended. It returns the cause of ctx if
 // that ended first.
 func Sleep(ctx context.Context, clock Clock, d time.Duration) error {
--- a/unread/unread.go
+++ b/unread/unread.go
@@ -21,6 +21,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"wasabidock.dev/dock/tick"
 )
 
 const (
@@ -50,13 +52,8 @@
 	if c.Flush() != nil || c.SetReadDeadline(time.Now().Add(maxTime)) != nil {
 		return
 	}
-	done := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		defer close(done)
+	defer tick.AfterEnd(ctx, func() {
 		_ = c.SetReadDeadline(time.Now()) // it did not fail above
-	})
+	})()
 	_, _ = io.CopyN(io.Discard, r.Body, maxBytes) // the connection is closed in any case
-	if !stop() {
-		<-done
-	}
 }
