--- a/front/live_test.go
+++ b/front/live_test.go
@@ -215,8 +215,7 @@
 	is.NoErr(<-w.done)
 }
 
-// TestRejectionBeforeEndOfBodyIsSeen guards against callers whose connection is reset while they send a body that is not wanted,
-// before they have read why.
+// TestRejectionBeforeEndOfBodyIsSeen guards against callers whose connection is reset before they have read why their body is not wanted.
 func TestRejectionBeforeEndOfBodyIsSeen(t *testing.T) {
 	const parts = 150 // of 64 KiB, which is more than any route reads
 	tests := []struct {
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -113,8 +113,7 @@
 	return 0, e.ctx.Err()
 }
 
-// TestDrainIsAskedAtTheWrite guards against a request whose body ends late in the grace period and that is written to a server right before
-// the process ends.
+// TestDrainIsAskedAtTheWrite guards against a request that is written to a server right before the process ends, because its body came late.
 func TestDrainIsAskedAtTheWrite(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
--- a/proxy/flood_test.go
+++ b/proxy/flood_test.go
@@ -36,8 +36,7 @@
 	}
 }
 
-// TestEndlessBytesShareMemory guards against a server that sends without end, in a head, an event or a body, until the
-// instance is out of memory.
+// TestEndlessBytesShareMemory guards against a server that sends without end until the instance is out of memory.
 func TestEndlessBytesShareMemory(t *testing.T) {
 	const budget, callers = 8 << 20, 100
 	tests := []struct {
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -38,8 +38,7 @@
 	return &s
 }
 
-// TestServerThatLeavesWhilePromptIsRead guards against a request that reaches a decode server long after it was listed as leaving,
-// because the prompt was read in between.
+// TestServerThatLeavesWhilePromptIsRead guards against a request that reaches a decode server that has left while the prompt was read.
 func TestServerThatLeavesWhilePromptIsRead(t *testing.T) {
 	tests := []struct {
 		name   string
--- a/proxy/openend_test.go
+++ b/proxy/openend_test.go
@@ -63,8 +63,7 @@
 	}
 }
 
-// TestServerThatIsBackConfirmsNothing guards against a part of an open-ended response that is passed on as a whole one because its server
-// has ended and listens again, or because nothing answers at its address.
+// TestServerThatIsBackConfirmsNothing guards against a part of an open-ended response that counts as whole although its server has ended.
 func TestServerThatIsBackConfirmsNothing(t *testing.T) {
 	tests := []struct {
 		path string
--- a/proxy/unread_test.go
+++ b/proxy/unread_test.go
@@ -12,8 +12,7 @@
 	"github.com/matryer/is"
 )
 
-// TestRejectionBeforeEndOfBodyIsSeen guards against callers whose connection is reset while they send a body that is not wanted,
-// before they have read why.
+// TestRejectionBeforeEndOfBodyIsSeen guards against callers whose connection is reset before they have read why their body is not wanted.
 func TestRejectionBeforeEndOfBodyIsSeen(t *testing.T) {
 	const parts = 100 // of 64 KiB, the limit is 500 bytes
 	tests := []struct {
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -41,8 +41,7 @@
 	return p.r.Read(b)
 }
 
-// TestMemoryBesideSoundClients guards against a process that runs out of memory because of what servers or callers send without
-// end, and takes the requests of other clients with it.
+// TestMemoryBesideSoundClients guards against a process that runs out of memory by what servers or callers send without end.
 func TestMemoryBesideSoundClients(t *testing.T) {
 	const greedy, sound, lasts = 200, 12, 4 * time.Second
 	bin := buildEntry(t)
