--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -113,6 +113,19 @@
 	return 0, e.ctx.Err()
 }
 
+// TestDrainWhilePermitIsClaimed guards against a request that is written to a server although the process began to drain while it waited.
+func TestDrainWhilePermitIsClaimed(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
+	s, _ := h.live.Fleet().Server("s1")
+	h.gate.Record(s, 100, true, 0)
+	h.gate.SetClaimer(leavingHome{func() { h.handler.Drain(h.clock.Now(), h.clock.Now()+time.Second) }})
+	is.Equal(h.send(t, http.MethodPost, "/file/1", "b").status, 503)
+	is.Equal(h.runCount(), 0)
+	is.Equal(h.limiter.charged, 0)
+	is.Equal(h.counter(`writes_withheld_total{reason="ends"}`), int64(1))
+}
+
 // TestDrainIsAskedAtTheWrite guards against a request that is written to a server right before the process ends, because its body came late.
 func TestDrainIsAskedAtTheWrite(t *testing.T) {
 	is := is.New(t)
