proxy: logs and a counter tell why a response broke and what became of it

Callers saw a stream that was cut, and the lines of the instance could not tell a silent server from a change of the configuration: "the server gave no answer" also stood where the time was up, and "too many requests wait" where the time to wait was over.

`relay: stream broke` now says for how long the server was silent and who has ended the response (caller, process, deadline, silence, server).

--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -135,8 +135,14 @@
 		return r
 	}
 	i := sort.Search(len(s.queue), func(i int) bool { return s.before(&wt.req, &s.queue[i].req, now) })
-	if eta := s.expectedWait(i); len(s.queue) >= maxQueued || now+eta > wt.req.Deadline {
+	eta := s.expectedWait(i)
+	switch {
+	case len(s.queue) >= maxQueued:
 		return fail.Refuse(fail.CodeOverloaded, max(eta, minRetryAfter), "too many requests wait")
+	case now >= wt.req.Deadline:
+		return fail.Refuse(fail.CodeOverloaded, max(eta, minRetryAfter), "no server has room, and the time to wait for one is over")
+	case now+eta > wt.req.Deadline:
+		return fail.Refuse(fail.CodeOverloaded, max(eta, minRetryAfter), "too many requests wait for the time that is left")
 	}
 	s.queue = append(s.queue, nil)
 	copy(s.queue[i+1:], s.queue[i:])
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -63,6 +63,7 @@
 	x.lastEventID = x.info.LastEventID
 	m := &modelExchange{exchange: x, placeReq: x.placementRequest()}
 	defer m.freeKV()
+	defer m.endSilence()
 	for ; m.placements < maxPlacements; m.placements++ {
 		if m.endIfTooLate() || !m.admitParts(ctx) {
 			return
@@ -95,7 +96,9 @@
 	placements      int // number of placements, excluding those that failed at the reservation
 	prefillAttempts int // number of prefills that were requested
 	// begun states that the server of the current response has begun to answer: it has sent two events.
-	begun bool
+	begun    bool
+	progress tick.Instant // time at which the current run was requested, or of its last event
+	silenced bool         // a run was ended because its server was silent, and no event has come since then
 	// avoidLen is the length of placeReq.Avoid before the first server that did not
 	// fetch kv was added.
 	avoidLen int
@@ -197,6 +200,7 @@
 		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
 		req.EndWait = func() bool { return m.canResumeBeside(p.Decode) }
 	}
+	m.progress = m.h.cfg.Clock.Now()
 	resp, err := m.run(ctx, p.Decode, req)
 	if errors.Is(err, crash.ErrNotAdmitted) {
 		m.arrivals.uncount()
@@ -217,6 +221,7 @@
 			m.recordBroken(p.Decode, err)
 		}
 		m.recordNoResponse(p.Decode, err)
+		m.recordSilence(err)
 		m.exclude(p.Decode)
 		return !m.retryOrGiveUp()
 	}
@@ -241,11 +246,31 @@
 // retryOrGiveUp reports whether the request may be written to another server. If not, it
 // answers the request.
 func (m *modelExchange) retryOrGiveUp() bool {
-	if m.callerGone() || m.mayHaveRun && (!m.route.Retryable() || m.runs >= m.route.MaxAttempts || m.isSuspect()) {
-		m.giveUp(overloadRetry, "the server gave no answer")
-		return false
+	reason := m.noRetryReason()
+	if reason != "" {
+		m.giveUp(overloadRetry, reason)
+	}
+	return reason == ""
+}
+
+// noRetryReason returns why the request may not be written to another server, or an empty string if it may.
+func (m *modelExchange) noRetryReason() string {
+	switch {
+	case m.callerGone():
+		return "its server gave no whole answer before"
+	case !m.mayHaveRun:
+		return ""
+	case m.remaining() <= 0:
+		return "time is up"
+	case !m.route.Retryable():
+		return "the server gave no whole answer, and the route allows no other one"
+	case m.runs >= m.route.MaxAttempts:
+		return "the server gave no whole answer, and no attempt is left"
+	case m.isSuspect():
+		return "the server gave no whole answer, and a part of the prompt may end servers"
+	default:
+		return ""
 	}
-	return true
 }
 
 // canResumeBeside reports whether the request may be resumed at another server than s, and pays for it.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -40,7 +40,9 @@
 		return true
 	}
 	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
-		Bool("resumed", resumed).Strs("parts", m.info.Parts).Msg("relay: stream broke")
+		Bool("resumed", resumed).Strs("parts", m.info.Parts).Dur("silent", h.cfg.Clock.Now()-m.progress).
+		Str("by", m.endedBy(err)).Msg("relay: stream broke")
+	m.recordSilence(err)
 	if m.lastEventID == m.info.LastEventID {
 		m.countBrokenStart()
 	}
@@ -182,6 +184,8 @@
 		r.recordBegun()
 	}
 	r.lastEventID, r.passed = id, true
+	r.progress = r.h.cfg.Clock.Now()
+	r.countSilence(SilenceResumed)
 	r.resp.ResetIdleTimeout()
 	return nil
 }
