--- /dev/null
+++ b/proxy/silence_test.go
@@ -0,0 +1,61 @@
+package proxy_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/fake"
+)
+
+// largePrompt takes the whole memory of a server for a request.
+func largePrompt(r *http.Request) { r.Header.Set("Wasabidock-Token-Count", "9400,50") }
+
+// occupy lets a request take the whole memory of the only model server for d.
+func (h *harness) occupy(t *testing.T, d time.Duration) {
+	t.Helper()
+	for _, s := range h.servers {
+		s.SetPace(4, d/4)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.send(t, http.MethodPost, "/slow/0", "large", withTokenCounts, largePrompt, withHeader("Wasabidock-Attempt-Id", "large"), withHeader("Wasabidock-Deadline-Ms", "5000"))
+	}()
+	t.Cleanup(func() { <-done })
+	eventually(t, "the large request runs", func() bool { return h.runCount() == 1 })
+}
+
+// TestSilentServerIsNotLeftForNothing guards against a stream that is cut because its sound server was silent for a second and no other one had room.
+func TestSilentServerIsNotLeftForNothing(t *testing.T) {
+	silence := fake.Silence{Call: fake.RunCall, Event: 2, For: 1500 * time.Millisecond, Times: 1}
+	tests := []struct {
+		name  string
+		other func(t *testing.T, h *harness) // makes the other server useless
+	}{
+		{"the other server is full", func(t *testing.T, h *harness) { h.occupy(t, 4*time.Second) }},
+		{"the other server has no memory to reserve", func(_ *testing.T, h *harness) { h.servers["other"].SetFault(fake.NoMemory) }},
+		{"the other server rejects requests", func(_ *testing.T, h *harness) { h.servers["other"].SetFault(fake.Shed) }},
+		{"the other server is gone", func(_ *testing.T, h *harness) { h.servers["other"].Close() }},
+		{"no repeat is left", func(_ *testing.T, h *harness) {
+			h.budget.left = 0
+			h.servers["other"].SetSilence(silence)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, map[string]fake.Role{"other": fake.Decode})
+			tt.other(t, h)
+			h.addServer(t, "sound", fake.Decode)
+			h.servers["sound"].SetSilence(silence)
+			got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "4000"))
+			is.NoErr(got.err)
+			is.Equal(got.body, eventText(1, 4))
+			is.Equal(h.servers["sound"].Silences()+h.servers["other"].Silences(), 1)
+		})
+	}
+}
