proxy: a stream that goes on elsewhere waits for a place as long as its caller waits

Callers saw a stream cut with "too many requests wait" in the moment in which its server broke off, although they would have waited for the next event.

Cause: the deadline of a placement was the arrival plus 3.6 times the latency target, the time for which callers wait for the first event.

The deadline of a stream that has begun is now its last event plus the time for which callers wait for the next one: 2 s, 4 times the latency target or 8 times the gap target, whichever is longest, of which 0.9 are used. The same time holds for the first event, where only the latency target counted.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -31,9 +31,6 @@
 	// the earliest.
 	minIdleTimeout  = time.Second
 	idleTimeoutGaps = 2
-	// callerPatience is how long callers wait for the first event before they disconnect,
-	// as a multiple of the latency target.
-	callerPatience = 3.6
 	// deleteTimeout bounds the call that frees a KV cache or cancels a reservation.
 	deleteTimeout = 200 * time.Millisecond
 	// defaultOutputShare is the fraction of its maximum output tokens that a request
@@ -68,6 +65,7 @@
 		if m.endIfTooLate() || !m.admitParts(ctx) {
 			return
 		}
+		m.setPlacementDeadline()
 		p, err := x.h.cfg.Placer.Place(ctx, m.placeReq)
 		if err != nil {
 			m.rejectUnplaced(err)
@@ -87,6 +85,13 @@
 	x.giveUp(overloadRetry, "no server has taken the request in time")
 }
 
+// setPlacementDeadline sets the deadline of the next placement of a stream that has begun: its caller waits for the next event.
+func (m *modelExchange) setPlacementDeadline() {
+	if m.headerWritten {
+		m.placeReq.Deadline = min(m.deadline, m.progress+patience(m.route))
+	}
+}
+
 // modelExchange is an exchange with a model service. It adds the state of the placements.
 type modelExchange struct {
 	*exchange
@@ -114,7 +119,7 @@
 		Priority:  x.priority(),
 		Due:       x.start + x.route.LatencyTarget,
 		GapTarget: x.route.GapTarget,
-		Deadline:  min(x.deadline, x.start+time.Duration(callerPatience*float64(x.route.LatencyTarget))),
+		Deadline:  min(x.deadline, x.start+patience(x.route)),
 	}
 	return req
 }
--- /dev/null
+++ b/proxy/patience.go
@@ -0,0 +1,22 @@
+package proxy
+
+import (
+	"time"
+
+	"wasabidock.dev/dock/route"
+)
+
+const (
+	// callersPatience is the share of the time after which callers abandon a request that is used. The rest is for the way of
+	// the next event.
+	callersPatience = 0.9
+	// Callers abandon a request without a new event after minGap, or a multiple of its targets.
+	minGap        = 2 * time.Second
+	latencyFactor = 4
+	gapFactor     = 8
+)
+
+// patience returns how long the callers of a route wait for the next event.
+func patience(r *route.Route) time.Duration {
+	return time.Duration(callersPatience * float64(max(minGap, latencyFactor*r.LatencyTarget, gapFactor*r.GapTarget)))
+}
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -10,6 +10,20 @@
 	"wasabidock.dev/dock/platform/fake"
 )
 
+// TestBrokenStreamWaitsForPlace guards against a stream that is cut because the time to wait for its first event is over when its server breaks.
+func TestBrokenStreamWaitsForPlace(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"other": fake.Decode})
+	h.occupy(t, 1700*time.Millisecond)
+	h.servers["other"].SetPace(4, time.Millisecond)
+	h.addServer(t, "broken", fake.Decode)
+	h.servers["broken"].SetPace(4, 500*time.Millisecond)
+	h.servers["broken"].SetFault(fake.TruncatedEvent)
+	got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "5000"))
+	is.NoErr(got.err)
+	is.Equal(got.body, eventText(1, 4))
+}
+
 // largePrompt takes the whole memory of a server for a request.
 func largePrompt(r *http.Request) { r.Header.Set("Wasabidock-Token-Count", "9400,50") }
 
