proxy: a silent server is left only when another one has taken the request

Callers saw a stream cut although its server was sound, had been silent for a second and would have gone on.

Cause: the run was ended as soon as some other server of the service was listed and one retry was paid. Whether that server had room was asked afterwards. When servers are full, they preempt runs, are silent for longer than a second, and have no room: silence and refusal have one cause. A run at another server with a separate prefill also takes two retries, of which one was paid.

While its server is silent, the request now looks for a successor: a placement, a reservation at its server, and all retries that it takes. The run ends when there is one; an event before that ends the search. The request may return to the silent server, and does not go to one that is silent for other requests of this instance.

--- a/proxy/arrivals.go
+++ b/proxy/arrivals.go
@@ -12,23 +12,22 @@
 	retries int // retries taken from the budget
 }
 
-// pay makes sure that one more arrival is free or paid for. If it is neither, pay takes a retry with
-// spend. It returns false if there is none.
-func (a *arrivals) pay(spend func() bool) bool {
+// pay makes sure that n more arrivals are free or paid for. It takes the retries that are missing with
+// spend. It returns false if there are not enough.
+func (a *arrivals) pay(n int, spend func() bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.payLocked(spend)
+	return a.payLocked(n, spend)
 }
 
 // payLocked is pay for a caller that holds a.mu.
-func (a *arrivals) payLocked(spend func() bool) bool {
-	if a.counted <= a.retries {
-		return true
+func (a *arrivals) payLocked(n int, spend func() bool) bool {
+	for a.retries < a.counted+n-1 {
+		if !spend() {
+			return false
+		}
+		a.retries++
 	}
-	if !spend() {
-		return false
-	}
-	a.retries++
 	return true
 }
 
@@ -37,7 +36,7 @@
 func (a *arrivals) count(spend func() bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.payLocked(spend) {
+	if !a.payLocked(1, spend) {
 		return false
 	}
 	a.counted++
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -94,6 +94,7 @@
 	finishing       context.Context    // ends with the call of Finish
 	finish          context.CancelFunc // ends finishing
 	loads           serverLoads
+	silent          serverLoads // number of model requests whose server is silent now
 	invalidLimits   invalidLimits
 	start           tick.Instant // start of the process
 
@@ -103,7 +104,7 @@
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	h := &Handler{cfg: cfg, loads: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), tokenTimes: delay.NewEstimates()}
+	h := &Handler{cfg: cfg, loads: newServerLoads(), silent: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), tokenTimes: delay.NewEstimates()}
 	h.finishing, h.finish = context.WithCancel(context.Background())
 	return h
 }
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -26,7 +25,7 @@
 	// kvRetryShare is the fraction of the lifetime of a KV cache within which a second
 	// server can still fetch it in time.
 	kvRetryShare = 0.5
-	// A resumable stream without events is resumed at another server after idleTimeoutGaps
+	// The server of a resumable stream without events counts as silent after idleTimeoutGaps
 	// times the route's target for the gap between tokens, and after minIdleTimeout at
 	// the earliest.
 	minIdleTimeout  = time.Second
@@ -61,12 +60,12 @@
 	m := &modelExchange{exchange: x, placeReq: x.placementRequest()}
 	defer m.freeKV()
 	defer m.endSilence()
+	defer m.dropNext()
 	for ; m.placements < maxPlacements; m.placements++ {
 		if m.endIfTooLate() || !m.admitParts(ctx) {
 			return
 		}
-		m.setPlacementDeadline()
-		p, err := x.h.cfg.Placer.Place(ctx, m.placeReq)
+		p, err := m.place(ctx)
 		if err != nil {
 			m.rejectUnplaced(err)
 			return
@@ -85,6 +84,20 @@
 	x.giveUp(overloadRetry, "no server has taken the request in time")
 }
 
+// place returns a placement for the request: the one that was found while its server was silent, or a new one.
+func (m *modelExchange) place(ctx context.Context) (*admit.Placement, error) {
+	if n := m.next; n != nil {
+		m.next, m.reservation = nil, n.reservation
+		if m.kv != nil { // the silent server may have fetched it
+			m.freeKV()
+			m.placeReq.Prefilled = false
+		}
+		return n.placement, nil
+	}
+	m.setPlacementDeadline()
+	return m.h.cfg.Placer.Place(ctx, m.placeReq)
+}
+
 // setPlacementDeadline sets the deadline of the next placement of a stream that has begun: its caller waits for the next event.
 func (m *modelExchange) setPlacementDeadline() {
 	if m.headerWritten {
@@ -102,8 +115,10 @@
 	prefillAttempts int // number of prefills that were requested
 	// begun states that the server of the current response has begun to answer: it has sent two events.
 	begun    bool
-	progress tick.Instant // time at which the current run was requested, or of its last event
-	silenced bool         // a run was ended because its server was silent, and no event has come since then
+	search   *handover     // search for another place, nil if the server is not silent
+	silentAt *route.Server // server that was silent, nil if an event has come since then
+	next     *successor    // place found by the search, nil for none
+	progress tick.Instant  // time at which the current run was requested, or of its last event
 	// avoidLen is the length of placeReq.Avoid before the first server that did not
 	// fetch kv was added.
 	avoidLen int
@@ -201,12 +216,19 @@
 	}
 	req := m.serverRequest(p.Decode, out)
 	if m.route.Resumable && m.runs+1 < m.route.MaxAttempts {
+		var end context.CancelFunc
+		ctx, end = context.WithCancel(ctx)
+		defer end()
 		req.IdleTimeout = max(minIdleTimeout, idleTimeoutGaps*m.route.GapTarget)
 		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
-		req.EndWait = func() bool { return m.canResumeBeside(p.Decode) }
+		req.EndWait = func() bool {
+			m.startHandover(ctx, p.Decode, end)
+			return false
+		}
 	}
 	m.progress = m.h.cfg.Clock.Now()
 	resp, err := m.run(ctx, p.Decode, req)
+	m.stopHandover()
 	if errors.Is(err, crash.ErrNotAdmitted) {
 		m.arrivals.uncount()
 		return m.callerGone()
@@ -226,8 +248,7 @@
 			m.recordBroken(p.Decode, err)
 		}
 		m.recordNoResponse(p.Decode, err)
-		m.recordSilence(err)
-		m.exclude(p.Decode)
+		m.leave(p.Decode, err)
 		return !m.retryOrGiveUp()
 	}
 	defer resp.Close()
@@ -235,6 +256,7 @@
 	if m.h.cfg.Protocol.NotExecuted(resp.Status, resp.Header) {
 		m.recordWrongServer(p.Decode, resp)
 		m.exchange.release(resp)
+		m.stopHandover()
 		m.handleNotExecuted(p)
 		return false
 	}
@@ -278,16 +300,6 @@
 	}
 }
 
-// canResumeBeside reports whether the request may be resumed at another server than s, and pays for it.
-func (m *modelExchange) canResumeBeside(s *route.Server) bool {
-	for _, o := range m.h.cfg.Live.Fleet().ServersOf(m.service.Name) {
-		if o.Key() != s.Key() && o.Stage != route.StagePrefill && !slices.Contains(m.placeReq.Avoid, o.Key()) && !m.rejectsRequests(o) {
-			return m.arrivals.pay(m.spendRetry)
-		}
-	}
-	return false
-}
-
 // exclude excludes a server from further placements of the request.
 func (m *modelExchange) exclude(s *route.Server) {
 	m.placeReq.Avoid = append(m.placeReq.Avoid, s.Key())
--- a/proxy/permits.go
+++ b/proxy/permits.go
@@ -66,12 +66,11 @@
 	return c
 }
 
-// holdPermit takes a permit for the next request to a server with a limit. It returns false if there
-// is none.
-func (x *exchange) holdPermit(ctx context.Context, s *route.Server) bool {
+// holdPermit takes a permit for the next request to a server with a limit.
+func (x *exchange) holdPermit(ctx context.Context, s *route.Server) error {
 	p, err := x.takePermit(ctx, s)
 	x.permits.held = p
-	return err == nil
+	return err
 }
 
 // takePermit returns a permit for one request to a server: the held one if it is for the server, or
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -58,6 +60,13 @@
 	}
 }
 
+// keys returns the keys of the servers that are not at 0.
+func (l *serverLoads) keys() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.n))
+}
+
 func (l *serverLoads) of(key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -205,7 +214,7 @@
 	case <-ctx.Done():
 	case <-t.C():
 		// A server with a limit gets no hedged requests.
-		if x.pickServer(avoid, h.cfg.Permits.Limited) != nil && x.arrivals.pay(x.spendRetry) {
+		if x.pickServer(avoid, h.cfg.Permits.Limited) != nil && x.arrivals.pay(1, x.spendRetry) {
 			cancel()
 		}
 	}
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -103,71 +103,90 @@
 	return handle, nil
 }
 
+// errNoRoom reports that a server has no memory to reserve.
+var errNoRoom = errors.New("the server has no room")
+
 // reserve reserves memory at the placement's decode server, so that no prefill is wasted
-// on a server without room. At a server with a limit, it takes the permit for the request
-// instead, because a reservation would count against the limit too. It returns false if the
-// server has no room, has no permit or does not answer. The request must then be placed again.
+// on a server without room. It returns false if there is none. The request must then be placed again.
 func (m *modelExchange) reserve(ctx context.Context, p *admit.Placement) bool {
+	if m.reservation != nil { // see place
+		return true
+	}
+	r, err := m.reserveAt(ctx, p.Decode)
+	switch {
+	case err == nil:
+		m.reservation = r
+		return true
+	case errors.Is(err, errNoRoom):
+		// The server may have room again soon, so it is not excluded. The placement is not
+		// counted either: another instance may have placed requests at this server that it
+		// has not reported yet, so the rejection does not mean that other servers are full.
+		m.placements--
+		return false
+	case isDenied(err):
+		return m.skipDenied(p.Decode)
+	default:
+		return m.skipServer(p.Decode)
+	}
+}
+
+// reserveAt reserves memory for the request at a server. At a server with a limit, it takes the permit for the request
+// instead, because a reservation would count against the limit too. The reservation is nil if the server needs none. The
+// error is errNoRoom if the server has no room.
+func (m *modelExchange) reserveAt(ctx context.Context, s *route.Server) (*reservation, error) {
 	h := m.h
-	s := p.Decode
 	if h.cfg.Permits.Limited(s) {
-		return m.holdPermit(ctx, s) || m.skipDenied(s)
+		return nil, m.holdPermit(ctx, s)
 	}
 	engine := m.service.Engine
 	if engine.ReservationTTL <= 0 {
-		return true
+		return nil, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*m.dialTimeout(s))
 	defer cancel()
 	path, body, err := h.cfg.Protocol.ReservationRequest(m.placeReq.KVTokens(), engine.ReservationTTL)
 	if err != nil {
 		h.cfg.Log.Error().Err(err).Msg("relay: cannot encode the reservation; continuing without one")
-		return true
+		return nil, nil
 	}
 	resp, err := m.do(ctx, s, &link.Request{
 		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body, Distinct: true,
 		DialTimeout: m.dialTimeout(s),
 	})
-	if isDenied(err) {
-		return m.skipDenied(s)
-	}
-	if isWithheld(err) {
-		return m.skipServer(s)
+	if isDenied(err) || isWithheld(err) {
+		return nil, err
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
 		// The call costs the server no work, so a server that does not answer is unreachable.
 		m.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
-		return m.skipServer(s)
+		return nil, err
 	}
 	defer resp.Close()
 	b, err := m.readControl(resp)
 	if err == nil && resp.Status == http.StatusServiceUnavailable {
-		// The server may have room again soon, so it is not excluded. The placement is not
-		// counted either: another instance may have placed requests at this server that it
-		// has not reported yet, so the rejection does not mean that other servers are full.
 		h.cfg.Placer.ServerFull(s)
-		m.placements--
-		return false
+		return nil, errNoRoom
+	}
+	if err == nil && resp.Status != http.StatusOK {
+		err = errors.Errorf("unexpected status %d", resp.Status)
 	}
-	if err != nil || resp.Status != http.StatusOK {
-		h.cfg.Log.Info().Err(err).Int("status", resp.Status).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
+	if err != nil {
+		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
 		m.recordWrongServer(s, resp)
-		return m.skipServer(s)
+		return nil, err
 	}
 	id, err := h.cfg.Protocol.ParseReservation(b)
 	if err != nil {
 		resp.Drop()
 		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Msg("relay: cannot parse the reservation; continuing without one")
-		return true
+		return nil, nil
 	}
-	m.reservation = &reservation{server: s, id: id}
 	m.stats.reservation = id + "/" + resp.EchoedID()
-	if m.rejectsRequests(s) { // the header of this response closed the server
-		m.reservation = nil // the reservation expires without a call
-		return m.skipServer(s)
+	if m.rejectsRequests(s) { // the header of this response closed the server; the reservation expires without a call
+		return nil, errClosed
 	}
-	return true
+	return &reservation{server: s, id: id}, nil
 }
 
 // skipServer excludes a server from further placements of the request and does not count the
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -1,26 +1,22 @@
 package proxy
 
-import (
-	"os"
+import "wasabidock.dev/dock/route"
 
-	"github.com/go-faster/errors"
-)
-
-// What became of runs that were ended because their servers were silent, for metrics.
+// What became of requests whose servers were silent for longer than the idle timeout, for metrics.
 const (
-	SilenceResumed    = "resumed"    // another server has sent the next event
+	SilenceWentOn     = "went_on"    // the server has sent the next event
+	SilenceResumed    = "resumed"    // another server has
 	SilenceCut        = "cut"        // the response was cut
 	SilenceUnanswered = "unanswered" // the request was answered with an error, or its caller has left
 )
 
-// SilenceEnds returns the values of the metric for runs that were ended because their servers were silent.
-func SilenceEnds() []string { return []string{SilenceResumed, SilenceCut, SilenceUnanswered} }
-
-// isSilence reports whether a call was ended because its server was silent for too long.
-func isSilence(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+// SilenceEnds returns the values of the metric for requests whose servers were silent.
+func SilenceEnds() []string {
+	return []string{SilenceWentOn, SilenceResumed, SilenceCut, SilenceUnanswered}
+}
 
-// endedBy returns who has ended a response that failed with an error, for logs.
-func (m *modelExchange) endedBy(err error) string {
+// endedBy returns who has ended a response that failed, for logs.
+func (m *modelExchange) endedBy() string {
 	switch {
 	case m.callerGone():
 		return "caller"
@@ -28,29 +24,46 @@
 		return "process"
 	case m.remaining() <= 0:
 		return "deadline"
-	case isSilence(err):
+	case m.next != nil:
 		return "silence"
 	default:
 		return "server"
 	}
 }
 
-// recordSilence records that a run has failed with an error, if that is the silence of its server.
-func (m *modelExchange) recordSilence(err error) {
-	if m.endedBy(err) == "silence" {
-		m.silenced = true
+// leave records that the request leaves a server at which it has failed. If the server was only silent, the request
+// may return to it.
+func (m *modelExchange) leave(s *route.Server, err error) {
+	if m.next == nil {
+		m.exclude(s)
+		return
 	}
+	m.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
+		Dur("silent", m.h.cfg.Clock.Now()-m.progress).Str("next", m.next.placement.Decode.ID).
+		Msg("relay: server is silent; the request goes on at another one")
 }
 
-// countSilence counts what became of a run that was ended because its server was silent.
+// countSilence counts what became of a request whose server was silent.
 func (m *modelExchange) countSilence(end string) {
-	if m.silenced {
-		m.silenced = false
+	if m.silentAt != nil {
+		m.silentAt = nil
 		m.h.cfg.Meter.Count("silent_runs_total", "end", end, 1)
 	}
 }
 
-// endSilence counts a run that was ended because its server was silent, and that no other server has resumed.
+// recordSound records that a server has sent an event after a silence of a server of the request.
+func (m *modelExchange) recordSound(s *route.Server) {
+	switch {
+	case m.silentAt == nil:
+	case m.silentAt.Key() == s.Key():
+		m.countSilence(SilenceWentOn)
+		m.h.cfg.Health.RecordSuccess(s.Key(), m.h.cfg.Clock.Now())
+	default:
+		m.countSilence(SilenceResumed)
+	}
+}
+
+// endSilence counts a request whose server was silent up to its end.
 func (m *modelExchange) endSilence() {
 	switch {
 	case m.complete:
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -41,8 +41,7 @@
 	}
 	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
 		Bool("resumed", resumed).Strs("parts", m.info.Parts).Dur("silent", h.cfg.Clock.Now()-m.progress).
-		Str("by", m.endedBy(err)).Msg("relay: stream broke")
-	m.recordSilence(err)
+		Str("by", m.endedBy()).Msg("relay: stream broke")
 	if m.lastEventID == m.info.LastEventID {
 		m.countBrokenStart()
 	}
@@ -50,7 +49,7 @@
 		m.recordBroken(p.Decode, err)
 	}
 	m.recordFailure(p.Decode, classifyFailure(err))
-	m.exclude(p.Decode)
+	m.leave(p.Decode, err)
 	return !m.retryOrGiveUp()
 }
 
@@ -62,6 +61,7 @@
 	second := m.secondConn(p.Decode, resp)
 	defer second.Close()
 	b, err := m.bufferResponse(resp)
+	m.stopHandover()
 	err = m.checkEnd(p.Decode, resp, second, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
@@ -112,7 +112,9 @@
 	}
 	r.second = m.secondConn(p.Decode, resp)
 	defer r.second.Close()
-	if err := r.relayEvents(); err != nil {
+	err := r.relayEvents()
+	r.stopHandover()
+	if err != nil {
 		if m.headerWritten {
 			_ = r.flusher.Flush() // the events before the failure; err is the error to report
 		}
@@ -167,6 +169,7 @@
 // the one after the last. Servers number the events of a request 1, 2, 3 and so on, so a gap means
 // that an event is missing, even within the response of one server.
 func (r *streamRelay) recordEvent(id int64) error {
+	r.stopHandover()
 	switch next := max(r.lastEventID, 0) + 1; {
 	case id == event.NoID:
 		return errNoEventID
@@ -185,7 +188,7 @@
 	}
 	r.lastEventID, r.passed = id, true
 	r.progress = r.h.cfg.Clock.Now()
-	r.countSilence(SilenceResumed)
+	r.recordSound(r.placement.Decode)
 	r.resp.ResetIdleTimeout()
 	return nil
 }
