admit: a resumed stream goes before requests whose callers have nothing yet

Callers saw a stream cut with "too many requests wait" while servers took new requests: a stream that goes on elsewhere is always past its due time, so that every request that can still be on time went before it, and the expected wait behind them was longer than its caller waits.

Resumed streams now go first in the queue. TestQueueOrder has a case for it, and TestResumedStreamIsNotRejectedForQueue is new; both fail without the change ("5 != 6"; rejected in place of queued).

--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -95,9 +95,13 @@
 	return len(s.queue) > 0 && !s.before(r, &s.queue[0].req, now)
 }
 
-// before reports whether a goes before b: requests that can still be on time come first, then
-// those with the more urgent priority, then those with the earlier due time.
+// before reports whether a goes before b: streams that are resumed come first, as their callers already have a part of the
+// response, then requests that can still be on time, then those with the more urgent priority, then those with
+// the earlier due time.
 func (s *Scheduler) before(a, b *Request, now tick.Instant) bool {
+	if a.Resumed != b.Resumed {
+		return a.Resumed
+	}
 	if la, lb := s.late(a, now), s.late(b, now); la != lb {
 		return lb
 	}
--- a/admit/scheduler_test.go
+++ b/admit/scheduler_test.go
@@ -57,18 +57,50 @@
 		mk(3, 8*time.Second, 1),
 		mk(4, 7*time.Second, 2), // least urgent
 		mk(5, 9*time.Second, 0), // most urgent
+		resumed(mk(6, 800*time.Millisecond, 2)),
 	} {
 		placeAsync(t.Context(), s, req, out)
 		awaitQueued(t, s, i+1)
 	}
-	for _, want := range []uint64{5, 3, 2, 4, 1} {
+	for _, want := range []uint64{6, 5, 3, 2, 4, 1} {
 		s.Release(running.p)
 		running = <-out
 		is.NoErr(running.err)
-		is.Equal(running.id, want) // on time first, then by priority, then by due time
+		is.Equal(running.id, want) // resumed first, then on time, then by priority, then by due time
 	}
 }
 
+// resumed returns a request whose caller already has a part of the response.
+func resumed(r Request) Request {
+	r.Resumed = true
+	return r
+}
+
+// TestResumedStreamIsNotRejectedForQueue guards against a stream that is cut because many new requests wait before it.
+func TestResumedStreamIsNotRejectedForQueue(t *testing.T) {
+	is := is.New(t)
+	clock := tick.NewFake(time.Second)
+	s := NewScheduler(Config{Centre: "a", Region: "r"}, staticSource{server("d1", "a", "r", route.StageDecode)}, clock)
+	out := make(chan result, 64)
+	placeAsync(t.Context(), s, Request{Prompt: 9_000, Due: time.Hour, Deadline: time.Hour}, out)
+	running := <-out
+	for i := range 20 {
+		placeAsync(t.Context(), s, Request{ID: uint64(i + 1), Prompt: 9_000, Due: time.Hour, Deadline: time.Hour}, out)
+		awaitQueued(t, s, i+1)
+	}
+	for range 10 {
+		clock.Advance(time.Second)
+		s.Release(running.p)
+		running = <-out
+	}
+	placeAsync(t.Context(), s, resumed(Request{ID: 99, Prompt: 9_000, Deadline: clock.Now() + time.Second}), out)
+	awaitQueued(t, s, 11)
+	s.Release(running.p)
+	last := <-out
+	is.NoErr(last.err)
+	is.Equal(last.id, uint64(99))
+}
+
 func TestQueuedRequestIsCancelledOrTimesOut(t *testing.T) {
 	is := is.New(t)
 	clock := tick.NewFake(0)
