health: silences that began before an ejection do not extend it

After a second in which a sound server sent nothing, all its streams were counted as failures one after the other. The first three ejected it, and each further one doubled the time, so that 20 streams set a sound server aside for 8 s; when all servers of a service are nearly full, all are set aside at once.

RecordSilence is told since when the server has been silent. Silences that began before the ejection are what it was ejected for. A trial that meets silence again still doubles the time, and the next event ends it.

TestSilencesAtOnceEjectOnce fails if silences count like other failures (not usable at 2.9 s) and passes.

--- a/health/health.go
+++ b/health/health.go
@@ -17,6 +17,9 @@
 // new connection is ejected at once, because no request can have run there, and so is one whose
 // response exceeds a size limit, because each further one would take as much memory.
 //
+// A server that sends nothing for too long may be sound and go on. RecordSilence counts as a failure, but silences that began
+// before an ejection are those for which the server was ejected, and do not extend it. The next response ends it.
+//
 // Reports of absent and unresponsive servers are sent to the other instances. Without
 // them, each instance would have to lose a request to detect the failure. An instance that
 // receives a report ejects the server for minEjection, unless the server has just answered
@@ -91,6 +94,7 @@
 type serverState struct {
 	failures      int
 	ejection      time.Duration // 0 if there was no ejection since the last success
+	ejectedAt     tick.Instant  // time of the last ejection
 	ejectedUntil  tick.Instant  // the server is not usable before this instant
 	lastUpdated   tick.Instant
 	lastSuccess   tick.Instant // last success, 0 for none
@@ -232,7 +236,22 @@
 		return
 	}
 	s.ejection = min(max(2*s.ejection, minEjection), maxEjection)
-	s.ejectedUntil = now + s.ejection
+	s.ejectedAt, s.ejectedUntil = now, now+s.ejection
+}
+
+// RecordSilence records that a request to the server was given up because the server has sent nothing since the given instant.
+func (t *Tracker) RecordSilence(key string, since, now tick.Instant) {
+	if !t.ejectedSince(key, since) {
+		t.RecordFailure(key, BadResponse, now)
+	}
+}
+
+// ejectedSince reports whether the server was ejected after the given instant.
+func (t *Tracker) ejectedSince(key string, at tick.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.servers[route.Hash(key)]
+	return ok && s.ejection > 0 && s.ejectedAt > at
 }
 
 // Reports returns the reports of this instance that are not older than reportLifetime.
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -32,6 +32,23 @@
 	is.True(!tr.Usable("s", 2000*ms)) // a connect timeout ejects at once
 }
 
+// TestSilencesAtOnceEjectOnce guards against a sound server that is set aside for long because many streams met the same silence.
+func TestSilencesAtOnceEjectOnce(t *testing.T) {
+	const ms = time.Millisecond
+	is := is.New(t)
+	tr := health.NewTracker()
+	for i := range 20 {
+		tr.RecordSilence("s", 0, time.Duration(1800+10*i)*ms)
+	}
+	is.True(!tr.Usable("s", 2000*ms))
+	is.True(tr.Usable("s", 2900*ms))
+	tr.RecordRequest("s", 2900*ms)
+	tr.RecordSilence("s", 2900*ms, 4700*ms) // the request that tests the server
+	is.True(!tr.Usable("s", 6600*ms))       // the ejection time has doubled
+	tr.RecordSuccess("s", 6600*ms)
+	is.True(tr.Usable("s", 6600*ms))
+}
+
 func TestSuccessResetsFailures(t *testing.T) {
 	is := is.New(t)
 	tr := health.NewTracker()
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -247,7 +247,7 @@
 			m.countBrokenStart()
 			m.recordBroken(p.Decode, err)
 		}
-		m.recordNoResponse(p.Decode, err)
+		m.countNoResponse(p.Decode, err)
 		m.leave(p.Decode, err)
 		return !m.retryOrGiveUp()
 	}
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -222,7 +222,14 @@
 
 // recordNoResponse records an attempt that ended without a response.
 func (x *exchange) recordNoResponse(s *route.Server, err error) {
-	h := x.h
+	x.countNoResponse(s, err)
+	if !isDenied(err) && !isWithheld(err) {
+		x.recordFailure(s, classifyFailure(err))
+	}
+}
+
+// countNoResponse is recordNoResponse without the failure of the server.
+func (x *exchange) countNoResponse(s *route.Server, err error) {
 	notRun := fail.Outcome(err) == ident.NotRun
 	if notRun {
 		x.arrivals.uncount()
@@ -230,13 +237,12 @@
 	if isDenied(err) || isWithheld(err) {
 		return
 	}
-	h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
+	x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
 	if !notRun {
 		x.recordWrite(s)
 		x.mayHaveRun = true
 		x.runs++
 	}
-	x.recordFailure(s, classifyFailure(err))
 }
 
 // recordWrite records that the request was written to a server.
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -35,9 +35,13 @@
 // may return to it.
 func (m *modelExchange) leave(s *route.Server, err error) {
 	if m.next == nil {
+		if !isDenied(err) {
+			m.recordFailure(s, classifyFailure(err))
+		}
 		m.exclude(s)
 		return
 	}
+	m.h.cfg.Health.RecordSilence(s.Key(), m.progress, m.h.cfg.Clock.Now())
 	m.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
 		Dur("silent", m.h.cfg.Clock.Now()-m.progress).Str("next", m.next.placement.Decode.ID).
 		Msg("relay: server is silent; the request goes on at another one")
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -48,7 +48,6 @@
 	if !m.begun {
 		m.recordBroken(p.Decode, err)
 	}
-	m.recordFailure(p.Decode, classifyFailure(err))
 	m.leave(p.Decode, err)
 	return !m.retryOrGiveUp()
 }
