proxy: a silent prefill server is left only when the retry that follows is paid

Callers got 503 "no repeat is left" although their prefill server was sound and answered 0.3 s later: the prefill was ended at its timeout, and only then the budget was asked for the retry that has to follow.

The budget is asked at the timeout, and the call waits on if nothing is left, up to the deadline of the placement. The silence counts as one for the server.

TestSilentPrefillServerIsNotLeftForNothing fails without the change ("no repeat is left") and passes.

--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -24,13 +24,14 @@
 	h := m.h
 	s := p.Prefill
 	m.prefillAttempts++
-	ctx, cancel := context.WithTimeout(ctx, max(minPrefillTimeout, time.Duration(prefillTimeoutFactor*float64(p.ExpectedTTFT))))
+	start := h.cfg.Clock.Now()
+	timeout := max(minPrefillTimeout, time.Duration(prefillTimeoutFactor*float64(p.ExpectedTTFT)))
+	ctx, cancel := context.WithTimeout(ctx, max(timeout, m.placeReq.Deadline-start))
 	defer cancel()
 	out := m.forwardInfo(s)
 	out.PrefillOnly = true
 	out.LastEventID = m.lastEventID
-	start := h.cfg.Clock.Now()
-	handle, err := m.requestPrefill(ctx, s, out)
+	handle, err := m.requestPrefill(ctx, s, out, timeout)
 	took := h.cfg.Clock.Now() - start
 	if err == nil && m.stats.prefills == 0 || fail.Outcome(err) == ident.NotRun {
 		m.arrivals.uncount() // accepted for the first time, or not received
@@ -49,10 +50,14 @@
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; placing the request again")
-		m.recordFailure(s, classifyFailure(err))
 		m.recordBroken(s, err)
-		if errors.Is(err, context.DeadlineExceeded) && !m.callerGone() {
+		switch {
+		case m.callerGone():
+		case isTimeout(err):
+			h.cfg.Health.RecordSilence(s.Key(), start, h.cfg.Clock.Now())
 			h.cfg.Placer.PrefillSlow(p, took)
+		default:
+			m.recordFailure(s, classifyFailure(err))
 		}
 		m.exclude(s)
 		m.placeReq.LocalPrefill = m.prefillAttempts > 1
@@ -70,10 +75,13 @@
 }
 
 // requestPrefill sends the prompt to a prefill server and returns the handle of the KV cache. The
-// cache of a resumed request also has the tokens that were generated before.
-func (m *modelExchange) requestPrefill(ctx context.Context, s *route.Server, out ForwardInfo) (string, error) {
+// cache of a resumed request also has the tokens that were generated before. After the timeout, requestPrefill
+// returns an error if the retry that follows is paid, and waits on otherwise.
+func (m *modelExchange) requestPrefill(ctx context.Context, s *route.Server, out ForwardInfo, timeout time.Duration) (string, error) {
 	req := m.serverRequest(s, out)
 	req.Distinct = true
+	req.HeaderTimeout, req.IdleTimeout = timeout, timeout
+	req.EndWait = func() bool { return m.arrivals.pay(1, m.spendRetry) }
 	resp, err := m.run(ctx, s, req)
 	if err != nil {
 		return "", err
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -1,6 +1,13 @@
 package proxy
 
-import "wasabidock.dev/dock/route"
+import (
+	"context"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/route"
+)
 
 // What became of requests whose servers were silent for longer than the idle timeout, for metrics.
 const (
@@ -15,6 +22,11 @@
 	return []string{SilenceWentOn, SilenceResumed, SilenceCut, SilenceUnanswered}
 }
 
+// isTimeout reports whether a call was ended because its server did not answer in time.
+func isTimeout(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
+}
+
 // endedBy returns who has ended a response that failed, for logs.
 func (m *modelExchange) endedBy() string {
 	switch {
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -73,3 +73,14 @@
 		})
 	}
 }
+
+// TestSilentPrefillServerIsNotLeftForNothing guards against a request that is rejected because its sound prefill server was silent and no repeat was left.
+func TestSilentPrefillServerIsNotLeftForNothing(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"p": fake.Prefill, "d": fake.Decode})
+	h.servers["p"].SetSilence(fake.Silence{Call: fake.PrefillCall, For: 600 * time.Millisecond, Times: 1})
+	h.budget.left = 0
+	got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts)
+	is.NoErr(got.err)
+	is.Equal(got.body, eventText(1, 4))
+}
