proxy, admit: a request keeps its decode server when its prefill server fails

A request whose prefill server was silent or failed gave back its decode server and the reservation there, and was placed anew behind whatever had come since. It may have been rejected although it had all that it needed but the prompt.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -188,7 +188,7 @@
 		return m.callerGone()
 	}
 	defer m.release()
-	if p.Prefill != nil {
+	for p.Prefill != nil && m.kv == nil {
 		if !m.allowAttempt() {
 			m.giveUp(overloadRetry, "no repeat is left")
 			return true
