proxy: a silent reservation ejects no sound server and rejects no request

Callers got 503 "no server can take the request" when the reservation at the only server with room took longer than 0.3 s (0.7 s between regions), and the server was ejected at once and reported to the peers as one that accepts no connections.

Cause: a reservation costs a server no work, so a missing answer was held to prove that it cannot be reached. A sound server may be silent for a second.

After that time another place is looked for, and the call goes on until there is one. Whether the server can be reached is asked on a new connection: one that accepts it is recorded as silent, any other one as before.

TestSilentReservationSetsNoServerAside fails without the change (503) and passes.

--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -123,7 +123,7 @@
 	if p.Prefill != nil && m.stats.prefills > 0 && !m.arrivals.pay(2, m.spendRetry) {
 		return nil, errNoPrefillRetry
 	}
-	r, err := m.reserveAt(ctx, p.Decode)
+	r, err := m.reserveAt(ctx, p.Decode, func() bool { return true })
 	if err != nil {
 		return nil, err
 	}
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -124,8 +124,19 @@
 	if m.reservation != nil { // see place
 		return true
 	}
-	r, err := m.reserveAt(ctx, p.Decode)
+	ctx, end := context.WithCancel(ctx)
+	defer end()
+	r, err := m.reserveAt(ctx, p.Decode, func() bool {
+		m.startHandover(ctx, p.Decode, end)
+		return false
+	})
+	m.stopHandover()
 	switch {
+	case m.next != nil:
+		m.reservation = r
+		m.release()
+		m.placements--
+		return false
 	case err == nil:
 		m.reservation = r
 		return true
@@ -144,8 +155,9 @@
 
 // reserveAt reserves memory for the request at a server. At a server with a limit, it takes the permit for the request
 // instead, because a reservation would count against the limit too. The reservation is nil if the server needs none. The
-// error is errNoRoom if the server has no room.
-func (m *modelExchange) reserveAt(ctx context.Context, s *route.Server) (*reservation, error) {
+// error is errNoRoom if the server has no room. If the server has not answered in the time of a call that costs it no work,
+// endWait decides whether the wait ends.
+func (m *modelExchange) reserveAt(ctx context.Context, s *route.Server, endWait func() bool) (*reservation, error) {
 	h := m.h
 	if h.cfg.Permits.Limited(s) {
 		return nil, m.holdPermit(ctx, s)
@@ -154,7 +166,8 @@
 	if engine.ReservationTTL <= 0 {
 		return nil, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*m.dialTimeout(s))
+	start := h.cfg.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, m.placeReq.Deadline-start)
 	defer cancel()
 	path, body, err := h.cfg.Protocol.ReservationRequest(m.placeReq.KVTokens(), engine.ReservationTTL)
 	if err != nil {
@@ -163,15 +176,21 @@
 	}
 	resp, err := m.do(ctx, s, &link.Request{
 		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body, Distinct: true,
-		DialTimeout: m.dialTimeout(s),
+		DialTimeout: m.dialTimeout(s), HeaderTimeout: 2 * m.dialTimeout(s),
+		EndWait: func() bool {
+			m.recordUnanswered(ctx, s, start)
+			return endWait()
+		},
 	})
 	if isDenied(err) || isWithheld(err) {
 		return nil, err
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
-		// The call costs the server no work, so a server that does not answer is unreachable.
-		m.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
+		if !isTimeout(err) && !errors.Is(err, context.Canceled) || fail.Outcome(err) == ident.NotRun {
+			// The call costs the server no work, so a server that cannot be called is unreachable.
+			m.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
+		}
 		return nil, err
 	}
 	defer resp.Close()
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -6,7 +6,9 @@
 
 	"github.com/go-faster/errors"
 
+	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
 )
 
 // What became of requests whose servers were silent for longer than the idle timeout, for metrics.
@@ -27,6 +29,16 @@
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded)
 }
 
+// recordUnanswered records that a server has not answered a call that costs it no work. A sound server may be silent for a
+// time, but accepts connections.
+func (x *exchange) recordUnanswered(ctx context.Context, s *route.Server, since tick.Instant) {
+	if err := x.h.cfg.Client.Probe(ctx, s.Addr, x.dialTimeout(s)); err != nil {
+		x.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
+		return
+	}
+	x.h.cfg.Health.RecordSilence(s.Key(), since, x.h.cfg.Clock.Now())
+}
+
 // endedBy returns who has ended a response that failed, for logs.
 func (m *modelExchange) endedBy() string {
 	switch {
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -84,3 +84,29 @@
 	is.NoErr(got.err)
 	is.Equal(got.body, eventText(1, 4))
 }
+
+// TestSilentReservationSetsNoServerAside guards against a request that is rejected, and a sound server that is ejected, because a reservation took long.
+func TestSilentReservationSetsNoServerAside(t *testing.T) {
+	tests := []struct {
+		name  string
+		roles map[string]fake.Role
+	}{
+		{"the only server", map[string]fake.Role{"d1": fake.Decode}},
+		{"all servers", map[string]fake.Role{"d1": fake.Decode, "d2": fake.Decode}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, tt.roles)
+			for _, s := range h.servers {
+				s.SetSilence(fake.Silence{Call: fake.ReservationCall, For: 700 * time.Millisecond, Times: 1})
+			}
+			got := h.send(t, http.MethodPost, "/once/1", "prompt", withTokenCounts)
+			is.NoErr(got.err)
+			is.Equal(got.body, eventText(1, 4))
+			for _, s := range h.live.Fleet().All() {
+				is.True(h.health.Usable(s.Key(), h.clock.Now()))
+			}
+		})
+	}
+}
