--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,3 +112,43 @@
 		})
 	}
 }
+
+// TestServerSilentForGoodIsLeftInTime guards against a stream that waits for a server that sends nothing any more while its caller loses patience.
+func TestServerSilentForGoodIsLeftInTime(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault fake.Fault
+	}{
+		{"before the head", fake.Hang},
+		{"between events", fake.Stall},
+		{"comments only", fake.Trickle},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			h := newHarness(t, map[string]fake.Role{"s1": fake.Decode, "s2": fake.Decode})
+			for _, s := range h.servers {
+				s.SetFault(tt.fault)
+			}
+			go func() {
+				eventually(t, "one server runs the request", func() bool { return h.runCount() == 1 })
+				for _, s := range h.servers {
+					if len(s.Runs()) == 0 {
+						s.SetFault(fake.NoFault)
+					}
+				}
+			}()
+			start := time.Now()
+			got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts)
+			is.NoErr(got.err)
+			is.True(time.Since(start) < 1800*time.Millisecond) // callers wait for 2 s
+			is.True(strings.HasSuffix(got.body, eventText(4, 4)))
+			is.Equal(h.runCount(), 2)
+			runs := append(h.servers["s1"].Runs(), h.servers["s2"].Runs()...)
+			slices.SortFunc(runs, func(a, b fake.Run) int { return a.Start.Compare(b.Start) })
+			is.True(runs[0].End.Before(runs[1].Start.Add(400 * time.Millisecond))) // the first run has ended
+			is.Equal(h.counter(`silent_runs_total{end="resumed"}`), int64(1))
+		})
+	}
+}
