proxy: another place is looked for after half of the time for which callers wait

Streams changed servers after a second without an event although their callers wait for 3.6 s, and their sound servers would have gone on: each such change costs a second prefill and a place elsewhere.

The time follows from how long callers wait for the next event (half of it, a second at least) in place of twice the gap target. The other half is for the other place.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -25,11 +25,6 @@
 	// kvRetryShare is the fraction of the lifetime of a KV cache within which a second
 	// server can still fetch it in time.
 	kvRetryShare = 0.5
-	// The server of a resumable stream without events counts as silent after idleTimeoutGaps
-	// times the route's target for the gap between tokens, and after minIdleTimeout at
-	// the earliest.
-	minIdleTimeout  = time.Second
-	idleTimeoutGaps = 2
 	// deleteTimeout bounds the call that frees a KV cache or cancels a reservation.
 	deleteTimeout = 200 * time.Millisecond
 	// defaultOutputShare is the fraction of its maximum output tokens that a request
@@ -219,7 +214,7 @@
 		var end context.CancelFunc
 		ctx, end = context.WithCancel(ctx)
 		defer end()
-		req.IdleTimeout = max(minIdleTimeout, idleTimeoutGaps*m.route.GapTarget)
+		req.IdleTimeout = maxSilence(m.route)
 		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
 		req.EndWait = func() bool {
 			m.startHandover(ctx, p.Decode, end)
--- a/proxy/patience.go
+++ b/proxy/patience.go
@@ -14,9 +14,18 @@
 	minGap        = 2 * time.Second
 	latencyFactor = 4
 	gapFactor     = 8
+	// Another place is looked for after silenceShare of the callers' patience, and after minSilence at the earliest. Sound
+	// servers are silent for a second, above all when they preempt a run, and what is left is for the other place.
+	silenceShare = 0.5
+	minSilence   = time.Second
 )
 
 // patience returns how long the callers of a route wait for the next event.
 func patience(r *route.Route) time.Duration {
 	return time.Duration(callersPatience * float64(max(minGap, latencyFactor*r.LatencyTarget, gapFactor*r.GapTarget)))
 }
+
+// maxSilence returns how long the server of a resumable stream may send no event before another place is looked for.
+func maxSilence(r *route.Route) time.Duration {
+	return max(minSilence, time.Duration(silenceShare*float64(patience(r))))
+}
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -11,7 +11,7 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// What became of requests whose servers were silent for longer than the idle timeout, for metrics.
+// What became of requests whose servers were silent for longer than maxSilence, for metrics.
 const (
 	SilenceWentOn     = "went_on"    // the server has sent the next event
 	SilenceResumed    = "resumed"    // another server has
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -152,3 +152,16 @@
 		})
 	}
 }
+
+// TestServerIsNotLeftWhileItsCallerIsPatient guards against a second prefill for a stream whose server goes on well before its caller loses patience.
+func TestServerIsNotLeftWhileItsCallerIsPatient(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"s1": fake.Decode, "s2": fake.Decode})
+	for _, s := range h.servers {
+		s.SetSilence(fake.Silence{Call: fake.RunCall, Event: 2, For: 1800 * time.Millisecond, Times: 1})
+	}
+	got := h.send(t, http.MethodPost, "/slow/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "5000"))
+	is.NoErr(got.err)
+	is.Equal(got.body, eventText(1, 4))
+	is.Equal(h.runCount(), 1)
+}
