proxy: a broken stream waits for a server that wants no request for a time

Callers saw a stream cut in the moment in which its server broke off, when the others had asked for a pause with Retry-After: a rejection by the scheduler ended the request, although its caller would have waited for longer than the pause.

A stream that has begun is placed again after the Retry-After of the rejection, if its caller waits for so long. Servers that have failed the request stay excluded.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -61,6 +61,10 @@
 			return
 		}
 		p, err := m.place(ctx)
+		if err != nil && m.waitForServer(ctx, err) {
+			m.placements--
+			continue
+		}
 		if err != nil {
 			m.rejectUnplaced(err)
 			return
@@ -93,6 +97,17 @@
 	return m.h.cfg.Placer.Place(ctx, m.placeReq)
 }
 
+// waitForServer waits until a stream that has begun may find a place after the Placer has rejected it. It returns false if its
+// caller does not wait for so long, or if no server is left that has not failed the request.
+func (m *modelExchange) waitForServer(ctx context.Context, err error) bool {
+	r, ok := fail.AsRefusal(err)
+	if !ok || !m.headerWritten || r.Code() == fail.CodeNoServer {
+		return false
+	}
+	wait := max(r.RetryAfter(), handoverRetry)
+	return m.h.cfg.Clock.Now()+wait <= m.placeReq.Deadline && m.pause(ctx, wait)
+}
+
 // setPlacementDeadline sets the deadline of the next placement of a stream that has begun: its caller waits for the next event.
 func (m *modelExchange) setPlacementDeadline() {
 	if m.headerWritten {
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -165,3 +165,23 @@
 	is.Equal(got.body, eventText(1, 4))
 	is.Equal(h.runCount(), 1)
 }
+
+// TestBrokenStreamWaitsForServer guards against a stream that is cut because the only server left wants no request in the moment in which its own breaks off.
+func TestBrokenStreamWaitsForServer(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, map[string]fake.Role{"broken": fake.Decode})
+	h.servers["broken"].SetPace(4, 50*time.Millisecond)
+	h.servers["broken"].SetFault(fake.TruncatedEvent)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		eventually(t, "the stream has begun", func() bool { return h.runCount() == 1 })
+		h.addServer(t, "other", fake.Decode)
+		h.servers["other"].SetRetryAfter("0.4")
+		time.AfterFunc(350*time.Millisecond, func() { h.servers["other"].SetRetryAfter("") })
+	}()
+	got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts)
+	<-done
+	is.NoErr(got.err)
+	is.Equal(got.body, eventText(1, 4))
+}
