proxy: a caller that has only ended sending gets no empty success

A caller that closes its sending side after its request, and reads on, got 200 with an empty body: its end cancels the request, and a handler that returns without a response makes the server send an empty success. A stream whose caller was found gone while it was placed anew returned without an error too, and its part looked whole.

A request without a response, and a stream without its end, now end with the connection. A decision line of such a request names where it waited; it had no text.

TestCallerThatHasOnlyEndedSendingGetsNoFalseSuccess failed in 5 of 7 cases (200 with an empty body) and passes.

--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -153,6 +153,16 @@
 	h.active.Add(1)
 	defer h.active.Add(-1)
 	x := &exchange{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
+	x.serve()
+	if x.status == 0 {
+		// The caller may have ended only its side of the connection, and would read an empty success.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve serves the request. It writes no response if the caller has left.
+func (x *exchange) serve() {
+	h, r := x.h, x.r
 	defer x.discardBody()
 	defer x.finish()
 	ctx, cancel := context.WithCancel(r.Context())
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -74,6 +74,9 @@
 			return
 		}
 		if m.runPlacement(ctx, p) {
+			if m.summary == "" {
+				m.giveUp(0, "it waited for a server")
+			}
 			return
 		}
 		if ctx.Err() != nil || x.h.cfg.Clock.Now() >= m.placeReq.Deadline && !m.headerWritten {
