admit: a stream that looks for another place holds up no other request

A stream whose server is silent went first in the queue, and the requests behind it waited until it had a place: also those that may use the server that it avoids, and those of other services, as the queue of an instance held the places of one service for another.

A request that can do without a place (Spare) is tried first when something becomes free and holds nothing. What a waiting request holds is held for its service.

TestSpareRequestHoldsUpNoOther: both cases failed before (found by review).

--- a/admit/balancer.go
+++ b/admit/balancer.go
@@ -74,6 +74,7 @@
 	LocalPrefill bool     // the decode server prefills the prompt itself
 	Prefilled    bool     // the prompt has been prefilled, so only a decode server is needed
 	Resumed      bool     // the caller has received a part of the answer
+	Spare        bool     // the request is running at a server to avoid, and can do without another one
 }
 
 // KVTokens returns the memory that is charged for the request, in tokens: whole blocks for the
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -90,9 +90,14 @@
 	}
 }
 
-// outranked reports whether the first queued request goes before r.
+// outranked reports whether a queued request of the same service goes before r and holds its place.
 func (s *Scheduler) outranked(r *Request, now tick.Instant) bool {
-	return len(s.queue) > 0 && !s.before(r, &s.queue[0].req, now)
+	for _, wt := range s.queue {
+		if q := &wt.req; q.Service == r.Service && !q.Spare {
+			return !s.before(r, q, now)
+		}
+	}
+	return false
 }
 
 // before reports whether a goes before b: streams that are resumed come first, as their callers already have a part of the
@@ -213,13 +218,13 @@
 		return s.before(&s.queue[i].req, &s.queue[j].req, now)
 	})
 	kept := s.queue[:0]
-	full := false
+	full := make(map[string]bool) // services with a request that holds the place of those behind it
 	for _, wt := range s.queue {
 		if now >= wt.req.Deadline {
 			wt.result <- nil
 			continue
 		}
-		if !full && !s.yields(&wt.req, now) {
+		if !full[wt.req.Service] && !s.yields(&wt.req, now) {
 			if p, ok := s.tryPlace(&wt.req, now); ok {
 				wt.result <- p
 				s.recordDispatch(now)
@@ -229,8 +234,8 @@
 				wt.result <- nil
 				continue
 			}
-			// Later requests in the queue must not take the room that this one waits for.
-			full = true
+			// Later requests in the queue must not take the room that this one waits for, unless it can do without.
+			full[wt.req.Service] = !wt.req.Spare
 		}
 		kept = append(kept, wt)
 	}
--- a/admit/scheduler_test.go
+++ b/admit/scheduler_test.go
@@ -182,3 +182,35 @@
 	is.True(ok)
 	is.Equal(r.RetryAfter(), 2*time.Second)
 }
+
+// services is a Source of several services.
+type services map[string][]*route.Server
+
+func (f services) Servers(service string) ([]*route.Server, *route.Engine) {
+	return f[service], engine
+}
+
+// TestSpareRequestHoldsUpNoOther guards against new requests that wait behind a stream that has a server and looks for another one.
+func TestSpareRequestHoldsUpNoOther(t *testing.T) {
+	for _, service := range []string{"m", "n"} {
+		t.Run(service, func(t *testing.T) {
+			is := is.New(t)
+			silent, full := server("silent", "a", "r", route.StageDecode), server("full", "a", "r", route.StageDecode)
+			s := NewScheduler(Config{Centre: "a", Region: "r"}, services{"m": {silent, full}, "n": {server("idle", "a", "r", route.StageDecode)}}, tick.NewFake(time.Second))
+			avoid := []string{silent.Key()}
+			p, err := s.Place(t.Context(), Request{ID: 1, Service: "m", Prompt: 9_000, Due: time.Hour, Deadline: time.Hour, Avoid: avoid})
+			is.NoErr(err)
+			is.Equal(p.Decode, full)
+			out := make(chan result, 2)
+			search := resumed(Request{ID: 2, Service: "m", Prompt: 1_000, Deadline: time.Minute, Spare: true, Avoid: avoid})
+			placeAsync(t.Context(), s, search, out)
+			awaitQueued(t, s, 1)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err = s.Place(ctx, Request{ID: 3, Service: service, Prompt: 100, Due: time.Hour, Deadline: time.Hour})
+			is.NoErr(err)
+			s.Release(p)
+			is.Equal((<-out).id, uint64(2)) // it goes first where there is room
+		})
+	}
+}
