proxy: a successor is used though no placement is left or the time to place is over

A stream was cut although its silent server had been left for one that had taken the request: the loop over placements ended first, after five placements, or because the deadline of a placement had passed before the first event. What was certain had been given up for nothing.

The loop goes on while there is a successor.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -56,7 +56,7 @@
 	defer m.freeKV()
 	defer m.endSilence()
 	defer m.dropNext()
-	for ; m.placements < maxPlacements; m.placements++ {
+	for ; m.placements < maxPlacements || m.next != nil; m.placements++ {
 		if m.endIfTooLate() || !m.admitParts(ctx) {
 			return
 		}
@@ -79,7 +79,7 @@
 			}
 			return
 		}
-		if ctx.Err() != nil || x.h.cfg.Clock.Now() >= m.placeReq.Deadline && !m.headerWritten {
+		if ctx.Err() != nil || x.h.cfg.Clock.Now() >= m.placeReq.Deadline && !m.headerWritten && m.next == nil {
 			break
 		}
 	}
