health, proxy: calls that meet one short silence count once, and a silence counts when it is noticed

Six requests whose reservations met one silence of 0.7 s ejected a sound server, as each counted as a failure. Calls that were sent before the last one was recorded have met the same silence. A probe that is ended with its search says nothing.

A silent model server was recorded only when a stream left it, so that one beside full servers was never set aside. It is recorded when the search begins, and the next event takes that back.

--- a/health/health.go
+++ b/health/health.go
@@ -95,6 +95,7 @@
 	failures      int
 	ejection      time.Duration // 0 if there was no ejection since the last success
 	ejectedAt     tick.Instant  // time of the last ejection
+	unansweredAt  tick.Instant  // time of the last call of RecordUnanswered that counted
 	ejectedUntil  tick.Instant  // the server is not usable before this instant
 	lastUpdated   tick.Instant
 	lastSuccess   tick.Instant // last success, 0 for none
@@ -246,6 +247,21 @@
 	}
 }
 
+// RecordUnanswered is RecordSilence for calls that are given up soon. Those that were sent before the last one was recorded
+// have met the same silence and do not count.
+func (t *Tracker) RecordUnanswered(key string, since, now tick.Instant) {
+	t.mu.Lock()
+	s := t.serverState(route.Hash(key))
+	counts := since >= s.unansweredAt
+	if counts {
+		s.unansweredAt = now
+	}
+	t.mu.Unlock()
+	if counts {
+		t.RecordSilence(key, since, now)
+	}
+}
+
 // ejectedSince reports whether the server was ejected after the given instant.
 func (t *Tracker) ejectedSince(key string, at tick.Instant) bool {
 	t.mu.Lock()
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -49,6 +49,20 @@
 	is.True(tr.Usable("s", 6600*ms))
 }
 
+// TestUnansweredCallsCountOnce guards against a sound server that is ejected because several calls met one short silence.
+func TestUnansweredCallsCountOnce(t *testing.T) {
+	const ms = time.Millisecond
+	is := is.New(t)
+	tr := health.NewTracker()
+	for i := range 10 {
+		tr.RecordUnanswered("s", time.Duration(10*i)*ms, time.Duration(300+10*i)*ms)
+	}
+	is.True(tr.Usable("s", 400*ms))
+	tr.RecordUnanswered("s", 400*ms, 700*ms)
+	tr.RecordUnanswered("s", 700*ms, 1000*ms)
+	is.True(!tr.Usable("s", 1000*ms)) // three silences in a row
+}
+
 func TestSuccessResetsFailures(t *testing.T) {
 	is := is.New(t)
 	tr := health.NewTracker()
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -236,6 +236,10 @@
 		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
 		req.EndWait = func() bool {
 			m.startHandover(ctx, p.Decode, end)
+			if m.kv != nil {
+				m.kv.inUse = true
+			}
+			m.h.cfg.Health.RecordSilence(p.Decode.Key(), m.progress, m.h.cfg.Clock.Now())
 			return false
 		}
 	}
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -32,11 +32,14 @@
 // recordUnanswered records that a server has not answered a call that costs it no work. A sound server may be silent for a
 // time, but accepts connections.
 func (x *exchange) recordUnanswered(ctx context.Context, s *route.Server, since tick.Instant) {
-	if err := x.h.cfg.Client.Probe(ctx, s.Addr, x.dialTimeout(s)); err != nil {
+	err := x.h.cfg.Client.Probe(ctx, s.Addr, x.dialTimeout(s))
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
 		x.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
-		return
+	default:
+		x.h.cfg.Health.RecordUnanswered(s.Key(), since, x.h.cfg.Clock.Now())
 	}
-	x.h.cfg.Health.RecordSilence(s.Key(), since, x.h.cfg.Clock.Now())
 }
 
 // endedBy returns who has ended a response that failed, for logs.
@@ -65,7 +68,6 @@
 		m.exclude(s)
 		return
 	}
-	m.h.cfg.Health.RecordSilence(s.Key(), m.progress, m.h.cfg.Clock.Now())
 	m.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
 		Dur("silent", m.h.cfg.Clock.Now()-m.progress).Str("next", m.next.placement.Decode.ID).
 		Msg("relay: server is silent; the request goes on at another one")
