proxy: the search for another place tries all servers, pays last and ejects none

Servers that have not taken the request are left out until all were asked. - It paid for retries before it asked for room, and lost them when there was none. The reservation now comes first, then the key, the parts and the retries are checked, and whether an event has come meanwhile. - A search that began after the deadline of the placement, or was ended by an event while it connected, recorded the server that it asked as unreachable, which ejects it and is reported to the peers. Nothing is recorded for a call that the instance itself has ended, and each call has its usual time at least. - While a reservation was silent, the KV cache counted as fetched, though the request had not been written.

--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	"wasabidock.dev/dock/admit"
-	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/route"
 )
 
@@ -62,9 +61,8 @@
 		return
 	}
 	m.h.cfg.Placer.Release(m.next.placement)
-	m.reservation = m.next.reservation
+	m.cancelReservation(m.next.reservation)
 	m.next = nil
-	m.release()
 }
 
 // successorRequest returns the request to the Placer for another place.
@@ -72,7 +70,8 @@
 	m.setPlacementDeadline()
 	req := m.placeReq
 	req.Avoid = slices.Clone(req.Avoid)
-	if m.kv != nil { // the silent server may have fetched it
+	req.Spare = true
+	if m.kv != nil && m.kv.inUse {
 		req.Prefilled = false
 	}
 	return req
@@ -82,30 +81,33 @@
 func (d *handover) run(ctx context.Context, m *modelExchange, req admit.Request, end func()) {
 	defer close(d.done)
 	avoid := req.Avoid
-	for {
-		req.Avoid = slices.Concat(avoid, m.h.silent.keys())
-		wait := handoverRetry
+	var tried []string // servers that have not taken the request
+	for ctx.Err() == nil && m.h.cfg.Clock.Now() < req.Deadline {
+		req.Avoid = slices.Concat(avoid, m.h.silent.keys(), tried)
 		p, err := m.h.cfg.Placer.Place(ctx, req)
-		if err == nil {
-			if d.found, err = m.successorAt(ctx, p); err == nil {
-				end()
-				return
-			}
-			m.h.cfg.Placer.Release(p)
-			req.LocalPrefill = req.LocalPrefill || errors.Is(err, errNoPrefillRetry)
-		} else if r, ok := fail.AsRefusal(err); ok {
-			wait = max(wait, r.RetryAfter())
+		if err != nil {
+			tried = nil
+			m.pause(ctx, handoverRetry)
+			continue
 		}
-		if ctx.Err() != nil || m.h.cfg.Clock.Now() >= req.Deadline {
+		d.found, err = m.successorAt(ctx, p)
+		if err == nil {
+			end()
 			return
 		}
-		if !m.pause(ctx, wait) {
-			return
+		m.h.cfg.Placer.Release(p)
+		switch {
+		case errors.Is(err, errNoPrefillRetry):
+			req.LocalPrefill = true
+		case errors.Is(err, errNoRetry), errors.Is(err, errNotResumable):
+			m.pause(ctx, handoverRetry)
+		default:
+			tried = append(tried, p.Decode.Key())
 		}
 	}
 }
 
-// Errors for which a placement is no successor.
+// Errors for which a placement is no successor, though its server has room.
 var (
 	errNoRetry        = errors.New("no retry is left")
 	errNoPrefillRetry = errors.New("no retry is left for another prefill")
@@ -114,22 +116,33 @@
 
 // successorAt makes sure that the request can go on at a placement: its server has room, and the retries are paid.
 func (m *modelExchange) successorAt(ctx context.Context, p *admit.Placement) (*successor, error) {
-	if m.keyWithdrawn() || m.isSuspect() {
-		return nil, errNotResumable
-	}
-	if !m.arrivals.pay(1, m.spendRetry) {
-		return nil, errNoRetry
-	}
-	if p.Prefill != nil && m.stats.prefills > 0 && !m.arrivals.pay(2, m.spendRetry) {
-		return nil, errNoPrefillRetry
-	}
 	r, err := m.reserveAt(ctx, p.Decode, func() bool { return true })
+	if err == nil {
+		err = m.checkSuccessor(ctx, p)
+	}
 	if err != nil {
+		m.cancelReservation(r)
 		return nil, err
 	}
 	return &successor{p, r}, nil
 }
 
+// checkSuccessor returns an error unless the request can go on at a placement at whose server memory is reserved.
+func (m *modelExchange) checkSuccessor(ctx context.Context, p *admit.Placement) error {
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case m.keyWithdrawn() || m.isSuspect():
+		return errNotResumable
+	case !m.arrivals.pay(1, m.spendRetry):
+		return errNoRetry
+	case p.Prefill != nil && m.stats.prefills > 0 && !m.arrivals.pay(2, m.spendRetry):
+		return errNoPrefillRetry
+	default:
+		return nil
+	}
+}
+
 // pause waits for d. It returns false if ctx ends first.
 func (x *exchange) pause(ctx context.Context, d time.Duration) bool {
 	t := x.h.cfg.Clock.After(d)
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -71,6 +71,7 @@
 		}
 		if m.endIfTooLate() { // it has waited for the placement
 			m.h.cfg.Placer.Release(p)
+			m.release()
 			return
 		}
 		if m.runPlacement(ctx, p) {
@@ -90,7 +91,7 @@
 func (m *modelExchange) place(ctx context.Context) (*admit.Placement, error) {
 	if n := m.next; n != nil {
 		m.next, m.reservation = nil, n.reservation
-		if m.kv != nil { // the silent server may have fetched it
+		if m.kv != nil && m.kv.inUse {
 			m.freeKV()
 			m.placeReq.Prefilled = false
 		}
@@ -235,11 +236,11 @@
 		req.IdleTimeout = maxSilence(m.route)
 		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
 		req.EndWait = func() bool {
-			m.startHandover(ctx, p.Decode, end)
 			if m.kv != nil {
 				m.kv.inUse = true
 			}
 			m.h.cfg.Health.RecordSilence(p.Decode.Key(), m.progress, m.h.cfg.Clock.Now())
+			m.startHandover(ctx, p.Decode, end)
 			return false
 		}
 	}
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -133,8 +133,7 @@
 	m.stopHandover()
 	switch {
 	case m.next != nil:
-		m.reservation = r
-		m.release()
+		m.cancelReservation(r)
 		m.placements--
 		return false
 	case err == nil:
@@ -166,8 +165,8 @@
 	if engine.ReservationTTL <= 0 {
 		return nil, nil
 	}
-	start := h.cfg.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, m.placeReq.Deadline-start)
+	start, timeout := h.cfg.Clock.Now(), 2*m.dialTimeout(s)
+	ctx, cancel := context.WithTimeout(ctx, max(timeout, m.placeReq.Deadline-start))
 	defer cancel()
 	path, body, err := h.cfg.Protocol.ReservationRequest(m.placeReq.KVTokens(), engine.ReservationTTL)
 	if err != nil {
@@ -176,7 +175,7 @@
 	}
 	resp, err := m.do(ctx, s, &link.Request{
 		Addr: s.Addr, Method: http.MethodPost, Path: path, Host: m.r.Host, Header: jsonHeader, Body: body, Distinct: true,
-		DialTimeout: m.dialTimeout(s), HeaderTimeout: 2 * m.dialTimeout(s),
+		DialTimeout: m.dialTimeout(s), HeaderTimeout: timeout,
 		EndWait: func() bool {
 			m.recordUnanswered(ctx, s, start)
 			return endWait()
@@ -187,7 +186,7 @@
 	}
 	if err != nil {
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
-		if !isTimeout(err) && !errors.Is(err, context.Canceled) || fail.Outcome(err) == ident.NotRun {
+		if ctx.Err() == nil && (!isTimeout(err) || fail.Outcome(err) == ident.NotRun) {
 			// The call costs the server no work, so a server that cannot be called is unreachable.
 			m.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
 		}
@@ -234,13 +233,17 @@
 
 // release cancels a reservation that was not used.
 func (m *modelExchange) release() {
-	if m.reservation == nil {
-		return
-	}
-	m.deleteAt(m.reservation.server, m.h.cfg.Protocol.ReservationPath(m.reservation.id))
+	m.cancelReservation(m.reservation)
 	m.reservation = nil
 }
 
+// cancelReservation cancels a reservation, unless r is nil.
+func (m *modelExchange) cancelReservation(r *reservation) {
+	if r != nil {
+		m.deleteAt(r.server, m.h.cfg.Protocol.ReservationPath(r.id))
+	}
+}
+
 // freeKV frees a KV cache that no server will fetch. It leaves one to expire that a run may still
 // fetch.
 func (m *modelExchange) freeKV() {
