--- a/proxy/model.go
+++ b/proxy/model.go
@@ -234,7 +234,7 @@
 		ctx, end = context.WithCancel(ctx)
 		defer end()
 		req.IdleTimeout = maxSilence(m.route)
-		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
+		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), minSilence)
 		req.EndWait = func() bool {
 			if m.kv != nil {
 				m.kv.inUse = true
--- a/proxy/patience.go
+++ b/proxy/patience.go
@@ -14,8 +14,9 @@
 	minGap        = 2 * time.Second
 	latencyFactor = 4
 	gapFactor     = 8
-	// Another place is looked for after silenceShare of the callers' patience, and after minSilence at the earliest. Sound
-	// servers are silent for a second, above all when they preempt a run, and what is left is for the other place.
+	// Another place for a stream is looked for after silenceShare of the callers' patience, and after minSilence at the
+	// earliest. Sound servers are silent for a second, above all when they preempt a run, and what is left is for the other
+	// place. Before the first event, another place is looked for after minSilence if the request is late.
 	silenceShare = 0.5
 	minSilence   = time.Second
 )
