quota: lenders in other data centres keep half of their burst

Customers at 0.9 of their rate with a burst of four seconds are rejected long after a crash.

Cause, one part of it: a home borrows from the nearest data centre until that is empty, and only then from the next.

Change: a lender in another data centre whose bucket is below half of its burst is asked after the others, the fuller ones first. Who lends has no part in the bound (docs/design-limits.md).

--- a/quota/borrow.go
+++ b/quota/borrow.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,11 @@
 // lenderStateTTL is how long the last response of a lender is used for estimates.
 const lenderStateTTL = 500 * time.Millisecond
 
+// reserveDivisor determines the part of its burst, 1/reserveDivisor, below which a holder in another data centre lends only
+// what the others cannot. Otherwise the nearest one would be empty while the bucket of the farthest is full and
+// accrues nothing, and a holder that fails would leave the customer with few tokens.
+const reserveDivisor = 2
+
 // maxRetryAfter bounds the estimated time until tokens accrue.
 const maxRetryAfter = time.Hour
 
@@ -40,9 +47,10 @@
 func (s *Service) borrow(ctx context.Context, req *peerpb.ChargeRequest, own limit.Grant) *peerpb.ChargeResponse {
 	c := ident.Customer(req.GetCustomer())
 	tokens := req.GetTokens()
-	from := s.lendersOf(limit.GroupOf(c))
+	from, remote := s.lendersOf(limit.GroupOf(c))
 	have := []limit.BucketState{{Share: own.Share, Level: own.Level}}
 	estimated := s.lenders.estimates(s.clock.Now(), c, own.Limits, from)
+	lendFullerFirst(from[remote:], estimated[remote:], own.Limits)
 	if insufficient(own.Level, estimated, tokens) {
 		return s.rejectShort(own.Limits, append(have, estimated...), tokens)
 	}
@@ -104,12 +112,44 @@
 	return resp.GetParts(), h
 }
 
-// lendersOf returns the holders to borrow from. In the local data centre these are the next two
+// lendFullerFirst orders lenders in other data centres. Those below their reserve come last, the fuller ones first, and the
+// others keep their order. A lender without an estimate counts as full.
+func lendFullerFirst(from []ident.Instance, estimated []limit.BucketState, t limit.Limits) {
+	lenders := make([]lender, len(from))
+	for i := range from {
+		lenders[i] = lender{from[i], estimated[i]}
+	}
+	slices.SortStableFunc(lenders, func(a, b lender) int {
+		return cmp.Compare(b.fill(t), a.fill(t))
+	})
+	for i, l := range lenders {
+		from[i], estimated[i] = l.instance, l.state
+	}
+}
+
+// lender is a holder to borrow from and its estimated state.
+type lender struct {
+	instance ident.Instance
+	state    limit.BucketState
+}
+
+// fill returns how full the bucket of the lender is, in parts of its reserve, at most 1.
+func (l lender) fill(t limit.Limits) float64 {
+	if l.state == unknownState {
+		return 1
+	}
+	reserve := float64(t.Burst) * float64(l.state.Share) / (limit.FullShare * reserveDivisor)
+	if reserve <= 0 {
+		return 0
+	}
+	return min(float64(l.state.Level)/reserve, 1)
+}
+
+// lendersOf returns the holders to borrow from, and the index of the first in another data centre. In the local data centre these are the next two
 // holders in rank, which may have leases while the instances disagree about the home. In each other
 // data centre it is the home. Within a data centre the draining instances come last.
-func (s *Service) lendersOf(group uint32) []ident.Instance {
+func (s *Service) lendersOf(group uint32) (from []ident.Instance, remote int) {
 	now := s.clock.Now()
-	var from []ident.Instance
 	for _, centre := range s.membership.Centres() {
 		ranked := s.peers.unreachableLast(now, limit.RankHolders(group, s.membership.Live(centre)))
 		n := 1
@@ -127,8 +167,11 @@
 				from = append(from, i)
 			}
 		}
+		if centre == s.centre {
+			remote = len(from)
+		}
 	}
-	return from
+	return from, remote
 }
 
 // insufficient reports whether the last responses of the lenders show that there are too few
--- a/quota/steady_test.go
+++ b/quota/steady_test.go
@@ -97,10 +97,12 @@
 	{"spread", spread, nil, warmUp + 60*time.Second, 0, 0},
 }
 
+var crashOfEntry = disturbance{"crash of the entry instance, all on it", onFirst, func(f *fleet) { f.crash(f.instances[0]) }, warmUp + 60*time.Second, 3 * time.Second, 0}
+
 var disturbed = []disturbance{
 	{"crash of a home, all on another", onOther, crashHome, warmUp + 60*time.Second, 3 * time.Second, 0},
 	{"crash of a home, spread", spread, crashHome, warmUp + 60*time.Second, 3 * time.Second, 0},
-	{"crash of the entry instance, all on it", onFirst, func(f *fleet) { f.crash(f.instances[0]) }, warmUp + 60*time.Second, 3 * time.Second, 0},
+	crashOfEntry,
 	{"pause of a home", onOther, func(f *fleet) { f.procs[homeOf(f, "sur")].pausedUntil = f.now + 10*time.Second }, warmUp + 60*time.Second, 3 * time.Second, 0},
 	{"restart of a home without notice", spread, func(f *fleet) { f.start(homeOf(f, "sur")) }, warmUp + 60*time.Second, 3 * time.Second, 0},
 	{"data centre partitioned, load on the others", onFirst, cutLast, warmUp + 60*time.Second, 3 * time.Second, 0.6},
@@ -130,6 +132,11 @@
 	withinRate(t, disturbed, 4)
 }
 
+// TestCrashWhileLendersAreFull guards against an empty near lender beside a far one that is full and accrues nothing.
+func TestCrashWhileLendersAreFull(t *testing.T) {
+	withinRate(t, []disturbance{crashOfEntry}, 4)
+}
+
 // withinRate runs the disturbances with a burst of this many seconds of the rate.
 func withinRate(t *testing.T, tests []disturbance, seconds int64) {
 	const at = warmUp + 20*time.Second // time of the fault
