flow: a request may return to the servers that failed it if no other is left

Cause: a server that has failed a request is excluded from all its further placements, after one failure of any kind. With one prefill server, or when each decode server was full or failed once, the pool has none left and rejects the request, although the servers are sound and attempts are left.

Change: if the Placer has no server, the exclusion ends, and the request is placed once more after the backoff. Attempts, retry budgets, the exclusion of prompts that may end engines and the ejection of servers that fail on stay as they are.

Evidence: TestOnlyServerIsTriedAgain (prefill, reserve, import: one failure of the only server) fails without the change, "no_server: no server left (unknown)", and passes with it; TestServersThatFailOnAreTriedAFewTimes checks that attempts stay bounded. go test -race ./flow passes.

--- a/flow/run.go
+++ b/flow/run.go
@@ -143,8 +143,26 @@
 	n.cfg.Placer.ReportProgress(p, s, n.sent)
 }
 
+// place requests a placement without the servers that failed the request. If no other is left, those may be used again: a
+// failure may have passed, and the Placer does not choose an ejected server.
 func (n *run) place(ctx context.Context) (place.Placement, *attemptError) {
-	p, err := n.cfg.Placer.Place(ctx, place.Request{
+	p, err := n.placeAvoiding(ctx)
+	if r, ok := fail.AsRefusal(err); ok && r.Code() == fail.CodeNoServer && len(n.avoid) > 0 {
+		n.avoid = nil
+		if err = tick.Sleep(ctx, n.cfg.Timer, n.cfg.Backoff); err == nil {
+			p, err = n.placeAvoiding(ctx)
+		}
+	}
+	if err != nil {
+		return p, &attemptError{step: "flow: place", err: err, permanent: true}
+	}
+	n.res.Placement = p.ID
+	n.res.Prefill, n.res.Decode = p.Prefill, p.Decode
+	return p, nil
+}
+
+func (n *run) placeAvoiding(ctx context.Context) (place.Placement, error) {
+	return n.cfg.Placer.Place(ctx, place.Request{
 		RequestID:       n.req.ID,
 		Customer:        n.req.Customer,
 		Model:           n.req.Model,
@@ -157,12 +175,6 @@
 		Resumed:         n.mayHaveRun,
 		KVSource:        n.kvSource(),
 	})
-	if err != nil {
-		return p, &attemptError{step: "flow: place", err: err, permanent: true}
-	}
-	n.res.Placement = p.ID
-	n.res.Prefill, n.res.Decode = p.Prefill, p.Decode
-	return p, nil
 }
 
 // kvSource returns the prefill server that still exports the KV cache of the request, or "". If it
--- a/flow/runner_test.go
+++ b/flow/runner_test.go
@@ -101,3 +101,43 @@
 	is.Equal(res.Decode, ident.Server("d2"))
 	is.True(!slices.Contains(w.placer.stages, place.StageFailedDecode))
 }
+
+// TestOnlyServerIsTriedAgain guards against requests that end because their only server of a role failed once.
+func TestOnlyServerIsTriedAgain(t *testing.T) {
+	tests := []struct {
+		name   string
+		server ident.Server
+		path   string
+		faults int
+	}{
+		{"prefill", "p1", "/v1/prefill", 1},
+		{"reserve", "d1", "/v1/reserve", 1},
+		{"import", "d1", "/v1/import", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newCluster(t)
+			w.placer.prefill, w.placer.decode = []ident.Server{"p1"}, []ident.Server{"d1"}
+			w.engines[tt.server].Inject(stand.Fault{Kind: stand.FaultStatus, Path: tt.path, N: tt.faults})
+			sink := &textSink{t: t}
+			r := request("one prompt")
+			res, err := w.runner.Run(context.Background(), r, sink)
+			is.NoErr(err)
+			is.Equal(sink.text.String(), wantAnswer(r))
+			is.Equal(res.Attempts, 2)
+			is.Equal(w.awaitNoHolds(0), 0)
+		})
+	}
+}
+
+// TestServersThatFailOnAreTriedAFewTimes guards against a request that goes on at servers that fail every time.
+func TestServersThatFailOnAreTriedAFewTimes(t *testing.T) {
+	is := is.New(t)
+	w := newCluster(t)
+	w.placer.prefill = []ident.Server{"p1"}
+	w.engines["p1"].Inject(stand.Fault{Kind: stand.FaultStatus, Path: "/v1/prefill", N: 1000})
+	res, err := w.runner.Run(context.Background(), request("one prompt"), &textSink{t: t})
+	is.True(err != nil)
+	is.Equal(res.Attempts, 4)
+}
