proxy: a hedged request keeps its first attempt until another one has answered

Callers of idempotent requests to plain services got 502, 503, 500 or 504 although their server was sound and answered 1.2 s after the request, well before the deadline.

Cause: a request without a response after the usual time was canceled for a second attempt as soon as there was another server and a retry in the budget. Whether that server would answer was not known: it may reject, reset, refuse connections, answer 500 or be silent.

The second attempt now runs beside the first. It takes a retry and counts as an attempt as before, and servers with a limit still get none. The first whole response goes to the caller; the other attempts are canceled and have ended before that, so nothing is written after the answer.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -121,14 +121,14 @@
 		names[i] = x.partName(i)
 	}
 	t.Broke(s.Hash(), x.prompt.parts, names, x.h.cfg.Crashes.Now())
-	if errors.Is(err, errServerEnded) || x.hasEnded(s) {
+	if errors.Is(err, errServerEnded) || x.hasEnded(x.r.Context(), s) {
 		t.Confirm(s.Hash(), x.h.cfg.Crashes.Now())
 	}
 }
 
 // hasEnded reports whether a server has ended: it refuses a new connection. A server that has is ejected.
-func (x *exchange) hasEnded(s *route.Server) bool {
-	err := x.h.cfg.Client.Probe(x.r.Context(), s.Addr, x.dialTimeout(s))
+func (x *exchange) hasEnded(ctx context.Context, s *route.Server) bool {
+	err := x.h.cfg.Client.Probe(ctx, s.Addr, x.dialTimeout(s))
 	if !errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
@@ -148,11 +148,11 @@
 
 // secondConn opens a second connection to a server whose response ends with its connection. It returns nil if the response
 // does not, or if there is no connection. The caller must close it.
-func (x *exchange) secondConn(s *route.Server, resp *link.Response) *link.SecondConn {
+func (x *exchange) secondConn(ctx context.Context, s *route.Server, resp *link.Response) *link.SecondConn {
 	if !x.openEnded(resp) {
 		return nil
 	}
-	c, err := x.h.cfg.Client.OpenSecond(x.r.Context(), s.Addr, x.dialTimeout(s))
+	c, err := x.h.cfg.Client.OpenSecond(ctx, s.Addr, x.dialTimeout(s))
 	if err != nil {
 		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no second connection to a server whose response has no length")
 		return nil
@@ -169,7 +169,7 @@
 // its body was read, and c the result of secondConn. A response with neither a length nor chunks ends with its
 // connection, so the end of its server or of the path to it looks the same. It is whole if the server answers on the
 // second connection.
-func (x *exchange) checkEnd(s *route.Server, resp *link.Response, c *link.SecondConn, readErr error) error {
+func (x *exchange) checkEnd(ctx context.Context, s *route.Server, resp *link.Response, c *link.SecondConn, readErr error) error {
 	if !x.openEnded(resp) {
 		return readErr
 	}
@@ -179,8 +179,8 @@
 		return readErr
 	case readErr != nil:
 		end = EndReset
-	case c != nil && x.confirm(s, c):
-	case x.hasEnded(s):
+	case c != nil && x.confirm(ctx, s, c):
+	case x.hasEnded(ctx, s):
 		end, err = EndCrash, errServerEnded
 	default:
 		end, err = EndUnproven, errUnproven
@@ -190,11 +190,11 @@
 }
 
 // confirm reports whether a server answers on the second connection. The call counts against the limit of the server.
-func (x *exchange) confirm(s *route.Server, c *link.SecondConn) bool {
-	if _, err := x.takePermit(x.r.Context(), s); err != nil {
+func (x *exchange) confirm(ctx context.Context, s *route.Server, c *link.SecondConn) bool {
+	if _, err := x.takePermit(ctx, s); err != nil {
 		return false
 	}
-	err := c.Confirm(x.r.Context(), x.h.cfg.Protocol.StatusPath(), x.r.Host, x.dialTimeout(s))
+	err := c.Confirm(ctx, x.h.cfg.Protocol.StatusPath(), x.r.Host, x.dialTimeout(s))
 	if err != nil {
 		x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: server does not confirm the end of a response without a length")
 	}
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -23,6 +23,10 @@
 // attempts. Each write after the first takes one retry from the retry budget, except for the first
 // prefill that a server accepts. A rejected write counts, and one that did not reach its server does not.
 //
+// An idempotent request that takes longer than is usual for its plain service is sent to another server beside the first one. It
+// takes a retry and counts as an attempt. The first whole response is passed on, a status from 500 only if no other attempt is left.
+// The other attempts are ended before that, and their connections closed. None is ended for one that may still fail.
+//
 // Events are passed on only in the order of their IDs and without a gap. A response that continues a
 // stream has a seal and the content type of the first response, and begins with the next event.
 //
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -80,6 +80,13 @@
 	return strings.Contains(l.b.String(), text)
 }
 
+// text returns what was logged.
+func (l *logBuffer) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // fakeBudget grants a fixed number of retries and counts them.
 type fakeBudget struct {
 	mu    sync.Mutex
--- a/proxy/permits.go
+++ b/proxy/permits.go
@@ -23,8 +23,10 @@
 // maxInvalidLimits bounds the servers whose last invalid limit is kept.
 const maxInvalidLimits = 1024
 
-// permits are the permits of one request of a caller for servers with a limit.
+// permits are the permits of one request of a caller for servers with a limit. Attempts beside each other use them at the
+// same time.
 type permits struct {
+	mu     sync.Mutex    // guards all fields
 	held   permit.Permit // taken in advance for a server, and not used yet
 	denied []string      // IDs of the servers that got no request because of their limits
 	claims int           // denied claims
@@ -38,6 +40,8 @@
 
 // log adds the permits to the decision log line.
 func (p *permits) log(e *zerolog.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.limited {
 		e.Float64("limit", p.rate).Dur("limit_age", p.age)
 	}
@@ -51,12 +55,38 @@
 
 // reason returns the end of the reason for which a request is rejected.
 func (p *permits) reason() string {
-	if len(p.denied) == 0 {
+	if !p.wereDenied() {
 		return ""
 	}
 	return " within the limits that the servers name"
 }
 
+// wereDenied reports whether a server got no request because of its limit.
+func (p *permits) wereDenied() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.denied) > 0
+}
+
+// take returns the held permit if it is for the server.
+func (p *permits) take(gate *permit.Gate, s *route.Server) (permit.Permit, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := p.held
+	if !gate.Covers(held, s) {
+		return permit.Permit{}, false
+	}
+	p.held = permit.Permit{}
+	return held, true
+}
+
+// claimsDenied returns the number of denied claims.
+func (p *permits) claimsDenied() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.claims
+}
+
 // caller returns what decides which requests get permits first.
 func (x *exchange) caller() permit.Caller {
 	c := permit.Caller{Priority: x.priority()}
@@ -69,6 +99,8 @@
 // holdPermit takes a permit for the next request to a server with a limit.
 func (x *exchange) holdPermit(ctx context.Context, s *route.Server) error {
 	p, err := x.takePermit(ctx, s)
+	x.permits.mu.Lock()
+	defer x.permits.mu.Unlock()
 	x.permits.held = p
 	return err
 }
@@ -77,8 +109,7 @@
 // a new one.
 func (x *exchange) takePermit(ctx context.Context, s *route.Server) (permit.Permit, error) {
 	gate := x.h.cfg.Permits
-	if p := x.permits.held; gate.Covers(p, s) {
-		x.permits.held = permit.Permit{}
+	if p, ok := x.permits.take(gate, s); ok {
 		return p, nil
 	}
 	p, err := gate.Acquire(ctx, s, x.caller())
@@ -87,16 +118,25 @@
 		return permit.Permit{}, fail.New("relay: permit", s.ID, ident.NotRun, err)
 	}
 	if p.Limited {
-		x.permits.limited, x.permits.rate, x.permits.age, x.permits.issuer = true, p.Rate, p.Age, p.Issuer
+		x.permits.setLimit(p.Rate, p.Age, p.Issuer)
 		x.h.cfg.Meter.Count("permits_total", "result", "granted", 1)
 	}
 	return p, nil
 }
 
+// setLimit records the limit that decided last.
+func (p *permits) setLimit(rate float64, age time.Duration, issuer string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limited, p.rate, p.age, p.issuer = true, rate, age, issuer
+}
+
 // recordDenied records that a server gets no request because of its limit.
 func (x *exchange) recordDenied(s *route.Server, err error) {
 	x.addDenied(s)
+	x.permits.mu.Lock()
 	x.permits.claims++
+	x.permits.mu.Unlock()
 	result := "denied"
 	var denied *permit.DeniedError
 	if errors.As(err, &denied) && denied.Err != nil {
@@ -116,7 +156,7 @@
 // limitReached reports whether a server gets no requests now because of its limit, and records it.
 func (x *exchange) limitReached(s *route.Server) bool {
 	gate := x.h.cfg.Permits
-	if gate.ClosedFor(s.Hash()) == 0 && (x.permits.claims < maxDeniedClaims || !gate.Limited(s)) {
+	if gate.ClosedFor(s.Hash()) == 0 && (x.permits.claimsDenied() < maxDeniedClaims || !gate.Limited(s)) {
 		return false
 	}
 	x.addDenied(s)
@@ -126,7 +166,7 @@
 // skipDenied is skipServer for a server that got no request because of its limit. After
 // maxDeniedClaims, all servers with a limit are excluded.
 func (m *modelExchange) skipDenied(s *route.Server) bool {
-	if m.permits.claims == maxDeniedClaims {
+	if m.permits.claimsDenied() == maxDeniedClaims {
 		for _, o := range m.h.cfg.Live.Fleet().ServersOf(m.service.Name) {
 			if m.h.cfg.Permits.Limited(o) {
 				m.exclude(o)
@@ -138,19 +178,24 @@
 
 // addDenied records a server that gets no request because of its limit for the decision log line.
 func (x *exchange) addDenied(s *route.Server) {
-	p := &x.permits
-	if !slices.Contains(p.denied, s.ID) {
-		p.denied = append(p.denied, s.ID)
-	}
+	x.permits.addDenied(s.ID)
 	if rate, age, ok := x.h.cfg.Permits.Limit(s); ok {
-		p.limited, p.rate, p.age, p.issuer = true, rate, age, ""
+		x.permits.setLimit(rate, age, "")
+	}
+}
+
+func (p *permits) addDenied(server string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Contains(p.denied, server) {
+		p.denied = append(p.denied, server)
 	}
 }
 
 // retryAfterLimits returns the time after which a rejected caller is expected to be served, if all
 // servers that could run its request have used up their limits. Otherwise it returns false.
 func (x *exchange) retryAfterLimits() (time.Duration, bool) {
-	if len(x.permits.denied) == 0 {
+	if !x.permits.wereDenied() {
 		return 0, false
 	}
 	var limited []*route.Server
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -28,9 +27,6 @@
 	// remoteRegionPenalty is how many more requests a server in this instance's region may
 	// have in flight than a server in another region before the latter is preferred.
 	remoteRegionPenalty = 8
-	// hedgeDelayShare is the fraction of the latency target after which an idempotent
-	// request without a response may be retried at another server.
-	hedgeDelayShare = 0.6
 	// lateDeviations is the number of mean deviations by which a usual response time may
 	// exceed the mean.
 	lateDeviations = 4
@@ -73,30 +69,6 @@
 	return l.n[key]
 }
 
-// servePlain serves a request to a plain service. It tries one server after the other.
-func (x *exchange) servePlain(ctx context.Context) {
-	avoid := make(map[string]bool)
-	for !x.endIfTooLate() {
-		s := x.pickServer(avoid, x.limitReached)
-		if s == nil {
-			x.giveUp(x.retryAfter(), "no server of "+x.service.Name+" is left to try"+x.permits.reason())
-			return
-		}
-		if !x.allowAttempt() {
-			x.giveUp(overloadRetry, "no repeat is left")
-			return
-		}
-		avoid[s.Key()] = true
-		if x.attemptPlain(ctx, s, avoid) {
-			return
-		}
-		if ctx.Err() != nil {
-			x.giveUp(overloadRetry, "time is up")
-			return
-		}
-	}
-}
-
 // retryAfter returns the time after which a server of the service may accept requests
 // again. It is used if no server can be tried now.
 func (x *exchange) retryAfter() time.Duration {
@@ -141,85 +113,6 @@
 	return best
 }
 
-// attemptPlain writes the request to a server. It returns true if it has answered the caller.
-// avoid contains the keys of the servers that were tried.
-func (x *exchange) attemptPlain(ctx context.Context, s *route.Server, avoid map[string]bool) bool {
-	h := x.h
-	key := s.Key()
-	h.loads.add(key, 1)
-	defer h.loads.add(key, -1)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	if x.route.Kind == route.Idempotent && x.runs+1 < x.route.MaxAttempts && x.route.LatencyTarget > 0 {
-		hedged := make(chan struct{})
-		go x.hedge(ctx, cancel, avoid, hedged)
-		defer func() {
-			cancel()
-			<-hedged
-		}()
-	}
-	start := h.cfg.Clock.Now()
-	resp, err := x.run(ctx, s, x.serverRequest(s, x.forwardInfo(s)))
-	if err != nil {
-		x.recordNoResponse(s, err)
-		return false
-	}
-	defer resp.Close()
-	x.recordWrite(s)
-	if h.cfg.Protocol.NotExecuted(resp.Status, resp.Header) {
-		x.recordWrongServer(s, resp)
-		x.release(resp)
-		return false
-	}
-	x.mayHaveRun = true
-	x.runs++
-	second := x.secondConn(s, resp)
-	defer second.Close()
-	b, err := x.bufferResponse(resp)
-	err = x.checkEnd(s, resp, second, err)
-	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
-		err = errUnsealed
-	}
-	if err != nil {
-		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid or incomplete response; trying another server if the route allows it")
-		x.recordFailure(s, classifyFailure(err))
-		return false
-	}
-	if resp.Status >= http.StatusInternalServerError {
-		h.cfg.Health.RecordFailure(key, health.BadResponse, h.cfg.Clock.Now())
-		if x.route.Kind == route.Idempotent && x.runs < x.route.MaxAttempts {
-			x.savedFailure = &response{status: resp.Status, header: resp.Header, body: b}
-			return false
-		}
-	} else {
-		h.cfg.Health.RecordSuccess(key, h.cfg.Clock.Now())
-		h.responseTimes.Add(x.service.Name, h.cfg.Clock.Now()-start)
-	}
-	x.writeResponse(&response{status: resp.Status, header: resp.Header, body: b})
-	return true
-}
-
-// hedge cancels an attempt that takes longer than is usual for its service, early enough
-// for another attempt. The response may still arrive, so hedge cancels the attempt only if there is
-// an untried server and a retry in the budget. If all servers are slow, a new attempt would not be
-// faster. The delay is therefore derived from the response times of the service, and is at least
-// hedgeDelayShare of the latency target. hedge closes done when it returns.
-func (x *exchange) hedge(ctx context.Context, cancel context.CancelFunc, avoid map[string]bool, done chan<- struct{}) {
-	defer close(done)
-	h := x.h
-	minDelay := time.Duration(hedgeDelayShare * float64(x.route.LatencyTarget))
-	t := h.cfg.Clock.After(max(minDelay, h.responseTimes.UpperBound(x.service.Name, lateDeviations)))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C():
-		// A server with a limit gets no hedged requests.
-		if x.pickServer(avoid, h.cfg.Permits.Limited) != nil && x.arrivals.pay(1, x.spendRetry) {
-			cancel()
-		}
-	}
-}
-
 // recordNoResponse records an attempt that ended without a response.
 func (x *exchange) recordNoResponse(s *route.Server, err error) {
 	x.countNoResponse(s, err)
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -63,17 +63,22 @@
 // run is do for a request that makes the server work. If the server is ejected, the request is the
 // trial that may end the ejection.
 func (x *exchange) run(ctx context.Context, s *route.Server, req *link.Request) (*link.Response, error) {
+	return x.runIf(ctx, s, req, x.checkWork)
+}
+
+// runIf is run with another check in place of checkWork.
+func (x *exchange) runIf(ctx context.Context, s *route.Server, req *link.Request, check func() error) (*link.Response, error) {
 	p, err := x.takePermit(ctx, s)
 	if err != nil {
 		return nil, err
 	}
-	if err := x.checkWork(); err != nil {
+	if err := check(); err != nil {
 		return nil, fail.New("relay: write", s.ID, ident.NotRun, err)
 	}
 	x.h.cfg.Health.RecordRequest(s.Key(), x.h.cfg.Clock.Now())
 	req.BeforeWrite = func() error {
 		x.h.cfg.Protocol.SetRemaining(req.Header, x.remaining())
-		return x.checkWork()
+		return check()
 	}
 	return x.send(ctx, s, req, p)
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -57,11 +57,11 @@
 // ended.
 func (m *modelExchange) relayFailure(resp *link.Response, p *admit.Placement) bool {
 	h := m.h
-	second := m.secondConn(p.Decode, resp)
+	second := m.secondConn(m.r.Context(), p.Decode, resp)
 	defer second.Close()
 	b, err := m.bufferResponse(resp)
 	m.stopHandover()
-	err = m.checkEnd(p.Decode, resp, second, err)
+	err = m.checkEnd(m.r.Context(), p.Decode, resp, second, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
 	}
@@ -109,7 +109,7 @@
 	if err := r.checkHeader(); err != nil {
 		return err
 	}
-	r.second = m.secondConn(p.Decode, resp)
+	r.second = m.secondConn(m.r.Context(), p.Decode, resp)
 	defer r.second.Close()
 	err := r.relayEvents()
 	r.stopHandover()
@@ -117,7 +117,7 @@
 		if m.headerWritten {
 			_ = r.flusher.Flush() // the events before the failure; err is the error to report
 		}
-		return r.checkEnd(p.Decode, resp, r.second, err)
+		return r.checkEnd(r.r.Context(), p.Decode, resp, r.second, err)
 	}
 	return r.end()
 }
@@ -221,7 +221,7 @@
 		if (r.resumed || !r.resp.Framed()) && !r.passed {
 			return errNoEvents
 		}
-		if err := r.checkEnd(r.placement.Decode, r.resp, r.second, nil); err != nil {
+		if err := r.checkEnd(r.r.Context(), r.placement.Decode, r.resp, r.second, nil); err != nil {
 			return err
 		}
 	}
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -56,11 +56,14 @@
 }
 
 // checkWork is the part of checkWrite for requests that make a server work.
-func (x *exchange) checkWork() error {
+func (x *exchange) checkWork() error { return x.checkWorkAfter(x.mayHaveRun) }
+
+// checkWorkAfter is checkWork for a request that a server may already have run or not.
+func (x *exchange) checkWorkAfter(mayHaveRun bool) error {
 	if x.keyWithdrawn() {
 		return x.withhold(errKeyWithdrawn)
 	}
-	if !x.mayHaveRun && x.outlivesProcess() {
+	if !mayHaveRun && x.outlivesProcess() {
 		return x.withhold(errProcessEnds)
 	}
 	return x.checkParts()
