entry: no request is lost to the end of an idle connection

Symptom: a request that began between the list of idle connections and the close of each one was passed on, and its connection closed under it. Bytes of a request that lay unread in the kernel were reset. When the operator's limit fell, connections were closed at the new limit at once, though their callers reuse them up to four fifths of the old one; a limit above two minutes was cut to two minutes by the server's own timeout. The end of the process closed idle connections in the same way.

Cause: the list was taken under the lock and the connections were closed after it, by a close that does not look at the socket. The limit in force at the time of the check applied, whatever had applied since the connection became idle.

Change: a connection is ended by ending the server's read of its next request, under the lock that the begin of a request takes. Bytes that have arrived by then are read in spite of it and the connection is kept. Each connection keeps the longest limit that has applied since it became idle. The first bytes of a request set the deadline for its header. At the end of the process all idle connections are ended like this before the server closes what is left.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -106,10 +106,7 @@
 		c.Status(http.StatusOK)
 		p.Handler.ServeHTTP(c.Writer, c.Request)
 	})
-	d.front = &http.Server{
-		Handler: callers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
-		ConnState: d.idle.onStateChange,
-	}
+	d.front = newCallerServer(callers, d.idle)
 	checks := gin.New()
 	checks.GET("/api/readyz", d.serveReady)
 	checks.GET(metricsPath, gin.WrapH(p.Metrics))
@@ -150,6 +147,9 @@
 		if err != nil {
 			return errors.Wrap(err, "listen")
 		}
+		if s.srv == d.front {
+			l = callerListener{Listener: l, conns: d.idle}
+		}
 		d.running.Go(func() { d.serve(s.srv, l) })
 	}
 	if d.p.Flags.metricsPort == "" {
@@ -215,9 +215,11 @@
 		d.p.Limiter.Sweep(now)
 		d.pruneServers()
 		d.reload()
+		limit := idleTimeout
 		if t := d.p.Live.Table(); t != nil && t.Limits().IdleTimeout > 0 {
-			d.idle.close(t.Limits().IdleTimeout + idleMargin)
+			limit = t.Limits().IdleTimeout + idleMargin
 		}
+		d.idle.close(limit)
 	})
 }
 
@@ -301,6 +303,7 @@
 	// off by SIGKILL in any case.
 	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
 	defer cancelFlush()
+	d.idle.closeAll(flush)
 	if err := d.front.Shutdown(flush); err != nil {
 		d.log.Info().Err(err).Int64("active", d.p.Handler.Active()).Msg("entry: requests did not end in time and were cut off")
 	}
--- a/entry/idle.go
+++ b/entry/idle.go
@@ -1,51 +1,228 @@
 package main
 
 import (
+	"context"
+	"maps"
 	"net"
 	"net/http"
+	"os"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"wasabidock.dev/dock/tick"
 )
 
-// idleConns closes callers' connections that are idle for longer than the operator's timeout. The
-// timeout may change while connections are open.
+// idlePollPeriod is the period at which closeAll checks whether the connections are closed.
+const idlePollPeriod = 2 * time.Millisecond
+
+// newCallerServer returns the server of callers' connections, which must be accepted by a callerListener with the same
+// idleConns. The server itself does not bound the time for which a connection is idle.
+func newCallerServer(h http.Handler, idle *idleConns) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.onStateChange}
+}
+
+// idleConns ends callers' connections that are idle for longer than a limit, which may change while connections are open.
+//
+// A connection is ended by ending the server's read of its next request. If bytes of a request have been received by then, the
+// server gets them and the connection is kept. So no connection is closed under a request that may have been passed on, and
+// only requests that arrive after the end are lost.
 type idleConns struct {
 	clock tick.Clock
 
-	mu        sync.Mutex
-	idleSince map[net.Conn]tick.Instant
+	mu    sync.Mutex
+	limit time.Duration // limit of connections that become idle
+	conns map[*callerConn]struct{}
 }
 
 func newIdleConns(clock tick.Clock) *idleConns {
-	return &idleConns{clock: clock, idleSince: make(map[net.Conn]tick.Instant)}
+	return &idleConns{clock: clock, limit: idleTimeout, conns: make(map[*callerConn]struct{})}
+}
+
+// callerListener accepts callers' connections.
+type callerListener struct {
+	net.Listener
+	conns *idleConns
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	s, ok := c.(socket)
+	if !ok {
+		_ = c.Close() // the error below says why
+		return nil, errors.Errorf("connection is a %T, want one of TCP", c)
+	}
+	return &callerConn{socket: s}, nil
+}
+
+// socket is the part of a TCP connection that is used. CloseWrite is called by net/http.
+type socket interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error
+}
+
+// callerConn is a connection of a caller.
+type callerConn struct {
+	socket
+
+	mu    sync.Mutex
+	idle  bool // no byte of the next request has been read
+	since tick.Instant
+	limit time.Duration // longest limit that has applied since then
+	ended bool          // the read of the next request was ended
+}
+
+// Read implements net.Conn. The first bytes of a request make the connection active, even if its end has begun.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.socket.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.wasEnded() {
+		n = c.readReceived(b)
+	}
+	if n == 0 {
+		return 0, err
+	}
+	c.begin(time.Now().Add(headerTimeout))
+	return n, nil
+}
+
+// begin records that a request begins, if the connection was idle, and sets the deadline of the next reads.
+func (c *callerConn) begin(deadline time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		_ = c.SetReadDeadline(deadline) // fails only on a closed connection
+	}
+	c.idle, c.ended = false, false
+}
+
+// wasEnded reports whether the connection was ended while it was idle.
+func (c *callerConn) wasEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// isIdle reports whether the connection waits for its next request.
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle
+}
+
+// readReceived reads bytes that the kernel has received, in spite of a deadline that has passed.
+func (c *callerConn) readReceived(b []byte) int {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _, _ = syscall.Recvfrom(int(fd), b, syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0) // -1 stands for an error
+}
+
+// becomeIdle records that the connection waits for its next request.
+func (c *callerConn) becomeIdle(now tick.Instant, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.since, c.limit = true, now, limit
+}
+
+// endAfter ends the connection if it has been idle for longer than its limit, which is limit at least.
+func (c *callerConn) endAfter(limit time.Duration, now tick.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limit = max(c.limit, limit)
+	if c.idle && now-c.since > c.limit {
+		c.end()
+	}
+}
+
+// endIdle ends the connection if it is idle.
+func (c *callerConn) endIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.end()
+	}
+}
+
+// end ends the read of the next request. The caller holds mu, so that the deadline is not set after that of a request that
+// begins.
+func (c *callerConn) end() {
+	c.ended = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
 // onStateChange is the ConnState hook of an http.Server.
-func (i *idleConns) onStateChange(c net.Conn, st http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if st == http.StateIdle {
-		i.idleSince[c] = i.clock.Now()
+func (i *idleConns) onStateChange(nc net.Conn, st http.ConnState) {
+	c, ok := nc.(*callerConn)
+	if !ok {
 		return
 	}
-	delete(i.idleSince, c)
+	switch st {
+	case http.StateIdle:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		c.becomeIdle(i.clock.Now(), i.limit)
+		i.conns[c] = struct{}{}
+	case http.StateActive:
+		c.begin(time.Time{}) // has no effect unless the server had the request before it was idle
+	case http.StateClosed, http.StateHijacked:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.conns, c)
+	}
 }
 
-// close closes the connections that have been idle for longer than limit.
+// close ends the connections that have been idle for longer than limit, and for longer than each limit that it was called
+// with since they became idle: their callers may reuse them for as long.
 func (i *idleConns) close(limit time.Duration) {
-	now := i.clock.Now()
 	i.mu.Lock()
-	var old []net.Conn
-	for c, at := range i.idleSince {
-		if now-at > limit {
-			old = append(old, c)
-			delete(i.idleSince, c)
-		}
-	}
+	i.limit = limit
 	i.mu.Unlock()
-	for _, c := range old {
-		_ = c.Close() // the caller may have closed it already
+	now := i.clock.Now()
+	for _, c := range i.all() {
+		c.endAfter(limit, now)
+	}
+}
+
+// closeAll ends all idle connections. It returns when none is left or ctx has ended.
+func (i *idleConns) closeAll(ctx context.Context) {
+	t := i.clock.Every(idlePollPeriod)
+	defer t.Stop()
+	for {
+		left := false
+		for _, c := range i.all() {
+			c.endIdle()
+			left = left || c.isIdle()
+		}
+		if !left {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C():
+		}
 	}
 }
+
+// all returns the connections that have been idle and are not closed.
+func (i *idleConns) all() []*callerConn {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return slices.Collect(maps.Keys(i.conns))
+}
