flow, stand: test that a paused engine keeps its request

A request of the own interface whose engines all send nothing for 1.3 s and then go on ends whole with one attempt, one prefill, one transfer and no reopened stream, at each of seven points between the reservation and the middle of the output. The engine client has its default limits in the test. stand.FaultPause is the silence that ends, beside stand.FaultSilence, which does not.

No change of the code was needed: no limit of the engine client is below 2 s, and after it the same engine is asked again with the same attempt.

--- a/flow/failurecases_test.go
+++ b/flow/failurecases_test.go
@@ -30,7 +30,10 @@
 	"connections silent from the engine": func(t *faultTarget) { t.blackhole(false, true) },
 	"connections silent both ways":       func(t *faultTarget) { t.blackhole(true, true) },
 	"engines stop sending":               func(t *faultTarget) { t.injectAll(stand.Fault{Kind: stand.FaultSilence}) },
-	"streams break":                      func(t *faultTarget) { t.injectAll(stand.Fault{Kind: stand.FaultCut}) },
+	"engines pause": func(t *faultTarget) {
+		t.injectAll(stand.Fault{Kind: stand.FaultPause, DelayMS: enginePause.Milliseconds()})
+	},
+	"streams break": func(t *faultTarget) { t.injectAll(stand.Fault{Kind: stand.FaultCut}) },
 	"transfer stalls once": func(t *faultTarget) {
 		t.injectAll(stand.Fault{Kind: stand.FaultStall, N: 1})
 	},
--- a/stand/engine.go
+++ b/stand/engine.go
@@ -19,6 +19,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"wasabidock.dev/dock/engine"
@@ -115,6 +116,7 @@
 	cancel context.CancelFunc
 	muted  context.Context // ended by FaultSilence
 	mute   context.CancelFunc
+	paused atomic.Pointer[context.Context] // ended at the end of the last FaultPause
 }
 
 // NewEngine returns a running engine. The caller must close it.
--- a/stand/enginefault.go
+++ b/stand/enginefault.go
@@ -25,6 +25,7 @@
 	FaultDrain   = "drain"   // the engine is draining
 	FaultUndrain = "undrain" // the engine is no longer draining
 	FaultSilence = "silence" // nothing more is sent on open connections
+	FaultPause   = "pause"   // nothing is sent for a time, and everything afterwards
 	FaultCut     = "cut"     // open streams are interrupted
 	FaultKill    = "kill"    // see Engine.Kill
 	FaultRestart = "restart" // see Engine.Restart
@@ -79,6 +80,8 @@
 		e.life.mute()
 		e.life = &lifetime{ctx: e.life.ctx, cancel: e.life.cancel}
 		e.life.muted, e.life.mute = context.WithCancel(e.life.ctx)
+	case FaultPause:
+		e.pause(time.Duration(f.DelayMS) * time.Millisecond)
 	case FaultCut:
 		for _, a := range e.attempts {
 			if a.decode != nil {
@@ -90,6 +93,18 @@
 	}
 }
 
+// pause lets the engine send nothing for a time. The caller holds mu.
+func (e *Engine) pause(d time.Duration) {
+	paused, end := context.WithCancel(e.life.ctx)
+	e.life.paused.Store(&paused)
+	e.wg.Add(1)
+	go func() {
+		defer e.wg.Done()
+		defer end()
+		_ = tick.Sleep(paused, e.cfg.Timer, d) // fails only if the engine is killed
+	}()
+}
+
 // Counts returns the present counters.
 func (e *Engine) Counts() EngineCounts {
 	e.mu.Lock()
@@ -154,9 +169,13 @@
 	if strings.HasPrefix(r.URL.Path, "/control/") {
 		return false
 	}
-	if e.alive() == nil {
+	l := e.alive()
+	if l == nil {
 		panic(http.ErrAbortHandler)
 	}
+	if !l.awaitPause(r) {
+		return true
+	}
 	f, ok := e.nextFault(r.URL.Path)
 	if !ok {
 		return false
--- a/stand/engineprefill.go
+++ b/stand/engineprefill.go
@@ -205,7 +205,7 @@
 // waits until the connection is closed and returns false.
 func speak(r *http.Request, l *lifetime) bool {
 	if l.muted.Err() == nil {
-		return true
+		return l.awaitPause(r)
 	}
 	select {
 	case <-r.Context().Done():
@@ -215,6 +215,20 @@
 	return false
 }
 
+// awaitPause waits for the end of a pause and reports whether the caller still waits.
+func (l *lifetime) awaitPause(r *http.Request) bool {
+	paused := l.paused.Load()
+	if paused == nil {
+		return true
+	}
+	select {
+	case <-(*paused).Done():
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
 func heartbeat(w http.ResponseWriter, s string) {
 	_, _ = w.Write([]byte(s))
 	_ = http.NewResponseController(w).Flush()
