once: backups that are silent for a second refuse no keyed call

Symptom: a keyed call is rejected with home_unreachable when all backups of its home are silent for more than 0.5 s, though they are sound and the caller would wait. With two seats, one backup is all there is.

Cause: the copy of an intent, of an end and of a probe had one limit of 0.5 s. Without an acknowledgement of the intent the call does not run, so its limit decides on the call; that of an end only delays the response.

Change: the copy of an intent has 1.5 s. That is below maxCopyAge, after which a copy is too old for the first write and is made again, so a call still runs at most once. An end and a probe keep 0.5 s. If no backup is reachable but connections stay silent, the rejection now takes 1.5 s. The test's link honours the context of a copy, as a network does.

Evidence: with the limit of 0.5 s, go test -run SilentBackups ./once fails with "home_unreachable: no other instance could take a copy of the call's intent". With the change it passes, the call has run once and its key replays the answer; go test -race ./once passes.

--- a/once/config.go
+++ b/once/config.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	copyLimit      = 500 * time.Millisecond // time limit for a backup's acknowledgement
-	maxCopyAge     = 2 * time.Second        // from the start of the copy to the first write
-	fetchLimit     = 2 * time.Second        // time limit for one page of a journal
+	copyLimit      = 1500 * time.Millisecond // time limit for a backup's acknowledgement, without which the call does not run
+	endCopyLimit   = 500 * time.Millisecond  // the same for an end, for which the caller waits, and for a probe
+	maxCopyAge     = 2 * time.Second         // from the start of the copy to the first write
+	fetchLimit     = 2 * time.Second         // time limit for one page of a journal
 	syncEvery      = 5 * time.Second
 	joinEvery      = 500 * time.Millisecond // between rounds until the process has joined
 	maxTries       = 3                      // attempts of a call whose copy became too old
@@ -71,7 +72,7 @@
 }
 
 // whole returns the time after which the home has decided in any case.
-func (r Route) whole() time.Duration { return maxTries*(r.limit()+copyLimit) + maxWait }
+func (r Route) whole() time.Duration { return maxTries*(r.limit()+copyLimit+endCopyLimit) + maxWait }
 
 func (r Route) keep() time.Duration {
 	if r.Keep <= 0 {
--- a/once/copy.go
+++ b/once/copy.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"time"
 
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
@@ -26,7 +27,7 @@
 	if len(names) == 0 {
 		return fail.Refuse(fail.CodeNoServer, fail.NoRetry, "the table has no second seat to copy the call's intent to")
 	}
-	acks := s.copyAll(ctx, names, []intent.Entry{e})
+	acks := s.copyAll(ctx, names, []intent.Entry{e}, copyLimit)
 	for range names {
 		if <-acks {
 			return nil
@@ -42,7 +43,7 @@
 // If the copy is lost, a later process of the seat reports the outcome as unknown.
 func (s *Service) copyEnd(ctx context.Context, e intent.Entry) {
 	names := s.backupNames()
-	acks := s.copyAll(ctx, names, []intent.Entry{e})
+	acks := s.copyAll(ctx, names, []intent.Entry{e}, endCopyLimit)
 	for range names {
 		if <-acks {
 			return
@@ -50,15 +51,15 @@
 	}
 }
 
-// copyAll copies the entries to each of names. The channel receives for each
+// copyAll copies the entries to each of names within the limit. The channel receives for each
 // whether it acknowledged them.
-func (s *Service) copyAll(ctx context.Context, names []ident.Instance, entries []intent.Entry) <-chan bool {
+func (s *Service) copyAll(ctx context.Context, names []ident.Instance, entries []intent.Entry, limit time.Duration) <-chan bool {
 	acks := make(chan bool, len(names))
 	for _, name := range names {
 		s.begun()
 		go func() {
 			defer s.exit()
-			ctx, cancel := context.WithTimeout(ctx, copyLimit)
+			ctx, cancel := context.WithTimeout(ctx, limit)
 			defer cancel()
 			acks <- s.copyTo(ctx, name, entries)
 		}()
--- a/once/join.go
+++ b/once/join.go
@@ -90,7 +90,7 @@
 
 // probe sends an empty copy to each backup, to detect one that was replaced.
 func (s *Service) probe(ctx context.Context, names []ident.Instance) {
-	acks := s.copyAll(ctx, names, nil)
+	acks := s.copyAll(ctx, names, nil, endCopyLimit)
 	for range names {
 		<-acks
 	}
--- a/once/net_test.go
+++ b/once/net_test.go
@@ -101,6 +101,9 @@
 		l.w.hit(atCopy, l.from)
 		defer l.atSecond()()
 	}
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	if !l.up() {
 		return nil, errLost
 	}
