--- a/admit/balancer.go
+++ b/admit/balancer.go
@@ -234,21 +234,6 @@
 	}
 }
 
-// ReplacePrefill chooses another server to prefill the prompt of a placement, which keeps its decode server. r is the request of
-// the placement with the servers to avoid. The decode server prefills the prompt itself if there is no other server or r
-// requires it.
-func (b *Balancer) ReplacePrefill(p *Placement, r Request, servers []*route.Server, now tick.Instant) {
-	b.PrefillDone(p, 0)
-	p.prefilled = false
-	if p.Prefill, p.ExpectedTTFT = b.bestPrefill(&r, servers, now, true); p.Prefill == nil {
-		p.Prefill, p.ExpectedTTFT = b.bestPrefill(&r, servers, now, false)
-	}
-	if p.Prefill == nil {
-		p.ExpectedTTFT = b.localPrefillCost(&r, p.Decode, b.load(p.Decode), now)
-	}
-	b.load(p.prefillServer()).prefillTokens += p.req.Prompt
-}
-
 // PrefillSlow records that the prompt of a placement was not prefilled within the given time. For
 // slowPeriod, the server's backlog divided by that time is used as its prefill rate, unless the
 // measured rate is lower. Otherwise each of the next requests would time out at the slow server.
--- a/admit/choose.go
+++ b/admit/choose.go
@@ -63,25 +63,6 @@
 	return &Placement{Prefill: prefill, Decode: decode, ExpectedTTFT: dCost + pCost}
 }
 
-// bestPrefill returns the prefill server with the lowest cost and the cost, or nil if none can prefill the prompt.
-func (b *Balancer) bestPrefill(r *Request, servers []*route.Server, now tick.Instant, usable bool) (*route.Server, time.Duration) {
-	var best *route.Server
-	var cost time.Duration
-	if r.LocalPrefill {
-		return nil, 0
-	}
-	for _, s := range servers {
-		if s.Stage != route.StagePrefill {
-			continue
-		}
-		c := b.prefillCost(r, s, b.load(s), now) + b.connectionCost(s)
-		if (best == nil || c < cost) && b.accepts(r, s, now, usable) {
-			best, cost = s, c
-		}
-	}
-	return best, cost
-}
-
 // accepts reports whether a request may be sent to a server. bestPair calls it last, and only for
 // the few servers with the lowest cost so far.
 func (b *Balancer) accepts(r *Request, s *route.Server, now tick.Instant, usable bool) bool {
--- a/admit/scheduler.go
+++ b/admit/scheduler.go
@@ -268,14 +268,6 @@
 	s.dispatch(s.clock.Now())
 }
 
-// ReplacePrefill chooses another server to prefill the prompt of a placement. See Balancer.ReplacePrefill.
-func (s *Scheduler) ReplacePrefill(p *Placement, r Request) {
-	servers, _ := s.src.Servers(r.Service)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.balancer.ReplacePrefill(p, r, servers, s.clock.Now())
-}
-
 // PrefillSlow records that the prompt of a placement was not prefilled within the given time.
 func (s *Scheduler) PrefillSlow(p *Placement, within time.Duration) {
 	s.mu.Lock()
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -55,8 +55,6 @@
 	PrefillDone(p *admit.Placement, took time.Duration)
 	// PrefillSlow records that the prefill did not finish within the given time.
 	PrefillSlow(p *admit.Placement, within time.Duration)
-	// ReplacePrefill chooses another prefill server for a placement, or none if the decode server is to prefill the prompt.
-	ReplacePrefill(p *admit.Placement, req admit.Request)
 	// FirstEvent records that the first event of a stream was received.
 	FirstEvent(p *admit.Placement)
 	// ObserveGap records the mean interval between the events of a stream.
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -17,9 +17,9 @@
 	"wasabidock.dev/dock/route"
 )
 
-// prefill requests a prefill from the placement's prefill server. It returns false if the request must be placed again. The
-// caller must have counted the arrival. After a failure, the server is excluded from further placements of the request, and
-// another prefill server takes its place. After the second failure, the decode server prefills the prompt.
+// prefill requests a prefill from the placement's prefill server and reports whether it
+// succeeded. The caller must have counted the arrival. After a failure, the server is excluded from
+// further placements of the request. After the second failure, the decode server prefills the prompt.
 func (m *modelExchange) prefill(ctx context.Context, p *admit.Placement) bool {
 	h := m.h
 	s := p.Prefill
@@ -49,7 +49,7 @@
 		return m.skipServer(s)
 	}
 	if err != nil {
-		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; using another server")
+		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; placing the request again")
 		m.recordBroken(s, err)
 		switch {
 		case m.callerGone():
@@ -61,11 +61,7 @@
 		}
 		m.exclude(s)
 		m.placeReq.LocalPrefill = m.prefillAttempts > 1
-		if ctx.Err() != nil {
-			return false
-		}
-		h.cfg.Placer.ReplacePrefill(p, m.placeReq) // the decode server stays reserved
-		return true
+		return false
 	}
 	h.cfg.Health.RecordSuccess(s.Key(), h.cfg.Clock.Now())
 	h.cfg.Placer.PrefillDone(p, took)
