soak: silences of sound servers, crowded model servers and configurations with other timeouts

New acts, drawn like the others, alone, together and in series: silence (a sound server is silent for 0.3 to 2.5 s before the head, after an event, at a reservation, prefill, release or report, before it reads a request, or for all calls), crowd (20 long streams take most of the 24 places of the decode servers) and tune (a configuration with other timeouts, idle timeout and body limit, never below what clients need). Clients use idle connections for four fifths of the shortest idle timeout.

New promise abandoned: a resumable stream that its daemon leaves at a sound server is not cut and does not fail while its client waits for the next event (2 s, 4 times the latency target or 8 times the gap target). Excused are a daemon that was stopped, killed or paused, a server that was in trouble or restarted, the deadline, a withdrawn key and a fatal part. Trouble of the store and other servers excuses nothing, unless the request had already moved on to a server that failed.

The check for clients that have left skips servers that were frozen, since these cannot see it, and the check beside a fatal part skips calls beside a crowd on both sides of the comparison.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -65,7 +65,7 @@
 		c.disturb(s)
 	case storeMute, storeShed, storePrune:
 		c.store(s)
-	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second:
+	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second, silence:
 		c.server(s)
 	case fatal:
 		c.crash(s)
@@ -73,6 +73,10 @@
 		c.f.publish(c.nextKey())
 	case publish:
 		c.f.publish()
+	case tune:
+		c.f.tune(s.tuned)
+	case crowd:
+		c.crowd(s)
 	}
 }
 
@@ -105,6 +109,7 @@
 	d.signal(how)
 	code := d.await()
 	c.rec.trouble(s.target, span{from, time.Now().Add(restartTime), s.act == stopOne})
+	c.rec.halt(s.target, span{from: from, to: time.Now().Add(restartTime)})
 	// A process that is stopped before it listens has no promise to keep, and late has judged one that it killed.
 	if s.act == stopOne && late.Stop() && code != 0 && d.listened() && !c.isHarmed(d.name) {
 		c.rec.exited(fmt.Sprintf("%s stopped with code %d", d.name, code))
@@ -144,6 +149,7 @@
 	switch s.act {
 	case pauseOne:
 		at = c.during(d.name, s.lasts, func() { d.signal(syscall.SIGSTOP) }, func() { d.signal(syscall.SIGCONT) })
+		c.rec.halt(s.target, at)
 	case hangup:
 		d.signal(syscall.SIGHUP)
 		return
@@ -216,6 +222,9 @@
 		return
 	case second:
 		at = c.during(id+" twice", s.lasts, func() { v.SetSecond(&s.second) }, func() { v.SetSecond(nil) })
+	case silence:
+		c.silence(v, s)
+		return
 	case rest:
 		at = c.during(id+" rests", s.lasts, func() { v.SetRetryAfter(restTime) }, func() { v.SetRetryAfter("") })
 	default:
--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -121,7 +121,7 @@
 		from := crashes[min(len(crashes), fatalCrashes)-1].Add(2 * contactTime)
 		var beside, calm share
 		for _, o := range r.calls {
-			if !r.isSoundStream(o) || !r.sound(o.daemon, o.sent, o.ended, true) || r.newPartAt(p, o.sent) {
+			if !r.isSoundStream(o) || !r.sound(o.daemon, o.sent, o.ended, true) || r.newPartAt(p, o.sent) || !untouched(r.crowds, o.sent, o.ended, 0) {
 				continue
 			}
 			switch {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -65,6 +66,7 @@
 	mu      sync.Mutex // guards the fields below
 	version int64
 	dead    []string // keys withdrawn
+	tuned   tuned    // timeouts and limits of the configuration
 }
 
 // roles of the backend servers, in the order in which a plan counts them.
@@ -197,16 +199,30 @@
 func (f *fleet) publish(withdrawn ...string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.version++
 	f.dead = append(f.dead, withdrawn...)
-	cfg := fake.Config{Version: f.version, Customers: customers()}
+	f.put()
+	for _, k := range withdrawn {
+		f.rec.note(&f.rec.withdrawn, k)
+	}
+}
+
+// tune writes the configuration with other timeouts and limits.
+func (f *fleet) tune(t tuned) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tuned = t
+	f.put()
+}
+
+// put writes the configuration, of the next version. The caller must hold f.mu.
+func (f *fleet) put() {
+	f.version++
+	cfg := fake.Config{Version: f.version, Customers: customers(), Timeout: f.tuned.timeout, Idle: f.tuned.idle, MaxBody: f.tuned.maxBody}
 	for i, c := range cfg.Customers {
 		cfg.Customers[i].Keys = without(c.Keys, f.dead)
 	}
+	f.rec.setTimeout(cmp.Or(f.tuned.timeout, fake.RouteTimeout))
 	f.store.Put("op/config", cfg.JSON())
-	for _, k := range withdrawn {
-		f.rec.note(&f.rec.withdrawn, k)
-	}
 }
 
 // start starts a process in the seat. The one before has ended.
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -87,6 +87,19 @@
 	r.called[id] = append(r.called[id], at(when))
 }
 
+// abandon makes a stream one that its daemon has cut 1.9 s after its second event, when its server was silent.
+func (r *record) abandon(o *outcome) {
+	runs := r.runs["llm-5"]
+	i := slices.IndexFunc(runs, func(u fake.Run) bool { return u.ID == o.call.ID })
+	o.last = o.sent.Add(100 * time.Millisecond)
+	o.ended = o.last.Add(1900 * time.Millisecond)
+	o.complete, o.body = false, fake.NamedEvent(o.call.ID, 1)+fake.NamedEvent(o.call.ID, 2)
+	runs[i].End, runs[i].Left = o.ended, true
+	r.pauses["llm-5"] = append(r.pauses["llm-5"], fake.Pause{
+		ID: o.call.ID, Call: fake.RunCall, Event: 2, At: o.last, Due: o.last.Add(longestSilence), Left: o.ended,
+	})
+}
+
 // TestJudge breaks each promise in a sound record.
 func TestJudge(t *testing.T) {
 	file := func(r *record) *outcome { return r.calls[30] }
@@ -228,6 +241,61 @@
 			r.servers["app-0"] = []span{{from: at(4), to: at(6)}}
 			file(r).complete, file(r).status, file(r).body = false, 0, ""
 		}, ""},
+		{"stream left for its server's silence", func(r *record) { r.abandon(ask(r)) }, "lost abandoned"},
+		{"stream left for its server's silence before the head", func(r *record) {
+			o := ask(r)
+			r.abandon(o)
+			x := r.runs["llm-5"][10]
+			r.runs["llm-5"] = slices.Delete(r.runs["llm-5"], 10, 11)
+			r.pauses["llm-5"] = []fake.Pause{{ID: o.call.ID, Call: fake.RunCall, At: x.Start, Due: at(8), Left: x.End}}
+			o.status, o.body, o.last = 503, "", time.Time{}
+		}, "lost abandoned"},
+		{"stream left beside a change of the timeouts", func(r *record) {
+			r.abandon(ask(r))
+			r.timeouts = []timeout{{at(1), 4500 * time.Millisecond}, {at(5), 3 * time.Second}}
+		}, "lost abandoned"},
+		{"stream left while the store was in trouble", func(r *record) {
+			r.abandon(ask(r))
+			r.daemons[0] = []span{{from: at(4), to: at(6)}}
+		}, "abandoned"},
+		{"stream left while another server failed", func(r *record) {
+			r.abandon(ask(r))
+			r.servers["llm-6"] = []span{{from: at(4), to: at(8)}}
+		}, "abandoned"},
+		{"stream whose next server failed", func(r *record) {
+			o := ask(r)
+			r.abandon(o)
+			o.ended = o.ended.Add(time.Second)
+			r.servers["llm-6"] = []span{{from: at(4), to: at(8)}}
+		}, ""},
+		{"stream of a server that fails", func(r *record) {
+			r.abandon(ask(r))
+			r.servers["llm-5"] = []span{{from: at(6), to: at(8)}}
+		}, ""},
+		{"stream of a server that was replaced", func(r *record) {
+			r.abandon(ask(r))
+			r.returned = []event{{at(6), "llm-5"}}
+			r.servers["llm-7"] = []span{{from: at(4), to: at(6)}}
+		}, ""},
+		{"stream of a daemon that is stopped", func(r *record) {
+			r.abandon(ask(r))
+			r.daemons[0], r.halted[0] = []span{{from: at(6), to: at(7)}}, []span{{from: at(6), to: at(7)}}
+		}, ""},
+		{"stream whose deadline is reached", func(r *record) {
+			r.abandon(ask(r))
+			ask(r).sent = at(4)
+		}, ""},
+		{"stream for which nobody waits any more", func(r *record) {
+			r.abandon(ask(r))
+			ask(r).last = at(4.5)
+			r.servers["llm-6"] = []span{{from: at(4), to: at(8)}}
+		}, ""},
+		{"stream whose key was withdrawn", func(r *record) {
+			r.abandon(ask(r))
+			ask(r).call.Key = spareKey(1)
+			r.withdrawn = []event{{at(6), spareKey(1)}}
+			r.servers["llm-6"] = []span{{from: at(4), to: at(8)}}
+		}, ""},
 		{"servers work on", func(r *record) {
 			for i := range 40 {
 				o := r.calls[i*3+2]
--- a/soak/load.go
+++ b/soak/load.go
@@ -34,7 +34,7 @@
 	slowChance = 4
 	maxSlow    = 2 * time.Second
 	slowBytes  = 4 // sent at once
-	// clientTime is how long a client waits for an answer.
+	// clientTime is how long a client waits for an answer. It exceeds all timeouts of routes.
 	clientTime = 6 * time.Second
 	// spareKeys is the number of keys that may be withdrawn.
 	spareKeys = 6
@@ -70,7 +70,7 @@
 // newClient returns a client that keeps its connections. Plant may be nil.
 func newClient(n int, seed uint64, f *fleet, rec *record, plant func(*fleet, http.RoundTripper) http.RoundTripper) *client {
 	c := &client{n: n, rnd: rand.New(rand.NewPCG(seed, uint64(n)+2)), fleet: f, rec: rec}
-	c.http = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1}
+	c.http = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: shortestIdle * 4 / 5}
 	if plant != nil {
 		c.http = plant(f, c.http)
 	}
@@ -170,10 +170,24 @@
 	o.status, o.sealed, o.leaver = resp.StatusCode, fake.Sealed(resp.Header), fake.DrainingServer(resp.Header)
 	o.echo = fake.EchoedID(resp.Header)
 	var b strings.Builder
-	_, err = io.Copy(&b, resp.Body)
+	_, err = io.Copy(&b, &clockedBody{resp.Body, o})
 	o.body, o.complete = b.String(), err == nil
 }
 
+// clockedBody notes when the bytes of a body come.
+type clockedBody struct {
+	io.Reader
+	o *outcome
+}
+
+func (b *clockedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 {
+		b.o.last = time.Now()
+	}
+	return n, err
+}
+
 // slowBody is the body of a request that is sent in two parts, the second after a time.
 type slowBody struct {
 	io.ReadCloser
--- a/soak/main.go
+++ b/soak/main.go
@@ -119,8 +119,13 @@
 	if f.verbose {
 		for _, s := range plan {
 			_, _ = fmt.Fprintf(out, "  %v %s %d %s %v", s.at, s.act, s.target, s.fault, s.lasts)
-			if s.act == second {
+			switch s.act {
+			case second:
 				_, _ = fmt.Fprintf(out, " %+v", s.second)
+			case silence:
+				_, _ = fmt.Fprintf(out, " %+v", s.quiet)
+			case tune:
+				_, _ = fmt.Fprintf(out, " %+v", s.tuned)
 			}
 			_, _ = fmt.Fprintln(out)
 		}
@@ -141,6 +146,7 @@
 		}
 	}
 	_, _ = fmt.Fprintf(out, "seed %d: %d steps, %d calls, %d served, %d promises broken\n", seed, len(plan), len(rec.calls), served, len(broken))
+	_, _ = fmt.Fprintf(out, "  without a whole answer: %s\n", rec.endings())
 	for _, b := range broken {
 		_, _ = fmt.Fprintf(out, "  %s\n", b)
 	}
@@ -196,7 +202,7 @@
 	time.Sleep(2 * goneTime)
 	for _, s := range fl.servers {
 		rec.runs[s.ID()], rec.arrivals[s.ID()], rec.rested[s.ID()] = s.Runs(), s.Arrivals(), s.Backoffs()
-		rec.called[s.ID()], rec.limits[s.ID()] = s.Calls(), s.LimitSpans()
+		rec.called[s.ID()], rec.limits[s.ID()], rec.pauses[s.ID()] = s.Calls(), s.LimitSpans(), s.Pauses()
 		rec.misuses = append(rec.misuses, s.Misuses()...)
 		rec.crashes = append(rec.crashes, s.Crashes()...)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -35,12 +35,16 @@
 	fatal      act = "fatal"    // a part of prompts crashes the model servers that begin to answer on it, ends
 	withdraw   act = "withdraw" // a key is withdrawn
 	publish    act = "publish"  // an unchanged configuration is published
+	tune       act = "tune"     // a configuration with other timeouts and limits is published
+	silence    act = "silence"  // a sound backend server is silent for a time and goes on, ends
+	crowd      act = "crowd"    // long streams take most places of the model servers, ends
 )
 
 // acts are drawn with equal probability.
 var acts = []act{
 	stopOne, killOne, pauseOne, hangup, storeMute, storeShed, storePrune, cutOne, resetOne, slowOne,
 	harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second, fatal, withdraw, publish,
+	tune, silence, crowd,
 }
 
 // faults are the faults of backend servers from which harm draws.
@@ -75,6 +79,8 @@
 	limit  string     // of nameLimit
 	second fake.Second
 	point  fake.CrashPoint // of fatal
+	quiet  quiet           // of silence
+	tuned  tuned           // of tune
 	lasts  time.Duration
 }
 
@@ -133,6 +139,13 @@
 			s.second = newSecond(rnd, roles[s.target])
 		case fatal:
 			s.point, s.lasts = crashPoints[rnd.IntN(len(crashPoints))], fatalTime
+		case silence:
+			s.quiet = newQuiet(rnd, roles[s.target])
+			if s.quiet.whole {
+				s.lasts = s.quiet.For
+			}
+		case tune:
+			s.tuned = newTuned(rnd)
 		}
 		again := 1
 		if rnd.IntN(100) < seriesChance {
@@ -165,7 +178,7 @@
 // targets returns the number of targets from which an act is drawn.
 func (sh shape) targets(a act) int {
 	switch a {
-	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second:
+	case harm, darken, lag, breakConns, depart, announce, rest, nameLimit, second, silence:
 		return sh.servers
 	default:
 		return sh.daemons
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -19,6 +19,8 @@
 	is := is.New(t)
 	seen := make(map[act]int)
 	seconds := make(map[fake.Second]int)
+	silences := make(map[quiet]int)
+	tunings := make(map[tuned]int)
 	overlaps := 0
 	for seed := range uint64(50) {
 		p := newPlan(seed, testShape)
@@ -36,6 +38,18 @@
 			switch s.act {
 			case withdraw:
 				keys++
+			case silence:
+				x := s.quiet
+				is.True(x.For >= shortestSilence && x.For < longestSilence && x.Event < streamEvents)
+				silences[quiet{Silence: fake.Silence{Call: x.Call}}]++
+				silences[quiet{Silence: fake.Silence{Unread: x.Unread}}]++
+				silences[quiet{Silence: fake.Silence{Event: min(x.Event, 1)}}]++
+				silences[quiet{whole: x.whole}]++
+			case tune:
+				is.True(s.tuned.timeout >= fake.RouteTimeout && s.tuned.timeout < clientTime && s.tuned.idle >= shortestIdle && s.tuned.maxBody >= maxLarge)
+				tunings[tuned{timeout: s.tuned.timeout}]++
+				tunings[tuned{idle: s.tuned.idle}]++
+				tunings[tuned{maxBody: s.tuned.maxBody}]++
 			case second:
 				is.True(s.second.After < latest)
 				seconds[fake.Second{Call: s.second.Call}]++
@@ -47,7 +61,9 @@
 		is.True(keys <= maxWithdrawn)
 	}
 	is.Equal(len(seen), len(acts))
-	is.Equal(len(seconds), 1+5+1+2+1) // each kind of call, with and without ID, each part, late and with the next
+	is.Equal(len(seconds), 1+5+1+2+1)  // each kind of call, with and without ID, each part, late and with the next
+	is.Equal(len(silences), 1+6+1+1+1) // each kind of call, unread or not, before the head or not, the whole server
+	is.Equal(len(tunings), len(routeTimeouts)+len(idleTimeouts)+len(bodyLimits))
 	is.True(overlaps > 1000)
 	is.True(!reflect.DeepEqual(newPlan(1, testShape), newPlan(2, testShape)))
 }
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -37,6 +38,7 @@
 	"gone":       workOn,
 	"answer":     answers(otherAnswer),
 	"handle":     uses(func(id string) (string, []string) { return id + "x", []string{id} }),
+	"abandoned":  impatient,
 	"again":      uses(func(id string) (string, []string) { return id, []string{id, id} }),
 	"reserved":   uses(func(id string) (string, []string) { return "", []string{id + "x", id} }),
 }
@@ -104,6 +106,38 @@
 	}}
 }
 
+// impatience is the gap after which impatient ends a stream.
+const impatience = 4 * streamPause
+
+// impatient ends resumable streams that are silent, though their clients wait.
+func impatient(_ *fleet, next http.RoundTripper) http.RoundTripper {
+	return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+		if err == nil && fake.ParseCall(r).Kind == fake.Streaming {
+			resp.Body = &impatientBody{resp.Body, time.AfterFunc(impatience, func() { _ = resp.Body.Close() })}
+		}
+		return resp, err
+	}}
+}
+
+// impatientBody is a body that is closed when nothing comes for a time.
+type impatientBody struct {
+	io.ReadCloser
+	end *time.Timer
+}
+
+func (b *impatientBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil {
+		b.end.Reset(impatience)
+	}
+	return n, err
+}
+
+func (b *impatientBody) Close() error {
+	b.end.Stop()
+	return b.ReadCloser.Close()
+}
+
 // littleMemory gives the daemons less memory than they use.
 func littleMemory(f *fleet, next http.RoundTripper) http.RoundTripper {
 	f.memory.Store(1 << 20)
--- a/soak/record.go
+++ b/soak/record.go
@@ -17,6 +17,7 @@
 	sent     time.Time
 	left     time.Time // when the client closed its connection, zero if it did not
 	ended    time.Time
+	last     time.Time     // when the last bytes of the body came, zero for none
 	slow     time.Duration // time over which the body was sent, 0 for at once
 	status   int           // 0 if no response header was received
 	sealed   bool          // the response has the seal header of a server
@@ -57,8 +58,12 @@
 	mu        sync.Mutex // guards the fields below during the run
 	calls     []*outcome
 	daemons   map[int][]span    // disturbances, by index of the daemon
+	halted    map[int][]span    // those in which its process was stopped, killed or paused
 	store     []span            // disturbances of the store
 	servers   map[string][]span // disturbances, by ID of the backend server
+	frozen    map[string][]span // silences in which it read nothing, by ID of the backend server
+	crowds    []span            // times in which long streams took most places of the model servers
+	timeouts  []timeout         // timeouts of the routes that were published, by time
 	withdrawn []event
 	departed  []event
 	returned  []event
@@ -70,20 +75,21 @@
 	rested   map[string][]fake.Backoff // by server
 	called   map[string][]time.Time    // calls of any kind, by server
 	limits   map[string][]fake.LimitSpan
-	crashes  []fake.Crash  // of all servers, by time
-	fatal    []fatalPart   // parts that crashed servers
-	misuses  []fake.Misuse // of KV handles and reservations
-	calm     time.Time     // end of the last disturbance
+	crashes  []fake.Crash            // of all servers, by time
+	fatal    []fatalPart             // parts that crashed servers
+	misuses  []fake.Misuse           // of KV handles and reservations
+	pauses   map[string][]fake.Pause // by server
+	calm     time.Time               // end of the last disturbance
 	end      time.Time
 }
 
 func newRecord() *record {
 	return &record{
-		daemons: make(map[int][]span), servers: make(map[string][]span),
+		daemons: make(map[int][]span), servers: make(map[string][]span), halted: make(map[int][]span), frozen: make(map[string][]span),
 		customers: make(map[string]fake.Customer),
 		runs:      make(map[string][]fake.Run), arrivals: make(map[string][]fake.Arrival),
 		rested: make(map[string][]fake.Backoff), called: make(map[string][]time.Time),
-		limits: make(map[string][]fake.LimitSpan),
+		limits: make(map[string][]fake.LimitSpan), pauses: make(map[string][]fake.Pause),
 	}
 }
 
@@ -99,6 +105,12 @@
 	r.daemons[daemon] = append(r.daemons[daemon], s)
 }
 
+func (r *record) halt(daemon int, s span) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.halted[daemon] = append(r.halted[daemon], s)
+}
+
 func (r *record) storeTrouble(s span) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,6 +55,9 @@
 		{"lost", step{act: stopOne}, "lost"},
 		{"unanswered", step{act: stopOne}, "unanswered"},
 		{"memory", step{act: publish}, "exit"},
+		{"abandoned", step{act: silence, target: 6, lasts: longest, quiet: quiet{
+			Silence: fake.Silence{Call: fake.RunCall, Event: 3, For: longestSilence},
+		}}, "abandoned"},
 		{"handle", step{act: publish}, "mixed"},
 		{"again", step{act: publish}, "mixed"},
 		{"reserved", step{act: publish}, "mixed"},
