--- a/proxy/model.go
+++ b/proxy/model.go
@@ -25,11 +25,6 @@
 	// kvRetryShare is the fraction of the lifetime of a KV cache within which a second
 	// server can still fetch it in time.
 	kvRetryShare = 0.5
-	// The server of a resumable stream without events counts as silent after idleTimeoutGaps
-	// times the route's target for the gap between tokens, and after minIdleTimeout at
-	// the earliest.
-	minIdleTimeout  = time.Second
-	idleTimeoutGaps = 2
 	// deleteTimeout bounds the call that frees a KV cache or cancels a reservation.
 	deleteTimeout = 200 * time.Millisecond
 	// defaultOutputShare is the fraction of its maximum output tokens that a request
@@ -66,6 +61,10 @@
 			return
 		}
 		p, err := m.place(ctx)
+		if err != nil && m.waitForServer(ctx, err) {
+			m.placements--
+			continue
+		}
 		if err != nil {
 			m.rejectUnplaced(err)
 			return
@@ -98,6 +97,17 @@
 	return m.h.cfg.Placer.Place(ctx, m.placeReq)
 }
 
+// waitForServer waits until a stream that has begun may find a place after the Placer has rejected it. It returns false if its
+// caller does not wait for so long, or if no server is left that has not failed the request.
+func (m *modelExchange) waitForServer(ctx context.Context, err error) bool {
+	r, ok := fail.AsRefusal(err)
+	if !ok || !m.headerWritten || r.Code() == fail.CodeNoServer {
+		return false
+	}
+	wait := max(r.RetryAfter(), handoverRetry)
+	return m.h.cfg.Clock.Now()+wait <= m.placeReq.Deadline && m.pause(ctx, wait)
+}
+
 // setPlacementDeadline sets the deadline of the next placement of a stream that has begun: its caller waits for the next event.
 func (m *modelExchange) setPlacementDeadline() {
 	if m.headerWritten {
@@ -219,7 +229,7 @@
 		var end context.CancelFunc
 		ctx, end = context.WithCancel(ctx)
 		defer end()
-		req.IdleTimeout = max(minIdleTimeout, idleTimeoutGaps*m.route.GapTarget)
+		req.IdleTimeout = maxSilence(m.route)
 		req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), req.IdleTimeout)
 		req.EndWait = func() bool {
 			m.startHandover(ctx, p.Decode, end)
