soak: a stream cut after its next server had nothing to add counts as abandoned

It now counts such streams if no server of the request was in trouble. The record of TestJudge without recovery, in which streams fail though their servers have run them whole, therefore breaks abandoned as well as recovery.

--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -242,6 +242,17 @@
 			file(r).complete, file(r).status, file(r).body = false, 0, ""
 		}, ""},
 		{"stream left for its server's silence", func(r *record) { r.abandon(ask(r)) }, "lost abandoned"},
+		{"stream left for a server that has nothing to add", func(r *record) {
+			o := ask(r)
+			r.abandon(o)
+			r.ran("llm-6", o, 7.89)
+		}, "lost abandoned"},
+		{"stream of a server that fails, left for one that has nothing to add", func(r *record) {
+			o := ask(r)
+			r.abandon(o)
+			r.ran("llm-6", o, 7.89)
+			r.servers["llm-5"] = []span{{from: at(6), to: at(8)}}
+		}, ""},
 		{"stream left for its server's silence before the head", func(r *record) {
 			o := ask(r)
 			r.abandon(o)
@@ -331,7 +342,7 @@
 			for _, o := range r.calls[len(r.calls)-60:] {
 				o.status, o.sealed = 502, false
 			}
-		}, "recovery"},
+		}, "abandoned recovery"},
 		{"daemon ended", func(r *record) { r.exited("a-1 stopped with code 2") }, "exit"},
 	}
 	for _, tt := range tests {
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -210,7 +210,8 @@
 	return (!o.complete || o.status >= 500) && o.left.IsZero()
 }
 
-// abandoned checks that a resumable stream whose sound server was silent, or slow, is not ended while its client still waits.
+// abandoned checks that a resumable stream whose sound server was silent, or slow, or had sent all, is not ended while its
+// client still waits.
 func abandoned(r *record) string {
 	for _, o := range r.calls {
 		if o.call.Kind != fake.Streaming || !r.unserved(o) || r.excused(o) {
@@ -221,14 +222,20 @@
 			continue
 		}
 		x := all[len(all)-1]
-		if !x.left || r.harmed(x.server, x.from, o.ended) || o.ended.Sub(x.to) > handoverTime && r.anyHarmed(x.to, o.ended) {
+		if !x.left && slices.ContainsFunc(all, func(e exchange) bool { return r.harmed(e.server, e.from, o.ended) }) {
+			continue // one of its servers may have broken off
+		}
+		if r.harmed(x.server, x.from, o.ended) || o.ended.Sub(x.to) > handoverTime && r.anyHarmed(x.to, o.ended) {
 			continue
 		}
 		what := "went on"
-		if x.silent {
+		switch {
+		case !x.left:
+			what = "had ended"
+		case x.silent:
 			what = "was silent"
 		}
-		return fmt.Sprintf("abandoned: %s at daemon %d got status %d and %d bytes after %v, %v after its last event; %s %s and was left %v before",
+		return fmt.Sprintf("abandoned: %s at daemon %d got status %d and %d bytes after %v, %v after its last event; %s %s, and its run ended %v before",
 			o.call.ID, o.daemon, o.status, len(o.body), o.ended.Sub(o.sent), o.ended.Sub(o.waitsSince()), x.server, what, o.ended.Sub(x.to))
 	}
 	return ""
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -55,7 +55,7 @@
 		{"lost", step{act: stopOne}, "lost"},
 		{"unanswered", step{act: stopOne}, "unanswered"},
 		{"memory", step{act: publish}, "exit"},
-		{"abandoned", step{act: silence, target: 6, lasts: longest, quiet: quiet{
+		{"abandoned", step{act: silence, target: 6, lasts: departTime, quiet: quiet{
 			Silence: fake.Silence{Call: fake.RunCall, Event: 3, For: longestSilence},
 		}}, "abandoned"},
 		{"handle", step{act: publish}, "mixed"},
@@ -67,6 +67,7 @@
 			f := flags{entry: bin, daemons: 2, quiet: time.Second, plant: tt.plant}
 			rec, err := play(t.Context(), f, 1, t.TempDir(), []step{tt.step})
 			is.NoErr(err)
+			t.Log(rec.endings())
 			is.True(strings.Contains("\n"+strings.Join(judge(rec), "\n"), "\n"+tt.want+": "))
 		})
 	}
