--- a/proxy/confirm_test.go
+++ b/proxy/confirm_test.go
@@ -47,7 +47,7 @@
 			}
 			for _, s := range h.servers {
 				s.SetScript(fake.NewScript(reply))
-				s.SetSilence(fake.Silence{Call: fake.StatusCall, For: silence})
+				s.SetSilence(fake.Silence{Call: fake.ReportCall, For: silence})
 			}
 			if tt.limit != "" {
 				h.useUpLimit(t, "s1")
@@ -102,7 +102,7 @@
 				change = append(change, withTokenCounts)
 			}
 			s.SetScript(fake.NewScript(reply))
-			s.SetSilence(fake.Silence{Call: fake.StatusCall, For: time.Minute})
+			s.SetSilence(fake.Silence{Call: fake.ReportCall, For: time.Minute})
 			start := time.Now()
 			got := h.send(t, http.MethodPost, tt.path, "b", change...)
 			is.True(got.err != nil || got.status == 502 || got.status == 504)
@@ -118,7 +118,7 @@
 	h := newHarness(t, map[string]fake.Role{"s1": fake.Decode})
 	s := h.servers["s1"]
 	s.SetScript(fake.NewScript(fake.Reply{Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: eventText(1, 2), Framing: fake.ByClose}))
-	s.SetSilence(fake.Silence{Call: fake.StatusCall, For: time.Minute})
+	s.SetSilence(fake.Silence{Call: fake.ReportCall, For: time.Minute})
 	added := make(chan struct{})
 	go func() {
 		defer close(added)
