--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -27,6 +27,9 @@
 // takes a retry and counts as an attempt. The first whole response is passed on, a status from 500 only if no other attempt is left.
 // The other attempts are ended before that, and their connections closed. None is ended for one that may still fail.
 //
+// A resumable stream whose server is silent goes on at another one only when that has reserved memory for it and the retries are
+// paid. Until then the run goes on, and so does the stream if the server does.
+//
 // Events are passed on only in the order of their IDs and without a gap. A response that continues a
 // stream has a seal and the content type of the first response, and begins with the next event.
 //
