--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -9,6 +9,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
 )
 
 // handoverRetry is the time between two attempts to find another place for a request.
@@ -87,7 +88,7 @@
 		p, err := m.h.cfg.Placer.Place(ctx, req)
 		if err != nil {
 			tried = nil
-			m.pause(ctx, handoverRetry)
+			_ = tick.Sleep(ctx, m.h.cfg.Clock, handoverRetry) // fails only if ctx ends, and with it the loop
 			continue
 		}
 		d.found, err = m.successorAt(ctx, p)
@@ -100,7 +101,7 @@
 		case errors.Is(err, errNoPrefillRetry):
 			req.LocalPrefill = true
 		case errors.Is(err, errNoRetry), errors.Is(err, errNotResumable):
-			m.pause(ctx, handoverRetry)
+			_ = tick.Sleep(ctx, m.h.cfg.Clock, handoverRetry) // fails only if ctx ends, and with it the loop
 		default:
 			tried = append(tried, p.Decode.Key())
 		}
@@ -142,15 +143,3 @@
 		return nil
 	}
 }
-
-// pause waits for d. It returns false if ctx ends first.
-func (x *exchange) pause(ctx context.Context, d time.Duration) bool {
-	t := x.h.cfg.Clock.After(d)
-	defer t.Stop()
-	select {
-	case <-t.C():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	wait := max(r.RetryAfter(), handoverRetry)
-	return m.h.cfg.Clock.Now()+wait <= m.placeReq.Deadline && m.pause(ctx, wait)
+	return m.h.cfg.Clock.Now()+wait <= m.placeReq.Deadline && tick.Sleep(ctx, m.h.cfg.Clock, wait) == nil
 }
 
 // setPlacementDeadline sets the deadline of the next placement of a stream that has begun: its caller waits for the next event.
