entry: a listener of callers keeps no state that it does not use

callerListener had a reference to idleConns that nothing read; connections become known to it by the hook of the server. go test -race ./entry passes.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -148,7 +148,7 @@
 			return errors.Wrap(err, "listen")
 		}
 		if s.srv == d.front {
-			l = callerListener{Listener: l, conns: d.idle}
+			l = callerListener{l}
 		}
 		d.running.Go(func() { d.serve(s.srv, l) })
 	}
--- a/entry/idle.go
+++ b/entry/idle.go
@@ -19,8 +19,8 @@
 // idlePollPeriod is the period at which closeAll checks whether the connections are closed.
 const idlePollPeriod = 2 * time.Millisecond
 
-// newCallerServer returns the server of callers' connections, which must be accepted by a callerListener with the same
-// idleConns. The server itself does not bound the time for which a connection is idle.
+// newCallerServer returns the server of callers' connections, which must be accepted by a callerListener. The server
+// itself does not bound the time for which a connection is idle.
 func newCallerServer(h http.Handler, idle *idleConns) *http.Server {
 	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.onStateChange}
 }
@@ -43,10 +43,7 @@
 }
 
 // callerListener accepts callers' connections.
-type callerListener struct {
-	net.Listener
-	conns *idleConns
-}
+type callerListener struct{ net.Listener }
 
 // Accept implements net.Listener.
 func (l callerListener) Accept() (net.Conn, error) {
--- a/entry/idle_test.go
+++ b/entry/idle_test.go
@@ -133,7 +133,7 @@
 	}
 	held := &heldListener{Listener: l, accepted: make(chan *heldConn, 1)}
 	done := make(chan error, 1)
-	go func() { done <- s.srv.Serve(callerListener{Listener: held, conns: s.idle}) }()
+	go func() { done <- s.srv.Serve(callerListener{held}) }()
 	t.Cleanup(func() {
 		_ = s.srv.Close()
 		<-done
