proxy, entry: log lines tell who has ended a stream

Cause: the end of a caller's context was taken for the caller's own; the process that closes its connections ends it too. Change: the handler is told before the process closes the connections of its callers; both lines name who ended the response.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -307,6 +307,7 @@
 	if err := d.front.Shutdown(flush); err != nil {
 		d.log.Info().Err(err).Int64("active", d.p.Handler.Active()).Msg("entry: requests did not end in time and were cut off")
 	}
+	d.p.Handler.Closing()
 	err := errors.Join(d.front.Close(), d.ready.Close(), d.datagrams.Close())
 	d.stop()
 	short, cancel := context.WithTimeout(ctx, peersShutdownTimeout)
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -93,6 +93,7 @@
 	endsAt          atomic.Int64       // tick.Instant at which Finish is called, 0 while not draining
 	finishing       context.Context    // ends with the call of Finish
 	finish          context.CancelFunc // ends finishing
+	closing         atomic.Bool        // see Closing
 	loads           serverLoads
 	silent          serverLoads // number of model requests whose server is silent now
 	invalidLimits   invalidLimits
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -302,7 +302,7 @@
 func (m *modelExchange) noRetryReason() string {
 	switch {
 	case m.callerGone():
-		return "its server gave no whole answer before"
+		return "its server had not given a whole answer"
 	case !m.mayHaveRun:
 		return ""
 	case m.remaining() <= 0:
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -84,12 +84,9 @@
 func (x *exchange) giveUpAs(code fail.Code, retry time.Duration, reason string) {
 	switch {
 	case x.headerWritten:
-		x.summary = "stream cut: " + reason
-		if x.h.finishing.Err() != nil {
-			x.summary += ", " + stopReason
-		}
+		x.summary = x.cutSummary(reason)
 		panic(http.ErrAbortHandler)
-	case x.callerGone() && x.h.finishing.Err() != nil:
+	case x.callerGone() && x.closedByProcess():
 		x.summary = "cut off, " + stopReason + ": " + reason
 	case x.callerGone():
 		x.summary = "caller left: " + reason
@@ -106,6 +103,18 @@
 	}
 }
 
+// cutSummary describes a response that ends in the middle: who ended it, and the reason if that is the router.
+func (x *exchange) cutSummary(reason string) string {
+	switch {
+	case x.closedByProcess():
+		return "stream cut: " + stopReason
+	case x.callerGone():
+		return "stream cut: its caller left"
+	default:
+		return "stream cut: " + reason
+	}
+}
+
 // copyHeader copies the end-to-end header fields of a server's response, except for
 // Content-Length.
 func (x *exchange) copyHeader(h http.Header) {
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -45,10 +45,10 @@
 // endedBy returns who has ended a response that failed, for logs.
 func (m *modelExchange) endedBy() string {
 	switch {
+	case m.closedByProcess():
+		return "process"
 	case m.callerGone():
 		return "caller"
-	case m.cutOff():
-		return "process"
 	case m.remaining() <= 0:
 		return "deadline"
 	case m.next != nil:
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -38,6 +38,10 @@
 // outcome of the others is unknown. Responses that have begun go on.
 func (h *Handler) Finish() { h.finish() }
 
+// Closing announces that the process closes the connections of its callers. Requests whose connection ends from then on
+// are logged as ended by the process.
+func (h *Handler) Closing() { h.closing.Store(true) }
+
 // draining reports whether Drain was called.
 func (h *Handler) draining() bool { return h.endsAt.Load() != 0 }
 
@@ -99,5 +103,8 @@
 // advance records that the request has left a state. It returns false if the request is in another one.
 func (x *exchange) advance(from, to int32) bool { return x.state.CompareAndSwap(from, to) }
 
+// closedByProcess reports whether the process has closed the caller's connection, or Finish has cut the request off.
+func (x *exchange) closedByProcess() bool { return x.cutOff() || x.callerGone() && x.h.closing.Load() }
+
 // cutOff reports whether Finish has cut the request off.
 func (x *exchange) cutOff() bool { return x.state.Load() == stateCut }
