--- /dev/null
+++ b/proxy/moments_test.go
@@ -0,0 +1,166 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/platform/fake"
+	"wasabidock.dev/dock/route"
+)
+
+// moment is a moment at which a server falls silent in the response to a request.
+type moment struct {
+	at    fake.Moment
+	event int64
+}
+
+// String implements fmt.Stringer.
+func (m moment) String() string {
+	switch {
+	case m.at == fake.SilentAfterHead:
+		return "after the head"
+	case m.at == fake.SilentInEvent:
+		return fmt.Sprint("inside event ", m.event)
+	case m.event == 0:
+		return "before the head"
+	default:
+		return fmt.Sprint("after event ", m.event)
+	}
+}
+
+// moments are the moments of a response with four events.
+func moments() []moment {
+	all := []moment{{fake.SilentAfterHead, 0}}
+	for n := range int64(5) {
+		all = append(all, moment{fake.SilentAfterEvent, n})
+	}
+	for _, n := range []int64{1, 2, 4} {
+		all = append(all, moment{fake.SilentInEvent, n})
+	}
+	return all
+}
+
+// otherServer is what the other server of a service does while the first one is silent.
+type otherServer struct {
+	name   string
+	absent bool // there is none
+	set    func(s *fake.Server, silence fake.Silence)
+}
+
+func withFault(f fake.Fault) func(*fake.Server, fake.Silence) {
+	return func(s *fake.Server, _ fake.Silence) { s.SetFault(f) }
+}
+
+// otherServers are the kinds of other servers.
+func otherServers() []otherServer {
+	return []otherServer{
+		{name: "none", absent: true},
+		{name: "free", set: withFault(fake.NoFault)},
+		{name: "full", set: withFault(fake.NoMemory)},
+		{name: "no reservations", set: withFault(fake.ReservationError)},
+		{name: "rejecting", set: withFault(fake.Shed)},
+		{name: "mute", set: withFault(fake.Hang)},
+		{name: "stopping", set: withFault(fake.Stall)},
+		{name: "resetting", set: withFault(fake.Reset)},
+		{name: "failing", set: withFault(fake.InternalError)},
+		{name: "breaking off", set: withFault(fake.TruncatedEvent)},
+		{name: "without a seal", set: withFault(fake.Unsealed)},
+		{name: "answering twice", set: withFault(fake.ExtraResponse)},
+		{name: "with a body without end", set: withFault(fake.Endless)},
+		{name: "silent", set: func(s *fake.Server, x fake.Silence) { s.SetSilence(x) }},
+		{name: "silent at the reservation", set: func(s *fake.Server, x fake.Silence) {
+			s.SetSilence(fake.Silence{Call: fake.ReservationCall, For: x.For, Times: 1})
+		}},
+		{name: "draining", set: func(s *fake.Server, _ fake.Silence) { s.SetDraining(true) }},
+		{name: "pausing", set: func(s *fake.Server, _ fake.Silence) { s.SetRetryAfter("0.4") }},
+		{name: "gone", set: func(s *fake.Server, _ fake.Silence) { s.Close() }},
+	}
+}
+
+// silenceCase is a request whose sound server falls silent once, and goes on before the caller abandons the request.
+type silenceCase struct {
+	path   string
+	silent moment
+	length time.Duration
+	other  otherServer
+}
+
+// String implements fmt.Stringer.
+func (c silenceCase) String() string {
+	return fmt.Sprint(c.path, " silent ", c.silent, " for ", c.length, ", other server ", c.other.name)
+}
+
+// silenceCases returns the table of all routes, moments, lengths and other servers.
+func silenceCases() []silenceCase {
+	var all []silenceCase
+	for _, path := range []string{"/once/1", "/again/1", "/thrice/1"} {
+		for _, m := range moments() {
+			for _, d := range []time.Duration{1200 * time.Millisecond, 1900 * time.Millisecond} {
+				for _, o := range otherServers() {
+					all = append(all, silenceCase{path, m, d, o})
+				}
+			}
+		}
+	}
+	return all
+}
+
+// maxCases is the number of cases that run at the same time. They spend their time waiting.
+const maxCases = 48
+
+// TestSilenceAtAnyMomentLosesNoStream guards against a stream that is cut because its sound server was silent for a second, whatever the other server does.
+func TestSilenceAtAnyMomentLosesNoStream(t *testing.T) {
+	is := is.New(t)
+	cases := silenceCases()
+	var ends sync.WaitGroup
+	slots := make(chan struct{}, maxCases)
+	for _, c := range cases {
+		slots <- struct{}{}
+		h := newHarness(t, nil)
+		ends.Go(func() {
+			defer func() { <-slots }()
+			if err := c.run(t, h); err != nil {
+				t.Errorf("%v: %v", c, err)
+			}
+		})
+	}
+	ends.Wait()
+	is.Equal(len(cases), 3*9*2*len(otherServers()))
+}
+
+// run sends the request and returns an error unless its caller got the whole response.
+func (c silenceCase) run(t *testing.T, h *harness) error {
+	spec := testSpec()
+	spec.Version, spec.Revision = 2, 2
+	for _, r := range spec.Routes {
+		r.Timeout = 5 * time.Second
+	}
+	h.live.SetTable(route.NewTable(spec))
+	silence := fake.Silence{Call: fake.RunCall, Event: c.silent.event, Moment: c.silent.at, For: c.length, Times: 1}
+	h.addServer(t, "sound", fake.Decode)
+	h.servers["sound"].SetSilence(silence)
+	added := make(chan struct{})
+	go func() {
+		defer close(added)
+		eventually(t, "the server is silent", func() bool { return h.servers["sound"].Silences() == 1 })
+		if c.other.absent {
+			return
+		}
+		h.addServer(t, "other", fake.Decode)
+		c.other.set(h.servers["other"], silence)
+	}()
+	got := h.send(t, http.MethodPost, c.path, "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "4900"))
+	<-added
+	switch {
+	case got.err != nil:
+		return fmt.Errorf("status %d, body %q: %w", got.status, got.body, got.err)
+	case got.status != http.StatusOK || got.body != eventText(1, 4):
+		return fmt.Errorf("status %d, body %q", got.status, got.body)
+	}
+	return nil
+}
