proxy: the place of a stream that is cut for a withdrawn key is given back

Callers saw 503 "no server has room" at servers that were idle: a stream whose key was withdrawn while it waited to be placed again is cut by a panic (http.ErrAbortHandler), and the placement that it had just got was released only after that line. The instance took the server's memory for used until its own end.

The placement and the reservation are now released by deferred calls, before anything may end the request.

--- a/proxy/model.go
+++ b/proxy/model.go
@@ -69,11 +69,6 @@
 			m.rejectUnplaced(err)
 			return
 		}
-		if m.endIfTooLate() { // it has waited for the placement
-			m.h.cfg.Placer.Release(p)
-			m.release()
-			return
-		}
 		if m.runPlacement(ctx, p) {
 			if m.summary == "" {
 				m.giveUp(0, "it waited for a server")
@@ -187,6 +182,10 @@
 // has ended.
 func (m *modelExchange) runPlacement(ctx context.Context, p *admit.Placement) bool {
 	defer m.h.cfg.Placer.Release(p)
+	defer m.release()
+	if m.endIfTooLate() { // it has waited for the placement
+		return true
+	}
 	m.stats.placed = m.h.cfg.Clock.Now() - m.start
 	m.stats.decode, m.stats.prefill = p.Decode.ID, ""
 	if p.Prefill != nil {
@@ -201,7 +200,6 @@
 	if !m.reserve(ctx, p) {
 		return m.callerGone()
 	}
-	defer m.release()
 	if p.Prefill != nil {
 		if !m.allowAttempt() {
 			m.giveUp(overloadRetry, "no repeat is left")
