proxy: a silent server is left only for a run that has sent the next event

With two attempts the stream was cut at once.

Cause: a reservation was taken for the next event. Class: what one has is given up for what one may not get; a server's memory is not yet its answer.

Whichever server sends the next event goes on, and the other run is ended at once: both work at the same time only until then. The silent server is kept if the other one fails, rejects the request or has no event to add; a third one is asked if the route allows it. If the silent server fails meanwhile, the other run is waited for. modelExchange.attempt is split by steps (attempt.go). The outcome is counted in beside_runs_total{end}.

Weighed: a longer silence before the search (callers wait for 2 s at least, a dark server would not be left in time); keeping the first run until the other one ends (both would work for more than 400 ms); asking the server's report (lags, and costs a probe).

--- a/entry/app.go
+++ b/entry/app.go
@@ -246,6 +246,9 @@
 	for _, end := range proxy.SilenceEnds() {
 		p.Meter.Count("silent_runs_total", "end", end, 0)
 	}
+	for _, end := range proxy.BesideEnds() {
+		p.Meter.Count("beside_runs_total", "end", end, 0)
+	}
 	for _, end := range proxy.HedgeEnds() {
 		p.Meter.Count("hedged_requests_total", "end", end, 0)
 	}
--- /dev/null
+++ b/proxy/attempt.go
@@ -0,0 +1,216 @@
+package proxy
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/admit"
+	"wasabidock.dev/dock/crash"
+	"wasabidock.dev/dock/event"
+	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/ident"
+	"wasabidock.dev/dock/link"
+	"wasabidock.dev/dock/route"
+)
+
+// modelRun is a run of a model request at a decode server whose response has begun.
+type modelRun struct {
+	placement *admit.Placement
+	resp      *link.Response
+	events    *event.Scanner
+	scanned   bool               // the scanner is at an event that was not passed on
+	cancel    context.CancelFunc // ends the run
+	// silent is called when the server has been silent for maxSilence, see link.Request.EndWait. It is nil while the run is
+	// not the only one.
+	silent func() bool
+}
+
+// close ends the run unless its response was read to the end.
+func (r *modelRun) close() {
+	if r.events != nil {
+		r.events.Close()
+	}
+	r.resp.Close()
+	r.cancel()
+}
+
+// attempt runs the request on the servers of a placement, or goes on with the run that was begun there. It returns true if the
+// request has ended.
+func (m *modelExchange) attempt(ctx context.Context, p *admit.Placement) bool {
+	m.left, m.counted = false, false
+	if m.current != nil {
+		return m.goOn(ctx)
+	}
+	if !m.reserve(ctx, p) {
+		return m.callerGone()
+	}
+	if err := m.prepare(ctx, p); err != nil {
+		if errors.Is(err, errNoRetry) {
+			m.giveUp(overloadRetry, "no repeat is left")
+			return true
+		}
+		return m.callerGone()
+	}
+	runCtx, end := context.WithCancel(ctx)
+	defer end()
+	req := m.runRequest(p)
+	req.HeaderTimeout = max(m.placeReq.Due-m.h.cfg.Clock.Now(), minSilence)
+	req.EndWait = func() bool { return m.fallSilent(ctx, p.Decode, end) }
+	m.progress = m.h.cfg.Clock.Now()
+	resp, err := m.run(runCtx, p.Decode, req)
+	if err != nil {
+		m.finishHandover()
+		if m.skipUnwritten(p.Decode, err) {
+			return m.callerGone()
+		}
+		m.recordNoRun(p, err)
+		return !m.retryOrGiveUp()
+	}
+	run := &modelRun{placement: p, resp: resp, cancel: end}
+	defer run.close()
+	if m.h.cfg.Protocol.NotExecuted(resp.Status, resp.Header) {
+		m.finishHandover()
+		m.recordNotExecuted(run)
+		return false
+	}
+	m.unrecorded = p.Decode
+	if m.search == nil {
+		m.recordRun()
+	}
+	return m.relayResponse(run)
+}
+
+// goOn passes on the response of the run that was begun beside the last one. It returns true if the request has ended.
+func (m *modelExchange) goOn(ctx context.Context) bool {
+	r := m.current
+	m.current, m.counted = nil, true
+	defer r.close()
+	stop := context.AfterFunc(ctx, r.cancel)
+	defer stop()
+	r.silent = func() bool { return m.fallSilent(ctx, r.placement.Decode, r.cancel) }
+	m.progress = m.h.cfg.Clock.Now()
+	return m.relayResponse(r)
+}
+
+// errNoPrefill reports that the prompt was not read. The request must be placed again.
+var errNoPrefill = errors.New("the prompt was not read")
+
+// prepare has the prompt read if the placement has a prefill server, and pays for the run.
+func (m *modelExchange) prepare(ctx context.Context, p *admit.Placement) error {
+	if p.Prefill != nil {
+		if !m.allowAttempt() {
+			return errNoRetry
+		}
+		if !m.prefill(ctx, p) {
+			return errNoPrefill
+		}
+	}
+	if m.rejectsRequests(p.Decode) { // the prompt may have waited for longer than a server that leaves accepts requests
+		m.skipServer(p.Decode)
+		return errClosed
+	}
+	if !m.allowAttempt() {
+		return errNoRetry
+	}
+	return nil
+}
+
+// runRequest returns the request to the decode server of a placement.
+func (m *modelExchange) runRequest(p *admit.Placement) *link.Request {
+	out := m.forwardInfo(p.Decode)
+	out.LastEventID = m.lastEventID
+	out.HasUrgency, out.Urgency = true, min(max(m.placeReq.Priority, 0), maxUrgency)
+	if m.kv != nil {
+		out.KVSource = m.kv.server.Addr + "/" + m.kv.handle
+	}
+	if m.reservation != nil {
+		out.ReservationID = m.reservation.id
+		m.stats.reservation = m.reservation.id + "/" + m.reservation.echoed
+	}
+	req := m.serverRequest(p.Decode, out)
+	req.IdleTimeout = maxSilence(m.route)
+	return req
+}
+
+// fallSilent is called when the server of the current run has sent no event for maxSilence. It begins another run beside it if
+// the route allows one. It returns false, as the wait for the server goes on. ctx is the context of the request, and end ends
+// the current run.
+func (m *modelExchange) fallSilent(ctx context.Context, s *route.Server, end func()) bool {
+	if m.search != nil && !m.search.hasEnded() {
+		return false
+	}
+	if !m.route.Resumable || m.runs+m.uncounted() >= m.route.MaxAttempts {
+		return false
+	}
+	if m.kv != nil {
+		m.kv.inUse = true
+	}
+	m.h.cfg.Health.RecordSilence(s.Key(), m.progress, m.h.cfg.Clock.Now())
+	m.startHandover(ctx, s, end, true)
+	return false
+}
+
+// uncounted returns the number of runs that have been requested and are not included in runs.
+func (m *modelExchange) uncounted() int {
+	if m.counted {
+		return 0
+	}
+	return 1
+}
+
+// skipUnwritten reports whether the request was not written to a server because something has changed, and prepares the
+// next placement.
+func (m *modelExchange) skipUnwritten(s *route.Server, err error) bool {
+	switch {
+	case errors.Is(err, crash.ErrNotAdmitted):
+		m.arrivals.uncount()
+	case isWithheld(err):
+		m.arrivals.uncount()
+		m.skipServer(s)
+	default:
+		return false
+	}
+	return true
+}
+
+// recordNoRun records a run whose server gave no answer.
+func (m *modelExchange) recordNoRun(p *admit.Placement, err error) {
+	m.counted = true
+	if fail.Outcome(err) != ident.NotRun {
+		m.loseReservation()
+		m.countBrokenStart()
+		m.recordBroken(p.Decode, err)
+	}
+	m.countNoResponse(p.Decode, err)
+	m.leave(p.Decode, err)
+}
+
+// loseReservation gives up the reservation and the KV cache, which a run whose outcome is unknown may be using.
+func (m *modelExchange) loseReservation() {
+	m.reservation = nil
+	if m.kv != nil {
+		m.kv.inUse = true
+	}
+}
+
+// recordNotExecuted records a run that its server has rejected, and prepares the next placement.
+func (m *modelExchange) recordNotExecuted(r *modelRun) {
+	m.recordWrite(r.placement.Decode)
+	m.recordWrongServer(r.placement.Decode, r.resp)
+	m.exchange.release(r.resp)
+	m.handleNotExecuted(r.placement)
+}
+
+// recordRun records a run whose response has begun.
+func (m *modelExchange) recordRun() {
+	m.recordWrite(m.unrecorded)
+	m.unrecorded, m.counted = nil, true
+	if m.kv != nil {
+		m.stats.transfers++
+	}
+	m.kv = nil          // the server has fetched the KV cache or runs the request without one
+	m.reservation = nil // the server has used the reservation
+	m.mayHaveRun = true
+	m.runs++
+}
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -15,54 +16,94 @@
 // handoverRetry is the time between two attempts to find another place for a request.
 const handoverRetry = 200 * time.Millisecond
 
-// handover looks for another place for a request while its server, which is silent, may still go on. The run ends only when
-// there is one.
+// handover looks for another place for a request while its server, which is silent, may still go on, and begins another run
+// there beside the one at the silent server. The first run ends only when the other one has sent what the caller waits for. While
+// the server has not been asked to run the request yet, a place where it can run is enough.
 type handover struct {
-	cancel context.CancelFunc
-	done   chan struct{} // closed at the end of the search
-	found  *successor    // valid once done is closed, nil for none
+	m      *modelExchange // state of the other run. It shares the exchange with the one that is silent.
+	runs   bool           // another run is begun, instead of only another place found
+	others int            // runs under way that exchange.runs does not include
+
+	stopSearch context.CancelFunc // ends the search for a place, not a run that was begun
+	cancel     context.CancelFunc // ends both
+	ended      atomic.Bool        // the run at the silent server was ended
+	done       chan struct{}      // closed at the end
+	found      *successor         // valid once done is closed, nil for none
 }
 
-// successor is a place to which a request can go on: a placement whose server has given a reservation, and paid retries.
+// successor is where a request goes on: a run that has sent an event, or a placement whose server has given a reservation, with
+// all retries paid.
 type successor struct {
 	placement   *admit.Placement
-	reservation *reservation
+	reservation *reservation // nil for a run
+	run         *modelRun    // nil for a place alone
 }
 
-// startHandover looks for another place than s for the request. If there is one, it calls end, which must end the current run.
-// It returns at once. The caller must call stopHandover when the server goes on or the run ends, and must not use the
-// state of the exchange before.
-func (m *modelExchange) startHandover(ctx context.Context, s *route.Server, end func()) {
+// isRun reports whether the successor is a run.
+func (s *successor) isRun() bool { return s != nil && s.run != nil }
+
+// startHandover looks for another place than s for the request, and begins a run there if runs is set. If that succeeds, it
+// calls end, which must end what the caller waits for. It returns at once. The caller must call stopHandover when the server goes
+// on or finishHandover when its run ends, and must not use the state of the exchange before.
+func (m *modelExchange) startHandover(ctx context.Context, s *route.Server, end func(), runs bool) {
 	m.stopHandover()
 	if m.next != nil {
 		return
 	}
 	m.h.silent.add(s.Key(), 1)
 	m.silentAt = s
-	ctx, cancel := context.WithCancel(ctx)
-	m.search = &handover{cancel: cancel, done: make(chan struct{})}
-	go m.search.run(ctx, m, m.successorRequest(), end)
+	d := &handover{m: m.beside(), runs: runs, others: m.uncounted(), done: make(chan struct{})}
+	ctx, d.cancel = context.WithCancel(ctx)
+	var searchCtx context.Context
+	searchCtx, d.stopSearch = context.WithCancel(ctx)
+	m.search = d
+	go d.run(ctx, searchCtx, end)
+}
+
+// beside returns the state of a run beside the current one.
+func (m *modelExchange) beside() *modelExchange {
+	return &modelExchange{exchange: m.exchange, placeReq: m.successorRequest(), prefillAttempts: m.prefillAttempts}
 }
 
-// stopHandover ends the search for another place and waits for its end. After it, m.next is the place if there is one, and
-// the current run has then been ended.
+// stopHandover ends the search for another place, and a run that was begun there. After it, m.next is set if that run has
+// already sent an event, or a place was found; the current run has then been ended.
 func (m *modelExchange) stopHandover() {
-	if m.search == nil {
-		return
+	if m.search != nil {
+		m.search.cancel()
+	}
+	m.finishHandover()
+}
+
+// finishHandover ends the search for another place, and waits for a run that was begun there: the current one has failed.
+func (m *modelExchange) finishHandover() {
+	if d := m.search; d != nil {
+		m.left = d.ended.Load()
+		d.stopSearch()
+		<-d.done
+		d.cancel()
+		m.next, m.search = d.found, nil
+		m.h.silent.add(m.silentAt.Key(), -1)
+		m.prefillAttempts = d.m.prefillAttempts
+		if d.runs {
+			m.placeReq.Avoid = d.m.placeReq.Avoid
+		}
+	}
+	if m.unrecorded != nil {
+		m.recordRun()
 	}
-	m.search.cancel()
-	<-m.search.done
-	m.next, m.search = m.search.found, nil
-	m.h.silent.add(m.silentAt.Key(), -1)
 }
 
-// dropNext gives back a place that is not used.
+// dropNext gives back a place, or ends a run, that is not used.
 func (m *modelExchange) dropNext() {
-	if m.next == nil {
+	n := m.next
+	if n == nil {
 		return
 	}
-	m.h.cfg.Placer.Release(m.next.placement)
-	m.cancelReservation(m.next.reservation)
+	if n.run != nil {
+		n.run.close()
+	}
+	m.h.cfg.Placer.Release(n.placement)
+	m.cancelReservation(n.reservation)
 	m.next = nil
 }
 
@@ -78,30 +119,54 @@
 	return req
 }
 
-// run looks for another place for a request until there is one or ctx ends.
-func (d *handover) run(ctx context.Context, m *modelExchange, req admit.Request, end func()) {
+// hasEnded reports whether the search has ended.
+func (d *handover) hasEnded() bool {
+	select {
+	case <-d.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// goesOn reports whether another place may be looked for.
+func (d *handover) goesOn(ctx context.Context) bool {
+	return ctx.Err() == nil && d.m.h.cfg.Clock.Now() < d.m.placeReq.Deadline && (!d.runs || d.attemptsLeft() > 0)
+}
+
+// attemptsLeft returns how many more runs the route allows.
+func (d *handover) attemptsLeft() int { return d.m.route.MaxAttempts - d.m.runs - d.others }
+
+// run looks for another place, and begins a run there, until that succeeds. It ends with searchCtx, unless a run was
+// begun, and with ctx.
+func (d *handover) run(ctx, searchCtx context.Context, end func()) {
 	defer close(d.done)
-	avoid := req.Avoid
+	m := d.m
+	defer m.freeKV()
 	var tried []string // servers that have not taken the request
-	for ctx.Err() == nil && m.h.cfg.Clock.Now() < req.Deadline {
-		req.Avoid = slices.Concat(avoid, m.h.silent.keys(), tried)
-		p, err := m.h.cfg.Placer.Place(ctx, req)
+	for d.goesOn(searchCtx) {
+		req := m.placeReq
+		req.Avoid = slices.Concat(req.Avoid, m.h.silent.keys(), tried)
+		p, err := m.h.cfg.Placer.Place(searchCtx, req)
 		if err != nil {
 			tried = nil
-			_ = tick.Sleep(ctx, m.h.cfg.Clock, handoverRetry) // fails only if ctx ends, and with it the loop
+			_ = tick.Sleep(searchCtx, m.h.cfg.Clock, handoverRetry) // fails only if searchCtx ends, and with it the loop
 			continue
 		}
-		d.found, err = m.successorAt(ctx, p)
+		d.found, err = d.successorAt(ctx, searchCtx, p)
 		if err == nil {
+			d.ended.Store(true)
 			end()
 			return
 		}
 		m.h.cfg.Placer.Release(p)
 		switch {
+		case errors.Is(err, errNothingToAdd):
+			return
 		case errors.Is(err, errNoPrefillRetry):
-			req.LocalPrefill = true
+			m.placeReq.LocalPrefill = true
 		case errors.Is(err, errNoRetry), errors.Is(err, errNotResumable):
-			_ = tick.Sleep(ctx, m.h.cfg.Clock, handoverRetry) // fails only if ctx ends, and with it the loop
+			_ = tick.Sleep(searchCtx, m.h.cfg.Clock, handoverRetry) // fails only if searchCtx ends, and with it the loop
 		default:
 			tried = append(tried, p.Decode.Key())
 		}
@@ -115,17 +180,28 @@
 	errNotResumable   = errors.New("the request may not be written to another server")
 )
 
-// successorAt makes sure that the request can go on at a placement: its server has room, and the retries are paid.
-func (m *modelExchange) successorAt(ctx context.Context, p *admit.Placement) (*successor, error) {
-	r, err := m.reserveAt(ctx, p.Decode, func() bool { return true })
+// successorAt makes sure that the request can go on at a placement: its server has room, the retries are paid, and the server
+// has sent an event if a run is to be begun.
+func (d *handover) successorAt(ctx, searchCtx context.Context, p *admit.Placement) (*successor, error) {
+	m := d.m
+	r, err := m.reserveAt(searchCtx, p.Decode, func() bool { return true })
 	if err == nil {
-		err = m.checkSuccessor(ctx, p)
+		err = m.checkSuccessor(searchCtx, p)
 	}
 	if err != nil {
 		m.cancelReservation(r)
 		return nil, err
 	}
-	return &successor{p, r}, nil
+	if !d.runs {
+		return &successor{placement: p, reservation: r}, nil
+	}
+	m.reservation = r
+	defer m.release()
+	run, err := d.begin(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	return &successor{placement: p, run: run}, nil
 }
 
 // checkSuccessor returns an error unless the request can go on at a placement at whose server memory is reserved.
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -52,7 +52,7 @@
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: prefill failed; placing the request again")
 		m.recordBroken(s, err)
 		switch {
-		case m.callerGone():
+		case errors.Is(ctx.Err(), context.Canceled): // nobody waits for it any more
 		case isTimeout(err):
 			h.cfg.Health.RecordSilence(s.Key(), start, h.cfg.Clock.Now())
 			h.cfg.Placer.PrefillSlow(p, took)
@@ -123,7 +123,7 @@
 	ctx, end := context.WithCancel(ctx)
 	defer end()
 	r, err := m.reserveAt(ctx, p.Decode, func() bool {
-		m.startHandover(ctx, p.Decode, end)
+		m.startHandover(ctx, p.Decode, end, false)
 		return false
 	})
 	m.stopHandover()
@@ -208,11 +208,10 @@
 		h.cfg.Log.Warn().Err(err).Str("server", s.ID).Msg("relay: cannot parse the reservation; continuing without one")
 		return nil, nil
 	}
-	m.stats.reservation = id + "/" + resp.EchoedID()
 	if m.rejectsRequests(s) { // the header of this response closed the server; the reservation expires without a call
 		return nil, errClosed
 	}
-	return &reservation{server: s, id: id}, nil
+	return &reservation{server: s, id: id, echoed: resp.EchoedID()}, nil
 }
 
 // skipServer excludes a server from further placements of the request and does not count the
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -51,7 +51,7 @@
 		return "caller"
 	case m.remaining() <= 0:
 		return "deadline"
-	case m.next != nil:
+	case m.left:
 		return "silence"
 	default:
 		return "server"
@@ -61,7 +61,7 @@
 // leave records that the request leaves a server at which it has failed. If the server was only silent, the request
 // may return to it.
 func (m *modelExchange) leave(s *route.Server, err error) {
-	if m.next == nil {
+	if !m.left {
 		if !isDenied(err) {
 			m.recordFailure(s, classifyFailure(err))
 		}
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -149,6 +149,7 @@
 			slices.SortFunc(runs, func(a, b fake.Run) int { return a.Start.Compare(b.Start) })
 			is.True(runs[0].End.Before(runs[1].Start.Add(400 * time.Millisecond))) // the first run has ended
 			is.Equal(h.counter(`silent_runs_total{end="resumed"}`), int64(1))
+			is.Equal(h.counter(`beside_runs_total{end="delivered"}`), int64(1))
 		})
 	}
 }
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -20,19 +20,21 @@
 	errNoEventID    = errors.New("event has no ID")
 	errEventOrder   = errors.New("event ID is not larger than the one before it")
 	errMissingEvent = errors.New("an event is missing before this one")
+	errSuperseded   = errors.New("another run has sent the next event")
 	errNoEvents     = errors.New("response that continues the stream has no events")
 )
 
 // relayResponse passes the response of a decode server on to the caller. It returns true if the
 // request has ended.
-func (m *modelExchange) relayResponse(resp *link.Response, p *admit.Placement) bool {
-	if resp.Status != http.StatusOK {
-		return m.relayFailure(resp, p)
+func (m *modelExchange) relayResponse(run *modelRun) bool {
+	p := run.placement
+	if run.resp.Status != http.StatusOK {
+		return m.relayFailure(run.resp, p)
 	}
 	h := m.h
 	resumed := m.headerWritten
 	m.begun = false
-	err := m.relayStream(resp, p)
+	err := m.relayStream(run)
 	if err == nil {
 		h.cfg.Health.RecordSuccess(p.Decode.Key(), h.cfg.Clock.Now())
 		h.tokenTimes.Add(m.service.Name, (h.cfg.Clock.Now()-m.start)/time.Duration(max(m.expectedOutputTokens(), 1)))
@@ -60,7 +62,7 @@
 	second := m.secondConn(m.r.Context(), p.Decode, resp)
 	defer second.Close()
 	b, err := m.bufferResponse(resp)
-	m.stopHandover()
+	m.finishHandover()
 	err = m.checkEnd(m.r.Context(), p.Decode, resp, second, err)
 	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
 		err = errUnsealed
@@ -69,6 +71,9 @@
 		Int64("event", m.lastEventID).Bool("resumed", m.headerWritten).Msg("relay: server did not send a stream")
 	h.cfg.Health.RecordFailure(p.Decode.Key(), health.BadResponse, h.cfg.Clock.Now())
 	m.exclude(p.Decode)
+	if m.next.isRun() {
+		return false
+	}
 	if m.runs < m.route.MaxAttempts && m.route.Retryable() {
 		if err == nil {
 			m.savedFailure = &response{status: resp.Status, header: resp.Header, body: b}
@@ -90,6 +95,7 @@
 	placement   *admit.Placement
 	second      *link.SecondConn // see exchange.secondConn
 	events      *event.Scanner
+	scanned     bool // see modelRun
 	flusher     *http.ResponseController
 	resumed     bool         // another response has begun the stream
 	passed      bool         // an event of this response was passed on
@@ -99,39 +105,30 @@
 
 // relayStream passes whole events on to the caller until the stream ends. It returns nil if the
 // stream ended regularly.
-func (m *modelExchange) relayStream(resp *link.Response, p *admit.Placement) error {
+func (m *modelExchange) relayStream(run *modelRun) error {
+	if run.events == nil {
+		run.events = event.NewScanner(run.resp.Body, maxEventBytes, m.h.cfg.Memory.Account())
+	}
 	r := &streamRelay{
-		modelExchange: m, resp: resp, placement: p, resumed: m.headerWritten,
-		events:  event.NewScanner(resp.Body, maxEventBytes, m.h.cfg.Memory.Account()),
-		flusher: http.NewResponseController(m.w),
+		modelExchange: m, resp: run.resp, placement: run.placement, resumed: m.headerWritten,
+		events: run.events, scanned: run.scanned, flusher: http.NewResponseController(m.w),
 	}
-	defer r.events.Close()
-	if err := r.checkHeader(); err != nil {
+	if err := r.checkHeader(run.resp); err != nil {
+		m.finishHandover()
 		return err
 	}
-	r.second = m.secondConn(m.r.Context(), p.Decode, resp)
+	r.second = m.secondConn(m.r.Context(), run.placement.Decode, run.resp)
 	defer r.second.Close()
 	err := r.relayEvents()
-	r.stopHandover()
-	if err != nil {
-		if m.headerWritten {
-			_ = r.flusher.Flush() // the events before the failure; err is the error to report
-		}
-		return r.checkEnd(r.r.Context(), p.Decode, resp, r.second, err)
-	}
-	return r.end()
-}
-
-// checkHeader returns an error if the header is not that of a server's stream. A response that
-// continues a stream must have the content type with which the stream began.
-func (r *streamRelay) checkHeader() error {
-	if !r.h.cfg.Protocol.Sealed(r.resp.Header) {
-		return errUnsealed
+	switch {
+	case err == nil:
+		r.stopHandover()
+		return r.end()
+	case m.headerWritten:
+		_ = r.flusher.Flush() // the events before the failure; err is the error to report
 	}
-	if r.resumed && mediaType(r.resp.Header) != mediaType(r.w.Header()) {
-		return errStreamType
-	}
-	return nil
+	r.finishHandover()
+	return r.checkEnd(r.r.Context(), run.placement.Decode, run.resp, r.second, err)
 }
 
 // mediaType returns the content type without its parameters.
@@ -145,11 +142,11 @@
 
 // relayEvents passes on the events up to the end of the body. Of a response that continues a
 // stream, comments before the first event are dropped, because only an event shows that it is the
-// same stream.
+// same stream. So are those of a silent server, as the response of another one may be the one to begin the stream.
 func (r *streamRelay) relayEvents() error {
-	for r.events.Scan() {
+	for r.scan() {
 		comment := r.events.Comment()
-		if comment && r.resumed && !r.passed {
+		if comment && !r.passed && (r.resumed || r.search != nil) {
 			continue
 		}
 		if !comment {
@@ -164,18 +161,25 @@
 	return r.events.Err()
 }
 
+// scan reads the next event, unless the first one was already read.
+func (r *streamRelay) scan() bool {
+	if r.scanned {
+		r.scanned = false
+		return true
+	}
+	return r.events.Scan()
+}
+
 // recordEvent records the event that is passed on next. It returns an error unless the event is
 // the one after the last. Servers number the events of a request 1, 2, 3 and so on, so a gap means
 // that an event is missing, even within the response of one server.
 func (r *streamRelay) recordEvent(id int64) error {
 	r.stopHandover()
-	switch next := max(r.lastEventID, 0) + 1; {
-	case id == event.NoID:
-		return errNoEventID
-	case id < next:
-		return errEventOrder
-	case id > next:
-		return errMissingEvent
+	if r.next != nil {
+		return errSuperseded
+	}
+	if err := r.checkEvent(id); err != nil {
+		return err
 	}
 	if r.lastEventID == r.info.LastEventID {
 		r.h.cfg.Placer.FirstEvent(r.placement)
@@ -192,6 +196,20 @@
 	return nil
 }
 
+// checkEvent returns an error unless an event with the ID may follow the last one.
+func (m *modelExchange) checkEvent(id int64) error {
+	switch next := max(m.lastEventID, 0) + 1; {
+	case id == event.NoID:
+		return errNoEventID
+	case id < next:
+		return errEventOrder
+	case id > next:
+		return errMissingEvent
+	default:
+		return nil
+	}
+}
+
 // pass writes the current event to the caller, and flushes it unless the next one has been read.
 func (r *streamRelay) pass() error {
 	if !r.headerWritten {
