proxy: a stream with all tokens that its caller asked for ends without the word of its server

Callers of resumable and other streams saw a cut when a server fell silent after the last event that may come: nobody sent the end. Each event has at least one token, so no event can follow once there are as many as the request allows. The response is now ended as whole after maxSilence without a byte (1 s or more).

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -133,13 +133,16 @@
 	return req
 }
 
-// fallSilent is called when the server of the current run has sent no event for maxSilence. It begins another run beside it if
-// the route allows one. It returns false, as the wait for the server goes on. ctx is the context of the request, and end ends
-// the current run.
+// fallSilent is called when the server of the current run has sent no event for maxSilence. It reports whether the wait for
+// the server ends: only if nothing can be missing but the end of the response. Otherwise it begins another run beside the
+// current one if the route allows that. ctx is the context of the request, and end ends the current run.
 func (m *modelExchange) fallSilent(ctx context.Context, s *route.Server, end func()) bool {
 	if m.search != nil && !m.search.hasEnded() {
 		return false
 	}
+	if m.headerWritten && (m.counted || m.unrecorded != nil) && m.outputExhausted() {
+		return true
+	}
 	if !m.route.Resumable || m.runs+m.uncounted() >= m.route.MaxAttempts {
 		return false
 	}
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -121,7 +121,7 @@
 	defer r.second.Close()
 	err := r.relayEvents()
 	switch {
-	case err == nil:
+	case err == nil, isTimeout(err) && r.search == nil && r.passed && r.outputExhausted(): // see fallSilent
 		r.stopHandover()
 		return r.end()
 	case m.headerWritten:
