--- a/gossip/service.go
+++ b/gossip/service.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 	"github.com/rs/zerolog"
-	"google.golang.org/protobuf/proto"
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
@@ -32,26 +31,12 @@
 	// watcherTimeout is how long an instance relies on another one to watch the store without
 	// receiving its state.
 	watcherTimeout = 700 * time.Millisecond
-	// fullMemberListShare is a share of all members. A caller that knows fewer members than this
-	// share receives the whole list.
-	fullMemberListShare = 0.9
-	// exchangeTimeout bounds one call.
-	exchangeTimeout = 800 * time.Millisecond
-	// stateBytesPerSecond is the rate at which an instance sends newer state to its peers.
-	// Responses of up to smallResponseBytes are exempt. After a change, all instances of a data
-	// centre request the new state at once. If they shared the link, none would receive the state
-	// in time. The instances that are served first can send it to the others.
-	stateBytesPerSecond = 1 << 20
-	smallResponseBytes  = 8 << 10
 	// minRetryDelay and maxRetryDelay bound the random delay before a busy instance is called
 	// again.
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 150 * time.Millisecond
 )
 
-// errBusy is returned when the peer is currently sending its state to other instances.
-var errBusy = errors.New("the peer is busy")
-
 // Item is one published key of the server list with its value.
 type Item struct {
 	Key          string
@@ -307,123 +292,6 @@
 	}
 }
 
-// exchange calls one instance and records the members that the peer reports. If want is true,
-// exchange also requests newer state and applies it. It returns errBusy if the peer cannot send the
-// state now.
-func (s *Service) exchange(ctx context.Context, addr string, want bool) error {
-	c, err := s.pool.News(ident.Instance(addr))
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	now := s.cfg.Clock.Now()
-	paused, _ := s.Pauses()
-	table, fleet := s.cfg.Store.Revisions()
-	resp, err := c.Exchange(ctx, &peerpb.ExchangeRequest{
-		Self: s.self(), Members: s.members.encode(now, maxMembersSent), Known: int32(s.members.count()),
-		Table: table, Fleet: fleet, Want: want, Histories: peer.EncodeHistories(s.cfg.Crashes.Histories(), s.cfg.SinceBoot()),
-	})
-	if err != nil {
-		return errors.Wrapf(err, "exchange with %s", addr)
-	}
-	now = s.cfg.Clock.Now()
-	s.members.update(resp.GetSelf(), now)
-	s.updateMembers(resp.GetMembers(), now)
-	s.recordHistories(resp.GetHistories())
-	if resp.GetSelf().GetInstance() != s.cfg.Self.Instance {
-		s.pauses.received(paused)
-	}
-	if !want {
-		s.pullIfNewer(addr, resp.GetTable(), resp.GetFleet())
-		return nil
-	}
-	if resp.GetBusy() {
-		return errBusy
-	}
-	if raw := resp.GetConfig(); len(raw) > 0 {
-		s.cfg.Store.ApplyConfig(raw, resp.GetTable())
-	}
-	items := make([]Item, 0, len(resp.GetEntries()))
-	for _, e := range resp.GetEntries() {
-		items = append(items, Item{
-			Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Removed: e.GetRemoved(),
-			TombstoneTTL: time.Duration(e.GetKeepMs()) * time.Millisecond,
-		})
-	}
-	if resp.GetFleet() > fleet {
-		s.cfg.Store.ApplyServerChanges(items, resp.GetFleet(), resp.GetWhole())
-	}
-	return nil
-}
-
-// updateMembers records the members that a peer reports.
-func (s *Service) updateMembers(list []*peerpb.Member, now tick.Instant) {
-	for _, m := range list {
-		s.members.update(m, now)
-	}
-	s.cfg.Usage.SetPeerCount(s.members.count())
-}
-
-// maxMembersFor returns how many members to send to a caller that knows the given number of members.
-// A caller that has just started receives the whole list. Until it knows the number of instances, it cannot
-// compute its share of each limit.
-func (s *Service) maxMembersFor(known int) int {
-	if all := s.members.count(); float64(known) < fullMemberListShare*float64(all) {
-		return all
-	}
-	return maxMembersSent
-}
-
-// Exchange implements peerpbconnect.NewsServiceHandler. It answers a call of a peer.
-func (s *Service) Exchange(_ context.Context, r *peerpb.ExchangeRequest) (*peerpb.ExchangeResponse, error) {
-	now := s.cfg.Clock.Now()
-	s.members.update(r.GetSelf(), now)
-	s.updateMembers(r.GetMembers(), now)
-	s.recordHistories(r.GetHistories())
-	table, fleet := s.cfg.Store.Revisions()
-	s.pullIfNewer(r.GetSelf().GetAddress(), r.GetTable(), r.GetFleet())
-	resp := &peerpb.ExchangeResponse{
-		Self: s.self(), Members: s.members.encode(now, s.maxMembersFor(int(r.GetKnown()))), Table: table, Fleet: fleet,
-		Histories: peer.EncodeHistories(s.cfg.Crashes.Histories(), s.cfg.SinceBoot()),
-	}
-	if !r.GetWant() {
-		return resp, nil
-	}
-	if raw, rev := s.cfg.Store.Config(); rev > r.GetTable() {
-		resp.Config, resp.Table = raw, rev
-	}
-	items, rev, whole := s.cfg.Store.ServerChanges(r.GetFleet())
-	if rev <= r.GetFleet() {
-		return s.limitResponse(resp, now), nil
-	}
-	resp.Fleet, resp.Whole = rev, whole
-	for _, it := range items {
-		resp.Entries = append(resp.Entries, &peerpb.Item{
-			Key: it.Key, Value: it.Value, Revision: it.Revision, Removed: it.Removed,
-			KeepMs: it.TombstoneTTL.Milliseconds(),
-		})
-	}
-	return s.limitResponse(resp, now), nil
-}
-
-// limitResponse returns the response to a request for newer state. While the state is being sent
-// to other peers, it replaces a large response by one that has Busy set and contains no
-// configuration or server list.
-func (s *Service) limitResponse(resp *peerpb.ExchangeResponse, now tick.Instant) *peerpb.ExchangeResponse {
-	size := proto.Size(resp)
-	if size <= smallResponseBytes {
-		return resp
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now < s.busyUntil {
-		return &peerpb.ExchangeResponse{Self: resp.GetSelf(), Members: resp.GetMembers(), Histories: resp.GetHistories(), Busy: true}
-	}
-	s.busyUntil = now + time.Duration(float64(size)/stateBytesPerSecond*float64(time.Second))
-	return resp
-}
-
 // WatchesStore reports whether this instance watches the platform's store itself. Among the
 // instances of a data centre that can read the store and receive each other's state, only the first
 // by name watches the store. The others receive the changes from that instance.
