seeds, limit, quota: one function checks properties with fixed seeds

limit and quota each had the same loop over seeds. It is now in package seeds; number of schedules, first seed and WASABI_SOAK are as before (3000 and 100 schedules, counted by the tests).

--- a/limit/bucket_test.go
+++ b/limit/bucket_test.go
@@ -8,10 +8,15 @@
 	"pgregory.net/rapid"
 
 	"wasabidock.dev/dock/limit"
+	"wasabidock.dev/dock/seeds"
 	"wasabidock.dev/dock/tick"
 )
 
-const million = 1_000_000
+const (
+	million = 1_000_000
+	// schedules is the number of random schedules with which a property is checked.
+	schedules = 3000
+)
 
 // referenceBucket is a token bucket from which the tokens of each charge are taken when they are
 // used. Its level falls below zero if and only if some window holds more than burst + rate x
@@ -42,7 +47,7 @@
 // TestBucketBound guards against a bucket that grants more than rate and burst allow. It charges,
 // uses late, settles and waits at random, and compares the tokens used with referenceBucket.
 func TestBucketBound(t *testing.T) {
-	checkSeeds(t, func(t *rapid.T) {
+	seeds.Check(t, schedules, func(t *rapid.T) {
 		limits := limit.Limits{Rate: rapid.Int64Range(50, 500).Draw(t, "rate"), Burst: rapid.Int64Range(200, 2000).Draw(t, "burst")}
 		share := rapid.SampledFrom([]int64{million, million / 3, 111_111}).Draw(t, "share")
 		b := limit.NewBucket(0, limits)
--- a/limit/lease_test.go
+++ b/limit/lease_test.go
@@ -9,6 +9,7 @@
 
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/limit"
+	"wasabidock.dev/dock/seeds"
 	"wasabidock.dev/dock/tick"
 )
 
@@ -48,7 +49,7 @@
 // leases to the other.
 func TestOneHolderAtATime(t *testing.T) {
 	used := 0
-	checkSeeds(t, func(t *rapid.T) {
+	seeds.Check(t, schedules, func(t *rapid.T) {
 		group := limit.GroupOf(sur)
 		lessor := limit.NewLessor(limit.LessorConfig{MaxLeaseTTL: leaseTTL, RaiseDelay: time.Millisecond})
 		lessor.SetShare(0, million)
--- a/quota/schedule_test.go
+++ b/quota/schedule_test.go
@@ -9,6 +9,7 @@
 
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/limit"
+	"wasabidock.dev/dock/seeds"
 )
 
 var randomCustomers = []limit.Customer{
@@ -158,7 +159,7 @@
 // window may hold more than burst + rate x window of any customer.
 func TestBoundUnderRandomSchedules(t *testing.T) {
 	admitted, rejected, expired := 0, 0, 0
-	checkSeeds(t, 100, func(rt *rapid.T) {
+	seeds.Check(t, 100, func(rt *rapid.T) {
 		f := newFleet(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 3).Draw(rt, "centres"), rapid.IntRange(1, 3).Draw(rt, "seats"), revision{customers: randomCustomers})
 		c := &chaos{f: f}
 		f.traffic = c.send
