proxy, event, link: a silent server's answer is checked before the run beside it is ended

Events and ends are now checked first; if they are rejected, the other run is waited for. The number of runs is read meanwhile, so it is atomic.

--- a/event/event.go
+++ b/event/event.go
@@ -154,6 +154,9 @@
 // Comment reports whether the event has no field: it consists of comments, or of an empty line alone.
 func (s *Scanner) Comment() bool { return s.fields == 0 }
 
+// Partial reports whether Scan has returned false in the middle of an event.
+func (s *Scanner) Partial() bool { return s.err != nil && len(s.buf) > 0 }
+
 // NextBuffered reports whether the whole next event is in the buffer. A partial event does not
 // count, because the rest may arrive late or never.
 func (s *Scanner) NextBuffered() bool {
--- a/link/link.go
+++ b/link/link.go
@@ -287,6 +287,12 @@
 // bytes from time to time without end.
 func (res *Response) ResetIdleTimeout() { res.setReadTimeout(res.idleTimeout) }
 
+// SetIdleTimeout replaces the idle timeout and restarts it, see Request.IdleTimeout.
+func (res *Response) SetIdleTimeout(d time.Duration) {
+	res.idleTimeout = d
+	res.ResetIdleTimeout()
+}
+
 // setReadTimeout bounds the following reads to d from now, or removes the bound if d is 0.
 // Socket deadlines are given as wall-clock times but run on the monotonic clock.
 func (res *Response) setReadTimeout(d time.Duration) {
--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -20,8 +20,9 @@
 	resp      *link.Response
 	events    *event.Scanner
 	scanned   bool               // the scanner is at an event that was not passed on
+	begun     bool               // a part of the next event was read while another run may go on
 	cancel    context.CancelFunc // ends the run
-	// silent is called when the server has been silent for maxSilence, see link.Request.EndWait. It is nil while the run is
+	// silent is called when the server has been silent for silenceLimit, see link.Request.EndWait. It is nil while the run is
 	// not the only one.
 	silent func() bool
 }
@@ -133,8 +134,8 @@
 	return req
 }
 
-// fallSilent is called when the server of the current run has sent no event for maxSilence. It reports whether the wait for
-// the server ends: only if nothing can be missing but the end of the response. Otherwise it begins another run beside the
+// fallSilent is called when the server of the current run has sent no event for silenceLimit. It reports whether the wait for
+// the server ends: only if no event can be missing. Otherwise it begins another run beside the
 // current one if the route allows that. ctx is the context of the request, and end ends the current run.
 func (m *modelExchange) fallSilent(ctx context.Context, s *route.Server, end func()) bool {
 	if m.search != nil && !m.search.hasEnded() {
@@ -143,7 +144,7 @@
 	if m.headerWritten && (m.counted || m.unrecorded != nil) && m.outputExhausted() {
 		return true
 	}
-	if !m.route.Resumable || m.runs+m.uncounted() >= m.route.MaxAttempts {
+	if !m.route.Resumable || m.runCount()+m.uncounted() >= m.route.MaxAttempts {
 		return false
 	}
 	if m.kv != nil {
@@ -215,5 +216,5 @@
 	m.kv = nil          // the server has fetched the KV cache or runs the request without one
 	m.reservation = nil // the server has used the reservation
 	m.mayHaveRun = true
-	m.runs++
+	m.runs.Add(1)
 }
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -236,7 +236,7 @@
 	if x.service.Engine != nil && x.info.HasTokenCounts {
 		wait, hedged = min(wait, patience(x.route)), false
 	}
-	if hedged || !x.route.Retryable() || x.runs >= x.route.MaxAttempts {
+	if hedged || !x.route.Retryable() || x.runCount() >= x.route.MaxAttempts {
 		return wait
 	}
 	return time.Duration(confirmShare * float64(wait))
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -129,7 +129,7 @@
 	deadline      tick.Instant // deadline of the response
 	chargedTokens int          // tokens taken from the customer's limit
 	mayHaveRun    bool         // a server may have run the request
-	runs          int          // number of servers that may have run the request
+	runs          atomic.Int64 // number of servers that may have run the request
 	writes        int          // number of servers to which the request was written
 	arrivals      arrivals
 	headerWritten bool      // the response header was written
@@ -233,13 +233,16 @@
 		e = e.Int("prompt", x.info.PromptTokens).Int("output", x.info.MaxOutputTokens).Int("hint", x.info.EstimatedOutputTokens).
 			Strs("parts", x.info.Parts).Int64("last", x.lastEventID).Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).
 			Str("kv", x.stats.handle).Str("hold", x.stats.reservation).
-			Int("reads", x.stats.prefills).Int("fetched", x.stats.transfers).Int("runs", x.runs).
+			Int("reads", x.stats.prefills).Int("fetched", x.stats.transfers).Int("runs", x.runCount()).
 			Dur("placed", x.stats.placed).Dur("read", x.stats.prefilled).Dur("first", x.stats.first).
 			Dur("gap", x.stats.maxGap)
 	}
 	e.Msg("relay: " + x.summary)
 }
 
+// runCount returns the number of servers that may have run the request.
+func (x *exchange) runCount() int { return int(x.runs.Load()) }
+
 // remaining returns the time until the deadline.
 func (x *exchange) remaining() time.Duration { return x.deadline - x.h.cfg.Clock.Now() }
 
@@ -249,7 +252,7 @@
 // allowAttempt reports whether the request may be written to one more server, and counts it as an
 // arrival there.
 func (x *exchange) allowAttempt() bool {
-	if x.mayHaveRun && (!x.route.Retryable() || x.runs >= x.route.MaxAttempts) {
+	if x.mayHaveRun && (!x.route.Retryable() || x.runCount() >= x.route.MaxAttempts) {
 		return false
 	}
 	return x.arrivals.count(x.spendRetry)
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -135,7 +135,7 @@
 }
 
 // attemptsLeft returns how many more runs the route allows.
-func (d *handover) attemptsLeft() int { return d.m.route.MaxAttempts - d.m.runs - d.others }
+func (d *handover) attemptsLeft() int { return d.m.route.MaxAttempts - d.m.runCount() - d.others }
 
 // run looks for another place, and begins a run there, until that succeeds. It ends with searchCtx, unless a run was
 // begun, and with ctx.
@@ -161,8 +161,6 @@
 		}
 		m.h.cfg.Placer.Release(p)
 		switch {
-		case errors.Is(err, errNothingToAdd):
-			return
 		case errors.Is(err, errNoPrefillRetry):
 			m.placeReq.LocalPrefill = true
 		case errors.Is(err, errNoRetry), errors.Is(err, errNotResumable):
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -144,7 +144,7 @@
 	if !p.hedges() || ctx.Err() != nil {
 		return false
 	}
-	if n := len(p.running); n == 0 || p.runs+n >= p.route.MaxAttempts {
+	if n := len(p.running); n == 0 || p.runCount()+n >= p.route.MaxAttempts {
 		return false
 	}
 	s := p.pickServer(p.avoid, p.h.cfg.Permits.Limited)
@@ -175,7 +175,7 @@
 		return false
 	}
 	x.mayHaveRun = true
-	x.runs++
+	x.runs.Add(1)
 	if r.err != nil {
 		x.h.cfg.Log.Info().Err(r.err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid or incomplete response; trying another server if the route allows it")
 		x.recordFailure(s, classifyFailure(r.err))
@@ -183,7 +183,7 @@
 	}
 	if r.resp.status >= http.StatusInternalServerError {
 		x.h.cfg.Health.RecordFailure(s.Key(), health.BadResponse, r.end)
-		if x.route.Kind == route.Idempotent && (len(p.running) > 0 || x.runs < x.route.MaxAttempts) {
+		if x.route.Kind == route.Idempotent && (len(p.running) > 0 || x.runCount() < x.route.MaxAttempts) {
 			x.savedFailure = r.resp
 			return false
 		}
@@ -246,7 +246,7 @@
 	x.recordWrite(a.server)
 	if !r.notExecuted {
 		x.mayHaveRun = true
-		x.runs++
+		x.runs.Add(1)
 	}
 	x.h.cfg.Log.Info().Str("server", a.server.ID).Str("id", x.info.ID).Dur("took", silent).
 		Msg("relay: attempt ended because another server has answered")
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -57,7 +57,7 @@
 		return
 	}
 	s := x.sample(name)
-	first, resumes := x.stats.first, max(x.runs-1, 0)
+	first, resumes := x.stats.first, max(x.runCount()-1, 0)
 	if x.service.Engine == nil {
 		first, resumes = x.h.cfg.Clock.Now()-x.start, 0
 	}
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -219,7 +219,7 @@
 		return "time is up"
 	case !m.route.Retryable():
 		return "the server gave no whole answer, and the route allows no other one"
-	case m.runs >= m.route.MaxAttempts:
+	case m.runCount() >= m.route.MaxAttempts:
 		return "the server gave no whole answer, and no attempt is left"
 	case m.isSuspect():
 		return "the server gave no whole answer, and a part of the prompt may end servers"
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -134,7 +134,7 @@
 	if !notRun {
 		x.recordWrite(s)
 		x.mayHaveRun = true
-		x.runs++
+		x.runs.Add(1)
 	}
 }
 
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -74,7 +74,7 @@
 	if m.next.isRun() {
 		return false
 	}
-	if m.runs < m.route.MaxAttempts && m.route.Retryable() {
+	if m.runCount() < m.route.MaxAttempts && m.route.Retryable() {
 		if err == nil {
 			m.savedFailure = &response{status: resp.Status, header: resp.Header, body: b}
 		}
@@ -120,15 +120,20 @@
 	r.second = m.secondConn(m.r.Context(), run.placement.Decode, run.resp)
 	defer r.second.Close()
 	err := r.relayEvents()
-	switch {
-	case err == nil, isTimeout(err) && r.search == nil && r.passed && r.outputExhausted(): // see fallSilent
+	if err == nil {
+		err = r.checkWhole()
+	} else {
+		err = r.checkEnd(r.r.Context(), run.placement.Decode, run.resp, r.second, err)
+	}
+	if err == nil || r.lacksOnlyEnd(err) {
 		r.stopHandover()
 		return r.end()
-	case m.headerWritten:
+	}
+	if m.headerWritten {
 		_ = r.flusher.Flush() // the events before the failure; err is the error to report
 	}
 	r.finishHandover()
-	return r.checkEnd(r.r.Context(), run.placement.Decode, run.resp, r.second, err)
+	return err
 }
 
 // mediaType returns the content type without its parameters.
@@ -174,13 +179,14 @@
 // the one after the last. Servers number the events of a request 1, 2, 3 and so on, so a gap means
 // that an event is missing, even within the response of one server.
 func (r *streamRelay) recordEvent(id int64) error {
+	if err := r.checkEvent(id); err != nil {
+		return err
+	}
 	r.stopHandover()
 	if r.next != nil {
+		r.left = true
 		return errSuperseded
 	}
-	if err := r.checkEvent(id); err != nil {
-		return err
-	}
 	if r.lastEventID == r.info.LastEventID {
 		r.h.cfg.Placer.FirstEvent(r.placement)
 		r.stats.first = r.h.cfg.Clock.Now() - r.start
@@ -192,10 +198,19 @@
 	r.lastEventID, r.passed = id, true
 	r.progress = r.h.cfg.Clock.Now()
 	r.recordSound(r.placement.Decode)
-	r.resp.ResetIdleTimeout()
+	r.resp.SetIdleTimeout(r.silenceLimit())
 	return nil
 }
 
+// silenceLimit returns how long the server may be silent now, see fallSilent. A response that may lack only its end is waited for
+// as long as its caller waits.
+func (m *modelExchange) silenceLimit() time.Duration {
+	if m.outputExhausted() {
+		return min(patience(m.route), time.Duration(callersPatience*float64(m.remaining())))
+	}
+	return maxSilence(m.route)
+}
+
 // checkEvent returns an error unless an event with the ID may follow the last one.
 func (m *modelExchange) checkEvent(id int64) error {
 	switch next := max(m.lastEventID, 0) + 1; {
@@ -232,17 +247,26 @@
 	return nil
 }
 
-// end ends the stream after the regular end of the body. If a response continues a stream and has
-// no events, its end is not the end of the stream, unless no further event is possible.
-func (r *streamRelay) end() error {
-	if !r.outputExhausted() { // the last token proves the end
-		if (r.resumed || !r.resp.Framed()) && !r.passed {
-			return errNoEvents
-		}
-		if err := r.checkEnd(r.r.Context(), r.placement.Decode, r.resp, r.second, nil); err != nil {
-			return err
-		}
+// checkWhole returns an error unless the regular end of the body is the end of the stream. If a response continues a stream and
+// has no events, its end is not the end of the stream, unless no further event is possible.
+func (r *streamRelay) checkWhole() error {
+	if r.outputExhausted() { // the last token proves the end
+		return nil
 	}
+	if (r.resumed || !r.resp.Framed()) && !r.passed {
+		return errNoEvents
+	}
+	return r.checkEnd(r.r.Context(), r.placement.Decode, r.resp, r.second, nil)
+}
+
+// lacksOnlyEnd reports whether a response that was waited for in vain has all that may come but its end: it has as many events
+// as the request allows tokens, and no part of another one.
+func (r *streamRelay) lacksOnlyEnd(err error) bool {
+	return isTimeout(err) && r.passed && r.outputExhausted() && !r.events.Partial()
+}
+
+// end ends the stream.
+func (r *streamRelay) end() error {
 	if !r.begun {
 		r.recordBegun()
 	}
