proxy: a run beside a silent server ends only where it works for too long

TestSoundServerBesideIsWaitedFor. - With an attempt left, an empty response of the second server ended the search. TestThirdServerIsAskedAfterEmptyResponse. - Two servers worked on one request for 700 ms when the second one was silent inside its first event. From its first byte on that event must follow within 300 ms. TestTwoServersDoNotWorkForLong: the cell "silent inside its first event" failed with 701 ms.

--- a/proxy/beside.go
+++ b/proxy/beside.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -22,8 +23,10 @@
 // BesideEnds returns the values of the metric for runs beside one at a silent server.
 func BesideEnds() []string { return []string{BesideDelivered, BesideFailed, BesideEnded} }
 
-// errNothingToAdd reports a whole response without events, which continues a stream. It does not prove the end of the stream,
-// and no other server is expected to know more.
+// bothRun bounds the time for which a server has begun to send an event while the silent one may go on with it too.
+const bothRun = 300 * time.Millisecond
+
+// errNothingToAdd reports a whole response without events, which continues a stream. It does not prove the end of the stream.
 var errNothingToAdd = errors.New("response that continues the stream has an end and no events")
 
 // begin runs the request at a placement whose server has given a reservation. It returns the run once it has sent what the
@@ -66,12 +69,11 @@
 	m, s := d.m, p.Decode
 	run := &modelRun{placement: p, cancel: func() {}}
 	req := m.runRequest(p)
-	req.HeaderTimeout = maxSilence(m.route)
 	req.EndWait = func() bool {
 		if run.silent != nil {
 			return run.silent()
 		}
-		return d.attemptsLeft() > 1 // besides this one
+		return run.begun
 	}
 	m.progress = m.h.cfg.Clock.Now()
 	resp, err := m.runIf(runCtx, s, req, func() error { return m.checkWorkAfter(true) })
@@ -98,6 +100,17 @@
 	return nil, err
 }
 
+// Read implements io.Reader for the response of a run that was begun beside another one. The server works on the request from its first
+// token on, so that what it has begun to send must follow soon.
+func (r *modelRun) Read(b []byte) (int, error) {
+	n, err := r.resp.Body.Read(b)
+	if n > 0 && !r.begun && !r.scanned {
+		r.begun = true
+		r.resp.SetIdleTimeout(bothRun)
+	}
+	return n, err
+}
+
 // errNotExecuted reports that a server has rejected a run, and errNoStream that it has answered with an error.
 var (
 	errNotExecuted = errors.New("the server has rejected the request")
@@ -118,9 +131,11 @@
 	if err := m.checkHeader(r.resp); err != nil {
 		return err
 	}
-	r.events = event.NewScanner(r.resp.Body, maxEventBytes, m.h.cfg.Memory.Account())
+	r.events = event.NewScanner(r, maxEventBytes, m.h.cfg.Memory.Account())
 	for r.events.Scan() {
 		if r.events.Comment() {
+			r.begun = false
+			r.resp.SetIdleTimeout(maxSilence(m.route))
 			continue
 		}
 		r.scanned = true
@@ -142,7 +157,10 @@
 func (m *modelExchange) recordBesideFailure(r *modelRun, err error) {
 	s := r.placement.Decode
 	switch {
-	case errors.Is(err, errNotExecuted), errors.Is(err, errNothingToAdd):
+	case errors.Is(err, errNotExecuted):
+		return
+	case errors.Is(err, errNothingToAdd):
+		m.exclude(s)
 		return
 	case errors.Is(err, errNoStream):
 		m.recordFailure(s, health.BadResponse)
