proxy: a run beside a silent server is not ended where nothing may follow it

Symptom: on a route with three attempts, callers got 500, 502 or a cut stream if their silent server failed (end of its connections, 500, rejection) while the run that was begun beside it was silent too, for 1.5 s. With two attempts the same request was whole. Cause: a run beside a silent server was ended after a second of silence if the route allowed one more. Its search for another place had ended with the first run, so nothing followed, and both servers were excluded. Change: such a run is ended only while another place may still be looked for. Once the first run has failed it is the only one, and as with any silent server, another run is begun beside it, and one of both goes on when it has sent the next event.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -157,9 +157,9 @@
 // uncounted returns the number of runs that have been requested and are not included in runs.
 func (m *modelExchange) uncounted() int {
 	if m.counted {
-		return 0
+		return m.others
 	}
-	return 1
+	return m.others + 1
 }
 
 // skipUnwritten reports whether the request was not written to a server because something has changed, and prepares the
--- a/proxy/beside.go
+++ b/proxy/beside.go
@@ -28,14 +28,14 @@
 
 // begin runs the request at a placement whose server has given a reservation. It returns the run once it has sent what the
 // caller waits for.
-func (d *handover) begin(ctx context.Context, p *admit.Placement) (*modelRun, error) {
+func (d *handover) begin(ctx, searchCtx context.Context, p *admit.Placement) (*modelRun, error) {
 	m := d.m
 	if err := m.prepare(ctx, p); err != nil {
 		return nil, err
 	}
 	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	run, err := d.request(ctx, runCtx, p)
+	run, err := d.request(ctx, runCtx, searchCtx, p, cancel)
 	if err == nil && !stop() {
 		run.close()
 		err = ctx.Err()
@@ -61,20 +61,29 @@
 }
 
 // request writes the request and reads the response up to the first event. runCtx is the context of the run, and ctx ends
-// when nobody waits for it.
-func (d *handover) request(ctx, runCtx context.Context, p *admit.Placement) (*modelRun, error) {
+// when nobody waits for it. Once searchCtx has ended, this run is the only one, and another one may be begun beside it. end ends
+// the run.
+func (d *handover) request(ctx, runCtx, searchCtx context.Context, p *admit.Placement, end func()) (*modelRun, error) {
 	m, s := d.m, p.Decode
 	run := &modelRun{placement: p, cancel: func() {}}
 	req := m.runRequest(p)
 	req.HeaderTimeout = maxSilence(m.route)
 	req.EndWait = func() bool {
-		if run.silent != nil {
+		switch {
+		case run.silent != nil:
 			return run.silent()
+		case searchCtx.Err() != nil:
+			return m.fallSilent(ctx, s, end)
+		default:
+			return d.goesOn(searchCtx) && d.attemptsLeft() > 1 // besides this one
 		}
-		return d.attemptsLeft() > 1 // besides this one
 	}
+	m.left, m.counted = false, false
 	m.progress = m.h.cfg.Clock.Now()
 	resp, err := m.runIf(runCtx, s, req, func() error { return m.checkWorkAfter(true) })
+	if err != nil {
+		m.finishHandover()
+	}
 	switch {
 	case err == nil:
 	case m.skipUnwritten(s, err):
@@ -89,8 +98,13 @@
 	}
 	run.resp = resp
 	if err = m.readBeside(run); err == nil {
-		return run, nil
+		m.stopHandover()
+		if m.next == nil {
+			return run, nil
+		}
+		err = errSuperseded
 	}
+	m.finishHandover()
 	run.close()
 	if ctx.Err() == nil {
 		m.recordBesideFailure(run, err)
@@ -107,11 +121,14 @@
 // readBeside reads the response up to the first event.
 func (m *modelExchange) readBeside(r *modelRun) error {
 	if m.h.cfg.Protocol.NotExecuted(r.resp.Status, r.resp.Header) {
+		m.finishHandover()
 		m.recordNotExecuted(r)
 		return errNotExecuted
 	}
 	m.unrecorded = r.placement.Decode
-	m.recordRun()
+	if m.search == nil {
+		m.recordRun()
+	}
 	if r.resp.Status != http.StatusOK {
 		return errNoStream
 	}
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -20,9 +20,8 @@
 // there beside the one at the silent server. The first run ends only when the other one has sent what the caller waits for. While
 // the server has not been asked to run the request yet, a place where it can run is enough.
 type handover struct {
-	m      *modelExchange // state of the other run. It shares the exchange with the one that is silent.
-	runs   bool           // another run is begun, instead of only another place found
-	others int            // runs under way that exchange.runs does not include
+	m    *modelExchange // state of the other run. It shares the exchange with the one that is silent.
+	runs bool           // another run is begun, instead of only another place found
 
 	stopSearch context.CancelFunc // ends the search for a place, not a run that was begun
 	cancel     context.CancelFunc // ends both
@@ -52,7 +51,7 @@
 	}
 	m.h.silent.add(s.Key(), 1)
 	m.silentAt = s
-	d := &handover{m: m.beside(), runs: runs, others: m.uncounted(), done: make(chan struct{})}
+	d := &handover{m: m.beside(), runs: runs, done: make(chan struct{})}
 	ctx, d.cancel = context.WithCancel(ctx)
 	var searchCtx context.Context
 	searchCtx, d.stopSearch = context.WithCancel(ctx)
@@ -62,7 +61,7 @@
 
 // beside returns the state of a run beside the current one.
 func (m *modelExchange) beside() *modelExchange {
-	return &modelExchange{exchange: m.exchange, placeReq: m.successorRequest(), prefillAttempts: m.prefillAttempts}
+	return &modelExchange{exchange: m.exchange, placeReq: m.successorRequest(), prefillAttempts: m.prefillAttempts, others: m.uncounted()}
 }
 
 // stopHandover ends the search for another place, and a run that was begun there. After it, m.next is set if that run has
@@ -135,7 +134,7 @@
 }
 
 // attemptsLeft returns how many more runs the route allows.
-func (d *handover) attemptsLeft() int { return d.m.route.MaxAttempts - d.m.runs - d.others }
+func (d *handover) attemptsLeft() int { return d.m.route.MaxAttempts - d.m.runs - d.m.others }
 
 // run looks for another place, and begins a run there, until that succeeds. It ends with searchCtx, unless a run was
 // begun, and with ctx.
@@ -197,11 +196,16 @@
 	}
 	m.reservation = r
 	defer m.release()
-	run, err := d.begin(ctx, p)
-	if err != nil {
+	run, err := d.begin(ctx, searchCtx, p)
+	switch {
+	case err == nil:
+		return &successor{placement: p, run: run}, nil
+	case m.next.isRun():
+		m.h.cfg.Placer.Release(p)
+		return m.next, nil
+	default:
 		return nil, err
 	}
-	return &successor{placement: p, run: run}, nil
 }
 
 // checkSuccessor returns an error unless the request can go on at a placement at whose server memory is reserved.
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -40,6 +40,7 @@
 	limiter *fakeLimiter
 	clock   tick.Clock
 	source  serverSource
+	sched   *admit.Scheduler
 	health  *health.Tracker
 	gate    *permit.Gate
 	crashes *crash.Gate
@@ -239,6 +240,7 @@
 	scheduler := admit.NewScheduler(admit.Config{
 		Centre: "a", Region: "r", Usable: h.health.Usable, ClosedUntil: h.health.ClosedUntil,
 	}, h.source, h.clock)
+	h.sched = scheduler
 	h.handler = proxy.New(proxy.Config{
 		Centre: "a", Region: "r", Live: h.live, Protocol: platform.Protocol{},
 		Client:  link.New(link.Config{Clock: h.clock, Memory: h.memory, IDHeader: platform.AttemptHeader}),
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -128,6 +128,7 @@
 	current  *modelRun     // run that was begun beside the last one and goes on alone, nil for none
 	progress tick.Instant  // time at which the current run was requested, or of its last event
 	counted  bool          // runs includes the current run
+	others   int           // runs beside the current one that runs does not include
 	// unrecorded is the server whose response has begun and is not recorded yet, as the search uses the state of the
 	// exchange, nil for none.
 	unrecorded *route.Server
