plain: a server that leaves two calls in a row without an answer is avoided

Symptom: calls through the own interface to a service with a mute server end at the time limit of their route, as long as the server is listed. A call that reached its limit counted as nothing, like one whose caller had left, and only a connection without a byte for 10 s counted as a failure. With a limit below 10 s, no call ever did, so the mute server was chosen for every second call. Change: a server that has left two calls in a row without a whole answer within their limits is avoided for 5 s, and again after each further one until it answers. One such call may be due to a short limit or a short silence, and a call whose caller has left still counts for nothing. An avoided server is still used if there is no other. Not changed: an idempotent call still ends its attempt at a server that is silent for 10 s before it begins another one.

--- a/plain/client.go
+++ b/plain/client.go
@@ -26,8 +26,14 @@
 	defaultMaxAttempts = 3
 	maxHeaderBytes     = 64 << 10
 	asideAfterFailure  = 5 * time.Second
+	// maxUnanswered is the number of calls in a row that reach their limits at a server before it counts as failed. One
+	// may be due to a short limit, or to a short silence of the server.
+	maxUnanswered = 2
 )
 
+// errLimit reports a call that has reached its limit.
+var errLimit = errors.New("the call has reached its time limit")
+
 // errNoEnd reports an answer that ends when its connection is closed, so that a
 // truncated one cannot be told from a complete one.
 var errNoEnd = errors.New("the answer has neither a length nor chunks")
@@ -47,10 +53,11 @@
 type Client struct {
 	cfg Config
 
-	mu    sync.Mutex // guards rand and the maps
-	rand  *rand.Rand
-	open  map[ident.Server]int
-	aside map[ident.Server]tick.Instant // until when a failed server is avoided
+	mu         sync.Mutex // guards rand and the maps
+	rand       *rand.Rand
+	open       map[ident.Server]int
+	aside      map[ident.Server]tick.Instant // until when a failed server is avoided
+	unanswered map[ident.Server]int          // calls that have reached their limits since the server's last answer
 }
 
 // New returns a Client.
@@ -71,10 +78,11 @@
 		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	return &Client{
-		cfg:   cfg,
-		rand:  cfg.Rand,
-		open:  make(map[ident.Server]int),
-		aside: make(map[ident.Server]tick.Instant),
+		cfg:        cfg,
+		rand:       cfg.Rand,
+		open:       make(map[ident.Server]int),
+		aside:      make(map[ident.Server]tick.Instant),
+		unanswered: make(map[ident.Server]int),
 	}
 }
 
@@ -86,7 +94,7 @@
 	if limit == 0 {
 		limit = defaultLimit
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	ctx, cancel := context.WithTimeoutCause(ctx, limit, errLimit)
 	defer cancel()
 
 	var (
@@ -146,7 +154,16 @@
 func (c *Client) try(ctx context.Context, s Server, call Call) (Answer, error) {
 	c.begin(s.Name)
 	a, err := c.exchange(ctx, s, call)
-	c.end(s.Name, err != nil && ctx.Err() == nil && !held(err))
+	switch {
+	case err == nil:
+		c.end(s.Name, answered)
+	case errors.Is(context.Cause(ctx), errLimit):
+		c.end(s.Name, unanswered)
+	case ctx.Err() != nil || held(err):
+		c.end(s.Name, ended)
+	default:
+		c.end(s.Name, failed)
+	}
 	return a, err
 }
 
--- a/plain/pick.go
+++ b/plain/pick.go
@@ -51,15 +51,31 @@
 	c.open[s]++
 }
 
-// end records the end of an attempt. A server that failed is avoided for
-// asideAfterFailure.
-func (c *Client) end(s ident.Server, failed bool) {
+// ending is how an attempt ended.
+type ending int
+
+const (
+	ended      ending = iota // says nothing about the server
+	answered                 // whole answer
+	unanswered               // no whole answer within the limit of the call
+	failed
+)
+
+// end records the end of an attempt. A server that failed, or left maxUnanswered calls in a row without an answer, is
+// avoided for asideAfterFailure. The next call that it leaves unanswered then counts as a failure too.
+func (c *Client) end(s ident.Server, e ending) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.open[s]--; c.open[s] == 0 {
 		delete(c.open, s)
 	}
-	if failed {
+	switch e {
+	case answered:
+		delete(c.unanswered, s)
+	case unanswered:
+		c.unanswered[s] = min(c.unanswered[s]+1, maxUnanswered)
+	}
+	if e == failed || (e == unanswered && c.unanswered[s] == maxUnanswered) {
 		c.aside[s] = c.cfg.Clock.Now() + asideAfterFailure
 	}
 }
