proxy, health: a server that may be mute gets a second attempt beside it in time

Symptom: two plain servers, one mute for good, one that answers in 1.2 s, a route of 2 s: the callers of many reads get 504, as long as the mute server is listed. Cause: the second attempt of an idempotent request waits for the usual time of the service, mean and four mean deviations. If a usual response takes more than half of the time that the caller gives, the second attempt begins too late or never, and the mute server is tried again after each ejection. Change: a server is known to be sound if it has answered and has failed no request since (health.Tracker.Sound). At any other server, the second attempt begins while its usual time (1.1 times the mean and one mean deviation) is left, but not before the earliest delay, and not if the mean isn't left either. One unanswered request is enough for that, and one answer ends it, so a sound, silent server that goes on costs at most a repeat. An attempt at such a server that is ended after the mean response time, because the other has answered, counts as a failure; three in a row eject the server, as before. It is the request that shows that the server is mute. Not changed (read in the code, not measured): mutating requests and routes with one attempt still lose three requests to a mute server, and one for each ejection that has passed.

--- a/health/health.go
+++ b/health/health.go
@@ -19,6 +19,7 @@
 //
 // A server that sends nothing for too long may be sound and go on. RecordSilence counts as a failure, but silences that began
 // before an ejection are those for which the server was ejected, and do not extend it. The next response ends it.
+// Sound tells a server that has answered since its last failure from one that may not answer at all.
 //
 // Reports of absent and unresponsive servers are sent to the other instances. Without
 // them, each instance would have to lose a request to detect the failure. An instance that
@@ -139,6 +140,14 @@
 	return now >= s.ejectedUntil
 }
 
+// Sound reports whether the server has answered a request and has failed none since.
+func (t *Tracker) Sound(key string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.servers[route.Hash(key)]
+	return ok && s.lastSuccess != 0 && s.failures == 0
+}
+
 // RecordRequest records that a request is sent to the server. If the server was ejected,
 // it is not usable for further requests until a success is recorded or the ejection time has
 // passed again.
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -32,6 +32,21 @@
 	is.True(!tr.Usable("s", 2000*ms)) // a connect timeout ejects at once
 }
 
+// TestSound guards against a server that counts as sound before its first answer, or after a failure.
+func TestSound(t *testing.T) {
+	is := is.New(t)
+	tr := health.NewTracker()
+	is.True(!tr.Sound("s"))
+	tr.RecordRequest("s", 0)
+	is.True(!tr.Sound("s"))
+	tr.RecordSuccess("s", 1)
+	is.True(tr.Sound("s"))
+	tr.RecordUnanswered("s", 1, 2)
+	is.True(!tr.Sound("s"))
+	tr.RecordSuccess("s", 3)
+	is.True(tr.Sound("s"))
+}
+
 // TestSilencesAtOnceEjectOnce guards against a sound server that is set aside for long because many streams met the same silence.
 func TestSilencesAtOnceEjectOnce(t *testing.T) {
 	const ms = time.Millisecond
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -26,6 +26,8 @@
 // An idempotent request that takes longer than is usual for its plain service is sent to another server beside the first one. It
 // takes a retry and counts as an attempt. The first whole response is passed on, a status from 500 only if no other attempt is left.
 // The other attempts are ended before that, and their connections closed. None is ended for one that may still fail.
+// If the first server has not answered a request since it failed one, or never has, the request is sent to the other server
+// while the usual time of a response is left.
 //
 // A resumable stream whose server is silent goes on at another one only when that has reserved memory for it and the retries are
 // paid. Until then the run goes on, and so does the stream if the server does.
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -15,9 +15,14 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// hedgeDelayShare is the fraction of the latency target after which an idempotent request without a response may be sent
-// to another server beside the first.
-const hedgeDelayShare = 0.6
+const (
+	// hedgeDelayShare is the fraction of the latency target after which an idempotent request without a response may be sent
+	// to another server beside the first.
+	hedgeDelayShare = 0.6
+	// hedgeTimeFactor is how often the usual time of a response the second server of a hedged request is left, if the first
+	// is not known to be sound. The two servers may differ in speed.
+	hedgeTimeFactor = 1.1
+)
 
 // What became of hedged requests, for metrics.
 const (
@@ -47,6 +52,7 @@
 	req    *link.Request
 	check  func() error // see exchange.checkWork
 	start  tick.Instant
+	late   time.Duration // time without a response after which the request may be sent to another server
 	cancel context.CancelFunc
 	memory *memory.Account // of the response
 	beside bool            // another attempt was running when it was begun
@@ -89,8 +95,7 @@
 // try writes the request to a server, and to others beside it if that takes longer than is usual for the service. It
 // returns true if it has answered the caller, and false once no attempt is running.
 func (p *plainExchange) try(ctx context.Context, s *route.Server) bool {
-	p.begin(ctx, s)
-	late := p.h.cfg.Clock.After(p.hedgeDelay())
+	late := p.h.cfg.Clock.After(p.begin(ctx, s).late)
 	defer func() { late.Stop() }()
 	for len(p.running) > 0 {
 		due := true
@@ -102,21 +107,24 @@
 			due = r.attempt == p.attempts[len(p.attempts)-1] // nothing is left to wait for before the next one
 		case <-late.C():
 		}
-		if due && p.hedge(ctx) {
+		if !due {
+			continue
+		}
+		if a := p.hedge(ctx); a != nil {
 			late.Stop()
-			late = p.h.cfg.Clock.After(p.hedgeDelay())
+			late = p.h.cfg.Clock.After(a.late)
 		}
 	}
 	return false
 }
 
 // begin begins an attempt, which allowAttempt or hedge has paid for.
-func (p *plainExchange) begin(ctx context.Context, s *route.Server) {
+func (p *plainExchange) begin(ctx context.Context, s *route.Server) *plainAttempt {
 	x := p.exchange
 	ctx, cancel := context.WithCancel(ctx)
 	mayHaveRun := x.mayHaveRun || len(p.running) > 0
 	a := &plainAttempt{
-		x: x, server: s, req: x.serverRequest(s, x.forwardInfo(s)), start: x.h.cfg.Clock.Now(), cancel: cancel,
+		x: x, server: s, req: x.serverRequest(s, x.forwardInfo(s)), start: x.h.cfg.Clock.Now(), late: p.hedgeDelay(s), cancel: cancel,
 		check:  func() error { return x.checkWorkAfter(mayHaveRun) },
 		memory: x.h.cfg.Memory.Account(), beside: len(p.running) > 0,
 	}
@@ -124,13 +132,25 @@
 	p.attempts, p.running = append(p.attempts, a), append(p.running, a)
 	x.h.loads.add(s.Key(), 1)
 	go func() { p.results <- a.run(ctx) }()
+	return a
 }
 
-// hedgeDelay returns the time without a response after which a request is sent to another server. If all servers are
-// slow, another one would not be faster. The delay is therefore derived from the response times of the service.
-func (p *plainExchange) hedgeDelay() time.Duration {
+// hedgeDelay returns the time without a response of a server after which a request is sent to another one. If all servers
+// are slow, another one would not be faster. The delay is therefore derived from the response times of the service. A server
+// that is not known to be sound may not answer at all, so another one is left the time that it usually takes, if there is
+// that much.
+func (p *plainExchange) hedgeDelay(s *route.Server) time.Duration {
 	minDelay := time.Duration(hedgeDelayShare * float64(p.route.LatencyTarget))
-	return max(minDelay, p.h.responseTimes.UpperBound(p.service.Name, lateDeviations))
+	delay := p.usualTime(lateDeviations)
+	if !p.h.cfg.Health.Sound(s.Key()) && p.remaining() >= minDelay+p.usualTime(0) {
+		delay = min(delay, p.remaining()-time.Duration(hedgeTimeFactor*float64(p.usualTime(1))))
+	}
+	return max(minDelay, delay)
+}
+
+// usualTime returns the response time of the service plus the given number of its mean deviations.
+func (p *plainExchange) usualTime(deviations float64) time.Duration {
+	return p.h.responseTimes.UpperBound(p.service.Name, deviations)
 }
 
 // hedges reports whether attempts of the request to a plain service may run beside each other.
@@ -138,25 +158,24 @@
 	return x.route.Kind == route.Idempotent && x.route.LatencyTarget > 0
 }
 
-// hedge begins another attempt beside those that are running, and returns true if it has. It needs an untried server
-// and a retry of the budget. A server with a limit gets no hedged requests.
-func (p *plainExchange) hedge(ctx context.Context) bool {
+// hedge begins and returns another attempt beside those that are running, or returns nil. It needs an untried server and a
+// retry of the budget. A server with a limit gets no hedged requests.
+func (p *plainExchange) hedge(ctx context.Context) *plainAttempt {
 	if !p.hedges() || ctx.Err() != nil {
-		return false
+		return nil
 	}
 	if n := len(p.running); n == 0 || p.runs+n >= p.route.MaxAttempts {
-		return false
+		return nil
 	}
 	s := p.pickServer(p.avoid, p.h.cfg.Permits.Limited)
 	if s == nil || !p.arrivals.count(p.spendRetry) {
-		return false
+		return nil
 	}
 	last := p.running[len(p.running)-1]
 	p.h.cfg.Log.Info().Str("server", last.server.ID).Str("id", p.info.ID).Dur("silent", p.h.cfg.Clock.Now()-last.start).Str("next", s.ID).
 		Msg("relay: server takes long; sending the request to another one beside it")
 	p.hedged = true
-	p.begin(ctx, s)
-	return true
+	return p.begin(ctx, s)
 }
 
 // record records the result of an attempt. It returns true if it has answered the caller.
@@ -240,7 +259,7 @@
 	case r.resp == nil && fail.Outcome(r.err) == ident.NotRun:
 		x.arrivals.uncount()
 		return
-	case r.resp == nil && silent >= p.hedgeDelay():
+	case r.resp == nil && silent >= max(a.late, p.usualTime(0)):
 		x.h.cfg.Health.RecordSilence(a.server.Key(), a.start, r.end)
 	}
 	x.recordWrite(a.server)
