platform/fake, proxy: servers fall silent inside the last chunk and inside plain bodies, at all moments beside all other servers

Silences of the stand-in did not cover the end of a response nor plain responses. New moments: inside the chunk that ends a response (its first line is sent), and in the middle of a plain body that has a length or ends with its connection; a plain server may also be silent after its head.

--- a/proxy/moments_test.go
+++ b/proxy/moments_test.go
@@ -26,6 +26,12 @@
 		return "after the head"
 	case m.at == fake.SilentInEvent:
 		return fmt.Sprint("inside event ", m.event)
+	case m.at == fake.SilentInEnd:
+		return "inside the last chunk"
+	case m.at == fake.SilentInBody:
+		return "inside a body with a length"
+	case m.at == fake.SilentInOpenBody:
+		return "inside a body without a length"
 	case m.event == 0:
 		return "before the head"
 	default:
@@ -35,7 +41,7 @@
 
 // moments are the moments of a response with four events.
 func moments() []moment {
-	all := []moment{{fake.SilentAfterHead, 0}}
+	all := []moment{{fake.SilentAfterHead, 0}, {fake.SilentInEnd, 0}}
 	for n := range int64(5) {
 		all = append(all, moment{fake.SilentAfterEvent, n})
 	}
@@ -50,6 +56,7 @@
 	name   string
 	absent bool  // there is none
 	sends  int64 // ID of the last event that it sends before it fails, 0 for none
+	sound  bool  // of a plain service: it may answer
 	set    func(s *fake.Server, silence fake.Silence)
 }
 
@@ -131,15 +138,18 @@
 		})
 	}
 	ends.Wait()
-	is.Equal(len(cases), 3*9*2*len(otherServers()))
+	is.Equal(len(cases), 3*10*2*len(otherServers()))
 }
 
 // lastEvent returns the ID of the last event that the caller gets. If the other server sends what the caller waits for and
 // then fails, and no attempt is left, the response is visibly cut there.
 func (c silenceCase) lastEvent() int64 {
 	silentAfter := c.silent.event
-	if c.silent.at == fake.SilentInEvent {
+	switch c.silent.at {
+	case fake.SilentInEvent:
 		silentAfter--
+	case fake.SilentInEnd:
+		silentAfter = 4
 	}
 	if c.path == "/again/1" && c.other.sends > silentAfter {
 		return c.other.sends
