soak: silences at all moments, with other servers that fail after their reservations, and a table of the cells that were met

The soak did not see that a stream is cut because its silent, sound server was left for one that fails after its reservation: the judge excused each stream whose last server was in trouble. It now looks at the server that was silent: if it was left in its silence and nothing has come since, the request is abandoned, whatever others did. A silence may take place at each moment of a response, also after the last event, and half of those of decode servers come while all others reset, answer 500, are mute or break off after they have given a reservation. At the end of a run the judge prints how often each cell (call, moment, what others did) was met and ended without a whole answer.

Planted: "second", a stream that is ended for a run at a server that fails, and streams that are ended after their last event and inside the last chunk: all are found. Without the new check TestPlanted/second and two cases of TestJudge fail. TestSilentServerIsNotLeftForOneThatFails plays six moments with four faults of others: no stream was abandoned, all six moments were met.

--- a/soak/apply.go
+++ b/soak/apply.go
@@ -188,6 +188,7 @@
 	switch s.act {
 	case harm:
 		at = c.during(id, s.lasts, func() { v.SetFault(s.fault) }, func() { v.SetFault(fake.NoFault) })
+		c.rec.misbehaved(id, at, s.fault)
 	case darken:
 		at = c.during(id+" dark", s.lasts, func() { v.proxy.dark.Store(true) }, func() {
 			v.proxy.dark.Store(false)
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -247,6 +247,29 @@
 			r.abandon(o)
 			r.ran("llm-6", o, 7.89)
 		}, "lost abandoned"},
+		{"stream left for a server that fails after its reservation", func(r *record) {
+			o := ask(r)
+			r.abandon(o)
+			r.ran("llm-6", o, 7)
+			r.servers["llm-6"] = []span{{from: at(6), to: at(8)}}
+		}, "abandoned"},
+		{"stream left for a server that sends an event and fails", func(r *record) {
+			o := ask(r)
+			r.abandon(o)
+			o.last = o.ended.Add(-100 * time.Millisecond)
+			o.body += fake.NamedEvent(o.call.ID, 3)
+			r.ran("llm-6", o, 7)
+			r.servers["llm-6"] = []span{{from: at(6), to: at(8)}}
+		}, ""},
+		{"stream cut after its last event", func(r *record) {
+			o := ask(r)
+			whole := o.body
+			r.abandon(o)
+			o.body = whole
+			r.pauses["llm-5"][0].Event = streamEvents
+			r.ran("llm-6", o, 7)
+			r.servers["llm-6"] = []span{{from: at(6), to: at(8)}}
+		}, "abandoned"},
 		{"stream of a server that fails, left for one that has nothing to add", func(r *record) {
 			o := ask(r)
 			r.abandon(o)
--- a/soak/main.go
+++ b/soak/main.go
@@ -12,8 +12,10 @@
 // reset by proxies; the store and the backend servers fail; keys are withdrawn.
 // Then all is mended, and the fleet must serve again. The same seed gives the
 // same plan. A broken promise is printed with a case of it, and the exit code
-// is 1. With -plant a fault stands between clients and daemons that must be
-// found: then the exit code is 1 if it is not.
+// is 1. At the end the silences of sound servers that requests met are printed,
+// by the moment of the response and what other servers did. With -plant a fault
+// stands between clients and daemons that must be found: then the exit code is 1
+// if it is not.
 package main
 
 import (
@@ -99,9 +101,10 @@
 		_, _ = fmt.Fprintln(out, "soak:", err) // nowhere else to say it
 		return 2
 	}
-	code := 0
+	code, met := 0, make(cells)
+	defer func() { met.write(out) }()
 	for seed := f.first; seed < f.first+f.seeds && ctx.Err() == nil; seed++ {
-		broken, err := soak(ctx, f, seed, out)
+		broken, err := soak(ctx, f, seed, met, out)
 		if err != nil {
 			_, _ = fmt.Fprintf(out, "seed %d: %v\n", seed, err)
 			return 1
@@ -114,7 +117,7 @@
 }
 
 // soak plays one seed and returns the promises that it broke.
-func soak(ctx context.Context, f flags, seed uint64, out io.Writer) ([]string, error) {
+func soak(ctx context.Context, f flags, seed uint64, met cells, out io.Writer) ([]string, error) {
 	plan := newPlan(seed, shape{daemons: f.daemons, servers: len(roles), trouble: f.trouble, gap: f.gap})
 	if f.verbose {
 		for _, s := range plan {
@@ -138,6 +141,7 @@
 	if err != nil {
 		return nil, err
 	}
+	met.add(rec)
 	broken := judge(rec)
 	served := 0
 	for _, o := range rec.calls {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -141,8 +141,11 @@
 			s.point, s.lasts = crashPoints[rnd.IntN(len(crashPoints))], fatalTime
 		case silence:
 			s.quiet = newQuiet(rnd, roles[s.target])
-			if s.quiet.whole {
+			switch {
+			case s.quiet.whole:
 				s.lasts = s.quiet.For
+			case s.quiet.others != fake.NoFault:
+				s.lasts = min(longest, sh.trouble-at)
 			}
 		case tune:
 			s.tuned = newTuned(rnd)
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -40,11 +40,14 @@
 				keys++
 			case silence:
 				x := s.quiet
-				is.True(x.For >= shortestSilence && x.For < longestSilence && x.Event < streamEvents)
+				is.True(x.For >= shortestSilence && x.For < longestSilence && x.Event <= streamEvents)
 				silences[quiet{Silence: fake.Silence{Call: x.Call}}]++
 				silences[quiet{Silence: fake.Silence{Unread: x.Unread}}]++
 				silences[quiet{Silence: fake.Silence{Event: min(x.Event, 1)}}]++
+				silences[quiet{Silence: fake.Silence{Event: x.Event / streamEvents * streamEvents}}]++
+				silences[quiet{Silence: fake.Silence{Moment: x.Moment}}]++
 				silences[quiet{whole: x.whole}]++
+				silences[quiet{others: x.others}]++
 			case tune:
 				is.True(s.tuned.timeout >= fake.RouteTimeout && s.tuned.timeout < clientTime && s.tuned.idle >= shortestIdle && s.tuned.maxBody >= maxLarge)
 				tunings[tuned{timeout: s.tuned.timeout}]++
@@ -61,8 +64,9 @@
 		is.True(keys <= maxWithdrawn)
 	}
 	is.Equal(len(seen), len(acts))
-	is.Equal(len(seconds), 1+5+1+2+1)  // each kind of call, with and without ID, each part, late and with the next
-	is.Equal(len(silences), 1+6+1+1+1) // each kind of call, unread or not, before the head or not, the whole server
+	is.Equal(len(seconds), 1+5+1+2+1) // each kind of call, with and without ID, each part, late and with the next
+	// Each kind of call, unread or not, before the head or not, after the last event, each moment, the whole server, each fault of others.
+	is.Equal(len(silences), 1+6+1+1+1+(fake.Moments-1)+1+len(otherFaults))
 	is.Equal(len(tunings), len(routeTimeouts)+len(idleTimeouts)+len(bodyLimits))
 	is.True(overlaps > 1000)
 	is.True(!reflect.DeepEqual(newPlan(1, testShape), newPlan(2, testShape)))
--- a/soak/plant.go
+++ b/soak/plant.go
@@ -39,6 +39,7 @@
 	"answer":     answers(otherAnswer),
 	"handle":     uses(func(id string) (string, []string) { return id + "x", []string{id} }),
 	"abandoned":  impatient,
+	"second":     impatientAtSecond,
 	"again":      uses(func(id string) (string, []string) { return id, []string{id, id} }),
 	"reserved":   uses(func(id string) (string, []string) { return "", []string{id + "x", id} }),
 }
@@ -119,6 +120,19 @@
 	}}
 }
 
+// impatientAtSecond is impatient, and ends a stream for a run at a server that fails.
+func impatientAtSecond(f *fleet, next http.RoundTripper) http.RoundTripper {
+	return tamper{next, func(r *http.Request, resp *http.Response, err error) (*http.Response, error) {
+		if c := fake.ParseCall(r); err == nil && c.Kind == fake.Streaming {
+			resp.Body = &impatientBody{resp.Body, time.AfterFunc(impatience, func() {
+				f.servers[len(roles)-1].RecordRun(c, customerOf(c.Key), true)
+				_ = resp.Body.Close()
+			})}
+		}
+		return resp, err
+	}}
+}
+
 // impatientBody is a body that is closed when nothing comes for a time.
 type impatientBody struct {
 	io.ReadCloser
--- a/soak/record.go
+++ b/soak/record.go
@@ -75,11 +75,12 @@
 	rested   map[string][]fake.Backoff // by server
 	called   map[string][]time.Time    // calls of any kind, by server
 	limits   map[string][]fake.LimitSpan
-	crashes  []fake.Crash            // of all servers, by time
-	fatal    []fatalPart             // parts that crashed servers
-	misuses  []fake.Misuse           // of KV handles and reservations
-	pauses   map[string][]fake.Pause // by server
-	calm     time.Time               // end of the last disturbance
+	crashes  []fake.Crash              // of all servers, by time
+	fatal    []fatalPart               // parts that crashed servers
+	misuses  []fake.Misuse             // of KV handles and reservations
+	pauses   map[string][]fake.Pause   // by server
+	faults   map[string][]misbehaviour // by server
+	calm     time.Time                 // end of the last disturbance
 	end      time.Time
 }
 
@@ -90,6 +91,7 @@
 		runs:      make(map[string][]fake.Run), arrivals: make(map[string][]fake.Arrival),
 		rested: make(map[string][]fake.Backoff), called: make(map[string][]time.Time),
 		limits: make(map[string][]fake.LimitSpan), pauses: make(map[string][]fake.Pause),
+		faults: make(map[string][]misbehaviour),
 	}
 }
 
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -34,6 +34,8 @@
 type quiet struct {
 	fake.Silence
 	whole bool // for all calls, without reading anything
+	// others is how all other servers of the role fail meanwhile. They give reservations.
+	others fake.Fault
 }
 
 // silentCalls are the calls from which silence draws, by the role of the server.
@@ -43,6 +45,18 @@
 	fake.Decode:  {fake.AnyCall, fake.RunCall, fake.ReservationCall, fake.ReleaseCall, fake.ReportCall},
 }
 
+// silentMoments are the moments inside responses from which silence draws, by the role of the server.
+var silentMoments = map[fake.Role][]fake.Moment{
+	fake.Plain:  {fake.SilentAfterHead, fake.SilentInBody, fake.SilentInOpenBody, fake.SilentInEnd},
+	fake.Decode: {fake.SilentAfterEvent, fake.SilentAfterHead, fake.SilentInEvent, fake.SilentInEnd},
+}
+
+// otherFaults are the faults of other servers from which silence draws, half of the time.
+var otherFaults = []fake.Fault{fake.Reset, fake.InternalError, fake.Hang, fake.TruncatedEvent}
+
+// lastEventChance is how often a silence is in or after the last event, in percent.
+const lastEventChance = 30
+
 // newQuiet draws how a server of a role is silent.
 func newQuiet(rnd *rand.Rand, role fake.Role) quiet {
 	calls := silentCalls[role]
@@ -50,21 +64,42 @@
 		Call: calls[rnd.IntN(len(calls))], For: shortestSilence + time.Duration(rnd.Int64N(int64(longestSilence-shortestSilence))),
 		Times: rnd.IntN(mostSilences + 1),
 	}
-	switch rnd.IntN(5) {
+	others := fake.NoFault
+	if role == fake.Decode && rnd.IntN(2) == 0 {
+		others = otherFaults[rnd.IntN(len(otherFaults))]
+	}
+	switch rnd.IntN(6) {
 	case 0:
-		return quiet{Silence: fake.Silence{For: x.For}, whole: true}
+		return quiet{Silence: fake.Silence{For: x.For}, whole: true, others: others}
 	case 1:
 		x.Call, x.Unread = fake.AnyCall, true
-	case 2:
-		if role == fake.Decode {
-			x.Call, x.Event = fake.RunCall, 1+rnd.Int64N(streamEvents-1)
-		}
+	case 2, 3:
+		drawMoment(rnd, role, &x)
+	}
+	return quiet{Silence: x, others: others}
+}
+
+// drawMoment draws the moment of a silence inside the response of a server of a role.
+func drawMoment(rnd *rand.Rand, role fake.Role, x *fake.Silence) {
+	moments := silentMoments[role]
+	if len(moments) == 0 {
+		return
+	}
+	x.Call, x.Moment = fake.RunCall, moments[rnd.IntN(len(moments))]
+	if x.Moment != fake.SilentAfterEvent && x.Moment != fake.SilentInEvent {
+		return
+	}
+	x.Event = 1 + rnd.Int64N(streamEvents)
+	if rnd.IntN(100) < lastEventChance {
+		x.Event = streamEvents
 	}
-	return quiet{Silence: x}
 }
 
 // silence makes a sound server silent.
 func (c *carrier) silence(v *server, s step) {
+	if s.quiet.others != fake.NoFault {
+		defer c.failOthers(v, s)()
+	}
 	if s.quiet.whole {
 		at := c.during(v.ID()+" frozen", s.lasts, func() { v.SetFrozen(true) }, func() { v.SetFrozen(false) })
 		c.rec.freeze(v.ID(), at)
@@ -76,6 +111,22 @@
 	}
 }
 
+// failOthers makes all other servers of a server's role fail. It returns a function that waits for the end of that.
+func (c *carrier) failOthers(v *server, s step) (wait func()) {
+	var ends sync.WaitGroup
+	for i, o := range c.f.servers {
+		if o == v || roles[i] != roles[s.target] {
+			continue
+		}
+		ends.Go(func() {
+			at := c.during(o.ID(), s.lasts, func() { o.SetFault(s.quiet.others) }, func() { o.SetFault(fake.NoFault) })
+			c.rec.misbehaved(o.ID(), at, s.quiet.others)
+			c.rec.serverTrouble(o.ID(), at)
+		})
+	}
+	return ends.Wait
+}
+
 // crowd has long streams run at the model servers.
 func (c *carrier) crowd(s step) {
 	at := span{from: time.Now()}
@@ -177,7 +228,7 @@
 			if p.ID != id || p.Call != fake.RunCall || p.Left.IsZero() {
 				continue
 			}
-			if p.Event == 0 {
+			if p.BeforeHead() {
 				all = append(all, exchange{server: server, from: p.At, to: p.Left, left: true, silent: true})
 				continue
 			}
@@ -217,6 +268,9 @@
 		if o.call.Kind != fake.Streaming || !r.unserved(o) || r.excused(o) {
 			continue
 		}
+		if why := r.givenUp(o); why != "" {
+			return why
+		}
 		all := r.exchanges(o.call.ID)
 		if len(all) == 0 {
 			continue
@@ -241,6 +295,23 @@
 	return ""
 }
 
+// givenUp checks that a stream is not left in a silence of its sound server unless another one has sent something since,
+// whatever the other one does.
+func (r *record) givenUp(o *outcome) string {
+	for server, pauses := range r.pauses {
+		for _, p := range pauses {
+			if p.ID != o.call.ID || p.Call != fake.RunCall || p.Left.IsZero() || r.harmed(server, o.sent, o.ended) {
+				continue
+			}
+			if o.last.Before(p.At.Add(handoverTime)) {
+				return fmt.Sprintf("abandoned: %s at daemon %d got status %d and %d bytes; %s was silent %s and was left %v before it would have gone on; others %s",
+					o.call.ID, o.daemon, o.status, len(o.body), server, momentName(p, o.call), p.Due.Sub(p.Left), r.othersAfter(server, p))
+			}
+		}
+	}
+	return ""
+}
+
 // excused reports whether a stream may have ended for another reason than its server: the end or a pause of the daemon, the
 // deadline, the patience of the client, a withdrawn key, or a part that crashes servers.
 func (r *record) excused(o *outcome) bool {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,6 +58,15 @@
 		{"abandoned", step{act: silence, target: 6, lasts: departTime, quiet: quiet{
 			Silence: fake.Silence{Call: fake.RunCall, Event: 3, For: longestSilence},
 		}}, "abandoned"},
+		{"second", step{act: silence, target: 6, lasts: departTime, quiet: quiet{
+			Silence: fake.Silence{Call: fake.RunCall, Event: 3, For: longestSilence}, others: fake.Reset,
+		}}, "abandoned"},
+		{"abandoned", step{act: silence, target: 6, lasts: departTime, quiet: quiet{
+			Silence: fake.Silence{Call: fake.RunCall, Moment: fake.SilentInEnd, For: longestSilence},
+		}}, "abandoned"},
+		{"abandoned", step{act: silence, target: 6, lasts: departTime, quiet: quiet{
+			Silence: fake.Silence{Call: fake.RunCall, Event: streamEvents, For: longestSilence},
+		}}, "abandoned"},
 		{"handle", step{act: publish}, "mixed"},
 		{"again", step{act: publish}, "mixed"},
 		{"reserved", step{act: publish}, "mixed"},
@@ -73,6 +82,34 @@
 	}
 }
 
+// TestSilentServerIsNotLeftForOneThatFails guards against streams that are cut at a silent, sound server because the others fail after their reservations.
+func TestSilentServerIsNotLeftForOneThatFails(t *testing.T) {
+	is := is.New(t)
+	var plan []step
+	for i, x := range []fake.Silence{
+		{Event: 3}, {Event: streamEvents}, {Moment: fake.SilentAfterHead}, {Moment: fake.SilentInEvent, Event: 5}, {Moment: fake.SilentInEnd}, {},
+	} {
+		x.Call, x.For = fake.RunCall, 1500*time.Millisecond
+		plan = append(plan, step{
+			at: time.Duration(i) * 4 * time.Second, act: silence, target: 5 + i%3, lasts: longest,
+			quiet: quiet{Silence: x, others: otherFaults[i%len(otherFaults)]},
+		})
+	}
+	rec, err := play(t.Context(), flags{entry: buildEntry(t), daemons: 2, quiet: 2 * time.Second}, 1, t.TempDir(), plan)
+	is.NoErr(err)
+	met := make(cells)
+	met.add(rec)
+	var table strings.Builder
+	met.write(&table)
+	t.Log(rec.endings(), "\n"+table.String())
+	is.Equal(abandoned(rec), "")
+	moments := make(map[string]bool)
+	for c := range met {
+		moments[c.moment] = true
+	}
+	is.Equal(len(moments), 6)
+}
+
 // TestServerLimitHoldsOverAllInstances guards against instances that each send a server what it accepts from all together.
 func TestServerLimitHoldsOverAllInstances(t *testing.T) {
 	is := is.New(t)
