soak, platform/fake: a server that has crashed finds its port free

Servers and their proxies listened on ports from the range of outgoing connections; the system gave these to other connections while a server was down, and it then never listened again. Some 26,900 sockets existed on the machine, with 28,232 ports in that range. The daemons could do nothing about it.

Both now listen at addresses of FreeAddr, which lie below that range, as those of the daemons do. That the port had been taken is read from the log and the number of sockets; the socket that had it was not seen.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -119,7 +119,7 @@
 	if role == fake.Plain {
 		s.service = fake.PlainService
 	}
-	s.Server = fake.NewServer(fmt.Sprintf("%s-%d", s.service, i), role)
+	s.Server = fake.NewServerAt(fmt.Sprintf("%s-%d", s.service, i), role, fake.FreeAddr())
 	f.servers = append(f.servers, s)
 	p, err := f.proxy(ctx, s.ListenAddr())
 	if err != nil {
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -28,7 +28,7 @@
 // newProxy returns a proxy to an address. It stops when ctx ends and then sends to
 // done.
 func newProxy(ctx context.Context, to string, done chan<- struct{}) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", fake.FreeAddr())
 	if err != nil {
 		return nil, errors.Wrap(err, "proxy")
 	}
