proxy: a reservation is given back if its run was ended before the write

Cause: when nobody waits for the run beside a silent server any more, its reservation was taken for used even if the request had not been written. It is now released unless a byte may have been sent.

--- a/proxy/beside.go
+++ b/proxy/beside.go
@@ -9,7 +9,9 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/event"
+	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/health"
+	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/link"
 )
 
@@ -92,7 +94,9 @@
 	case m.skipUnwritten(s, err):
 		return nil, err
 	case ctx.Err() != nil:
-		m.loseReservation()
+		if fail.Outcome(err) != ident.NotRun {
+			m.loseReservation()
+		}
 		m.countNoResponse(s, err)
 		return nil, err
 	default:
