--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -336,3 +336,30 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// cases are the cells of a generated table.
+type cases struct {
+	n    int
+	most int // how many run at the same time
+	name func(i int) string
+	run  func(i int, t *testing.T, h *harness) error
+}
+
+// check runs all cases, each with a harness of its own, which is closed at the end of the case.
+func (c cases) check(t *testing.T) {
+	t.Helper()
+	var ends sync.WaitGroup
+	slots := make(chan struct{}, c.most)
+	for i := range c.n {
+		slots <- struct{}{}
+		ends.Go(func() {
+			defer func() { <-slots }()
+			t.Run(c.name(i), func(t *testing.T) {
+				if err := c.run(i, t, newHarness(t, nil)); err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+	ends.Wait()
+}
