soak: the proxy before a server passes a reset on as a reset

The soak's proxy closed the daemon's connection regularly when the server's was reset, so the response seemed to end there, and the server, which lives, confirmed it on its second connection. A reset is now passed on, whether the read or the pending write reports it.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -103,6 +104,7 @@
 		}
 		if n > 0 && !p.dark.Load() {
 			if _, werr := dst.Write(b[:n]); werr != nil {
+				passReset(werr, src)
 				return
 			}
 		}
@@ -110,19 +112,32 @@
 			if !errors.Is(err, io.EOF) {
 				_ = src.Close()
 			}
+			passReset(err, dst)
 			return
 		}
 	}
 }
 
+// passReset closes a connection with a TCP reset if err is a reset of the connection whose bytes it forwards.
+func passReset(err error, c net.Conn) {
+	if errors.Is(err, syscall.ECONNRESET) {
+		resetConn(c)
+	}
+}
+
 // reset closes all connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
-			_ = t.SetLinger(0) // Close sends a reset instead of FIN
-		}
-		_ = c.Close()
+		resetConn(c)
+	}
+}
+
+// resetConn closes a connection with a TCP reset.
+func resetConn(c net.Conn) {
+	if t, ok := c.(interface{ SetLinger(sec int) error }); ok {
+		_ = t.SetLinger(0) // Close sends a reset instead of FIN
 	}
+	_ = c.Close()
 }
