platform, gossip: the line of a configuration in force names its source and age

After a change that was in force too late, the logs could not tell whether an instance had no reader of the store or did not get a known change from a peer. No decision has changed.

--- a/entry/app.go
+++ b/entry/app.go
@@ -131,7 +131,10 @@
 	}})
 }
 
-func newStore(set *platform.Settings, c *link.Client, clock tick.Clock, live *route.Live, tracker *health.Tracker, warmups *warmup.Tracker, log zerolog.Logger) *platform.Watcher {
+func newStore(set *platform.Settings, c *link.Client, clock tick.Clock, live *route.Live, tracker *health.Tracker, warmups *warmup.Tracker, meter *metric.Meter, log zerolog.Logger) *platform.Watcher {
+	for _, s := range platform.Sources() {
+		meter.Count("configurations_total", "source", string(s), 0)
+	}
 	return platform.NewWatcher(platform.WatcherConfig{
 		Address: set.StoreAddr(), Link: c, Clock: clock, Live: live, Region: set.Region,
 		HasRegion: set.HasRegion, Evacuations: set.HasEvacuations(),
@@ -142,6 +145,10 @@
 				}
 			}
 		},
+		Applied: func(s platform.Source, age time.Duration) {
+			meter.Count("configurations_total", "source", string(s), 1)
+			meter.Histogram("configuration_age_ms").Update(age.Milliseconds())
+		},
 		Listed:    func(s *route.Server) { warmups.Listed(s.Hash(), s.ColdFor) },
 		Heartbeat: set.HeartbeatInterval(),
 		Draining:  func(key string) { tracker.RecordDraining(key, clock.Now()) },
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -68,7 +68,10 @@
 		return errBusy
 	}
 	if raw := resp.GetConfig(); len(raw) > 0 {
-		s.cfg.Store.ApplyConfig(raw, resp.GetTable())
+		s.cfg.Store.ApplyConfig(Published{
+			Raw: raw, Stamp: route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()},
+			Age: time.Duration(max(resp.GetTableAgeMs(), 0)) * time.Millisecond, From: addr,
+		})
 	}
 	if resp.GetFleet() > fleet {
 		s.cfg.Store.ApplyServerChanges(decodeItems(resp.GetEntries()), resp.GetFleet(), resp.GetWhole())
@@ -112,8 +115,9 @@
 	if !r.GetWant() {
 		return resp, nil
 	}
-	if raw, own := s.cfg.Store.Config(); own.After(known) {
-		resp.Config, resp.Table, resp.TableVersion = raw, own.Position, own.Version
+	if own := s.cfg.Store.Config(); own.Stamp.After(known) {
+		resp.Config, resp.Table, resp.TableVersion = own.Raw, own.Stamp.Position, own.Stamp.Version
+		resp.TableAgeMs = own.Age.Milliseconds()
 	}
 	items, rev, whole := s.cfg.Store.ServerChanges(r.GetFleet())
 	if rev <= r.GetFleet() {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -65,7 +65,7 @@
 	a := start(t, "a")
 	b := start(t, "b", a.cfg.Self.Address)
 	eventually(t, "the instances know each other", func() bool { return len(a.Members()) == 1 && len(b.Members()) == 1 })
-	a.store.ApplyConfig([]byte("config"), 7)
+	a.store.publish("config", 7)
 	a.store.ApplyServerChanges([]Item{{Key: "k", Value: []byte("v"), Revision: 9}}, 9, false)
 	began := time.Now()
 	eventually(t, "the other instance has the new state", func() bool {
@@ -74,10 +74,10 @@
 	})
 	is.True(time.Since(began) < 2*time.Second) // far less than the time within which a change must be in force
 	// In the other direction, the seed is the one with the older state.
-	b.store.ApplyConfig([]byte("newer"), 11)
+	b.store.publish("newer", 11)
 	eventually(t, "the seed has the newer configuration", func() bool {
-		raw, rev := a.store.Config()
-		return rev.Position == 11 && string(raw) == "newer"
+		c := a.store.Config()
+		return c.Stamp.Position == 11 && string(c.Raw) == "newer"
 	})
 }
 
@@ -320,7 +320,7 @@
 	a := start(t, "a")
 	others := []*testInstance{start(t, "b", a.cfg.Self.Address), start(t, "c", a.cfg.Self.Address), start(t, "d", a.cfg.Self.Address)}
 	eventually(t, "the instances know each other", func() bool { return len(a.Members()) == 3 })
-	a.store.ApplyConfig([]byte(strings.Repeat("x", 150_000)), 5)
+	a.store.publish(strings.Repeat("x", 150_000), 5)
 	for _, n := range others {
 		eventually(t, "each instance has the configuration", func() bool {
 			table, _ := n.store.Revisions()
--- a/gossip/harness_test.go
+++ b/gossip/harness_test.go
@@ -22,6 +22,8 @@
 	mu          sync.Mutex
 	config      string
 	table       route.Stamp
+	age         time.Duration
+	from        string
 	entries     []Item
 	fleet       int64
 	evacuation  Evacuation
@@ -50,10 +52,10 @@
 	return b.table, b.fleet
 }
 
-func (b *fakeStore) Config() ([]byte, route.Stamp) {
+func (b *fakeStore) Config() Published {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return []byte(b.config), b.table
+	return Published{Raw: []byte(b.config), Stamp: b.table, Age: b.age}
 }
 
 func (b *fakeStore) ServerChanges(since int64) ([]Item, int64, bool) {
@@ -68,14 +70,19 @@
 	return list, b.fleet, false
 }
 
-func (b *fakeStore) ApplyConfig(raw []byte, revision int64) {
+func (b *fakeStore) ApplyConfig(p Published) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if revision > b.table.Position {
-		b.config, b.table = string(raw), route.Stamp{Position: revision}
+	if p.Stamp.Position > b.table.Position {
+		b.config, b.table, b.age, b.from = string(p.Raw), p.Stamp, p.Age, p.From
 	}
 }
 
+// publish applies a configuration that was published at a position.
+func (b *fakeStore) publish(raw string, position int64) {
+	b.ApplyConfig(Published{Raw: []byte(raw), Stamp: route.Stamp{Position: position}})
+}
+
 func (b *fakeStore) ApplyServerChanges(items []Item, revision int64, _ bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -47,6 +47,14 @@
 	TombstoneTTL time.Duration // how long a removed key may still reappear, 0 if it is not expected to
 }
 
+// Published is the published configuration as instances pass it on.
+type Published struct {
+	Raw   []byte
+	Stamp route.Stamp
+	Age   time.Duration // since the first of the instances that passed it on read it from the store
+	From  string        // address of the peer that sent it
+}
+
 // Evacuation names the data centres whose servers get no requests.
 type Evacuation struct {
 	Position int64 // of the last change, 0 if none is known
@@ -67,16 +75,15 @@
 	// Revisions returns the stamp of the configuration and the position of the list of backend
 	// servers in force.
 	Revisions() (table route.Stamp, fleet int64)
-	// Config returns the configuration in force, as it was published, and its stamp.
-	Config() ([]byte, route.Stamp)
+	// Config returns the configuration in force. It is the zero value if there is none.
+	Config() Published
 	// Era returns the latest era of the store that is known.
 	Era() int64
 	// ServerChanges returns the changes of the server list since a position and the current
 	// position. If whole is true, items is the complete list instead.
 	ServerChanges(since int64) (items []Item, revision int64, whole bool)
-	// ApplyConfig puts a configuration that was published at a position in force if it is newer than
-	// the current one.
-	ApplyConfig(raw []byte, position int64)
+	// ApplyConfig puts a configuration from a peer in force if it is newer than the current one.
+	ApplyConfig(p Published)
 	// ApplyServerChanges applies the server list, or changes of it, received from a peer if the
 	// revision is newer than the current one.
 	ApplyServerChanges(items []Item, revision int64, whole bool)
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -108,8 +108,8 @@
 	m.resumes = m.Counter("stream_resumes_total")
 	m.restarts = m.Counter("restarts_total")
 	m.strayEvents = m.Counter("stray_events_total")
-	m.firstToken = m.histogram("first_token_ms")
-	m.maxGap = m.histogram("max_gap_ms")
+	m.firstToken = m.Histogram("first_token_ms")
+	m.maxGap = m.Histogram("max_gap_ms")
 	return m
 }
 
@@ -140,7 +140,8 @@
 // Registry returns the registry of all metrics.
 func (m *Meter) Registry() metrics.Registry { return m.cfg.Registry }
 
-func (m *Meter) histogram(name string) metrics.Histogram {
+// Histogram returns the histogram with the given name. The first use creates it.
+func (m *Meter) Histogram(name string) metrics.Histogram {
 	s := metrics.NewExpDecaySample(histogramSize, histogramAlpha)
 	return metrics.GetOrRegisterHistogram(name, m.cfg.Registry, s)
 }
--- a/route/route.go
+++ b/route/route.go
@@ -24,6 +24,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"wasabidock.dev/dock/tick"
 )
 
 // Kind specifies whether the requests of a route may be retried.
@@ -154,6 +156,7 @@
 	keysRequired bool
 	limits       Limits
 	raw          []byte
+	knownSince   tick.Instant
 }
 
 // Spec holds the contents of a Table.
@@ -165,7 +168,8 @@
 	Customers    []*Customer
 	KeysRequired bool // requests need an API key unless their route is public
 	Limits       Limits
-	Raw          []byte // published encoding of the table, sent to peers that cannot reach the store
+	Raw          []byte       // published encoding of the table, sent to peers that cannot reach the store
+	KnownSince   tick.Instant // when an instance first read it from the store
 }
 
 // NewTable returns a table with the contents of s, which must not be modified afterwards.
@@ -179,6 +183,7 @@
 		keysRequired: s.KeysRequired,
 		limits:       s.Limits,
 		raw:          s.Raw,
+		knownSince:   s.KnownSince,
 	}
 	for _, r := range s.Routes {
 		h := strings.ToLower(r.Host)
@@ -215,6 +220,9 @@
 // Raw returns the published encoding of the table. It is sent to peers that cannot reach the store.
 func (t *Table) Raw() []byte { return t.raw }
 
+// KnownSince returns when an instance first read the table from the store, as far as this process knows.
+func (t *Table) KnownSince() tick.Instant { return t.knownSince }
+
 // KeysRequired reports whether requests need an API key unless their route is public.
 func (t *Table) KeysRequired() bool { return t.keysRequired }
 
