--- a/gossip/harness_test.go
+++ b/gossip/harness_test.go
@@ -186,6 +186,12 @@
 func startIn(t *testing.T, centre, name string, seeds ...string) *testInstance {
 	t.Helper()
 	l, pc := listen(t)
+	return startOn(t, l, pc, centre, name, seeds...)
+}
+
+// startOn runs an instance on a listener for calls and a connection for datagrams.
+func startOn(t *testing.T, l net.Listener, pc net.PacketConn, centre, name string, seeds ...string) *testInstance {
+	t.Helper()
 	n := &testInstance{store: &fakeStore{}, health: health.NewTracker(), tracker: &fakeTracker{
 		own: map[uint64]admit.Load{7: {PrefillTokens: 100, KVTokens: 200, Running: 1}}, usage: make(map[string]map[string]int64),
 		used: map[string]int64{"sur": 10},
