elect: an instance relies on a reader of the store that proves it, and reads itself what it does not get

Callers were treated by an older configuration by instances that could read the store themselves. In a data centre the first instance by name reads it. The others relied on its word that nothing had failed, which an instance that has just taken over gives without having tried, so that readers that are cut off found out one after the other, each within 2.2 s; and an instance whose reader has the change but answers no calls never got it.

Each datagram now tells how long ago the store answered its sender for both prefixes; only a reader with an answer of late counts. An instance that knows of a newer configuration and has not got it after 0.4 s, and 50 ms for each one before it, reads the store. The time for which an instance is not heard grows with the period of the datagrams, which was longer than it from 350 instances on.

--- /dev/null
+++ b/elect/elect.go
@@ -0,0 +1,125 @@
+// Package elect decides whether an instance reads the platform's store itself, or relies on another
+// instance of its data centre to read it.
+//
+// # Usage
+//
+//	e := elect.New("edge-3")
+//	e.SetTimeouts(elect.Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second})
+//	e.Want(newer, now)                  // a peer has a newer configuration
+//	if e.Reads(peers, own, now) { ... } // read the store
+//
+// # Rules
+//
+// An instance relies on a peer only while that one proves that it reads: it is heard, and the store has answered it
+// within the read timeout. The word of a peer that it has noticed no failure proves nothing, since a peer that does not
+// read notices none. Of all instances that could read, the first by name does.
+//
+// Once nobody proves that it reads, the instances begin to read one shortly after the other, in the order of their
+// names, until one of them has proved it. They do not wait for the failure of the one before.
+//
+// An instance that knows of a newer configuration and does not get it from its peers reads the store too, whoever
+// else does.
+//
+// # Concurrency
+//
+// An Election is safe for concurrent use. It reads no clock and does no I/O.
+package elect
+
+import (
+	"sync"
+	"time"
+
+	"wasabidock.dev/dock/route"
+	"wasabidock.dev/dock/tick"
+)
+
+const (
+	// turn is the time between the beginnings of two instances when nobody reads. It is longer than a call to the
+	// store and a report take within a data centre.
+	turn = 25 * time.Millisecond
+	// maxTurns bounds the time until all instances read.
+	maxTurns = 400 * time.Millisecond
+	// fetchTimeout is how long an instance may know of a newer configuration without having it.
+	fetchTimeout = 400 * time.Millisecond
+	// fetchTurn spreads the reads of instances that do not get a newer configuration, because each of them reads
+	// all of it.
+	fetchTurn = 50 * time.Millisecond
+)
+
+// Peer is another instance of the data centre.
+type Peer struct {
+	Name     string
+	Reported tick.Instant // arrival of its last report
+	Read     tick.Instant // last time at which the store has answered it, 0 if none is known
+	Failed   bool         // it has noticed that it cannot read the store
+	Leaving  bool
+}
+
+// Timeouts are the ages up to which a report and the answer of the store that it tells of count.
+type Timeouts struct {
+	Report time.Duration
+	Read   time.Duration
+}
+
+// Election is the decision of one instance.
+type Election struct {
+	self string
+
+	mu          sync.Mutex
+	timeouts    Timeouts
+	lastReader  tick.Instant // when a peer last proved that it reads, or the first decision
+	wanted      route.Stamp  // configuration of a peer that this instance did not have, zero if none
+	wantedSince tick.Instant
+}
+
+// New returns an Election of the instance with the given name.
+func New(self string) *Election { return &Election{self: self} }
+
+// SetTimeouts sets the timeouts, which depend on the number of instances.
+func (e *Election) SetTimeouts(t Timeouts) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.timeouts = t
+}
+
+// Want records that a peer has a newer configuration than this instance. While this instance has not reached
+// that one, it ignores later ones.
+func (e *Election) Want(newer route.Stamp, now tick.Instant) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.wanted == (route.Stamp{}) {
+		e.wanted, e.wantedSince = newer, now
+	}
+}
+
+// Reads reports whether this instance reads the store. own is the configuration that it has.
+func (e *Election) Reads(peers []Peer, own route.Stamp, now tick.Instant) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.wanted.After(own) {
+		e.wanted = route.Stamp{}
+	}
+	if e.lastReader == 0 {
+		e.lastReader = now
+	}
+	proven, candidates := false, 0
+	for _, p := range peers {
+		if p.Name >= e.self || p.Leaving || now-p.Reported > e.timeouts.Report {
+			continue
+		}
+		if p.Read > 0 && now-p.Read <= e.timeouts.Read && !p.Failed {
+			proven = true
+		}
+		if !p.Failed {
+			candidates++
+		}
+	}
+	if e.wanted != (route.Stamp{}) && now-e.wantedSince > fetchTimeout+time.Duration(candidates)*fetchTurn {
+		return true
+	}
+	if proven {
+		e.lastReader = now
+		return false
+	}
+	return now-e.lastReader >= min(time.Duration(candidates)*turn, maxTurns)
+}
--- /dev/null
+++ b/elect/elect_test.go
@@ -0,0 +1,72 @@
+package elect
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"wasabidock.dev/dock/route"
+)
+
+func TestReads(t *testing.T) {
+	const now = time.Minute
+	timeouts := Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second}
+	fresh := now - 100*time.Millisecond
+	proven := Peer{Name: "b", Reported: fresh, Read: now - time.Second}
+	with := func(change func(p *Peer)) []Peer {
+		p := proven
+		change(&p)
+		return []Peer{p}
+	}
+	tests := []struct {
+		name   string
+		peers  []Peer
+		since  time.Duration // since a peer last proved that it reads
+		wanted time.Duration // since a newer configuration is known, 0 if none is
+		want   bool
+	}{
+		{name: "alone", want: true},
+		{name: "a peer reads", peers: []Peer{proven}, since: time.Hour},
+		{name: "only a later one reads", peers: with(func(p *Peer) { p.Name = "d" }), want: true},
+		{name: "not heard", peers: with(func(p *Peer) { p.Reported = now - time.Second }), since: time.Second, want: true},
+		{name: "leaving", peers: with(func(p *Peer) { p.Leaving = true }), since: time.Second, want: true},
+		{name: "failed", peers: with(func(p *Peer) { p.Failed = true }), since: time.Second, want: true},
+		{name: "failed, another reads", peers: []Peer{{Name: "a", Reported: fresh, Failed: true}, proven}, since: time.Second},
+		{name: "no failure noticed, but no answer of late", peers: with(func(p *Peer) { p.Read = now - 3*time.Second }), since: time.Second, want: true},
+		{name: "has never read", peers: with(func(p *Peer) { p.Read = 0 }), since: time.Second, want: true},
+		{name: "turn of the one before", peers: with(func(p *Peer) { p.Read = 0 }), since: turn - 1},
+		{name: "own turn", peers: with(func(p *Peer) { p.Read = 0 }), since: turn, want: true},
+		{name: "newer configuration, just known", peers: []Peer{proven}, wanted: fetchTimeout},
+		{name: "newer configuration, not received", peers: []Peer{proven}, wanted: fetchTimeout + fetchTurn + 1, want: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			own := route.Stamp{Version: 1, Position: 10}
+			e := New("c")
+			e.SetTimeouts(timeouts)
+			is.Equal(e.Reads([]Peer{{Name: "a", Reported: now - tt.since, Read: now - tt.since}}, own, now-tt.since), false)
+			if tt.wanted > 0 {
+				e.Want(route.Stamp{Version: 2, Position: 20}, now-tt.wanted)
+				e.Want(route.Stamp{Version: 3, Position: 30}, now)
+			}
+			is.Equal(e.Reads(tt.peers, own, now), tt.want)
+			is.Equal(e.Reads([]Peer{proven}, route.Stamp{Version: 2, Position: 20}, now), false)
+		})
+	}
+}
+
+// TestAllReadSoonOnceNobodyDoes guards against instances that wait for the failures of those before them.
+func TestAllReadSoonOnceNobodyDoes(t *testing.T) {
+	is := is.New(t)
+	const now = time.Minute
+	var peers []Peer
+	for i := range 60 {
+		peers = append(peers, Peer{Name: "a" + string(rune('0'+i)), Reported: now})
+	}
+	e := New("b")
+	e.SetTimeouts(Timeouts{Report: time.Second, Read: time.Second})
+	is.True(!e.Reads(peers, route.Stamp{}, now))
+	is.True(e.Reads(peers, route.Stamp{}, now+maxTurns))
+}
--- a/entry/app.go
+++ b/entry/app.go
@@ -361,7 +361,7 @@
 			Region:      p.Set.Region(p.Set.Centre()),
 		},
 		Seeds: p.Set.Seeds(), Store: p.Store, Loads: p.Scheduler, Usage: p.Limiter, Health: p.Health,
-		Limits: p.Limits, Issuer: p.Issuer, Crashes: p.Crashes, Clock: p.Clock, SinceBoot: tick.SinceBoot,
+		Limits: p.Limits, Issuer: p.Issuer, Crashes: p.Crashes, Clock: p.Clock, SinceBoot: tick.SinceBoot, ReadTimeout: platform.ReadTimeout,
 		Warming: func() []gossip.WarmingServer { return warmingServers(p.Live, p.Warmups) },
 		Log:     logs.Component(p.Log, "news"),
 	})
--- a/gossip/harness_test.go
+++ b/gossip/harness_test.go
@@ -28,6 +28,7 @@
 	fleet       int64
 	evacuation  Evacuation
 	unreachable bool
+	clock       tick.Clock // of its instance
 }
 
 func (b *fakeStore) Era() int64 { return 0 }
@@ -95,6 +96,14 @@
 	return b.unreachable
 }
 
+// LastRead reports a store that answers all the time.
+func (b *fakeStore) LastRead() tick.Instant {
+	if b.clock == nil || b.Unreachable() {
+		return 0
+	}
+	return b.clock.Now()
+}
+
 // fakeTracker is the LoadTracker and UsageTracker of one instance.
 type fakeTracker struct {
 	mu          sync.Mutex
@@ -192,7 +201,8 @@
 // startOn runs an instance on a listener for calls and a connection for datagrams.
 func startOn(t *testing.T, l net.Listener, pc net.PacketConn, centre, name string, seeds ...string) *testInstance {
 	t.Helper()
-	n := &testInstance{store: &fakeStore{}, health: health.NewTracker(), tracker: &fakeTracker{
+	clock := tick.NewReal()
+	n := &testInstance{store: &fakeStore{clock: clock}, health: health.NewTracker(), tracker: &fakeTracker{
 		own: map[uint64]admit.Load{7: {PrefillTokens: 100, KVTokens: 200, Running: 1}}, usage: make(map[string]map[string]int64),
 		used: map[string]int64{"sur": 10},
 	}}
@@ -201,7 +211,7 @@
 			Instance: name, Incarnation: 1, Address: l.Addr().String(), Datagrams: pc.LocalAddr().String(),
 			Centre: centre, Region: "r",
 		},
-		Seeds: seeds, Store: n.store, Loads: n.tracker, Usage: n.tracker, Health: n.health, Clock: tick.NewReal(), Log: zerolog.Nop(),
+		Seeds: seeds, Store: n.store, Loads: n.tracker, Usage: n.tracker, Health: n.health, Clock: clock, Log: zerolog.Nop(),
 	})
 	srv := peer.NewServer(peer.Handlers{News: n.Service}, nil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/gossip/load.go
+++ b/gossip/load.go
@@ -40,7 +40,8 @@
 	serial           uint64
 	at               tick.Instant
 	centre           string
-	storeUnreachable bool // the peer cannot read the platform's store
+	storeUnreachable bool         // the peer cannot read the platform's store
+	lastRead         tick.Instant // when the store has answered the peer, 0 if that is not known
 	leaving          bool
 	steady           bool   // the peer may issue permits
 	nameHash         uint64 // hash of the peer's name
@@ -98,6 +99,7 @@
 	state.Serial = d.serial
 	d.s.setLimitAges(state)
 	d.s.setHistoryAges(state)
+	d.s.setReadAge(state, now)
 	if all {
 		d.lastSentAll = now
 	}
@@ -297,7 +299,7 @@
 	}
 	h := &peerLoad{
 		incarnation: l.GetIncarnation(), serial: l.GetSerial(), at: now, centre: centre,
-		storeUnreachable: l.GetCut(), leaving: l.GetLeaving(), steady: l.GetSteady(), nameHash: route.Hash(l.GetInstance()), sums: make(map[uint64]admit.Load),
+		storeUnreachable: l.GetCut(), lastRead: lastRead(l, now), leaving: l.GetLeaving(), steady: l.GetSteady(), nameHash: route.Hash(l.GetInstance()), sums: make(map[uint64]admit.Load),
 	}
 	for _, p := range l.GetPlaced() {
 		h.sums[p.GetServer()] = admit.Load{
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -12,6 +12,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
+	"wasabidock.dev/dock/elect"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/peer"
@@ -29,9 +30,12 @@
 	urgentExchangePeriod = 250 * time.Millisecond
 	// fewMembers is the number of members below which all seeds are called.
 	fewMembers = 3
-	// watcherTimeout is how long an instance relies on another one to watch the store without
-	// receiving its state.
-	watcherTimeout = 700 * time.Millisecond
+	// minReportTimeout and reportPeriods bound the time for which an instance relies on another one to watch
+	// the store without receiving its state. The periods are those of the datagrams.
+	minReportTimeout = 700 * time.Millisecond
+	reportPeriods    = 3
+	// defaultReadTimeout is the default of Config.ReadTimeout.
+	defaultReadTimeout = 2 * time.Second
 	// minRetryDelay and maxRetryDelay bound the random delay before a busy instance is called
 	// again.
 	minRetryDelay = 50 * time.Millisecond
@@ -93,6 +97,8 @@
 	ApplyEvacuation(e Evacuation)
 	// Unreachable reports whether the platform's store cannot be read.
 	Unreachable() bool
+	// LastRead returns when the store last showed this instance that its state is current, 0 if it never has.
+	LastRead() tick.Instant
 }
 
 // LoadTracker tracks the load that instances place on backend servers. Its maps are keyed by the
@@ -147,6 +153,9 @@
 	// servers of which this instance is the home.
 	Limits *permit.Limits
 	Issuer *permit.Issuer
+	// ReadTimeout is the longest time between two answers of the store to an instance that reads it, 0 for
+	// a default.
+	ReadTimeout time.Duration
 	// Warming returns the servers that are cold, for operators. A nil function means that there are none.
 	Warming func() []WarmingServer
 	// Crashes is the evidence on parts of prompts that end servers.
@@ -166,6 +175,7 @@
 	pool    *peer.Pool
 	leaving atomic.Bool
 	pauses  *pauses
+	reader  *elect.Election
 	pull    chan string // addresses of peers that have a newer revision in force
 
 	mu        sync.Mutex
@@ -189,6 +199,9 @@
 	if cfg.Crashes == nil {
 		cfg.Crashes = crash.NewTracker(crash.Config{})
 	}
+	if cfg.ReadTimeout == 0 {
+		cfg.ReadTimeout = defaultReadTimeout
+	}
 	if cfg.SinceBoot == nil {
 		cfg.SinceBoot = cfg.Clock.Now
 	}
@@ -197,7 +210,7 @@
 		members: newMembers(cfg.Self.Instance),
 		// The pool is keyed by address, because the address of a seed is known before its name.
 		pool:   peer.NewPool(peer.Config{Address: func(i ident.Instance) (string, bool) { return string(i), true }}),
-		pauses: newPauses(), pull: make(chan string, 1),
+		pauses: newPauses(), reader: elect.New(cfg.Self.Instance), pull: make(chan string, 1),
 
 		loads: make(map[string]*peerLoad), total: make(map[uint64]admit.Load), changed: make(map[uint64]admit.Load),
 	}
@@ -266,6 +279,9 @@
 // this instance's own.
 func (s *Service) pullIfNewer(addr string, table route.Stamp, fleet int64) {
 	ownTable, ownFleet := s.cfg.Store.Revisions()
+	if table.After(ownTable) {
+		s.reader.Want(table, s.cfg.Clock.Now())
+	}
 	if !table.After(ownTable) && fleet <= ownFleet {
 		return
 	}
@@ -323,18 +339,3 @@
 		Centre: m.Centre, Region: m.Region, Leaving: s.leaving.Load(),
 	}
 }
-
-// WatchesStore reports whether this instance watches the platform's store itself. Among the
-// instances of a data centre that can read the store and receive each other's state, only the first
-// by name watches the store. The others receive the changes from that instance.
-func (s *Service) WatchesStore() bool {
-	now := s.cfg.Clock.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, l := range s.loads {
-		if name < s.cfg.Self.Instance && l.centre == s.cfg.Self.Centre && !l.storeUnreachable && !l.leaving && now-l.at <= watcherTimeout {
-			return false
-		}
-	}
-	return true
-}
