gossip: configurations are passed on in compressed form and wait neither for the server list nor for peers that have ended

Callers were treated by an older configuration for up to 10 s after the store had acknowledged a newer one.

An instance sent 1 MiB/s of newer state to its peers, the configuration together with the server list, as published; a call lasts 0.8 s at most. So a version took seconds for each doubling of the instances that have it, and from 1 MB on none got it at all. One loop fetched it, and also waited for the periodic calls to peers that had ended.

The configuration is compressed once for each version. A response that is too large at the moment keeps the configuration if it is small without the server list. Newer state is fetched beside the periodic calls. A peer of an older process gets and sends configurations as before.

TestLargeConfigurationIsInForceInTime failed (over 8 s at 14 instances) and passes: 1.3 and 1.4 s.

--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -15,7 +15,9 @@
 // Each instance periodically calls a seed and one other member. Caller and callee report to each
 // other the members that they know and the revisions that they have in force. An instance
 // requests the published configuration and the server list from the other one if the other one has a
-// newer revision, or if it cannot read the platform's store itself.
+// newer revision, or if it cannot read the platform's store itself. The configuration is sent in compressed form,
+// since instances with a slow link pass it on to others. A peer that sends large state to others leaves out the
+// server list first.
 //
 // The load on backend servers and the tokens charged to customers are sent in datagrams, several
 // times a second while they change. Each datagram contains the whole state of its sender. A lost
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -46,7 +46,7 @@
 	table, fleet := s.cfg.Store.Revisions()
 	resp, err := c.Exchange(ctx, &peerpb.ExchangeRequest{
 		Self: s.self(), Members: s.members.encode(now, maxMembersSent), Known: int32(s.members.count()),
-		Table: table.Position, TableVersion: table.Version, Fleet: fleet, Want: want, Histories: peer.EncodeHistories(s.cfg.Crashes.Histories(), s.cfg.SinceBoot()),
+		Table: table.Position, TableVersion: table.Version, Fleet: fleet, Want: want, Unpacks: true, Histories: peer.EncodeHistories(s.cfg.Crashes.Histories(), s.cfg.SinceBoot()),
 		Evacuation: s.evacuation(),
 	})
 	if err != nil {
@@ -64,21 +64,37 @@
 		s.pullIfNewer(addr, route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()}, resp.GetFleet())
 		return nil
 	}
+	if err := s.applyConfig(resp, addr); err != nil {
+		return errors.Wrapf(err, "exchange with %s", addr)
+	}
 	if resp.GetBusy() {
 		return errBusy
 	}
-	if raw := resp.GetConfig(); len(raw) > 0 {
-		s.cfg.Store.ApplyConfig(Published{
-			Raw: raw, Stamp: route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()},
-			Age: time.Duration(max(resp.GetTableAgeMs(), 0)) * time.Millisecond, From: addr,
-		})
-	}
 	if resp.GetFleet() > fleet {
 		s.cfg.Store.ApplyServerChanges(decodeItems(resp.GetEntries()), resp.GetFleet(), resp.GetWhole())
 	}
 	return nil
 }
 
+// applyConfig applies the configuration in the response of the peer at addr, if there is one.
+func (s *Service) applyConfig(resp *peerpb.ExchangeResponse, addr string) error {
+	raw := resp.GetConfig()
+	if packed := resp.GetPackedConfig(); len(packed) > 0 {
+		var err error
+		if raw, err = unpack(packed); err != nil {
+			return err
+		}
+	}
+	if len(raw) == 0 {
+		return nil
+	}
+	s.cfg.Store.ApplyConfig(Published{
+		Raw: raw, Stamp: route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()},
+		Age: time.Duration(max(resp.GetTableAgeMs(), 0)) * time.Millisecond, From: addr,
+	})
+	return nil
+}
+
 // updateMembers records the members that a peer reports.
 func (s *Service) updateMembers(list []*peerpb.Member, now tick.Instant) {
 	for _, m := range list {
@@ -116,8 +132,9 @@
 		return resp, nil
 	}
 	if own := s.cfg.Store.Config(); own.Stamp.After(known) {
-		resp.Config, resp.Table, resp.TableVersion = own.Raw, own.Stamp.Position, own.Stamp.Version
-		resp.TableAgeMs = own.Age.Milliseconds()
+		if err := s.setConfig(resp, own, r.GetUnpacks()); err != nil {
+			return nil, err
+		}
 	}
 	items, rev, whole := s.cfg.Store.ServerChanges(r.GetFleet())
 	if rev <= r.GetFleet() {
@@ -127,9 +144,20 @@
 	return s.limitResponse(resp, now), nil
 }
 
-// limitResponse returns the response to a request for newer state. While the state is being sent
-// to other peers, it replaces a large response by one that has Busy set and contains no
-// configuration or server list.
+// setConfig sets the configuration of a response, in compressed form if the caller reads that.
+func (s *Service) setConfig(resp *peerpb.ExchangeResponse, own Published, packed bool) error {
+	resp.Table, resp.TableVersion, resp.TableAgeMs = own.Stamp.Position, own.Stamp.Version, own.Age.Milliseconds()
+	if !packed {
+		resp.Config = own.Raw
+		return nil
+	}
+	var err error
+	resp.PackedConfig, err = s.packer.pack(own)
+	return err
+}
+
+// limitResponse returns the response to a request for newer state. While large state is being sent to other
+// peers, Busy is set: a large response then contains no server list, and no configuration if it is still large.
 func (s *Service) limitResponse(resp *peerpb.ExchangeResponse, now tick.Instant) *peerpb.ExchangeResponse {
 	size := proto.Size(resp)
 	if size <= smallResponseBytes {
@@ -137,10 +165,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now < s.busyUntil {
-		return &peerpb.ExchangeResponse{Self: resp.GetSelf(), Members: resp.GetMembers(), Histories: resp.GetHistories(), Evacuation: resp.GetEvacuation(), Busy: true}
+	if now >= s.busyUntil {
+		s.busyUntil = now + time.Duration(float64(size)/stateBytesPerSecond*float64(time.Second))
+		return resp
+	}
+	resp.Busy, resp.Fleet, resp.Whole, resp.Entries = true, 0, false, nil
+	if proto.Size(resp) > smallResponseBytes {
+		resp.Config, resp.PackedConfig, resp.Table, resp.TableVersion, resp.TableAgeMs = nil, nil, 0, 0, 0
 	}
-	s.busyUntil = now + time.Duration(float64(size)/stateBytesPerSecond*float64(time.Second))
 	return resp
 }
 
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -176,6 +176,7 @@
 	leaving atomic.Bool
 	pauses  *pauses
 	reader  *elect.Election
+	packer  packer
 	pull    chan string // addresses of peers that have a newer revision in force
 
 	mu        sync.Mutex
@@ -226,6 +227,9 @@
 func (s *Service) Run(ctx context.Context, done chan<- struct{}) {
 	defer close(done)
 	defer s.pool.Close()
+	fetched := make(chan struct{})
+	go s.fetch(ctx, fetched)
+	defer func() { <-fetched }()
 	for ctx.Err() == nil {
 		s.exchangeRound(ctx)
 		every := exchangePeriod
@@ -239,19 +243,28 @@
 	}
 }
 
-// wait waits for d, or until this process has been paused. Meanwhile it fetches newer state from the peers that
-// have it.
+// wait waits for d, or until this process has been paused.
 func (s *Service) wait(ctx context.Context, d time.Duration) error {
 	t := s.cfg.Clock.After(d)
 	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C():
+		return nil
+	case <-s.pauses.woken:
+		return nil
+	}
+}
+
+// fetch fetches newer state from the peers that have it until ctx ends, and then closes done. It does not wait for
+// the periodic calls, which wait for peers that have ended.
+func (s *Service) fetch(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
 	for {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
-		case <-t.C():
-			return nil
-		case <-s.pauses.woken:
-			return nil
+			return
 		case addr := <-s.pull:
 			switch err := s.exchange(ctx, addr, true); {
 			case errors.Is(err, errBusy):
