--- a/elect/elect.go
+++ b/elect/elect.go
@@ -40,7 +40,7 @@
 	// maxTurns bounds the time until all instances read.
 	maxTurns = 400 * time.Millisecond
 	// fetchTimeout is how long an instance may know of a newer configuration without having it.
-	fetchTimeout = 400 * time.Millisecond
+	fetchTimeout = 600 * time.Millisecond
 	// fetchTurn spreads the reads of instances that do not get a newer configuration, because each of them reads
 	// all of it.
 	fetchTurn = 50 * time.Millisecond
