entry: the store is read with a client of its own, beside the memory of requests

The reads of the store took the heads of its responses from the memory that requests and responses of callers share. The responses of the store are bounded by themselves.

--- a/entry/app.go
+++ b/entry/app.go
@@ -90,10 +90,7 @@
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(set, root, lines, f),
-		fx.Provide(
-			func() tick.Clock { return tick.NewReal() },
-			route.NewLive, health.NewTracker, permit.NewLimits, newFilter, newWarmups, newTracker, newCrashGate, newGate, newIssuer, newMemory, newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
-		),
+		components(),
 		fx.Populate(&d),
 	)
 	if err := app.Start(ctx); err != nil {
@@ -105,6 +102,15 @@
 	return app.Stop(stopCtx)
 }
 
+// components provides the parts of the daemon. It needs the settings, the log and the flags.
+func components() fx.Option {
+	return fx.Provide(
+		func() tick.Clock { return tick.NewReal() },
+		route.NewLive, health.NewTracker, permit.NewLimits, newFilter, newWarmups, newTracker, newCrashGate, newGate, newIssuer, newMemory,
+		newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
+	)
+}
+
 // setMemoryLimit applies the memory limit of the settings to the process and to what requests and responses share.
 func setMemoryLimit(set *platform.Settings, b *memory.Budget) {
 	most := float64(set.MemoryLimit())
@@ -119,8 +125,13 @@
 }
 
 func newLink(clock tick.Clock, budget *memory.Budget, meter *metric.Meter, log zerolog.Logger) *link.Client {
+	return link.New(linkConfig(clock, budget, meter, log))
+}
+
+// linkConfig returns the configuration of a client whose findings are counted and logged. A nil budget has no bound.
+func linkConfig(clock tick.Clock, budget *memory.Budget, meter *metric.Meter, log zerolog.Logger) link.Config {
 	log = logs.Component(log, "link")
-	return link.New(link.Config{Clock: clock, IDHeader: platform.AttemptHeader, Memory: budget, Observe: func(f link.Finding) {
+	return link.Config{Clock: clock, IDHeader: platform.AttemptHeader, Memory: budget, Observe: func(f link.Finding) {
 		meter.Count("server_response_findings_total", "kind", string(f.Kind), 1)
 		if f.Kind == link.FindingNoProof {
 			return
@@ -128,15 +139,17 @@
 		log.Info().Str("kind", string(f.Kind)).Str("addr", f.Addr).Str("id", f.Sent).Str("got", f.Got).
 			Int("status", f.Status).Int("use", f.Use).Dur("idle", f.Idle).
 			Msg("link: connection has something else than the response to its last request")
-	}})
+	}}
 }
 
-func newStore(set *platform.Settings, c *link.Client, clock tick.Clock, live *route.Live, tracker *health.Tracker, warmups *warmup.Tracker, meter *metric.Meter, log zerolog.Logger) *platform.Watcher {
+// newStore returns the reader of the store. It has a client of its own, which does not share the memory of requests, so
+// that changes come into force also while that is full.
+func newStore(set *platform.Settings, clock tick.Clock, live *route.Live, tracker *health.Tracker, warmups *warmup.Tracker, meter *metric.Meter, log zerolog.Logger) *platform.Watcher {
 	for _, s := range platform.Sources() {
 		meter.Count("configurations_total", "source", string(s), 0)
 	}
 	return platform.NewWatcher(platform.WatcherConfig{
-		Address: set.StoreAddr(), Link: c, Clock: clock, Live: live, Region: set.Region,
+		Address: set.StoreAddr(), Link: link.New(linkConfig(clock, nil, meter, log)), Clock: clock, Live: live, Region: set.Region,
 		HasRegion: set.HasRegion, Evacuations: set.HasEvacuations(),
 		Returned: func(centre string) {
 			for _, s := range live.Fleet().All() {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -88,10 +88,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	set, err := platform.ReadSettings(path)
-	if err != nil {
-		t.Fatal(err)
-	}
+	set := readSettings(t, path)
 	stop := make(chan struct{})
 	d.stop = sync.OnceFunc(func() { close(stop) })
 	go func() { d.done <- runApp(context.Background(), flags{logLevel: "info"}, set, &d.log, stop) }()
@@ -104,6 +101,15 @@
 	return d
 }
 
+func readSettings(t *testing.T, path string) *platform.Settings {
+	t.Helper()
+	set, err := platform.ReadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return set
+}
+
 func (d *testDaemon) isReady() bool {
 	resp, err := http.Get("http://" + d.ready + "/api/readyz")
 	if err != nil {
