gossip: newer state crosses the links between regions once for each data centre

All instances of a region requested a new configuration from the first peer that told of it, often one of the other region, although the reader of their own data centre had it.

--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -61,7 +61,7 @@
 		s.pauses.received(paused)
 	}
 	if !want {
-		s.pullIfNewer(addr, route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()}, resp.GetFleet())
+		s.pullIfNewer(resp.GetSelf().GetRegion(), addr, route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()}, resp.GetFleet())
 		return nil
 	}
 	if err := s.applyConfig(resp, addr); err != nil {
@@ -122,7 +122,7 @@
 	s.applyEvacuation(r.GetEvacuation())
 	table, fleet := s.cfg.Store.Revisions()
 	known := route.Stamp{Version: r.GetTableVersion(), Position: r.GetTable()}
-	s.pullIfNewer(r.GetSelf().GetAddress(), known, r.GetFleet())
+	s.pullIfNewer(r.GetSelf().GetRegion(), r.GetSelf().GetAddress(), known, r.GetFleet())
 	resp := &peerpb.ExchangeResponse{
 		Self: s.self(), Members: s.members.encode(now, s.maxMembersFor(int(r.GetKnown()))), Table: table.Position, Fleet: fleet,
 		Histories: peer.EncodeHistories(s.cfg.Crashes.Histories(), s.cfg.SinceBoot()), TableVersion: table.Version,
--- a/gossip/load.go
+++ b/gossip/load.go
@@ -247,7 +247,7 @@
 	if !ok || !s.storeLoad(l, from.Centre, now) {
 		return
 	}
-	s.pullIfNewer(from.Address, route.Stamp{Version: l.GetTableVersion(), Position: l.GetTable()}, l.GetFleet())
+	s.pullIfNewer(from.Region, from.Address, route.Stamp{Version: l.GetTableVersion(), Position: l.GetTable()}, l.GetFleet())
 	name := l.GetInstance() + "/" + strconv.FormatUint(l.GetIncarnation(), 10)
 	used := make(map[string]int64, len(l.GetUsed()))
 	retryTokens := make(map[string]int64)
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -288,9 +288,10 @@
 	}
 }
 
-// pullIfNewer queues a request to the peer at addr if its configuration or its server list is newer than
-// this instance's own.
-func (s *Service) pullIfNewer(addr string, table route.Stamp, fleet int64) {
+// pullIfNewer queues a request to a peer if its configuration or its server list is newer than this
+// instance's own. State crosses the links between regions once for each data centre, to the instance that reads
+// the store; the others get it from there.
+func (s *Service) pullIfNewer(region, addr string, table route.Stamp, fleet int64) {
 	ownTable, ownFleet := s.cfg.Store.Revisions()
 	if table.After(ownTable) {
 		s.reader.Want(table, s.cfg.Clock.Now())
@@ -298,6 +299,9 @@
 	if !table.After(ownTable) && fleet <= ownFleet {
 		return
 	}
+	if region != s.cfg.Self.Region && !s.WatchesStore() {
+		return
+	}
 	select {
 	case s.pull <- addr:
 	default: // a request to a peer is already queued
