--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -63,6 +63,7 @@
 	rec     *record
 	proxies int
 	memory  atomic.Int64  // of a daemon, in bytes
+	routes  int           // routes of the configuration that no call uses
 	done    chan struct{} // a proxy has ended
 
 	mu      sync.Mutex // guards the fields below
@@ -76,10 +77,10 @@
 // roles of the backend servers, in the order in which a plan counts them.
 var roles = []fake.Role{fake.Plain, fake.Plain, fake.Plain, fake.Prefill, fake.Prefill, fake.Decode, fake.Decode, fake.Decode}
 
-// newFleet starts the stand-ins and the daemons, and waits until these are
-// ready. The caller ends ctx and then calls wait.
-func newFleet(ctx context.Context, bin, dir string, n int, rec *record) (*fleet, error) {
-	f := &fleet{store: fake.NewStore(), rec: rec, done: make(chan struct{}, n+len(roles)), version: 1, writes: newWrites()}
+// newFleet starts the stand-ins and n daemons, and waits until these are
+// ready. The configuration has the given number of routes that no call uses. The caller ends ctx and then calls wait.
+func newFleet(ctx context.Context, bin, dir string, n, routes int, rec *record) (*fleet, error) {
+	f := &fleet{store: fake.NewStore(), rec: rec, routes: routes, done: make(chan struct{}, n+len(roles)), version: 1, writes: newWrites()}
 	f.memory.Store(processMemory)
 	for _, c := range customers() {
 		rec.customers[c.Name] = c
@@ -223,7 +224,7 @@
 func (f *fleet) put() {
 	f.version++
 	cfg := fake.Config{Version: f.version, Customers: customers(), Timeout: f.tuned.timeout, Idle: f.tuned.idle, MaxBody: f.tuned.maxBody,
-		Regions: f.allowed.routes, ColdTime: coldTime, ColdRate: coldRate}
+		Regions: f.allowed.routes, ColdTime: coldTime, ColdRate: coldRate, ExtraRoutes: f.routes}
 	for i, c := range cfg.Customers {
 		cfg.Customers[i].Keys = without(c.Keys, f.dead)
 		if c.Name != floodName {
--- a/soak/main.go
+++ b/soak/main.go
@@ -39,6 +39,9 @@
 // envPrefix begins the environment variables that stand for flags.
 const envPrefix = "WASABI"
 
+// largeRoutes is the number of routes that no call uses in a large configuration, about 300 KB.
+const largeRoutes = 1400
+
 // flags are the checked flags of the tool.
 type flags struct {
 	entry   string
@@ -170,11 +173,19 @@
 	return dir, os.MkdirAll(dir, 0o700)
 }
 
+// routesOf returns the number of routes that no call uses. The configuration of each third seed is large.
+func routesOf(seed uint64) int {
+	if seed%3 == 0 {
+		return largeRoutes
+	}
+	return 0
+}
+
 // play starts a fleet, puts load on it and carries the plan out.
 func play(ctx context.Context, f flags, seed uint64, dir string, plan []step) (*record, error) {
 	rec := newRecord()
 	fleetCtx, end := context.WithCancel(context.WithoutCancel(ctx))
-	fl, err := newFleet(fleetCtx, f.entry, dir, f.daemons, rec)
+	fl, err := newFleet(fleetCtx, f.entry, dir, f.daemons, routesOf(seed), rec)
 	defer func() {
 		end()
 		fl.wait()
--- a/soak/memory_test.go
+++ b/soak/memory_test.go
@@ -62,7 +62,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			ctx, end := context.WithCancel(context.Background())
-			f, err := newFleet(ctx, bin, t.TempDir(), 2, newRecord()) // one alone assumes others and admits an eighth of the rate
+			f, err := newFleet(ctx, bin, t.TempDir(), 2, 0, newRecord()) // one alone assumes others and admits an eighth of the rate
 			defer func() {
 				end()
 				f.wait()
