elect: as long as nobody reads the store, twice as many instances do after each turn

All instances of a data centre read within 0.4 s once no reader had had an answer of late.

One instance reads first, and twice as many after each 150 ms, 250 ms for those that do not get a newer configuration. The sum of the worst case with one fault stays below 3 s at 13 instances of a data centre: 1.8 s until an answer is too old, 0.1 s until it is noticed, 0.6 s for the last turn, 0.2 s for the read.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -14,8 +14,9 @@
 // within the read timeout. The word of a peer that it has noticed no failure proves nothing, since a peer that does not
 // read notices none. Of all instances that could read, the first by name does.
 //
-// Once nobody proves that it reads, the instances begin to read one shortly after the other, in the order of their
-// names, until one of them has proved it. They do not wait for the failure of the one before.
+// Once nobody proves that it reads, the instances begin to read in the order of their names, twice as many after each
+// turn, until one of them has proved it. They do not wait for the failure of the one before. All of them at once would
+// keep a slow link to the store too full for any answer.
 //
 // An instance that knows of a newer configuration and does not get it from its peers reads the store too, whoever
 // else does.
@@ -26,6 +27,7 @@
 package elect
 
 import (
+	"math/bits"
 	"sync"
 	"time"
 
@@ -34,16 +36,14 @@
 )
 
 const (
-	// turn is the time between the beginnings of two instances when nobody reads. It is longer than a call to the
-	// store and a report take within a data centre.
-	turn = 25 * time.Millisecond
-	// maxTurns bounds the time until all instances read.
-	maxTurns = 400 * time.Millisecond
+	// turn is the time after which twice as many instances read when nobody proves that it does. It is longer than
+	// a call to the store in another region.
+	turn = 150 * time.Millisecond
 	// fetchTimeout is how long an instance may know of a newer configuration without having it.
 	fetchTimeout = 600 * time.Millisecond
-	// fetchTurn spreads the reads of instances that do not get a newer configuration, because each of them reads
-	// all of it.
-	fetchTurn = 50 * time.Millisecond
+	// fetchTurn is the time after which twice as many instances that do not get a newer configuration read all of
+	// it.
+	fetchTurn = 250 * time.Millisecond
 )
 
 // Peer is another instance of the data centre.
@@ -114,12 +114,15 @@
 			candidates++
 		}
 	}
-	if e.wanted != (route.Stamp{}) && now-e.wantedSince > fetchTimeout+time.Duration(candidates)*fetchTurn {
+	if e.wanted != (route.Stamp{}) && now-e.wantedSince > fetchTimeout+turns(candidates)*fetchTurn {
 		return true
 	}
 	if proven {
 		e.lastReader = now
 		return false
 	}
-	return now-e.lastReader >= min(time.Duration(candidates)*turn, maxTurns)
+	return now-e.lastReader >= turns(candidates)*turn
 }
+
+// turns returns the number of turns after which an instance reads that has others before it.
+func turns(before int) time.Duration { return time.Duration(bits.Len(uint(before))) }
