elect, platform: takeovers leave time for the proof, and readers that fail try less often the later their turn is

A turn lasts 250 ms, enough for a call to another region and the report of its answer, so that fewer begin before the first one has proved that it reads. The longest pause after a failed read grows by 250 ms for each turn.

Worst case with one fault at 13 instances of a data centre, by addition: 1.8 s until an answer is too old, 0.1 s until that is noticed, 1 s for the last turn, 0.2 s for the read: 3.1 s; at three instances 2.6 s.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -28,6 +28,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,8 +38,8 @@
 
 const (
 	// turn is the time after which twice as many instances read when nobody proves that it does. It is longer than
-	// a call to the store in another region.
-	turn = 150 * time.Millisecond
+	// a call to the store in another region and the report that proves it take.
+	turn = 250 * time.Millisecond
 	// fetchTimeout is how long an instance may know of a newer configuration without having it.
 	fetchTimeout = 600 * time.Millisecond
 	// fetchTurn is the time after which twice as many instances that do not get a newer configuration read all of
@@ -103,16 +104,14 @@
 		e.lastReader = now
 	}
 	proven, candidates := false, 0
-	for _, p := range peers {
-		if p.Name >= e.self || p.Leaving || now-p.Reported > e.timeouts.Report {
+	for _, p := range e.before(peers, now) {
+		if p.Failed {
 			continue
 		}
-		if p.Read > 0 && now-p.Read <= e.timeouts.Read && !p.Failed {
+		candidates++
+		if p.Read > 0 && now-p.Read <= e.timeouts.Read {
 			proven = true
 		}
-		if !p.Failed {
-			candidates++
-		}
 	}
 	if e.wanted != (route.Stamp{}) && now-e.wantedSince > fetchTimeout+turns(candidates)*fetchTurn {
 		return true
@@ -124,5 +123,20 @@
 	return now-e.lastReader >= turns(candidates)*turn
 }
 
+// before returns the peers that are heard and come before this instance. The caller holds e.mu.
+func (e *Election) before(peers []Peer, now tick.Instant) []Peer {
+	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
+		return p.Name >= e.self || p.Leaving || now-p.Reported > e.timeouts.Report
+	})
+}
+
+// Turn returns the number of turns after which this instance reads if nobody can, 0 for the first one. Instances that fail
+// to read try less often the larger it is.
+func (e *Election) Turn(peers []Peer, now tick.Instant) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return int(turns(len(e.before(peers, now))))
+}
+
 // turns returns the number of turns after which an instance reads that has others before it.
 func turns(before int) time.Duration { return time.Duration(bits.Len(uint(before))) }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -176,7 +176,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
-	d.p.Store.SetShouldWatch(d.p.Gossip.WatchesStore)
+	d.p.Store.SetDuty(d.p.Gossip)
 	d.p.Gate.SetClaimer(d.p.Gossip)
 	d.p.Crashes.SetClaimer(d.p.Gossip)
 	d.peers = peer.NewServer(peer.Handlers{News: d.p.Gossip}, nil)
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -19,6 +19,10 @@
 	return s.reader.Reads(s.peersInCentre(), own, now)
 }
 
+// ReadTurn returns how many turns this instance is behind the first one of its data centre that reads the store if it
+// can, see package elect.
+func (s *Service) ReadTurn() int { return s.reader.Turn(s.peersInCentre(), s.cfg.Clock.Now()) }
+
 // readerTimeouts returns the timeouts for the present number of instances. An answer of the store is known to the
 // peers one datagram later.
 func (s *Service) readerTimeouts() elect.Timeouts {
