elect: an instance reads the store also for a server list that it does not get

The list of backend servers reaches the instances by the same calls as the configuration: a peer that has it and answers no calls kept it from the others in the same way, and they would have gone on to send requests to servers that leave. What an instance wants is now both.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -5,7 +5,7 @@
 //
 //	e := elect.New("edge-3")
 //	e.SetTimeouts(elect.Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second})
-//	e.Want(newer, now)                  // a peer has a newer configuration
+//	e.Want(newer, now)                  // a peer has newer state
 //	if e.Reads(peers, own, now) { ... } // read the store
 //
 // # Rules
@@ -18,8 +18,7 @@
 // turn, until one of them has proved it. They do not wait for the failure of the one before. All of them at once would
 // keep a slow link to the store too full for any answer.
 //
-// An instance that knows of a newer configuration and does not get it from its peers reads the store too, whoever
-// else does.
+// An instance that knows of newer state and does not get it from its peers reads the store too, whoever else does.
 //
 // # Concurrency
 //
@@ -40,10 +39,9 @@
 	// turn is the time after which twice as many instances read when nobody proves that it does. It is longer than
 	// a call to the store in another region and the report that proves it take.
 	turn = 250 * time.Millisecond
-	// fetchTimeout is how long an instance may know of a newer configuration without having it.
+	// fetchTimeout is how long an instance may know of newer state without having it.
 	fetchTimeout = 600 * time.Millisecond
-	// fetchTurn is the time after which twice as many instances that do not get a newer configuration read all of
-	// it.
+	// fetchTurn is the time after which twice as many instances that do not get newer state read it.
 	fetchTurn = 250 * time.Millisecond
 )
 
@@ -56,6 +54,15 @@
 	Leaving  bool
 }
 
+// State tells how much of what the store holds an instance has.
+type State struct {
+	Table route.Stamp // configuration
+	Fleet int64       // position up to which the backend servers are known
+}
+
+// AheadOf reports whether s contains something newer than o.
+func (s State) AheadOf(o State) bool { return s.Table.After(o.Table) || s.Fleet > o.Fleet }
+
 // Timeouts are the ages up to which a report and the answer of the store that it tells of count.
 type Timeouts struct {
 	Report time.Duration
@@ -69,7 +76,7 @@
 	mu          sync.Mutex
 	timeouts    Timeouts
 	lastReader  tick.Instant // when a peer last proved that it reads, or the first decision
-	wanted      route.Stamp  // configuration of a peer that this instance did not have, zero if none
+	wanted      State        // state of a peer that this instance did not have, zero if none
 	wantedSince tick.Instant
 }
 
@@ -83,22 +90,22 @@
 	e.timeouts = t
 }
 
-// Want records that a peer has a newer configuration than this instance. While this instance has not reached
-// that one, it ignores later ones.
-func (e *Election) Want(newer route.Stamp, now tick.Instant) {
+// Want records that a peer has newer state than this instance. While this instance has not reached that state, Want
+// ignores later ones.
+func (e *Election) Want(newer State, now tick.Instant) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.wanted == (route.Stamp{}) {
+	if e.wanted == (State{}) {
 		e.wanted, e.wantedSince = newer, now
 	}
 }
 
-// Reads reports whether this instance reads the store. own is the configuration that it has.
-func (e *Election) Reads(peers []Peer, own route.Stamp, now tick.Instant) bool {
+// Reads reports whether this instance, which has the state own, reads the store.
+func (e *Election) Reads(peers []Peer, own State, now tick.Instant) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.wanted.After(own) {
-		e.wanted = route.Stamp{}
+	if !e.wanted.AheadOf(own) {
+		e.wanted = State{}
 	}
 	if e.lastReader == 0 {
 		e.lastReader = now
@@ -113,14 +120,14 @@
 			proven = true
 		}
 	}
-	if e.wanted != (route.Stamp{}) && now-e.wantedSince > fetchTimeout+turns(candidates)*fetchTurn {
+	if e.wanted != (State{}) && now-e.wantedSince > fetchTimeout+time.Duration(turns(candidates))*fetchTurn {
 		return true
 	}
 	if proven {
 		e.lastReader = now
 		return false
 	}
-	return now-e.lastReader >= turns(candidates)*turn
+	return now-e.lastReader >= time.Duration(turns(candidates))*turn
 }
 
 // before returns the peers that are heard and come before this instance. The caller holds e.mu.
@@ -135,8 +142,8 @@
 func (e *Election) Turn(peers []Peer, now tick.Instant) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return int(turns(len(e.before(peers, now))))
+	return turns(len(e.before(peers, now)))
 }
 
 // turns returns the number of turns after which an instance reads that has others before it.
-func turns(before int) time.Duration { return time.Duration(bits.Len(uint(before))) }
+func turns(before int) int { return bits.Len(uint(before)) }
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -24,7 +24,8 @@
 		name   string
 		peers  []Peer
 		since  time.Duration // since a peer last proved that it reads
-		wanted time.Duration // since a newer configuration is known, 0 if none is
+		newer  State         // state of a peer
+		wanted time.Duration // since newer is known, 0 if it is not
 		want   bool
 	}{
 		{name: "alone", want: true},
@@ -38,22 +39,27 @@
 		{name: "has never read", peers: with(func(p *Peer) { p.Read = 0 }), since: time.Second, want: true},
 		{name: "turn of the one before", peers: with(func(p *Peer) { p.Read = 0 }), since: turn - 1},
 		{name: "own turn", peers: with(func(p *Peer) { p.Read = 0 }), since: turn, want: true},
-		{name: "newer configuration, just known", peers: []Peer{proven}, wanted: fetchTimeout},
-		{name: "newer configuration, not received", peers: []Peer{proven}, wanted: fetchTimeout + fetchTurn + 1, want: true},
+		{name: "newer configuration, just known", peers: []Peer{proven}, newer: State{Table: route.Stamp{Version: 2, Position: 20}}, wanted: fetchTimeout},
+		{
+			name: "newer configuration, not received", peers: []Peer{proven}, newer: State{Table: route.Stamp{Version: 2, Position: 20}},
+			wanted: fetchTimeout + fetchTurn + 1, want: true,
+		},
+		{name: "newer server list, not received", peers: []Peer{proven}, newer: State{Fleet: 20}, wanted: fetchTimeout + fetchTurn + 1, want: true},
+		{name: "older state", peers: []Peer{proven}, newer: State{Fleet: 12}, wanted: time.Hour},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			own := route.Stamp{Version: 1, Position: 10}
+			own := State{Table: route.Stamp{Version: 1, Position: 10}, Fleet: 12}
 			e := New("c")
 			e.SetTimeouts(timeouts)
 			is.Equal(e.Reads([]Peer{{Name: "a", Reported: now - tt.since, Read: now - tt.since}}, own, now-tt.since), false)
 			if tt.wanted > 0 {
-				e.Want(route.Stamp{Version: 2, Position: 20}, now-tt.wanted)
-				e.Want(route.Stamp{Version: 3, Position: 30}, now)
+				e.Want(tt.newer, now-tt.wanted)
+				e.Want(State{Table: route.Stamp{Version: 3, Position: 30}}, now)
 			}
 			is.Equal(e.Reads(tt.peers, own, now), tt.want)
-			is.Equal(e.Reads([]Peer{proven}, route.Stamp{Version: 2, Position: 20}, now), false)
+			is.Equal(e.Reads([]Peer{proven}, State{Table: route.Stamp{Version: 2, Position: 20}, Fleet: 20}, now), false)
 		})
 	}
 }
@@ -77,8 +83,8 @@
 		reading := 0
 		for _, e := range fleet {
 			e.SetTimeouts(Timeouts{Report: time.Minute, Read: time.Second})
-			e.Reads(peers, route.Stamp{}, now)
-			if e.Reads(peers, route.Stamp{}, now+time.Duration(i)*turn) {
+			e.Reads(peers, State{}, now)
+			if e.Reads(peers, State{}, now+time.Duration(i)*turn) {
 				reading++
 			}
 		}
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -14,9 +14,14 @@
 // others receive the changes from the instance of their data centre that does.
 func (s *Service) WatchesStore() bool {
 	now := s.cfg.Clock.Now()
-	own, _ := s.cfg.Store.Revisions()
 	s.reader.SetTimeouts(s.readerTimeouts())
-	return s.reader.Reads(s.peersInCentre(), own, now)
+	return s.reader.Reads(s.peersInCentre(), s.state(), now)
+}
+
+// state returns the state that this instance has.
+func (s *Service) state() elect.State {
+	table, fleet := s.cfg.Store.Revisions()
+	return elect.State{Table: table, Fleet: fleet}
 }
 
 // ReadTurn returns how many turns this instance is behind the first one of its data centre that reads the store if it
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -292,13 +292,11 @@
 // instance's own. State crosses the links between regions once for each data centre, to the instance that reads
 // the store; the others get it from there.
 func (s *Service) pullIfNewer(region, addr string, table route.Stamp, fleet int64) {
-	ownTable, ownFleet := s.cfg.Store.Revisions()
-	if table.After(ownTable) {
-		s.reader.Want(table, s.cfg.Clock.Now())
-	}
-	if !table.After(ownTable) && fleet <= ownFleet {
+	newer := elect.State{Table: table, Fleet: fleet}
+	if !newer.AheadOf(s.state()) {
 		return
 	}
+	s.reader.Want(newer, s.cfg.Clock.Now())
 	if region != s.cfg.Self.Region && !s.WatchesStore() {
 		return
 	}
