--- a/gossip/doc.go
+++ b/gossip/doc.go
@@ -23,6 +23,11 @@
 // times a second while they change. Each datagram contains the whole state of its sender. A lost
 // datagram therefore only delays the state.
 //
+// # Reading the store
+//
+// One instance of each data centre reads the platform's store for the others, see package elect. WatchesStore
+// tells whether this one does. The datagrams tell how long ago the store answered their sender.
+//
 // # Members
 //
 // A member is removed if no instance has seen it for memberTimeout. A restarted process has a new
