elect, gossip: the timeouts are an argument, no copy of the peers, one conversion of received durations

The timeouts were set right before each decision, and Turn used what the last decision had set. Each decision copied the peers to leave some out. Four places converted milliseconds from a peer in the same way. The harness recorded the age and the sender of a configuration, which no test looked at; one does now.

--- a/elect/elect.go
+++ b/elect/elect.go
@@ -4,9 +4,9 @@
 // # Usage
 //
 //	e := elect.New("edge-3")
-//	e.SetTimeouts(elect.Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second})
-//	e.Want(newer, now)                  // a peer has newer state
-//	if e.Reads(peers, own, now) { ... } // read the store
+//	limits := elect.Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second}
+//	e.Want(newer, now)                          // a peer has newer state
+//	if e.Reads(peers, own, limits, now) { ... } // read the store
 //
 // # Rules
 //
@@ -27,7 +27,6 @@
 
 import (
 	"math/bits"
-	"slices"
 	"sync"
 	"time"
 
@@ -63,7 +62,8 @@
 // AheadOf reports whether s contains something newer than o.
 func (s State) AheadOf(o State) bool { return s.Table.After(o.Table) || s.Fleet > o.Fleet }
 
-// Timeouts are the ages up to which a report and the answer of the store that it tells of count.
+// Timeouts are the ages up to which a report and the answer of the store that it tells of count. They depend on the
+// number of instances.
 type Timeouts struct {
 	Report time.Duration
 	Read   time.Duration
@@ -74,7 +74,6 @@
 	self string
 
 	mu          sync.Mutex
-	timeouts    Timeouts
 	lastReader  tick.Instant // when a peer last proved that it reads, or the first decision
 	wanted      State        // state of a peer that this instance did not have, zero if none
 	wantedSince tick.Instant
@@ -83,13 +82,6 @@
 // New returns an Election of the instance with the given name.
 func New(self string) *Election { return &Election{self: self} }
 
-// SetTimeouts sets the timeouts, which depend on the number of instances.
-func (e *Election) SetTimeouts(t Timeouts) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.timeouts = t
-}
-
 // Want records that a peer has newer state than this instance. While this instance has not reached that state, Want
 // ignores later ones.
 func (e *Election) Want(newer State, now tick.Instant) {
@@ -101,7 +93,7 @@
 }
 
 // Reads reports whether this instance, which has the state own, reads the store.
-func (e *Election) Reads(peers []Peer, own State, now tick.Instant) bool {
+func (e *Election) Reads(peers []Peer, own State, limits Timeouts, now tick.Instant) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.wanted.AheadOf(own) {
@@ -111,12 +103,12 @@
 		e.lastReader = now
 	}
 	proven, candidates := false, 0
-	for _, p := range e.before(peers, now) {
-		if p.Failed {
+	for _, p := range peers {
+		if p.Failed || !e.precedes(p, limits, now) {
 			continue
 		}
 		candidates++
-		if p.Read > 0 && now-p.Read <= e.timeouts.Read {
+		if p.Read > 0 && now-p.Read <= limits.Read {
 			proven = true
 		}
 	}
@@ -130,19 +122,21 @@
 	return now-e.lastReader >= time.Duration(turns(candidates))*turn
 }
 
-// before returns the peers that are heard and come before this instance. The caller holds e.mu.
-func (e *Election) before(peers []Peer, now tick.Instant) []Peer {
-	return slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool {
-		return p.Name >= e.self || p.Leaving || now-p.Reported > e.timeouts.Report
-	})
-}
-
 // Turn returns the number of turns after which this instance reads if nobody can, 0 for the first one. Instances that fail
 // to read try less often the larger it is.
-func (e *Election) Turn(peers []Peer, now tick.Instant) int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return turns(len(e.before(peers, now)))
+func (e *Election) Turn(peers []Peer, limits Timeouts, now tick.Instant) int {
+	before := 0
+	for _, p := range peers {
+		if e.precedes(p, limits, now) {
+			before++
+		}
+	}
+	return turns(before)
+}
+
+// precedes reports whether a peer is heard and comes before this instance.
+func (e *Election) precedes(p Peer, limits Timeouts, now tick.Instant) bool {
+	return p.Name < e.self && !p.Leaving && now-p.Reported <= limits.Report
 }
 
 // turns returns the number of turns after which an instance reads that has others before it.
--- a/elect/elect_test.go
+++ b/elect/elect_test.go
@@ -12,7 +12,7 @@
 
 func TestReads(t *testing.T) {
 	const now = time.Minute
-	timeouts := Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second}
+	limits := Timeouts{Report: 700 * time.Millisecond, Read: 2 * time.Second}
 	fresh := now - 100*time.Millisecond
 	proven := Peer{Name: "b", Reported: fresh, Read: now - time.Second}
 	with := func(change func(p *Peer)) []Peer {
@@ -52,14 +52,13 @@
 			is := is.New(t)
 			own := State{Table: route.Stamp{Version: 1, Position: 10}, Fleet: 12}
 			e := New("c")
-			e.SetTimeouts(timeouts)
-			is.Equal(e.Reads([]Peer{{Name: "a", Reported: now - tt.since, Read: now - tt.since}}, own, now-tt.since), false)
+			is.Equal(e.Reads([]Peer{{Name: "a", Reported: now - tt.since, Read: now - tt.since}}, own, limits, now-tt.since), false)
 			if tt.wanted > 0 {
 				e.Want(tt.newer, now-tt.wanted)
 				e.Want(State{Table: route.Stamp{Version: 3, Position: 30}}, now)
 			}
-			is.Equal(e.Reads(tt.peers, own, now), tt.want)
-			is.Equal(e.Reads([]Peer{proven}, State{Table: route.Stamp{Version: 2, Position: 20}, Fleet: 20}, now), false)
+			is.Equal(e.Reads(tt.peers, own, limits, now), tt.want)
+			is.Equal(e.Reads([]Peer{proven}, State{Table: route.Stamp{Version: 2, Position: 20}, Fleet: 20}, limits, now), false)
 		})
 	}
 }
@@ -72,6 +71,7 @@
 		instances = 60
 	)
 	is := is.New(t)
+	limits := Timeouts{Report: time.Minute, Read: time.Second}
 	var peers []Peer
 	var fleet []*Election
 	for i := range instances {
@@ -82,9 +82,8 @@
 	for i, want := range []int{1, 2, 4, 8, 16, 32, instances} {
 		reading := 0
 		for _, e := range fleet {
-			e.SetTimeouts(Timeouts{Report: time.Minute, Read: time.Second})
-			e.Reads(peers, State{}, now)
-			if e.Reads(peers, State{}, now+time.Duration(i)*turn) {
+			e.Reads(peers, State{}, limits, now)
+			if e.Reads(peers, State{}, limits, now+time.Duration(i)*turn) {
 				reading++
 			}
 		}
--- a/gossip/evacuation.go
+++ b/gossip/evacuation.go
@@ -26,6 +26,6 @@
 		return
 	}
 	s.cfg.Store.ApplyEvacuation(Evacuation{
-		Position: w.GetPosition(), Centres: w.GetCentres(), Kept: w.GetKept(), KeptFor: time.Duration(max(w.GetKeptMs(), 0)) * time.Millisecond,
+		Position: w.GetPosition(), Centres: w.GetCentres(), Kept: w.GetKept(), KeptFor: millis(w.GetKeptMs()),
 	})
 }
--- a/gossip/exchange.go
+++ b/gossip/exchange.go
@@ -90,11 +90,14 @@
 	}
 	s.cfg.Store.ApplyConfig(Published{
 		Raw: raw, Stamp: route.Stamp{Version: resp.GetTableVersion(), Position: resp.GetTable()},
-		Age: time.Duration(max(resp.GetTableAgeMs(), 0)) * time.Millisecond, From: addr,
+		Age: millis(resp.GetTableAgeMs()), From: addr,
 	})
 	return nil
 }
 
+// millis returns a duration that a peer has sent in milliseconds. A negative one counts as 0.
+func millis(n int64) time.Duration { return time.Duration(max(n, 0)) * time.Millisecond }
+
 // updateMembers records the members that a peer reports.
 func (s *Service) updateMembers(list []*peerpb.Member, now tick.Instant) {
 	for _, m := range list {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -49,7 +49,7 @@
 // update records a member that a peer reports. It ignores a report of an older incarnation, and one
 // that is not newer than the last report of the member.
 func (m *members) update(w *peerpb.Member, now tick.Instant) {
-	age := time.Duration(max(w.GetAgeMs(), 0)) * time.Millisecond
+	age := millis(w.GetAgeMs())
 	if w.GetInstance() == "" || w.GetInstance() == m.self || w.GetAddress() == "" || age > memberTimeout {
 		return
 	}
--- a/gossip/pack.go
+++ b/gossip/pack.go
@@ -34,13 +34,13 @@
 	}
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress configuration")
+	if err == nil {
+		_, err = w.Write(p.Raw)
 	}
-	if _, err := w.Write(p.Raw); err != nil {
-		return nil, errors.Wrap(err, "compress configuration")
+	if err == nil {
+		err = w.Close()
 	}
-	if err := w.Close(); err != nil {
+	if err != nil {
 		return nil, errors.Wrap(err, "compress configuration")
 	}
 	k.stamp, k.packed = p.Stamp, b.Bytes()
--- a/gossip/pack_test.go
+++ b/gossip/pack_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/matryer/is"
@@ -53,7 +54,7 @@
 	a := start(t, "a")
 	for position := int64(1); position <= 2; position++ {
 		raw := strings.Repeat("x", int(position))
-		a.store.publish(raw, position)
+		a.store.ApplyConfig(Published{Raw: []byte(raw), Stamp: route.Stamp{Position: position}, Age: time.Duration(position) * time.Second})
 		resp, err := a.Exchange(t.Context(), &peerpb.ExchangeRequest{Want: true})
 		is.NoErr(err)
 		is.Equal(string(resp.GetConfig()), raw)
@@ -66,5 +67,7 @@
 		is.NoErr(receiver.applyConfig(resp, "a"))
 		is.Equal(b.config, raw)
 		is.Equal(b.table.Position, position)
+		is.Equal(b.age, time.Duration(position)*time.Second)
+		is.Equal(b.from, "a")
 	}
 }
--- a/gossip/reader.go
+++ b/gossip/reader.go
@@ -13,9 +13,7 @@
 // WatchesStore reports whether this instance watches the platform's store itself, see package elect. The
 // others receive the changes from the instance of their data centre that does.
 func (s *Service) WatchesStore() bool {
-	now := s.cfg.Clock.Now()
-	s.reader.SetTimeouts(s.readerTimeouts())
-	return s.reader.Reads(s.peersInCentre(), s.state(), now)
+	return s.reader.Reads(s.peersInCentre(), s.state(), s.readerTimeouts(), s.cfg.Clock.Now())
 }
 
 // state returns the state that this instance has.
@@ -26,7 +24,9 @@
 
 // ReadTurn returns how many turns this instance is behind the first one of its data centre that reads the store if it
 // can, see package elect.
-func (s *Service) ReadTurn() int { return s.reader.Turn(s.peersInCentre(), s.cfg.Clock.Now()) }
+func (s *Service) ReadTurn() int {
+	return s.reader.Turn(s.peersInCentre(), s.readerTimeouts(), s.cfg.Clock.Now())
+}
 
 // readerTimeouts returns the timeouts for the present number of instances. An answer of the store is known to the
 // peers one datagram later.
@@ -61,5 +61,5 @@
 	if l.ReadAgeMs == nil {
 		return 0
 	}
-	return now - time.Duration(max(l.GetReadAgeMs(), 0))*time.Millisecond
+	return now - millis(l.GetReadAgeMs())
 }
