review: show requests cut in the moment in which a process ends

Cause: the process decides to end when no request is active, but its listener is open and requests are accepted for up to 2 ms and more until it is closed. What came in between is passed on to a replica and cut 100 ms later.

--- a/review/_cases2/client.go
+++ b/review/_cases2/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -44,13 +46,20 @@
 	defer c.mu.Unlock()
 	k := c.kept
 	c.kept = nil
-	if k != nil && time.Since(k.since) > reuseTime {
+	if k != nil && (time.Since(k.since) > reuseTime || k.closed()) {
 		_ = k.Close()
 		return nil
 	}
 	return k
 }
 
+// closed reports whether the daemon has closed an idle connection.
+func (k *keptConn) closed() bool {
+	_ = k.SetReadDeadline(time.Now()) // fails only on a closed connection
+	_, err := k.br.Peek(1)
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // keep keeps a connection in place of the one that was kept before.
 func (c *client) keep(k *keptConn) {
 	c.mu.Lock()
--- a/review/_cases2/drain.go
+++ b/review/_cases2/drain.go
@@ -15,8 +15,10 @@
 	drainTime = 100 * time.Second
 	drainGap  = time.Second
 	// zoneClients is the number of clients of a zone. Each keeps one connection, which it reuses after reuseTime at most.
-	zoneClients = 300
+	zoneClients = 1000
 	reuseTime   = 12 * time.Second
+	// dials is how often a client tries to connect once more.
+	dials = 4
 )
 
 // site is a small deployment in front of which daemons run.
@@ -239,13 +241,17 @@
 		}
 		c.keep(k)
 	}
-	d := b.pick(zone)
-	k, err := dial(d)
-	if err != nil {
-		now := time.Now()
-		return result{ID: m.id, Kind: m.kind, Daemon: d.name, Sent: now, Ended: now, Err: err.Error()}
+	for n := 0; ; n++ {
+		d := b.pick(zone)
+		k, err := dial(d)
+		if err == nil {
+			return c.send(k, m, false)
+		}
+		if n == dials {
+			now := time.Now()
+			return result{ID: m.id, Kind: m.kind, Daemon: d.name, Sent: now, Ended: now, Err: err.Error()}
+		}
 	}
-	return c.send(k, m, false)
 }
 
 // judgeDrain returns the requests that were passed on to a replica and whose connection ended without a whole answer after the SIGTERM of
