--- a/review/_cases2/daemon.go
+++ b/review/_cases2/daemon.go
@@ -19,6 +19,7 @@
 	name, zone, front, ready string
 	settings, log, root      string
 	measures                 string
+	oneCore                  bool // the process sees one core, as on a machine of the platform
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -148,6 +149,9 @@
 	cmd := exec.Command(filepath.Join(d.root, "target/entry"), "-measures", d.measures)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = d.root, out, out
 	cmd.Env = append(os.Environ(), "WASABIDOCK_CONFIG="+d.settings)
+	if d.oneCore {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+	}
 	processes.mu.Lock()
 	defer processes.mu.Unlock()
 	if processes.end {
--- a/review/_cases2/drain.go
+++ b/review/_cases2/drain.go
@@ -5,15 +5,17 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
 	grace = 8 * time.Second
-	// drainTime is how long the daemons are stopped and started in turn, and drainGap the pause between two of a zone.
+	// drainTime is how long the daemons are stopped and started in turn, and drainGap the pause before the next two of a zone.
 	drainTime = 100 * time.Second
 	drainGap  = time.Second
+	drainPoll = 50 * time.Millisecond
 	// zoneClients is the number of clients of a zone. Each keeps one connection, which it reuses after reuseTime at most.
 	zoneClients = 1000
 	reuseTime   = 12 * time.Second
@@ -29,7 +31,7 @@
 }
 
 // newSite starts the stand-ins and the daemons.
-func newSite(e *env, zones, regions []string, perZone int, replicas []*replica, routes []map[string]any) (*site, error) {
+func newSite(e *env, zones, regions []string, perZone int, oneCore bool, replicas []*replica, routes []map[string]any) (*site, error) {
 	st, err := newStore()
 	if err != nil {
 		return nil, err
@@ -62,6 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, d := range s.daemons {
+		d.oneCore = oneCore
+	}
 	return s, startAll(s.daemons)
 }
 
@@ -130,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := newSite(e, zones, regions, 3, replicas, []map[string]any{
+	s, err := newSite(e, zones, regions, 3, true, replicas, []map[string]any{
 		route("r-confirm", "/confirm/", "mutating", "app", 1200, 400, 1),
 		route("r-status", "/status/", "idempotent", "app", 1200, 400, 2),
 	})
@@ -145,9 +150,16 @@
 	var work sync.WaitGroup
 	terms := &terms{at: make(map[string]time.Time)}
 	for _, z := range zones {
-		if e.trouble {
-			work.Go(func() { roll(e, s.daemons, z, stop, terms) })
+		if !e.trouble {
+			continue
+		}
+		var own []*daemon
+		for _, d := range s.daemons {
+			if d.zone == z {
+				own = append(own, d)
+			}
 		}
+		work.Go(func() { roll(e, own, stop, terms) })
 	}
 	var results results
 	for _, z := range zones {
@@ -173,24 +185,25 @@
 
 func process(name string, start int) string { return fmt.Sprintf("%s/%d", name, start) }
 
-// roll stops and starts the daemons of a zone in turn until stop is closed.
-func roll(e *env, daemons []*daemon, zone string, stop <-chan struct{}, t *terms) {
+// roll stops and starts the daemons of a zone, two at a time, until stop is closed. The next two follow drainGap after all are in rotation.
+func roll(e *env, daemons []*daemon, stop <-chan struct{}, t *terms) {
 	var restarts sync.WaitGroup
 	defer restarts.Wait()
-	for {
-		for _, d := range daemons {
-			if d.zone != zone {
-				continue
-			}
+	for n := 0; ; n++ {
+		wait := drainGap
+		for wait > 0 {
 			select {
 			case <-stop:
 				return
-			case <-time.After(drainGap):
+			case <-time.After(drainPoll):
 			}
-			start, at := d.term()
-			if !at.IsZero() || !d.inRotation() {
-				continue // it is still on its way
+			if !slices.ContainsFunc(daemons, func(d *daemon) bool { return !d.inRotation() }) {
+				wait -= drainPoll
 			}
+		}
+		for k := range 2 {
+			d := daemons[(n+k)%len(daemons)]
+			start, _ := d.term()
 			now := time.Now()
 			t.mu.Lock()
 			t.at[process(d.name, start)] = now
@@ -203,6 +216,7 @@
 				}
 			})
 		}
+		restarts.Wait()
 	}
 }
 
--- a/review/_cases2/fresh.go
+++ b/review/_cases2/fresh.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s, err := newSite(e, zones, regions, 1, append(models, plain...), []map[string]any{
+	s, err := newSite(e, zones, regions, 1, false, append(models, plain...), []map[string]any{
 		route("r-stream", "/stream/", "streaming", "llm", 14000, 900, 2), route("r-status", "/status/", "idempotent", "app", 1200, 400, 2),
 	})
 	if err != nil {
--- a/review/_cases2/twice.go
+++ b/review/_cases2/twice.go
@@ -144,7 +144,7 @@
 	}
 	stream := route("r-stream", "/stream/", "streaming", "llm", 14000, 900, 2)
 	stream["resumable"] = true
-	s, err := newSite(e, zones, regions, 1, replicas, []map[string]any{stream})
+	s, err := newSite(e, zones, regions, 1, false, replicas, []map[string]any{stream})
 	if err != nil {
 		return nil, err
 	}
