entry, proxy: log the steps of the end of the process, and when in it a request came

The lines of a draining instance could not tell whether a request that was cut had come before or after the decision to end, nor which step ended it. The daemon logs each step with the time since SIGTERM and the requests in progress, and a decision line has the time from SIGTERM to its request.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -67,6 +67,7 @@
 	stop      context.CancelFunc
 	running   sync.WaitGroup
 	draining  atomic.Bool
+	drainedAt tick.Instant // begin of the drain, set before shutdown is called
 	idle      *idleConns
 
 	failedReloads int // consecutive failed attempts to read the settings; used by maintain only
@@ -277,6 +278,7 @@
 func (d *daemon) waitDrained(stop <-chan struct{}) {
 	<-stop
 	start := d.p.Clock.Now()
+	d.drainedAt = start
 	d.draining.Store(true)
 	d.p.Handler.Drain(start+minDrainTime, start+d.p.Set.ShutdownGrace()-shutdownMargin-finalAnswerTime)
 	d.p.Gossip.Leave()
@@ -289,6 +291,7 @@
 		left := start + d.p.Set.ShutdownGrace() - shutdownMargin - now
 		switch {
 		case now-start >= minDrainTime && d.p.Handler.Active() == 0:
+			d.logStep("no request is active and the process ends")
 			return
 		case finished == 0 && left <= finalAnswerTime:
 			finished = now
@@ -307,10 +310,12 @@
 	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
 	defer cancelFlush()
 	d.idle.closeAll(flush)
+	d.logStep("idle connections are ended")
 	if err := d.front.Shutdown(flush); err != nil {
 		d.log.Info().Err(err).Int64("active", d.p.Handler.Active()).Msg("entry: requests did not end in time and were cut off")
 	}
 	d.p.Handler.Closing()
+	d.logStep("the connections of callers are closed")
 	err := errors.Join(d.front.Close(), d.ready.Close(), d.datagrams.Close())
 	d.stop()
 	short, cancel := context.WithTimeout(ctx, peersShutdownTimeout)
@@ -322,3 +327,8 @@
 	d.log.Info().Msg("entry: stopped")
 	return err
 }
+
+// logStep logs a step of the end of the process, with the time since the begin of the drain and the number of requests in progress.
+func (d *daemon) logStep(step string) {
+	d.log.Info().Dur("draining", d.p.Clock.Now()-d.drainedAt).Int64("active", d.p.Handler.Active()).Msg("entry: " + step)
+}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -94,6 +94,7 @@
 	cfg             Config
 	lastPlacementID atomic.Uint64
 	active          atomic.Int64
+	drainedAt       atomic.Int64       // tick.Instant of the call of Drain, 0 while not draining
 	noticedAt       atomic.Int64       // tick.Instant from which the load balancer sends no new connections, 0 while not draining
 	endsAt          atomic.Int64       // tick.Instant at which Finish is called, 0 while not draining
 	finishing       context.Context    // ends with the call of Finish
@@ -223,6 +224,9 @@
 func (x *exchange) logDecision() {
 	e := logs.Decision(x.h.cfg.Log).Str("id", x.info.ID).Int("writes", x.writes).
 		Dur("took", x.h.cfg.Clock.Now()-x.start)
+	if drained := tick.Instant(x.h.drainedAt.Load()); drained != 0 {
+		e = e.Dur("draining", x.start-drained) // negative for a request that came before
+	}
 	if x.route != nil {
 		e = e.Str("route", x.route.Name)
 	}
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -30,6 +30,7 @@
 // rejected at once. From noticed on, their callers reach another instance, so that only those are accepted that are
 // sure to finish.
 func (h *Handler) Drain(noticed, end tick.Instant) {
+	h.drainedAt.Store(int64(h.cfg.Clock.Now()))
 	h.noticedAt.Store(int64(noticed))
 	h.endsAt.Store(int64(end))
 }
