drain, proxy, entry: the decision to end a process and the count of its requests are one step

Cause: the daemon asked each 20 ms whether no request was active, and ended then. Listener and connections were still open, so a request that came afterwards was taken, since it would end before the announced end, and was cut by the close. In the log it arrives 0.9 ms after the decision, at which 0 requests were active.

Change: a drain.Tracker counts the requests and holds the stage (serving, draining, closing, closed), which only goes forward. One lock covers both: the process closes only while nothing is active, and what comes afterwards is rejected as not run. So what was taken is never cut by an early end.

--- a/entry/app.go
+++ b/entry/app.go
@@ -17,6 +17,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/filter"
 	"wasabidock.dev/dock/gossip"
 	"wasabidock.dev/dock/health"
@@ -67,13 +68,14 @@
 }
 
 // runApp runs the daemon until stop is closed and its requests have ended or the shutdown grace
-// period is over.
-func runApp(ctx context.Context, f flags, set *platform.Settings, out io.Writer, stop <-chan struct{}) error {
+// period is over. The hooks are called at each log line, before it is written.
+func runApp(ctx context.Context, f flags, set *platform.Settings, out io.Writer, stop <-chan struct{}, hooks ...zerolog.Hook) error {
 	lines := logs.NewAsyncWriter(out, maxLogBytes)
 	root, err := logs.New(lines, f.logLevel)
 	if err != nil {
 		return err
 	}
+	root = root.Hook(hooks...)
 	logCtx, stopLog := context.WithCancel(context.Background())
 	written := make(chan struct{})
 	go lines.Run(logCtx, written)
@@ -106,7 +108,7 @@
 func components() fx.Option {
 	return fx.Provide(
 		func() tick.Clock { return tick.NewReal() },
-		route.NewLive, health.NewTracker, permit.NewLimits, newFilter, newWarmups, newTracker, newCrashGate, newGate, newIssuer, newMemory,
+		drain.New, route.NewLive, health.NewTracker, permit.NewLimits, newFilter, newWarmups, newTracker, newCrashGate, newGate, newIssuer, newMemory,
 		newLink, newStore, rate.NewLimiter, newRetryBudget, newScheduler, newHandler, newGossip, newMeter, newMetrics, newDaemon,
 	)
 }
@@ -295,6 +297,7 @@
 	Warmups     *warmup.Tracker
 	Gate        *permit.Gate
 	Crashes     *crash.Gate
+	Drain       *drain.Tracker
 	Meter       *metric.Meter
 	Log         zerolog.Logger
 }
@@ -327,7 +330,7 @@
 	return proxy.New(proxy.Config{
 		Centre: p.Set.Centre(), Region: p.Set.Region(p.Set.Centre()),
 		Live: p.Live, Protocol: platform.Protocol{}, Client: p.Link, Limiter: p.Limiter, RetryBudget: p.RetryBudget,
-		Memory: p.Memory, Placer: p.Scheduler, Health: p.Health, Filter: p.Filter, Warmups: p.Warmups, Permits: p.Gate, Crashes: p.Crashes, Meter: p.Meter, Clock: p.Clock, Log: logs.Component(p.Log, "relay"),
+		Memory: p.Memory, Placer: p.Scheduler, Health: p.Health, Filter: p.Filter, Warmups: p.Warmups, Permits: p.Gate, Crashes: p.Crashes, Drain: p.Drain, Meter: p.Meter, Clock: p.Clock, Log: logs.Component(p.Log, "relay"),
 	})
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -15,6 +14,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/gossip"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
@@ -66,8 +66,6 @@
 	datagrams net.PacketConn
 	stop      context.CancelFunc
 	running   sync.WaitGroup
-	draining  atomic.Bool
-	drainedAt tick.Instant // begin of the drain, set before shutdown is called
 	idle      *idleConns
 
 	failedReloads int // consecutive failed attempts to read the settings; used by maintain only
@@ -93,6 +91,7 @@
 	Warmups     *warmup.Tracker
 	Crashes     *crash.Gate
 	Handler     *proxy.Handler
+	Drain       *drain.Tracker
 	Gossip      *gossip.Service
 	Flags       flags
 	Metrics     *metrics
@@ -265,7 +264,7 @@
 // serveReady answers the readiness check of the load balancer. The daemon is ready if it is not
 // draining, has a configuration and knows a backend server.
 func (d *daemon) serveReady(c *gin.Context) {
-	if d.draining.Load() || d.p.Live.Table() == nil || d.p.Live.Fleet().Len() == 0 {
+	if d.p.Drain.Stage() != drain.Serving || d.p.Live.Table() == nil || d.p.Live.Fleet().Len() == 0 {
 		c.Status(http.StatusServiceUnavailable)
 		return
 	}
@@ -278,11 +277,9 @@
 func (d *daemon) waitDrained(stop <-chan struct{}) {
 	<-stop
 	start := d.p.Clock.Now()
-	d.drainedAt = start
-	d.draining.Store(true)
-	d.p.Handler.Drain(start+minDrainTime, start+d.p.Set.ShutdownGrace()-shutdownMargin-finalAnswerTime)
+	d.p.Drain.Drain(start+minDrainTime, start+d.p.Set.ShutdownGrace()-shutdownMargin-finalAnswerTime)
 	d.p.Gossip.Leave()
-	d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: draining")
+	d.logStep("draining")
 	t := d.p.Clock.Every(drainPollPeriod)
 	defer t.Stop()
 	var finished tick.Instant
@@ -290,13 +287,13 @@
 		now := d.p.Clock.Now()
 		left := start + d.p.Set.ShutdownGrace() - shutdownMargin - now
 		switch {
-		case now-start >= minDrainTime && d.p.Handler.Active() == 0:
+		case now-start >= minDrainTime && d.p.Drain.CloseIfIdle():
 			d.logStep("no request is active and the process ends")
 			return
 		case finished == 0 && left <= finalAnswerTime:
 			finished = now
-			d.log.Info().Int64("active", d.p.Handler.Active()).Msg("entry: requests without a response are answered, since the process ends")
-			d.p.Handler.Finish()
+			d.logStep("requests without a response are answered, since the process ends")
+			d.p.Drain.Close()
 		case left <= 0 && now-finished >= finalAnswerTime: // a process that was suspended answers later than planned
 			return
 		}
@@ -312,9 +309,9 @@
 	d.idle.closeAll(flush)
 	d.logStep("idle connections are ended")
 	if err := d.front.Shutdown(flush); err != nil {
-		d.log.Info().Err(err).Int64("active", d.p.Handler.Active()).Msg("entry: requests did not end in time and were cut off")
+		d.log.Info().Err(err).Int64("active", d.p.Drain.Active()).Msg("entry: requests did not end in time and were cut off")
 	}
-	d.p.Handler.Closing()
+	d.p.Drain.Cut()
 	d.logStep("the connections of callers are closed")
 	err := errors.Join(d.front.Close(), d.ready.Close(), d.datagrams.Close())
 	d.stop()
@@ -328,7 +325,9 @@
 	return err
 }
 
-// logStep logs a step of the end of the process, with the time since the begin of the drain and the number of requests in progress.
+// logStep logs a step of the end of the process, with the time since the begin of the drain, the number of requests in progress, and the
+// number of those that came too late to be taken.
 func (d *daemon) logStep(step string) {
-	d.log.Info().Dur("draining", d.p.Clock.Now()-d.drainedAt).Int64("active", d.p.Handler.Active()).Msg("entry: " + step)
+	since, _ := d.p.Drain.Since(d.p.Clock.Now())
+	d.log.Info().Dur("draining", since).Int64("active", d.p.Drain.Active()).Int64("refused", d.p.Drain.Refused()).Msg("entry: " + step)
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"wasabidock.dev/dock/platform"
 	"wasabidock.dev/dock/platform/fake"
@@ -52,6 +53,7 @@
 	front, ready string
 	settings     string
 	log          syncBuffer
+	hooks        []zerolog.Hook
 	stop         func()
 	done         chan error
 }
@@ -71,7 +73,15 @@
 // startDaemonIn is startDaemon with more lines of the settings file.
 func startDaemonIn(t *testing.T, more, name, store string, seeds ...string) *testDaemon {
 	t.Helper()
-	d := &testDaemon{front: fake.FreeAddr(), ready: fake.FreeAddr(), done: make(chan error, 1)}
+	d := &testDaemon{}
+	d.start(t, more, name, store, seeds...)
+	return d
+}
+
+// start runs the daemon. More is added to its settings file.
+func (d *testDaemon) start(t *testing.T, more, name, store string, seeds ...string) {
+	t.Helper()
+	d.front, d.ready, d.done = fake.FreeAddr(), fake.FreeAddr(), make(chan error, 1)
 	peers := fake.FreeAddr()
 	if len(seeds) == 0 {
 		seeds = []string{peers}
@@ -91,14 +101,13 @@
 	set := readSettings(t, path)
 	stop := make(chan struct{})
 	d.stop = sync.OnceFunc(func() { close(stop) })
-	go func() { d.done <- runApp(context.Background(), flags{logLevel: "info"}, set, &d.log, stop) }()
+	go func() { d.done <- runApp(context.Background(), flags{logLevel: "info"}, set, &d.log, stop, d.hooks...) }()
 	t.Cleanup(func() {
 		d.stop()
 		if err := <-d.done; err != nil {
 			t.Error(err)
 		}
 	})
-	return d
 }
 
 func readSettings(t *testing.T, path string) *platform.Settings {
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -10,6 +10,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/gossip"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
@@ -18,7 +19,6 @@
 	"wasabidock.dev/dock/metric"
 	"wasabidock.dev/dock/permit"
 	"wasabidock.dev/dock/platform"
-	"wasabidock.dev/dock/proxy"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 	"wasabidock.dev/dock/warmup"
@@ -52,7 +52,7 @@
 	Limits    *permit.Limits
 	Warmups   *warmup.Tracker
 	Crashes   *crash.Gate
-	Handler   *proxy.Handler
+	Drain     *drain.Tracker
 	Gossip    *gossip.Service
 	LogWriter *logs.AsyncWriter
 }
@@ -70,7 +70,7 @@
 func (m *metrics) updateGauges() {
 	p := m.p
 	gauge := func(name string, v int64) { p.Meter.Gauge(name).Update(v) }
-	gauge("requests_active", p.Handler.Active())
+	gauge("requests_active", p.Drain.Active())
 	gauge("requests_waiting", int64(p.Scheduler.Queued()))
 	gauge("uptime_seconds", int64((p.Clock.Now()-m.start)/time.Second))
 	gauge("instances_heard", int64(len(p.Gossip.Members())))
--- a/proxy/changes_test.go
+++ b/proxy/changes_test.go
@@ -123,8 +123,8 @@
 		{name: "the silent server ends", lost: true, moved: both[:1], do: atServers(breakOff, both[:1]...)},
 		{name: "the silent server fails later", lost: true, do: atServers(fault(fake.InternalError), both[:1]...)},
 		{name: "the silent server rejects later", lost: true, do: atServers(fault(fake.Shed), both[:1]...)},
-		{name: "the process drains", do: func(h *harness, _ func()) { h.handler.Drain(h.clock.Now(), h.clock.Now()+time.Second) }},
-		{name: "the process ends what has not begun", cut: true, do: func(h *harness, _ func()) { h.handler.Finish() }},
+		{name: "the process drains", do: func(h *harness, _ func()) { h.drain.Drain(h.clock.Now(), h.clock.Now()+time.Second) }},
+		{name: "the process ends what has not begun", cut: true, do: func(h *harness, _ func()) { h.drain.Close() }},
 		{name: "the caller leaves", cut: true, leaves: true, do: func(_ *harness, leave func()) { leave() }},
 		{name: "no memory for a time", early: true, do: func(h *harness, _ func()) {
 			h.memory.SetMax(0)
@@ -296,7 +296,7 @@
 	if err := c.checkResult(got); err != nil {
 		return err
 	}
-	eventually(t, fmt.Sprint(c, ": the request has ended"), func() bool { return h.handler.Active() == 0 })
+	eventually(t, fmt.Sprint(c, ": the request has ended"), func() bool { return h.drain.Active() == 0 })
 	eventually(t, fmt.Sprint(c, ": its places are released"), func() bool { return len(h.sched.OwnLoad()) == 0 })
 	if err := c.checkRuns(t, h, end, limit); err != nil {
 		return err
--- a/proxy/drain_test.go
+++ b/proxy/drain_test.go
@@ -21,7 +21,7 @@
 	for range 2 {
 		is.Equal(h.send(t, http.MethodPost, "/slow/1", "body", withTokenCounts, slow).status, 200) // in 3.5 s
 	}
-	h.handler.Drain(h.clock.Now(), h.clock.Now()+3*time.Second)
+	h.drain.Drain(h.clock.Now(), h.clock.Now()+3*time.Second)
 	is.Equal(h.send(t, http.MethodPost, "/slow/1", "body", withTokenCounts, slow).status, 503)
 }
 
@@ -34,7 +34,7 @@
 	for range 2 {
 		is.Equal(h.send(t, http.MethodPost, "/file/1", "body").status, 200)
 	}
-	h.handler.Drain(h.clock.Now(), h.clock.Now()+1650*time.Millisecond)
+	h.drain.Drain(h.clock.Now(), h.clock.Now()+1650*time.Millisecond)
 	is.Equal(h.send(t, http.MethodPost, "/file/1", "body").status, 503)
 	is.Equal(len(h.servers["s1"].Runs()), 2)
 }
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"d1": fake.Decode})
 	h.servers["d1"].SetFault(fake.NoMemory)
-	h.handler.Drain(h.clock.Now(), h.clock.Now()+2600*time.Millisecond)
+	h.drain.Drain(h.clock.Now(), h.clock.Now()+2600*time.Millisecond)
 	time.AfterFunc(time.Second, func() { h.servers["d1"].SetFault(fake.NoFault) })
 	is.Equal(h.send(t, http.MethodPost, "/once/1", "body", withTokenCounts).status, 503)
 	is.Equal(len(h.servers["d1"].Runs()), 0)
@@ -86,8 +86,8 @@
 					r.Body, r.ContentLength = io.NopCloser(endless{r.Context()}), 100
 				})
 			}
-			h.handler.Drain(h.clock.Now(), h.clock.Now()+10*time.Second)
-			time.AfterFunc(200*time.Millisecond, h.handler.Finish)
+			h.drain.Drain(h.clock.Now(), h.clock.Now()+10*time.Second)
+			time.AfterFunc(200*time.Millisecond, h.drain.Close)
 			start := time.Now()
 			got := h.send(t, http.MethodPost, tt.path, "body", changes...)
 			if tt.status == 0 {
@@ -119,7 +119,7 @@
 	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
 	s, _ := h.live.Fleet().Server("s1")
 	h.gate.Record(s, 100, true, 0)
-	h.gate.SetClaimer(leavingHome{func() { h.handler.Drain(h.clock.Now(), h.clock.Now()+time.Second) }})
+	h.gate.SetClaimer(leavingHome{func() { h.drain.Drain(h.clock.Now(), h.clock.Now()+time.Second) }})
 	is.Equal(h.send(t, http.MethodPost, "/file/1", "b").status, 503)
 	is.Equal(h.runCount(), 0)
 	is.Equal(h.limiter.charged, 0)
@@ -130,7 +130,7 @@
 func TestDrainIsAskedAtTheWrite(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, map[string]fake.Role{"s1": fake.Plain})
-	h.handler.Drain(h.clock.Now(), h.clock.Now()+1700*time.Millisecond) // 0.2 s more than requests need
+	h.drain.Drain(h.clock.Now(), h.clock.Now()+1700*time.Millisecond) // 0.2 s more than requests need
 	body, w := io.Pipe()
 	time.AfterFunc(400*time.Millisecond, func() { _, _ = io.WriteString(w, "body"); _ = w.Close() })
 	got := h.send(t, http.MethodPost, "/file/1", "", func(r *http.Request) { r.Body, r.ContentLength = body, -1 })
--- a/proxy/ends_test.go
+++ b/proxy/ends_test.go
@@ -23,7 +23,7 @@
 	}{
 		{"the caller", fake.Stall, func(_ *harness, leave func()) { leave() }, "caller", "stream cut: its caller left"},
 		{"the process", fake.Stall, func(h *harness, _ func()) {
-			h.handler.Closing()
+			h.drain.Cut()
 			h.proxy.CloseClientConnections()
 		}, "process", "stream cut: this instance ends"},
 		{"the server", fake.TruncatedEvent, func(*harness, func()) {}, "server", "stream cut: the server gave no whole answer, and the route allows no other one"},
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -11,6 +11,7 @@
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
 	"wasabidock.dev/dock/delay"
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/filter"
 	"wasabidock.dev/dock/health"
@@ -84,6 +85,7 @@
 	Warmups     *warmup.Tracker
 	Permits     *permit.Gate
 	Crashes     *crash.Gate // admits requests by the parts of their prompts
+	Drain       *drain.Tracker
 	Meter       Meter
 	Clock       tick.Clock
 	Log         zerolog.Logger
@@ -93,13 +95,6 @@
 type Handler struct {
 	cfg             Config
 	lastPlacementID atomic.Uint64
-	active          atomic.Int64
-	drainedAt       atomic.Int64       // tick.Instant of the call of Drain, 0 while not draining
-	noticedAt       atomic.Int64       // tick.Instant from which the load balancer sends no new connections, 0 while not draining
-	endsAt          atomic.Int64       // tick.Instant at which Finish is called, 0 while not draining
-	finishing       context.Context    // ends with the call of Finish
-	finish          context.CancelFunc // ends finishing
-	closing         atomic.Bool        // see Closing
 	loads           serverLoads
 	silent          serverLoads // number of model requests whose server is silent now
 	invalidLimits   invalidLimits
@@ -112,14 +107,9 @@
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	h := &Handler{cfg: cfg, loads: newServerLoads(), silent: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), speeds: spill.NewSpeeds(), tokenTimes: delay.NewEstimates()}
-	h.finishing, h.finish = context.WithCancel(context.Background())
-	return h
+	return &Handler{cfg: cfg, loads: newServerLoads(), silent: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), speeds: spill.NewSpeeds(), tokenTimes: delay.NewEstimates()}
 }
 
-// Active returns the number of requests that are being served.
-func (h *Handler) Active() int64 { return h.active.Load() }
-
 // exchange is one request of a caller and its response.
 type exchange struct {
 	h             *Handler
@@ -158,21 +148,26 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.active.Add(1)
-	defer h.active.Add(-1)
+	taken := h.cfg.Drain.Enter()
+	defer h.cfg.Drain.Leave()
 	x := &exchange{h: h, w: w, r: r, start: h.cfg.Clock.Now()}
-	x.serve()
+	x.serve(taken)
 	if x.status == 0 {
 		// The caller may have ended only its side of the connection, and would read an empty success.
 		panic(http.ErrAbortHandler)
 	}
 }
 
-// serve serves the request. It writes no response if the caller has left.
-func (x *exchange) serve() {
+// serve serves the request, or rejects one that is not taken. It writes no response if the caller has left.
+func (x *exchange) serve(taken bool) {
 	h, r := x.h, x.r
 	defer x.discardBody()
 	defer x.finish()
+	x.info = h.cfg.Protocol.ParseRequest(r.Header)
+	if !taken {
+		x.rejectDraining()
+		return
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer x.watch(cancel)()
@@ -224,8 +219,8 @@
 func (x *exchange) logDecision() {
 	e := logs.Decision(x.h.cfg.Log).Str("id", x.info.ID).Int("writes", x.writes).
 		Dur("took", x.h.cfg.Clock.Now()-x.start)
-	if drained := tick.Instant(x.h.drainedAt.Load()); drained != 0 {
-		e = e.Dur("draining", x.start-drained) // negative for a request that came before
+	if since, ok := x.h.cfg.Drain.Since(x.start); ok {
+		e = e.Dur("draining", since)
 	}
 	if x.route != nil {
 		e = e.Str("route", x.route.Name)
--- a/proxy/harness_test.go
+++ b/proxy/harness_test.go
@@ -18,6 +18,7 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/filter"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
@@ -36,6 +37,7 @@
 type harness struct {
 	live    *route.Live
 	handler *proxy.Handler
+	drain   *drain.Tracker
 	proxy   *httptest.Server
 	servers map[string]*fake.Server
 	budget  *fakeBudget
@@ -245,11 +247,11 @@
 	scheduler := admit.NewScheduler(admit.Config{
 		Centre: "a", Region: "r", Usable: h.health.Usable, Check: filter.New(h.live, h.health).Check,
 	}, h.source, h.clock)
-	h.sched = scheduler
+	h.sched, h.drain = scheduler, drain.New(h.clock)
 	h.handler = proxy.New(proxy.Config{
 		Centre: "a", Region: "r", Live: h.live, Protocol: platform.Protocol{},
 		Client:  link.New(link.Config{Clock: h.clock, Memory: h.memory, IDHeader: platform.AttemptHeader}),
-		Limiter: h.limiter, RetryBudget: h.budget, Placer: scheduler, Memory: h.memory, Health: h.health, Filter: filter.New(h.live, h.health), Warmups: h.warmups, Permits: h.gate, Crashes: h.crashes, Clock: h.clock,
+		Limiter: h.limiter, RetryBudget: h.budget, Placer: scheduler, Memory: h.memory, Health: h.health, Filter: filter.New(h.live, h.health), Warmups: h.warmups, Permits: h.gate, Crashes: h.crashes, Drain: h.drain, Clock: h.clock,
 		Meter: metric.New(metric.Config{Registry: h.registry, Clock: h.clock}), Log: zerolog.New(&h.log),
 	})
 	return scheduler
--- a/proxy/model_test.go
+++ b/proxy/model_test.go
@@ -260,7 +260,7 @@
 				_, canceled, _, _ := h.servers["d1"].Counts()
 				return canceled == 1
 			})
-			eventually(t, "no request is active", func() bool { return h.handler.Active() == 0 })
+			eventually(t, "no request is active", func() bool { return h.drain.Active() == 0 })
 		})
 	}
 }
--- a/proxy/placemoments_test.go
+++ b/proxy/placemoments_test.go
@@ -143,7 +143,7 @@
 	if err := c.check(<-got); err != nil {
 		return fmt.Errorf("%w, log %s", err, h.log.text())
 	}
-	eventually(t, "the request has ended", func() bool { return h.handler.Active() == 0 })
+	eventually(t, "the request has ended", func() bool { return h.drain.Active() == 0 })
 	if n, want := h.sumExcluded(calls), <-before; n != want {
 		return fmt.Errorf("%d calls at excluded servers, %d before, log %s", n, want, h.log.text())
 	}
--- a/proxy/places_test.go
+++ b/proxy/places_test.go
@@ -216,7 +216,7 @@
 			if err := c.check(c.request(t, h)); err != nil {
 				return fmt.Errorf("%w, log %s", err, h.log.text())
 			}
-			eventually(t, "the request has ended", func() bool { return h.handler.Active() == 0 })
+			eventually(t, "the request has ended", func() bool { return h.drain.Active() == 0 })
 			if n := h.sumExcluded(calls); n > 0 {
 				return fmt.Errorf("%d calls at excluded servers", n)
 			}
--- a/proxy/plain_test.go
+++ b/proxy/plain_test.go
@@ -331,7 +331,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			h := newHarness(t, map[string]fake.Role{"s1": fake.Plain, "d1": fake.Decode})
-			h.handler.Drain(h.clock.Now(), h.clock.Now()+tt.left)
+			h.drain.Drain(h.clock.Now(), h.clock.Now()+tt.left)
 			change := tt.change
 			if change == nil {
 				change = func(*http.Request) {}
--- a/proxy/release_test.go
+++ b/proxy/release_test.go
@@ -26,7 +26,7 @@
 	})
 	got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "5000"))
 	is.True(got.err != nil) // its key was withdrawn
-	eventually(t, "the requests have ended", func() bool { return h.handler.Active() == 0 })
+	eventually(t, "the requests have ended", func() bool { return h.drain.Active() == 0 })
 	spec := testSpec()
 	spec.Version, spec.Revision = 3, 3
 	h.live.SetTable(route.NewTable(spec))
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -35,7 +35,6 @@
 // resolve determines the route, the service, the customer and the deadline. It returns false
 // if it has answered the request.
 func (x *exchange) resolve() bool {
-	x.info = x.h.cfg.Protocol.ParseRequest(x.r.Header)
 	x.waitForConfig()
 	x.table = x.h.cfg.Live.Table()
 	if x.table == nil {
@@ -103,7 +102,7 @@
 // discardBody drops what was not read of the body after the response, so that its caller sees it.
 func (x *exchange) discardBody() {
 	if x.discards {
-		unread.Discard(x.h.finishing, x.w, x.r)
+		unread.Discard(x.h.cfg.Drain.End(), x.w, x.r)
 	}
 }
 
--- a/proxy/response.go
+++ b/proxy/response.go
@@ -7,6 +7,7 @@
 
 	"github.com/goccy/go-json"
 
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/plain"
@@ -130,7 +131,7 @@
 
 // closeIfDraining makes the response close its connection if the process drains.
 func (x *exchange) closeIfDraining() {
-	if x.h.draining() {
+	if x.h.cfg.Drain.Stage() != drain.Serving {
 		x.w.Header().Set("Connection", "close")
 	}
 }
--- a/proxy/search_test.go
+++ b/proxy/search_test.go
@@ -39,7 +39,7 @@
 				})
 				<-added
 				left := time.Now()
-				eventually(t, "request has ended", func() bool { return h.handler.Active() == 0 })
+				eventually(t, "request has ended", func() bool { return h.drain.Active() == 0 })
 				is.True(time.Since(left) < 450*time.Millisecond)
 				is.Equal(h.memory.Used(), int64(0))
 				for _, s := range h.servers {
@@ -212,7 +212,7 @@
 			h.addServer(t, "second", fake.Decode)
 			h.servers["second"].SetFault(fake.Hang)
 			eventually(t, "the second runs", func() bool { return len(h.servers["second"].Runs()) == 1 })
-			h.handler.Finish()
+			h.drain.Close()
 		}()
 		start := time.Now()
 		got := h.sendPatient(t, "/again/1")
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/tick"
 )
@@ -25,36 +26,11 @@
 	stopReason = "this instance ends"
 )
 
-// Drain announces that the process ends: the load balancer sends no new connections from noticed on, and Finish will be
-// called at end. After the call, each response closes its connection, and requests that would not finish before end are
-// rejected at once. From noticed on, their callers reach another instance, so that only those are accepted that are
-// sure to finish.
-func (h *Handler) Drain(noticed, end tick.Instant) {
-	h.drainedAt.Store(int64(h.cfg.Clock.Now()))
-	h.noticedAt.Store(int64(noticed))
-	h.endsAt.Store(int64(end))
-}
-
-// Finish answers the requests whose responses have not begun: a request that no server has run is rejected, and the
-// outcome of the others is unknown. Responses that have begun go on.
-func (h *Handler) Finish() { h.finish() }
-
-// Closing announces that the process closes the connections of its callers. Requests whose connection ends from then on
-// are logged as ended by the process.
-func (h *Handler) Closing() { h.closing.Store(true) }
-
-// draining reports whether Drain was called.
-func (h *Handler) draining() bool { return h.endsAt.Load() != 0 }
-
-// outlivesProcess reports whether a request that arrives now would be cut off by the
-// end of the process.
+// outlivesProcess reports whether a request that arrives now would be cut off by the end of the process. Once the load balancer sends
+// no new connections, callers of rejected requests reach another instance, so that only those are accepted that are sure to end.
 func (x *exchange) outlivesProcess() bool {
-	end := tick.Instant(x.h.endsAt.Load())
-	if end == 0 {
-		return false
-	}
-	now := x.h.cfg.Clock.Now()
-	return now+x.drainTime(now >= tick.Instant(x.h.noticedAt.Load())) > end
+	left, noticed, draining := x.h.cfg.Drain.Left()
+	return draining && x.drainTime(noticed) > left
 }
 
 // drainTime returns how long the request may take. If sure is set, a stream is held to have all tokens that its caller allows,
@@ -80,18 +56,18 @@
 	x.reject(fail.Refuse(fail.CodeDraining, drainRetry, stopReason+", another one takes the request"))
 }
 
-// The states of a request, for Finish, in order. A request has one of the last two at its end, or none of them.
+// The states of a request, for the end of the process, in order. A request has one of the last two at its end, or none of them.
 const (
 	stateReading   = iota // its body is read
 	stateWaiting          // it waits for the response of a server
 	stateAnswering        // a part of its response was written, which cannot be replaced by another one
-	stateCut              // Finish has cut it off
+	stateCut              // the end of the process has cut it off
 )
 
-// watch cuts the request off when Finish is called and its response has not begun: it ends the read of the body, or
+// watch cuts the request off when the process ends and its response has not begun: it ends the read of the body, or
 // calls cancel. The caller must call the result at the end of the request.
 func (x *exchange) watch(cancel context.CancelFunc) (unwatch func()) {
-	return tick.AfterEnd(x.h.finishing, func() {
+	return tick.AfterEnd(x.h.cfg.Drain.Ending(), func() {
 		if x.advance(stateReading, stateCut) {
 			// The error is ignored because not every ResponseWriter supports deadlines, for example in tests.
 			_ = http.NewResponseController(x.w).SetReadDeadline(time.Now())
@@ -104,8 +80,10 @@
 // advance records that the request has left a state. It returns false if the request is in another one.
 func (x *exchange) advance(from, to int32) bool { return x.state.CompareAndSwap(from, to) }
 
-// closedByProcess reports whether the process has closed the caller's connection, or Finish has cut the request off.
-func (x *exchange) closedByProcess() bool { return x.cutOff() || x.callerGone() && x.h.closing.Load() }
+// closedByProcess reports whether the process has closed the caller's connection, or has cut the request off.
+func (x *exchange) closedByProcess() bool {
+	return x.cutOff() || x.callerGone() && x.h.cfg.Drain.Stage() == drain.Closed
+}
 
-// cutOff reports whether Finish has cut the request off.
+// cutOff reports whether the end of the process has cut the request off.
 func (x *exchange) cutOff() bool { return x.state.Load() == stateCut }
