entry: what arrives as a process closes is read and rejected, and responses are sent to their end

A caller whose request arrived at a process that closes got a closed connection in place of a response, as the connection was new, kept, or had a part of a request; one whose connection the kernel had received and the process had not accepted was reset. None of these had run, but the callers could not know. A response that the handler had finished and that was not sent within 100 ms was cut off, with seconds of the grace period left (read in the code, no run shows it).

Cause: the listener was closed while connections waited in it, http.Server.Shutdown drops requests that are read after its begin, and connections without a first request were not ended until the close.

Change: the listener hands over what the kernel has received and closes. Then the connections that wait for a request are ended, with their unread bytes read first, and others go on until no connection is open or the time is up, 0.7 s before SIGKILL. Both ends of a drain, the early and the late one, take these steps.

--- a/entry/closing_test.go
+++ b/entry/closing_test.go
@@ -31,10 +31,11 @@
 
 // The log lines of the steps of a daemon's end.
 const (
-	stepDraining = "entry: draining"
-	stepEarlyEnd = "entry: no request is active and the process ends"
-	stepLateEnd  = "entry: requests without a response are answered, since the process ends"
-	stepClosed   = "entry: the connections of callers are closed"
+	stepDraining  = "entry: draining"
+	stepEarlyEnd  = "entry: no request is active and the process ends"
+	stepLateEnd   = "entry: requests without a response are answered, since the process ends"
+	stepListeners = "entry: no connection is accepted any more"
+	stepClosed    = "entry: the connections of callers are closed"
 )
 
 // holdAt is a hook that calls f once, at a log line.
@@ -135,8 +136,10 @@
 	}{
 		{step: stepDraining},
 		{step: stepEarlyEnd, refuse: true},
+		{step: stepListeners, refuse: true},
 		{step: stepClosed, refuse: true, closed: true},
 		{step: stepLateEnd, late: true, refuse: true},
+		{step: stepListeners, late: true, refuse: true},
 		{step: stepClosed, late: true, refuse: true, closed: true},
 	}
 	for _, tt := range tests {
--- a/entry/idle.go
+++ b/entry/conns.go
@@ -16,21 +16,22 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// idlePollPeriod is the period at which closeAll checks whether the connections are closed.
-const idlePollPeriod = 2 * time.Millisecond
+// closePollPeriod is the period at which closeAll checks whether the connections are closed.
+const closePollPeriod = 2 * time.Millisecond
 
 // newCallerServer returns the server of callers' connections, which must be accepted by a callerListener. The server
 // itself does not bound the time for which a connection is idle.
-func newCallerServer(h http.Handler, idle *idleConns) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: idle.onStateChange}
+func newCallerServer(h http.Handler, conns *callerConns) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onStateChange}
 }
 
-// idleConns ends callers' connections that are idle for longer than a limit, which may change while connections are open.
+// callerConns holds the open connections of callers. It ends those that are idle for longer than a limit, which may change while
+// connections are open, and all of them at the end of the process.
 //
 // A connection is ended by ending the server's read of its next request. If bytes of a request have been received by then, the
 // server gets them and the connection is kept. So no connection is closed under a request that may have been passed on, and
 // only requests that arrive after the end are lost.
-type idleConns struct {
+type callerConns struct {
 	clock tick.Clock
 
 	mu    sync.Mutex
@@ -38,25 +39,8 @@
 	conns map[*callerConn]struct{}
 }
 
-func newIdleConns(clock tick.Clock) *idleConns {
-	return &idleConns{clock: clock, limit: idleTimeout, conns: make(map[*callerConn]struct{})}
-}
-
-// callerListener accepts callers' connections.
-type callerListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l callerListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	s, ok := c.(socket)
-	if !ok {
-		_ = c.Close() // the error below says why
-		return nil, errors.Errorf("connection is a %T, want one of TCP", c)
-	}
-	return &callerConn{socket: s}, nil
+func newCallerConns(clock tick.Clock) *callerConns {
+	return &callerConns{clock: clock, limit: idleTimeout, conns: make(map[*callerConn]struct{})}
 }
 
 // socket is the part of a TCP connection that is used. CloseWrite is called by net/http.
@@ -71,6 +55,7 @@
 	socket
 
 	mu    sync.Mutex
+	begun bool // a byte was read
 	idle  bool // no byte of the next request has been read
 	since tick.Instant
 	limit time.Duration // longest limit that has applied since then
@@ -94,26 +79,19 @@
 func (c *callerConn) begin(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.idle || c.ended {
 		_ = c.SetReadDeadline(deadline) // fails only on a closed connection
 	}
-	c.idle, c.ended = false, false
+	c.begun, c.idle, c.ended = true, false, false
 }
 
-// wasEnded reports whether the connection was ended while it was idle.
+// wasEnded reports whether the connection was ended while it waited for a request.
 func (c *callerConn) wasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ended
 }
 
-// isIdle reports whether the connection waits for its next request.
-func (c *callerConn) isIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.idle
-}
-
 // readReceived reads bytes that the kernel has received, in spite of a deadline that has passed.
 func (c *callerConn) readReceived(b []byte) int {
 	raw, err := c.SyscallConn()
@@ -147,11 +125,11 @@
 	}
 }
 
-// endIdle ends the connection if it is idle.
-func (c *callerConn) endIdle() {
+// endWaiting ends the connection if it waits for its first or next request.
+func (c *callerConn) endWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.idle || !c.begun {
 		c.end()
 	}
 }
@@ -164,17 +142,20 @@
 }
 
 // onStateChange is the ConnState hook of an http.Server.
-func (i *idleConns) onStateChange(nc net.Conn, st http.ConnState) {
+func (i *callerConns) onStateChange(nc net.Conn, st http.ConnState) {
 	c, ok := nc.(*callerConn)
 	if !ok {
 		return
 	}
 	switch st {
+	case http.StateNew:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.conns[c] = struct{}{}
 	case http.StateIdle:
 		i.mu.Lock()
 		defer i.mu.Unlock()
 		c.becomeIdle(i.clock.Now(), i.limit)
-		i.conns[c] = struct{}{}
 	case http.StateActive:
 		c.begin(time.Time{}) // has no effect unless the server had the request before it was idle
 	case http.StateClosed, http.StateHijacked:
@@ -186,7 +167,7 @@
 
 // close ends the connections that have been idle for longer than limit, and for longer than each limit that it was called
 // with since they became idle: their callers may reuse them for as long.
-func (i *idleConns) close(limit time.Duration) {
+func (i *callerConns) close(limit time.Duration) {
 	i.mu.Lock()
 	i.limit = limit
 	i.mu.Unlock()
@@ -196,29 +177,29 @@
 	}
 }
 
-// closeAll ends all idle connections. It returns when none is left or ctx has ended.
-func (i *idleConns) closeAll(ctx context.Context) {
-	t := i.clock.Every(idlePollPeriod)
+// closeAll ends the connections that wait for a request, now and later, until no connection is open. No connection may be accepted any
+// more, and each response must close its connection. closeAll returns an error if ctx ends first.
+func (i *callerConns) closeAll(ctx context.Context) error {
+	t := i.clock.Every(closePollPeriod)
 	defer t.Stop()
 	for {
-		left := false
-		for _, c := range i.all() {
-			c.endIdle()
-			left = left || c.isIdle()
+		open := i.all()
+		if len(open) == 0 {
+			return nil
 		}
-		if !left {
-			return
+		for _, c := range open {
+			c.endWaiting()
 		}
 		select {
 		case <-ctx.Done():
-			return
+			return errors.Wrapf(ctx.Err(), "close the connections of callers: %d are open", len(open))
 		case <-t.C():
 		}
 	}
 }
 
-// all returns the connections that have been idle and are not closed.
-func (i *idleConns) all() []*callerConn {
+// all returns the connections that are open.
+func (i *callerConns) all() []*callerConn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return slices.Collect(maps.Keys(i.conns))
--- a/entry/idle_test.go
+++ b/entry/conns_test.go
@@ -81,12 +81,12 @@
 
 // heldListener accepts connections as heldConns.
 type heldListener struct {
-	net.Listener
+	*net.TCPListener
 	accepted chan *heldConn
 }
 
 func (l *heldListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -95,9 +95,9 @@
 	return h, nil
 }
 
-// idleServer is an http.Server with idleConns, and a caller's connection to it.
+// idleServer is an http.Server with callerConns, and a caller's connection to it.
 type idleServer struct {
-	idle     *idleConns
+	conns    *callerConns
 	clock    *tick.Fake
 	srv      *http.Server
 	server   *heldConn
@@ -110,7 +110,7 @@
 func newIdleServer(t *testing.T) *idleServer {
 	t.Helper()
 	s := &idleServer{clock: tick.NewFake(0), handling: make(chan struct{}, 10)}
-	s.idle = newIdleConns(s.clock)
+	s.conns = newCallerConns(s.clock)
 	s.srv = newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.handling <- struct{}{}
 		b, _ := io.ReadAll(r.Body)
@@ -119,7 +119,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = w.Write(b)
-	}), s.idle)
+	}), s.conns)
 	onStateChange := s.srv.ConnState
 	s.srv.ConnState = func(c net.Conn, st http.ConnState) {
 		if f := s.atIdle.Load(); st == http.StateIdle && f != nil {
@@ -131,9 +131,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	held := &heldListener{Listener: l, accepted: make(chan *heldConn, 1)}
+	held := &heldListener{TCPListener: l.(*net.TCPListener), accepted: make(chan *heldConn, 1)}
 	done := make(chan error, 1)
-	go func() { done <- s.srv.Serve(callerListener{held}) }()
+	go func() { done <- s.srv.Serve(newCallerListener(held)) }()
 	t.Cleanup(func() {
 		_ = s.srv.Close()
 		<-done
@@ -148,10 +148,17 @@
 	return s
 }
 
+// isIdle reports whether the connection waits for its next request.
+func (c *callerConn) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idle
+}
+
 // idleCount returns the number of connections that are idle and not ended.
 func (s *idleServer) idleCount() int {
 	n := 0
-	for _, c := range s.idle.all() {
+	for _, c := range s.conns.all() {
 		if c.isIdle() && !c.wasEnded() {
 			n++
 		}
@@ -206,7 +213,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 	})()
-	s.idle.close(time.Second)
+	s.conns.close(time.Second)
 	got, err := s.read()
 	is.NoErr(err)
 	is.Equal(got, "body")
@@ -221,8 +228,8 @@
 		name string
 		end  func(ctx context.Context, s *idleServer)
 	}{
-		{"idle for too long", func(_ context.Context, s *idleServer) { s.idle.close(time.Second) }},
-		{"end of the process", func(ctx context.Context, s *idleServer) { s.idle.closeAll(ctx) }},
+		{"idle for too long", func(_ context.Context, s *idleServer) { s.conns.close(time.Second) }},
+		{"end of the process", func(ctx context.Context, s *idleServer) { _ = s.conns.closeAll(ctx) }}, // its connection is kept
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -270,11 +277,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newIdleServer(t)
-			s.idle.close(tt.limits[0])
+			s.conns.close(tt.limits[0])
 			s.becomeIdle(t)
 			var closed time.Duration
 			for at := time.Duration(0); closed == 0 && at <= 2*tt.want; at += time.Second {
-				s.idle.close(tt.limits[min(int(at/time.Second), len(tt.limits)-1)])
+				s.conns.close(tt.limits[min(int(at/time.Second), len(tt.limits)-1)])
 				if s.idleCount() == 0 {
 					closed = at
 				}
@@ -297,7 +304,7 @@
 	left := time.Until(s.server.readDeadline())
 	is.True(left > 0 && left <= headerTimeout)
 	s.clock.Advance(time.Hour)
-	s.idle.close(time.Second) // it is not idle any more
+	s.conns.close(time.Second) // it is not idle any more
 	is.NoErr(s.send(idleRequest[1:]))
 	got, err := s.read()
 	is.NoErr(err)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -35,8 +35,8 @@
 	// balancer checks readiness every second and needs two failed checks.
 	minDrainTime = 2500 * time.Millisecond
 	// shutdownMargin is the part of the time until SIGKILL that is reserved for the exit of the
-	// process.
-	shutdownMargin = 800 * time.Millisecond
+	// process, after the connections of callers are closed.
+	shutdownMargin = 700 * time.Millisecond
 	// headerTimeout and maxHeaderBytes bound the header of a request. idleTimeout bounds the time
 	// for which a connection is idle. They apply until the operator's limits are known.
 	headerTimeout  = 10 * time.Second
@@ -45,12 +45,10 @@
 	// idleMargin is added to the operator's idle timeout, to avoid closing a connection just as its
 	// next request arrives.
 	idleMargin = 2 * time.Second
-	// flushTimeout bounds the wait for connections whose responses are not sent to the end at exit.
-	flushTimeout = 100 * time.Millisecond
 	// peersShutdownTimeout bounds the wait for running calls of peers at exit.
 	peersShutdownTimeout = 100 * time.Millisecond
 	// finalAnswerTime is the time before the connections are closed at which requests without a response are answered.
-	finalAnswerTime = 150 * time.Millisecond
+	finalAnswerTime = 250 * time.Millisecond
 	// drainPollPeriod is the period at which a draining daemon checks whether its requests have
 	// ended.
 	drainPollPeriod = 20 * time.Millisecond
@@ -66,7 +64,9 @@
 	datagrams net.PacketConn
 	stop      context.CancelFunc
 	running   sync.WaitGroup
-	idle      *idleConns
+	callers   *callerListener
+	conns     *callerConns
+	closeBy   tick.Instant // time at which the connections of callers are closed, set before shutdown is called
 
 	failedReloads int // consecutive failed attempts to read the settings; used by maintain only
 }
@@ -99,7 +99,7 @@
 }
 
 func newDaemon(lc fx.Lifecycle, p daemonDeps) *daemon {
-	d := &daemon{p: p, log: logs.Component(p.Log, "entry"), idle: newIdleConns(p.Clock)}
+	d := &daemon{p: p, log: logs.Component(p.Log, "entry"), conns: newCallerConns(p.Clock)}
 	gin.SetMode(gin.ReleaseMode)
 	callers := gin.New()
 	callers.RedirectTrailingSlash = false
@@ -108,7 +108,7 @@
 		c.Status(http.StatusOK)
 		p.Handler.ServeHTTP(c.Writer, c.Request)
 	})
-	d.front = newCallerServer(callers, d.idle)
+	d.front = newCallerServer(callers, d.conns)
 	checks := gin.New()
 	checks.GET("/api/readyz", d.serveReady)
 	checks.GET(metricsPath, gin.WrapH(p.Metrics))
@@ -141,19 +141,17 @@
 // listen opens the listeners for callers, for readiness checks and, if a port is set, for metrics. A
 // failure of the metrics listener is logged and does not prevent the start.
 func (d *daemon) listen() error {
-	for _, s := range []struct {
-		addr string
-		srv  *http.Server
-	}{{d.p.Set.ListenAddr(), d.front}, {d.p.Set.ReadyAddr(), d.ready}} {
-		l, err := net.Listen("tcp", s.addr)
-		if err != nil {
-			return errors.Wrap(err, "listen")
-		}
-		if s.srv == d.front {
-			l = callerListener{l}
-		}
-		d.running.Go(func() { d.serve(s.srv, l) })
+	front, err := listenTCP(d.p.Set.ListenAddr())
+	if err != nil {
+		return err
+	}
+	d.callers = newCallerListener(front)
+	d.running.Go(func() { d.serve(d.front, d.callers) })
+	ready, err := listenTCP(d.p.Set.ReadyAddr())
+	if err != nil {
+		return err
 	}
+	d.running.Go(func() { d.serve(d.ready, ready) })
 	if d.p.Flags.metricsPort == "" {
 		return nil
 	}
@@ -170,6 +168,18 @@
 	return nil
 }
 
+func listenTCP(addr string) (*net.TCPListener, error) {
+	a, err := net.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	l, err := net.ListenTCP("tcp", a)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	return l, nil
+}
+
 // startGossip opens the listeners for other instances and starts the exchange of state with them.
 func (d *daemon) startGossip(ctx context.Context) error {
 	l, err := net.Listen("tcp", d.p.Set.PeerAddr())
@@ -221,7 +231,7 @@
 		if t := d.p.Live.Table(); t != nil && t.Limits().IdleTimeout > 0 {
 			limit = t.Limits().IdleTimeout + idleMargin
 		}
-		d.idle.close(limit)
+		d.conns.close(limit)
 	})
 }
 
@@ -271,30 +281,28 @@
 	c.Status(http.StatusOK)
 }
 
-// waitDrained blocks until stop is closed, and then drains the daemon. It returns when all requests
-// have ended and minDrainTime has passed, or shutdownMargin before the end of the grace period. Requests whose
-// responses have not begun finalAnswerTime earlier are answered then.
+// waitDrained blocks until stop is closed, and then drains the daemon. It returns when no request is active and minDrainTime has passed,
+// or finalAnswerTime before the connections of callers are closed. Requests whose responses have not begun are answered then. No request
+// is taken after waitDrained has returned.
 func (d *daemon) waitDrained(stop <-chan struct{}) {
 	<-stop
 	start := d.p.Clock.Now()
-	d.p.Drain.Drain(start+minDrainTime, start+d.p.Set.ShutdownGrace()-shutdownMargin-finalAnswerTime)
+	d.closeBy = start + d.p.Set.ShutdownGrace() - shutdownMargin
+	d.p.Drain.Drain(start+minDrainTime, d.closeBy-finalAnswerTime)
 	d.p.Gossip.Leave()
 	d.logStep("draining")
 	t := d.p.Clock.Every(drainPollPeriod)
 	defer t.Stop()
-	var finished tick.Instant
 	for range t.C() {
 		now := d.p.Clock.Now()
-		left := start + d.p.Set.ShutdownGrace() - shutdownMargin - now
 		switch {
 		case now-start >= minDrainTime && d.p.Drain.CloseIfIdle():
 			d.logStep("no request is active and the process ends")
 			return
-		case finished == 0 && left <= finalAnswerTime:
-			finished = now
-			d.logStep("requests without a response are answered, since the process ends")
+		case now >= d.closeBy-finalAnswerTime:
+			d.closeBy = max(d.closeBy, now+finalAnswerTime) // a process that was suspended is late
 			d.p.Drain.Close()
-		case left <= 0 && now-finished >= finalAnswerTime: // a process that was suspended answers later than planned
+			d.logStep("requests without a response are answered, since the process ends")
 			return
 		}
 	}
@@ -302,14 +310,8 @@
 
 // shutdown closes the listeners, stops the background loops and waits for them.
 func (d *daemon) shutdown(ctx context.Context) error {
-	// The handler of a response returns before the last bytes of it are sent. What is active after flushTimeout would be cut
-	// off by SIGKILL in any case.
-	flush, cancelFlush := context.WithTimeout(ctx, flushTimeout)
-	defer cancelFlush()
-	d.idle.closeAll(flush)
-	d.logStep("idle connections are ended")
-	if err := d.front.Shutdown(flush); err != nil {
-		d.log.Info().Err(err).Int64("active", d.p.Drain.Active()).Msg("entry: requests did not end in time and were cut off")
+	if err := d.closeCallers(ctx); err != nil {
+		d.log.Info().Err(err).Int64("active", d.p.Drain.Active()).Msg("entry: connections did not end in time and were cut off")
 	}
 	d.p.Drain.Cut()
 	d.logStep("the connections of callers are closed")
@@ -325,6 +327,18 @@
 	return err
 }
 
+// closeCallers ends the listener and the connections of callers. What has arrived at them is read and rejected, and responses are sent to
+// their end. It returns an error if connections are open at closeBy.
+func (d *daemon) closeCallers(ctx context.Context) error {
+	ctx, cancel := tick.WithTimeout(ctx, d.p.Clock, d.closeBy-d.p.Clock.Now(), context.DeadlineExceeded)
+	defer cancel()
+	if err := d.callers.stop(ctx); err != nil {
+		return err
+	}
+	d.logStep("no connection is accepted any more")
+	return d.conns.closeAll(ctx)
+}
+
 // logStep logs a step of the end of the process, with the time since the begin of the drain, the number of requests in progress, and the
 // number of those that came too late to be taken.
 func (d *daemon) logStep(step string) {
