soak: some clients stay with a daemon that drains, and the calls beside planned stops are counted

The soak could not meet a request at the moment of the end: a client left a daemon with the first response after it was not ready any more, so each sent it one more call at most. One in four stays until the daemon is gone, as behind a load balancer that does not notice.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -23,6 +23,8 @@
 const (
 	// grace is the time from SIGTERM to SIGKILL.
 	grace = 4 * time.Second
+	// noticeTime is the time from SIGTERM from which a daemon without requests may end.
+	noticeTime = 2500 * time.Millisecond
 	// startTime bounds the start of a fleet.
 	startTime = 20 * time.Second
 	readyPoll = 20 * time.Millisecond
--- a/soak/load.go
+++ b/soak/load.go
@@ -82,7 +82,7 @@
 func (c *client) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		o := c.call(ctx)
-		if o.status == 0 || !c.fleet.daemons[o.daemon].ready() {
+		if o.status == 0 || !c.stays() && !c.fleet.daemons[o.daemon].ready() {
 			c.daemon = c.fleet.anyReady(c.rnd, c.daemon)
 		}
 		pause := time.Duration(c.rnd.ExpFloat64() * float64(thinkTime))
@@ -96,6 +96,9 @@
 	}
 }
 
+// stays reports whether the client sends calls to a daemon that drains, until that is gone.
+func (c *client) stays() bool { return c.n%4 == 0 }
+
 // call sends one call and notes what comes of it. It outlasts ctx.
 func (c *client) call(ctx context.Context) *outcome {
 	c.serial++
--- a/soak/main.go
+++ b/soak/main.go
@@ -156,6 +156,7 @@
 	}
 	_, _ = fmt.Fprintf(out, "seed %d: %d steps, %d calls, %d served, %d promises broken\n", seed, len(plan), len(rec.calls), served, len(broken))
 	_, _ = fmt.Fprintf(out, "  without a whole answer: %s\n", rec.endings())
+	_, _ = fmt.Fprintf(out, "  stops: %s\n", rec.besideStops())
 	for _, b := range broken {
 		_, _ = fmt.Fprintf(out, "  %s\n", b)
 	}
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -337,6 +337,32 @@
 	return false
 }
 
+// besideStops counts the calls that were sent to daemons between a planned stop and the exit.
+func (r *record) besideStops() string {
+	stops, sent, late, served := 0, 0, 0, 0
+	for daemon, spans := range r.daemons {
+		for _, s := range spans {
+			if !s.planned {
+				continue
+			}
+			stops++
+			for _, o := range r.calls {
+				if o.daemon != daemon || o.sent.Before(s.from) || o.sent.After(s.to.Add(-restartTime)) {
+					continue
+				}
+				sent++
+				if o.sent.Sub(s.from) >= noticeTime {
+					late++
+				}
+				if o.served() {
+					served++
+				}
+			}
+		}
+	}
+	return fmt.Sprintf("%d planned stops, %d calls beside them, %d of these after %v, %d served", stops, sent, late, noticeTime, served)
+}
+
 // endings counts the calls that failed or have no whole answer, by what their last servers would have done.
 func (r *record) endings() string {
 	var nowhere, ended, silent, sound, harmed int
