accept: the connections of callers get a package of their own

Listener and connections were parts of the daemon of the platform; the own interface needs them as well. Moved from entry, with timeouts as arguments and the names that a package gives. EndIdle, Stop and CloseAll behave as before; the tests moved with them, and no line of what they check is changed.

--- a/entry/conns.go
+++ b/accept/conns.go
@@ -1,4 +1,4 @@
-package main
+package accept
 
 import (
 	"context"
@@ -16,31 +16,26 @@
 	"wasabidock.dev/dock/tick"
 )
 
-// closePollPeriod is the period at which closeAll checks whether the connections are closed.
+// closePollPeriod is the period at which CloseAll checks whether the connections are closed.
 const closePollPeriod = 2 * time.Millisecond
 
-// newCallerServer returns the server of callers' connections, which must be accepted by a callerListener. The server
-// itself does not bound the time for which a connection is idle.
-func newCallerServer(h http.Handler, conns *callerConns) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: conns.onStateChange}
-}
-
-// callerConns holds the open connections of callers. It ends those that are idle for longer than a limit, which may change while
+// Conns holds the open connections of callers. It ends those that are idle for longer than a limit, which may change while
 // connections are open, and all of them at the end of the process.
 //
 // A connection is ended by ending the server's read of its next request. If bytes of a request have been received by then, the
 // server gets them and the connection is kept. So no connection is closed under a request that may have been passed on, and
 // only requests that arrive after the end are lost.
-type callerConns struct {
+type Conns struct {
 	clock tick.Clock
 
 	mu    sync.Mutex
 	limit time.Duration // limit of connections that become idle
-	conns map[*callerConn]struct{}
+	conns map[*conn]struct{}
 }
 
-func newCallerConns(clock tick.Clock) *callerConns {
-	return &callerConns{clock: clock, limit: idleTimeout, conns: make(map[*callerConn]struct{})}
+// NewConns returns a Conns with a limit of idle connections, which applies until the first call of EndIdle.
+func NewConns(clock tick.Clock, limit time.Duration) *Conns {
+	return &Conns{clock: clock, limit: limit, conns: make(map[*conn]struct{})}
 }
 
 // socket is the part of a TCP connection that is used. CloseWrite is called by net/http.
@@ -48,11 +43,13 @@
 	net.Conn
 	syscall.Conn
 	CloseWrite() error
+	SetWriteBuffer(bytes int) error
 }
 
-// callerConn is a connection of a caller.
-type callerConn struct {
+// conn is a connection of a caller.
+type conn struct {
 	socket
+	headerTimeout time.Duration
 
 	mu    sync.Mutex
 	begun bool // a byte was read
@@ -63,7 +60,7 @@
 }
 
 // Read implements net.Conn. The first bytes of a request make the connection active, even if its end has begun.
-func (c *callerConn) Read(b []byte) (int, error) {
+func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.socket.Read(b)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.wasEnded() {
 		n = c.readReceived(b)
@@ -71,12 +68,12 @@
 	if n == 0 {
 		return 0, err
 	}
-	c.begin(time.Now().Add(headerTimeout))
+	c.begin(time.Now().Add(c.headerTimeout))
 	return n, nil
 }
 
 // begin records that a request begins, if the connection was idle, and sets the deadline of the next reads.
-func (c *callerConn) begin(deadline time.Time) {
+func (c *conn) begin(deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle || c.ended {
@@ -86,14 +83,14 @@
 }
 
 // wasEnded reports whether the connection was ended while it waited for a request.
-func (c *callerConn) wasEnded() bool {
+func (c *conn) wasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.ended
 }
 
 // readReceived reads bytes that the kernel has received, in spite of a deadline that has passed.
-func (c *callerConn) readReceived(b []byte) int {
+func (c *conn) readReceived(b []byte) int {
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
@@ -109,14 +106,14 @@
 }
 
 // becomeIdle records that the connection waits for its next request.
-func (c *callerConn) becomeIdle(now tick.Instant, limit time.Duration) {
+func (c *conn) becomeIdle(now tick.Instant, limit time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idle, c.since, c.limit = true, now, limit
 }
 
 // endAfter ends the connection if it has been idle for longer than its limit, which is limit at least.
-func (c *callerConn) endAfter(limit time.Duration, now tick.Instant) {
+func (c *conn) endAfter(limit time.Duration, now tick.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.limit = max(c.limit, limit)
@@ -126,7 +123,7 @@
 }
 
 // endWaiting ends the connection if it waits for its first or next request.
-func (c *callerConn) endWaiting() {
+func (c *conn) endWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle || !c.begun {
@@ -136,54 +133,68 @@
 
 // end ends the read of the next request. The caller holds mu, so that the deadline is not set after that of a request that
 // begins.
-func (c *callerConn) end() {
+func (c *conn) end() {
 	c.ended = true
 	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
 }
 
-// onStateChange is the ConnState hook of an http.Server.
-func (i *callerConns) onStateChange(nc net.Conn, st http.ConnState) {
-	c, ok := nc.(*callerConn)
-	if !ok {
+// OnStateChange must be the ConnState hook of the http.Server.
+func (s *Conns) OnStateChange(nc net.Conn, st http.ConnState) {
+	c := unwrap(nc)
+	if c == nil {
 		return
 	}
 	switch st {
 	case http.StateNew:
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.conns[c] = struct{}{}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.conns[c] = struct{}{}
 	case http.StateIdle:
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		c.becomeIdle(i.clock.Now(), i.limit)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		c.becomeIdle(s.clock.Now(), s.limit)
 	case http.StateActive:
 		c.begin(time.Time{}) // has no effect unless the server had the request before it was idle
 	case http.StateClosed, http.StateHijacked:
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		delete(i.conns, c)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, c)
+	}
+}
+
+// unwrap returns the connection beneath those that have a method NetConn, or nil if a Listener has not accepted it.
+func unwrap(nc net.Conn) *conn {
+	for {
+		switch c := nc.(type) {
+		case *conn:
+			return c
+		case interface{ NetConn() net.Conn }:
+			nc = c.NetConn()
+		default:
+			return nil
+		}
 	}
 }
 
-// close ends the connections that have been idle for longer than limit, and for longer than each limit that it was called
+// EndIdle ends the connections that have been idle for longer than limit, and for longer than each limit that it was called
 // with since they became idle: their callers may reuse them for as long.
-func (i *callerConns) close(limit time.Duration) {
-	i.mu.Lock()
-	i.limit = limit
-	i.mu.Unlock()
-	now := i.clock.Now()
-	for _, c := range i.all() {
+func (s *Conns) EndIdle(limit time.Duration) {
+	s.mu.Lock()
+	s.limit = limit
+	s.mu.Unlock()
+	now := s.clock.Now()
+	for _, c := range s.all() {
 		c.endAfter(limit, now)
 	}
 }
 
-// closeAll ends the connections that wait for a request, now and later, until no connection is open. No connection may be accepted any
-// more, and each response must close its connection. closeAll returns an error if ctx ends first.
-func (i *callerConns) closeAll(ctx context.Context) error {
-	t := i.clock.Every(closePollPeriod)
+// CloseAll ends the connections that wait for a request, now and later, until no connection is open. No connection may be accepted any
+// more, and each response must close its connection. CloseAll returns an error if ctx ends first.
+func (s *Conns) CloseAll(ctx context.Context) error {
+	t := s.clock.Every(closePollPeriod)
 	defer t.Stop()
 	for {
-		open := i.all()
+		open := s.all()
 		if len(open) == 0 {
 			return nil
 		}
@@ -199,8 +210,8 @@
 }
 
 // all returns the connections that are open.
-func (i *callerConns) all() []*callerConn {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	return slices.Collect(maps.Keys(i.conns))
+func (s *Conns) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
 }
--- a/entry/conns_test.go
+++ b/accept/conns_test.go
@@ -1,4 +1,4 @@
-package main
+package accept
 
 import (
 	"bufio"
@@ -16,6 +16,12 @@
 	"wasabidock.dev/dock/tick"
 )
 
+// The timeouts of the servers in these tests.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
 // idleRequest is a request of a caller in these tests, whose response is its body.
 const idleRequest = "POST / HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\n\r\nbody"
 
@@ -95,9 +101,9 @@
 	return h, nil
 }
 
-// idleServer is an http.Server with callerConns, and a caller's connection to it.
+// idleServer is an http.Server with Conns, and a caller's connection to it.
 type idleServer struct {
-	conns    *callerConns
+	conns    *Conns
 	clock    *tick.Fake
 	srv      *http.Server
 	server   *heldConn
@@ -110,8 +116,8 @@
 func newIdleServer(t *testing.T) *idleServer {
 	t.Helper()
 	s := &idleServer{clock: tick.NewFake(0), handling: make(chan struct{}, 10)}
-	s.conns = newCallerConns(s.clock)
-	s.srv = newCallerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s.conns = NewConns(s.clock, idleTimeout)
+	s.srv = &http.Server{ReadHeaderTimeout: headerTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.handling <- struct{}{}
 		b, _ := io.ReadAll(r.Body)
 		time.Sleep(20 * time.Millisecond)
@@ -119,21 +125,24 @@
 			panic(http.ErrAbortHandler)
 		}
 		_, _ = w.Write(b)
-	}), s.conns)
-	onStateChange := s.srv.ConnState
+	})}
 	s.srv.ConnState = func(c net.Conn, st http.ConnState) {
 		if f := s.atIdle.Load(); st == http.StateIdle && f != nil {
 			(*f)()
 		}
-		onStateChange(c, st)
+		s.conns.OnStateChange(c, st)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	held := &heldListener{TCPListener: l.(*net.TCPListener), accepted: make(chan *heldConn, 1)}
+	accepting, err := NewListener(held, headerTimeout)
+	if err != nil {
+		t.Fatal(err)
+	}
 	done := make(chan error, 1)
-	go func() { done <- s.srv.Serve(newCallerListener(held)) }()
+	go func() { done <- s.srv.Serve(accepting) }()
 	t.Cleanup(func() {
 		_ = s.srv.Close()
 		<-done
@@ -149,7 +158,7 @@
 }
 
 // isIdle reports whether the connection waits for its next request.
-func (c *callerConn) isIdle() bool {
+func (c *conn) isIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.idle
@@ -213,7 +222,7 @@
 		case <-time.After(100 * time.Millisecond):
 		}
 	})()
-	s.conns.close(time.Second)
+	s.conns.EndIdle(time.Second)
 	got, err := s.read()
 	is.NoErr(err)
 	is.Equal(got, "body")
@@ -228,8 +237,8 @@
 		name string
 		end  func(ctx context.Context, s *idleServer)
 	}{
-		{"idle for too long", func(_ context.Context, s *idleServer) { s.conns.close(time.Second) }},
-		{"end of the process", func(ctx context.Context, s *idleServer) { _ = s.conns.closeAll(ctx) }}, // its connection is kept
+		{"idle for too long", func(_ context.Context, s *idleServer) { s.conns.EndIdle(time.Second) }},
+		{"end of the process", func(ctx context.Context, s *idleServer) { _ = s.conns.CloseAll(ctx) }}, // its connection is kept
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -277,11 +286,11 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newIdleServer(t)
-			s.conns.close(tt.limits[0])
+			s.conns.EndIdle(tt.limits[0])
 			s.becomeIdle(t)
 			var closed time.Duration
 			for at := time.Duration(0); closed == 0 && at <= 2*tt.want; at += time.Second {
-				s.conns.close(tt.limits[min(int(at/time.Second), len(tt.limits)-1)])
+				s.conns.EndIdle(tt.limits[min(int(at/time.Second), len(tt.limits)-1)])
 				if s.idleCount() == 0 {
 					closed = at
 				}
@@ -304,9 +313,18 @@
 	left := time.Until(s.server.readDeadline())
 	is.True(left > 0 && left <= headerTimeout)
 	s.clock.Advance(time.Hour)
-	s.conns.close(time.Second) // it is not idle any more
+	s.conns.EndIdle(time.Second) // it is not idle any more
 	is.NoErr(s.send(idleRequest[1:]))
 	got, err := s.read()
 	is.NoErr(err)
 	is.Equal(got, "body")
 }
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition not met in time: " + what)
+		}
+	}
+}
--- a/entry/listener.go
+++ b/accept/listener.go
@@ -1,4 +1,4 @@
-package main
+package accept
 
 import (
 	"context"
@@ -20,27 +20,34 @@
 	SetDeadline(t time.Time) error
 }
 
-// callerListener accepts callers' connections.
-type callerListener struct {
+// Listener accepts callers' connections.
+type Listener struct {
 	listener
-	stopping atomic.Bool
-	end      sync.Once
-	ended    chan struct{} // closed after the listener
+	headerTimeout time.Duration
+	stopping      atomic.Bool
+	end           sync.Once
+	ended         chan struct{} // closed after the listener
 }
 
-func newCallerListener(l listener) *callerListener {
-	return &callerListener{listener: l, ended: make(chan struct{})}
+// NewListener returns a Listener that accepts the connections of a listener of TCP. HeaderTimeout bounds the time from the first byte of
+// a request to the end of its header on a connection that was idle.
+func NewListener(l net.Listener, headerTimeout time.Duration) (*Listener, error) {
+	tcp, ok := l.(listener)
+	if !ok {
+		return nil, errors.Errorf("listener is a %T, want one of TCP", l)
+	}
+	return &Listener{listener: tcp, headerTimeout: headerTimeout, ended: make(chan struct{})}, nil
 }
 
 // Close implements net.Listener.
-func (l *callerListener) Close() error {
+func (l *Listener) Close() error {
 	defer l.end.Do(func() { close(l.ended) })
 	return l.listener.Close()
 }
 
-// stop makes Accept return the connections that the kernel has received, and then an error, and waits until the caller of Accept has
+// Stop makes Accept return the connections that the kernel has received, and then an error, and waits until the caller of Accept has
 // closed the listener. It returns an error if ctx ends first.
-func (l *callerListener) stop(ctx context.Context) error {
+func (l *Listener) Stop(ctx context.Context) error {
 	l.stopping.Store(true)
 	if err := l.SetDeadline(time.Unix(1, 0)); err != nil {
 		return errors.Wrap(err, "end the listener of callers")
@@ -53,8 +60,8 @@
 	}
 }
 
-// Accept implements net.Listener. After stop, it returns http.ErrServerClosed when no connection is left.
-func (l *callerListener) Accept() (net.Conn, error) {
+// Accept implements net.Listener. After Stop, it returns http.ErrServerClosed when no connection is left.
+func (l *Listener) Accept() (net.Conn, error) {
 	c, err := l.listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) && l.stopping.Load() {
 		c, err = l.acceptReceived()
@@ -67,11 +74,11 @@
 		_ = c.Close() // the error below says why
 		return nil, errors.Errorf("connection is a %T, want one of TCP", c)
 	}
-	return &callerConn{socket: s}, nil
+	return &conn{socket: s, headerTimeout: l.headerTimeout}, nil
 }
 
 // acceptReceived accepts a connection that the kernel has received, in spite of a deadline that has passed.
-func (l *callerListener) acceptReceived() (net.Conn, error) {
+func (l *Listener) acceptReceived() (net.Conn, error) {
 	raw, err := l.SyscallConn()
 	if err != nil {
 		return nil, errors.Wrap(err, "accept")
--- a/entry/listener_test.go
+++ b/accept/listener_test.go
@@ -1,4 +1,4 @@
-package main
+package accept
 
 import (
 	"context"
@@ -16,9 +16,10 @@
 func TestStoppedListenerAcceptsReceivedConns(t *testing.T) {
 	for _, n := range []int{0, 1, 30} {
 		is := is.New(t)
-		tcp, err := listenTCP("127.0.0.1:0")
+		tcp, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		l, err := NewListener(tcp, headerTimeout)
 		is.NoErr(err)
-		l := newCallerListener(tcp)
 		for range n {
 			c, err := net.Dial("tcp", l.Addr().String())
 			is.NoErr(err)
@@ -29,7 +30,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
 		stopped := make(chan error, 1)
-		go func() { stopped <- l.stop(ctx) }()
+		go func() { stopped <- l.Stop(ctx) }()
 		eventually(t, "the listener is stopping", l.stopping.Load)
 		for range n {
 			c, err := l.Accept()
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/fx"
 
+	"wasabidock.dev/dock/accept"
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/crash"
 	"wasabidock.dev/dock/drain"
@@ -64,8 +65,8 @@
 	datagrams net.PacketConn
 	stop      context.CancelFunc
 	running   sync.WaitGroup
-	callers   *callerListener
-	conns     *callerConns
+	callers   *accept.Listener
+	conns     *accept.Conns
 	closeBy   tick.Instant // time at which the connections of callers are closed, set before shutdown is called
 
 	failedReloads int // consecutive failed attempts to read the settings; used by maintain only
@@ -99,7 +100,7 @@
 }
 
 func newDaemon(lc fx.Lifecycle, p daemonDeps) *daemon {
-	d := &daemon{p: p, log: logs.Component(p.Log, "entry"), conns: newCallerConns(p.Clock)}
+	d := &daemon{p: p, log: logs.Component(p.Log, "entry"), conns: accept.NewConns(p.Clock, idleTimeout)}
 	gin.SetMode(gin.ReleaseMode)
 	callers := gin.New()
 	callers.RedirectTrailingSlash = false
@@ -108,7 +109,7 @@
 		c.Status(http.StatusOK)
 		p.Handler.ServeHTTP(c.Writer, c.Request)
 	})
-	d.front = newCallerServer(callers, d.conns)
+	d.front = &http.Server{Handler: callers, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: d.conns.OnStateChange}
 	checks := gin.New()
 	checks.GET("/api/readyz", d.serveReady)
 	checks.GET(metricsPath, gin.WrapH(p.Metrics))
@@ -141,15 +142,17 @@
 // listen opens the listeners for callers, for readiness checks and, if a port is set, for metrics. A
 // failure of the metrics listener is logged and does not prevent the start.
 func (d *daemon) listen() error {
-	front, err := listenTCP(d.p.Set.ListenAddr())
+	front, err := net.Listen("tcp", d.p.Set.ListenAddr())
 	if err != nil {
-		return err
+		return errors.Wrap(err, "listen")
+	}
+	if d.callers, err = accept.NewListener(front, headerTimeout); err != nil {
+		return errors.Wrap(err, "listen")
 	}
-	d.callers = newCallerListener(front)
 	d.running.Go(func() { d.serve(d.front, d.callers) })
-	ready, err := listenTCP(d.p.Set.ReadyAddr())
+	ready, err := net.Listen("tcp", d.p.Set.ReadyAddr())
 	if err != nil {
-		return err
+		return errors.Wrap(err, "listen")
 	}
 	d.running.Go(func() { d.serve(d.ready, ready) })
 	if d.p.Flags.metricsPort == "" {
@@ -168,18 +171,6 @@
 	return nil
 }
 
-func listenTCP(addr string) (*net.TCPListener, error) {
-	a, err := net.ResolveTCPAddr("tcp", addr)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	l, err := net.ListenTCP("tcp", a)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	return l, nil
-}
-
 // startGossip opens the listeners for other instances and starts the exchange of state with them.
 func (d *daemon) startGossip(ctx context.Context) error {
 	l, err := net.Listen("tcp", d.p.Set.PeerAddr())
@@ -231,7 +222,7 @@
 		if t := d.p.Live.Table(); t != nil && t.Limits().IdleTimeout > 0 {
 			limit = t.Limits().IdleTimeout + idleMargin
 		}
-		d.conns.close(limit)
+		d.conns.EndIdle(limit)
 	})
 }
 
@@ -332,11 +323,11 @@
 func (d *daemon) closeCallers(ctx context.Context) error {
 	ctx, cancel := tick.WithTimeout(ctx, d.p.Clock, d.closeBy-d.p.Clock.Now(), context.DeadlineExceeded)
 	defer cancel()
-	if err := d.callers.stop(ctx); err != nil {
+	if err := d.callers.Stop(ctx); err != nil {
 		return err
 	}
 	d.logStep("no connection is accepted any more")
-	return d.conns.closeAll(ctx)
+	return d.conns.CloseAll(ctx)
 }
 
 // logStep logs a step of the end of the process, with the time since the begin of the drain, the number of requests in progress, and the
