front: a request that arrives as the server closes is answered

Callers of the own interface whose request had come in part when the last active one ended got a closed connection: it was read, and http.Server.Shutdown drops what is read after its begin. Idle connections were closed over requests that the kernel had received.

Cause: as in the daemon of the platform, the decision came before the doors were closed. Here nothing was cut, since Shutdown waits for what was taken.

Change: Drain ends the listener and then the connections as they come to wait for a request, by package accept. Connections with TLS stay with Shutdown, whose GOAWAY HTTP/2 needs, so that they can lose such a request still. Drain may be called twice, so Stop may, too; CloseAll sets one timer at a time, as a clock that jumps an hour made it tick for each period of it.

--- a/accept/conns.go
+++ b/accept/conns.go
@@ -191,8 +191,6 @@
 // CloseAll ends the connections that wait for a request, now and later, until no connection is open. No connection may be accepted any
 // more, and each response must close its connection. CloseAll returns an error if ctx ends first.
 func (s *Conns) CloseAll(ctx context.Context) error {
-	t := s.clock.Every(closePollPeriod)
-	defer t.Stop()
 	for {
 		open := s.all()
 		if len(open) == 0 {
@@ -201,10 +199,8 @@
 		for _, c := range open {
 			c.endWaiting()
 		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrapf(ctx.Err(), "close the connections of callers: %d are open", len(open))
-		case <-t.C():
+		if err := tick.Sleep(ctx, s.clock, closePollPeriod); err != nil {
+			return errors.Wrapf(err, "close the connections of callers: %d are open", len(open))
 		}
 	}
 }
--- a/accept/listener.go
+++ b/accept/listener.go
@@ -46,10 +46,10 @@
 }
 
 // Stop makes Accept return the connections that the kernel has received, and then an error, and waits until the caller of Accept has
-// closed the listener. It returns an error if ctx ends first.
+// closed the listener. It may be called more than once, and returns an error if ctx ends first.
 func (l *Listener) Stop(ctx context.Context) error {
 	l.stopping.Store(true)
-	if err := l.SetDeadline(time.Unix(1, 0)); err != nil {
+	if err := l.SetDeadline(time.Unix(1, 0)); err != nil && !errors.Is(err, net.ErrClosed) {
 		return errors.Wrap(err, "end the listener of callers")
 	}
 	select {
--- a/accept/listener_test.go
+++ b/accept/listener_test.go
@@ -45,5 +45,6 @@
 		is.True(errors.Is(err, http.ErrServerClosed))
 		is.NoErr(l.Close())
 		is.NoErr(<-stopped)
+		is.NoErr(l.Stop(ctx)) // again
 	}
 }
--- a/front/drain_test.go
+++ b/front/drain_test.go
@@ -37,5 +37,13 @@
 	b, err := io.ReadAll(c)
 	is.NoErr(err)
 	is.True(strings.HasPrefix(string(b), "HTTP/1.1 ")) // any response, also one that it has not run
-	is.NoErr(<-drained)
+	for {
+		select {
+		case err := <-drained:
+			is.NoErr(err)
+			return
+		default:
+			w.clock.Advance(time.Second)
+		}
+	}
 }
--- a/front/listen.go
+++ b/front/listen.go
@@ -53,7 +53,7 @@
 // limitSendBuffer sets a small send buffer. Writes to a caller that stops reading
 // then block soon, and run into their deadline.
 func limitSendBuffer(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
+	if t, ok := c.(interface{ SetWriteBuffer(bytes int) error }); ok {
 		_ = t.SetWriteBuffer(sendBufferBytes)
 	}
 }
@@ -127,6 +127,9 @@
 	}
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *plaintextConn) NetConn() net.Conn { return c.Conn }
+
 func (c *plaintextConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
--- a/front/server.go
+++ b/front/server.go
@@ -12,6 +12,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/go-faster/errors"
 
+	"wasabidock.dev/dock/accept"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/ident"
 )
@@ -23,8 +24,11 @@
 	active   activeRequests
 	draining atomic.Bool
 
-	mu   sync.Mutex
-	idle chan struct{} // closed and replaced when the last active request ends
+	conns *accept.Conns // without those of TLS
+
+	mu       sync.Mutex
+	idle     chan struct{}    // closed and replaced when the last active request ends
+	listener *accept.Listener // nil before Serve
 }
 
 // New returns a Server. It fails if a required field of cfg is nil. Optional
@@ -49,13 +53,14 @@
 	if cfg.DrainDelay == 0 {
 		cfg.DrainDelay = defaultDrainDelay
 	}
-	s := &Server{cfg: cfg, idle: make(chan struct{})}
+	s := &Server{cfg: cfg, conns: accept.NewConns(cfg.Clock, idleTimeout), idle: make(chan struct{})}
 	s.http = &http.Server{
 		Handler:           s.routes(),
 		TLSConfig:         cfg.TLS,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnContext:       withConn,
+		ConnState:         s.conns.OnStateChange,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s, nil
@@ -111,13 +116,22 @@
 // without an error.
 func (s *Server) Serve(l net.Listener) <-chan error {
 	done := make(chan error, 1)
+	a, err := accept.NewListener(l, s.cfg.HeaderTimeout)
+	if err != nil {
+		done <- errors.Wrap(err, "front: serve")
+		close(done)
+		return done
+	}
+	s.mu.Lock()
+	s.listener = a
+	s.mu.Unlock()
 	go func() {
 		defer close(done)
 		var err error
 		if s.cfg.TLS != nil {
-			err = s.http.ServeTLS(&listener{Listener: l}, "", "")
+			err = s.http.ServeTLS(&listener{Listener: a}, "", "")
 		} else {
-			err = s.http.Serve(&listener{Listener: l, plaintext: true})
+			err = s.http.Serve(&listener{Listener: a, plaintext: true})
 		}
 		if !errors.Is(err, http.ErrServerClosed) {
 			done <- errors.Wrap(err, "front: serve")
@@ -168,6 +182,23 @@
 			return ctx.Err()
 		}
 	}
+	return s.closeConns(ctx)
+}
+
+// closeConns ends the listener, and the connections when they wait for a request. Those of TLS are left to http.Server.Shutdown, which
+// HTTP/2 needs.
+func (s *Server) closeConns(ctx context.Context) error {
+	s.mu.Lock()
+	l := s.listener
+	s.mu.Unlock()
+	if l != nil {
+		if err := l.Stop(ctx); err != nil {
+			return errors.Wrap(err, "front: shut down")
+		}
+	}
+	if err := s.conns.CloseAll(ctx); err != nil {
+		return errors.Wrap(err, "front: shut down")
+	}
 	if err := s.http.Shutdown(ctx); err != nil {
 		return errors.Wrap(err, "front: shut down")
 	}
