--- a/review/_cases3/drain.go
+++ b/review/_cases3/drain.go
@@ -3,27 +3,39 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 )
 
-func init() { cases["drain"] = drain }
+func init() {
+	cases["drain"] = func(s *setup) (bool, error) { return drain(s, 0) }
+	cases["history"] = func(s *setup) (bool, error) { return drain(s, 40) }
+}
 
 const (
 	// outTokens is the largest number of output tokens of the site's streams, in events of 13.
 	outTokens  = 170
 	perEvent   = 13
 	firstAfter = 600 * time.Millisecond // from the run's begin to its first event; the prompt takes 150 ms more
+	shortAfter = 200 * time.Millisecond
 	eventPause = 270 * time.Millisecond // the route's gapTargetMs is 300
 )
 
-// onTime answers with events that come within the route's targets.
+// onTime answers with events that come within the route's targets. The model ends the answers to short requests after one
+// event.
 func onTime(_ *replica, w http.ResponseWriter, q *http.Request, x *run) bool {
 	events := (outTokens + perEvent - 1) / perEvent
+	if strings.HasPrefix(x.id, "short") {
+		events = 1
+	}
 	for n := firstEvent(q); n <= events; n++ {
 		pause := eventPause
-		if n == 1 {
+		switch {
+		case events == 1:
+			pause = shortAfter
+		case n == 1:
 			pause = firstAfter
 		}
 		if !wait(q, pause) || !send(w, event(x.id, n)) {
@@ -41,8 +53,9 @@
 	}
 }
 
-// drain sends streams on kept connections to a daemon that has received SIGTERM 3.1 to 3.9 s before.
-func drain(s *setup) (bool, error) {
+// drain sends streams on kept connections to a daemon that has received SIGTERM 3.1 to 3.9 s before, and that has answered
+// a number of streams before that, which were shorter than they might have been.
+func drain(s *setup, earlier int) (bool, error) {
 	if err := s.startStore(); err != nil {
 		return false, err
 	}
@@ -74,6 +87,12 @@
 		}
 		all = append(all, c)
 	}
+	for i := range earlier {
+		a := all[i%clients].do(streamRequest(fmt.Sprintf("short-%d", i), i%10))
+		if a.status != http.StatusOK || !a.whole {
+			return false, fmt.Errorf("an earlier stream was not answered: %s", a)
+		}
+	}
 	// One more stream is in progress when SIGTERM comes.
 	before, err := dial(s.log, d.front)
 	if err != nil {
