--- a/review/_cases3/drain.go
+++ b/review/_cases3/late.go
@@ -9,15 +9,13 @@
 	"time"
 )
 
-func init() {
-	cases["drain"] = func(s *setup) (bool, error) { return drain(s, 0) }
-	cases["history"] = func(s *setup) (bool, error) { return drain(s, 40) }
-}
+func init() { cases["late"] = late }
 
 const (
 	// outTokens is the largest number of output tokens of the site's streams, in events of 13.
 	outTokens  = 170
 	perEvent   = 13
+	earlier    = 40                     // streams that the daemon has answered before
 	firstAfter = 600 * time.Millisecond // from the run's begin to its first event; the prompt takes 150 ms more
 	shortAfter = 200 * time.Millisecond
 	eventPause = 270 * time.Millisecond // the route's gapTargetMs is 300
@@ -53,9 +51,9 @@
 	}
 }
 
-// drain sends streams on kept connections to a daemon that has received SIGTERM 3.1 to 3.9 s before, and that has answered
+// late sends streams on kept connections to a daemon that has received SIGTERM 3.1 to 3.9 s before, and that has answered
 // a number of streams before that, which were shorter than they might have been.
-func drain(s *setup, earlier int) (bool, error) {
+func late(s *setup) (bool, error) {
 	if err := s.startStore(); err != nil {
 		return false, err
 	}
