proxy: log how long a draining process holds a request to need

Change: the decision line of a request that arrives while the process drains has the time until the end (left), the time that the request is held to need (needs), and whether the load balancer has noticed (noticed).

--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -140,6 +140,7 @@
 	prompt        promptParts
 	discards      bool         // the response was written before the body was read
 	state         atomic.Int32 // see stateReading
+	drain         *drainView   // nil if the process served when the request arrived
 	summary       string       // description of the outcome, for the decision log line
 	status        int          // HTTP status of the response, 0 before its header was written
 	code          fail.Code    // reason of the rejection, empty if the request was not rejected
@@ -222,6 +223,7 @@
 	if since, ok := x.h.cfg.Drain.Since(x.start); ok {
 		e = e.Dur("draining", since)
 	}
+	x.drain.log(e)
 	if x.route != nil {
 		e = e.Str("route", x.route.Name)
 	}
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -62,6 +62,7 @@
 		x.service = &route.Service{Name: name}
 	}
 	x.nameParts()
+	x.viewDrain()
 	if x.outlivesProcess() {
 		x.rejectDraining()
 		return false
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/tick"
@@ -33,6 +35,26 @@
 	return draining && x.drainTime(noticed) > left
 }
 
+// drainView is what a draining process knows of a request when it arrives.
+type drainView struct {
+	left, needs time.Duration // time until the end, and time that the request is held to need
+	noticed     bool          // the load balancer sends no new connections
+}
+
+// viewDrain records the view of a draining process for the decision log line.
+func (x *exchange) viewDrain() {
+	if left, noticed, draining := x.h.cfg.Drain.Left(); draining {
+		x.drain = &drainView{left: left, needs: x.drainTime(noticed), noticed: noticed}
+	}
+}
+
+// log adds the view to the decision log line.
+func (v *drainView) log(e *zerolog.Event) {
+	if v != nil {
+		e.Dur("left", v.left).Dur("needs", v.needs).Bool("noticed", v.noticed)
+	}
+}
+
 // drainTime returns how long the request may take. If sure is set, a stream is held to have all tokens that its caller allows,
 // as callers' estimates are often too low.
 func (x *exchange) drainTime(sure bool) time.Duration {
