drain, usual, proxy: once callers reach another instance, a stopping process takes what must end in time

Cause: whether a request can end before the process was decided by an estimate, 2 s and 6 ms a token at least. Nothing that a process has measured bounds what the next request takes.

Change: drain.Tracker.Weigh decides for all kinds of requests. What must have ended before the process, by its deadline, is taken. Of the rest, what is received after the load balancer has noticed is taken only if it may be repeated and usually ends in time; what is received before, if such requests usually end in time, since a refused caller may come back to the same place. What is usual is measured for whole requests by route and service (package usual), with tokens counted alike where it divides and multiplies.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -13,6 +13,7 @@
 //
 //	// at the end of the process
 //	t.Drain(noticed, end)
+//	v := t.Weigh(drain.Request{Deadline: deadline, Usual: usual}) // before a request is written to a server
 //	for !t.CloseIfIdle() {
 //		// wait; call Close when the time is up
 //	}
@@ -21,7 +22,7 @@
 // # Stages
 //
 // A Tracker goes from Serving to Draining, Closing and Closed, and never back. While it drains, requests are taken that end before
-// the process. From Closing on none is taken, and those in progress end or are answered.
+// the process, see Weigh. From Closing on none is taken, and those in progress end or are answered.
 //
 // # Concurrency
 //
@@ -168,12 +169,3 @@
 	defer t.mu.Unlock()
 	return at - t.began, t.stage > Serving
 }
-
-// Left returns the time until the end that was announced, and whether the load balancer sends no new connections. Ok is false if the
-// process serves.
-func (t *Tracker) Left() (left time.Duration, noticed, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	now := t.clock.Now()
-	return t.end - now, now >= t.noticed, t.stage > Serving
-}
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -22,6 +22,7 @@
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/spill"
 	"wasabidock.dev/dock/tick"
+	"wasabidock.dev/dock/usual"
 	"wasabidock.dev/dock/warmup"
 )
 
@@ -102,12 +103,12 @@
 
 	responseTimes *delay.Estimates // response times by service
 	speeds        *spill.Speeds    // response times of plain servers
-	tokenTimes    *delay.Estimates // times of model requests for each token that they were expected to generate, by service
+	usual         *usual.Times     // times from the arrival of requests to their ends
 }
 
 // New returns a Handler.
 func New(cfg Config) *Handler {
-	return &Handler{cfg: cfg, loads: newServerLoads(), silent: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), speeds: spill.NewSpeeds(), tokenTimes: delay.NewEstimates()}
+	return &Handler{cfg: cfg, loads: newServerLoads(), silent: newServerLoads(), start: cfg.Clock.Now(), responseTimes: delay.NewEstimates(), speeds: spill.NewSpeeds(), usual: usual.NewTimes()}
 }
 
 // exchange is one request of a caller and its response.
@@ -123,6 +124,7 @@
 	body          []byte
 	memory        *memory.Account // of the body and the responses that are buffered
 	start         tick.Instant
+	received      tick.Instant // time at which the body had been read, 0 before
 	deadline      tick.Instant // deadline of the response
 	chargedTokens int          // tokens taken from the customer's limit
 	mayHaveRun    bool         // a server may have run the request
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -141,15 +141,15 @@
 // that much.
 func (p *plainExchange) hedgeDelay(s *route.Server) time.Duration {
 	minDelay := time.Duration(hedgeDelayShare * float64(p.route.LatencyTarget))
-	delay := p.usualTime(lateDeviations)
-	if !p.h.cfg.Health.Sound(s.Key()) && p.remaining() >= minDelay+p.usualTime(0) {
-		delay = min(delay, p.remaining()-time.Duration(hedgeTimeFactor*float64(p.usualTime(1))))
+	delay := p.serviceTime(lateDeviations)
+	if !p.h.cfg.Health.Sound(s.Key()) && p.remaining() >= minDelay+p.serviceTime(0) {
+		delay = min(delay, p.remaining()-time.Duration(hedgeTimeFactor*float64(p.serviceTime(1))))
 	}
 	return max(minDelay, delay)
 }
 
 // usualTime returns the response time of the service plus the given number of its mean deviations.
-func (p *plainExchange) usualTime(deviations float64) time.Duration {
+func (p *plainExchange) serviceTime(deviations float64) time.Duration {
 	return p.h.responseTimes.UpperBound(p.service.Name, deviations)
 }
 
@@ -209,6 +209,7 @@
 	} else {
 		x.h.cfg.Health.RecordSuccess(s.Key(), r.end)
 		x.h.responseTimes.Add(x.service.Name, r.end-r.attempt.start)
+		x.recordUsual(0)
 		x.h.speeds.Record(s.Key(), r.end-r.attempt.start, r.end)
 		p.countHedge(r.attempt)
 	}
@@ -260,7 +261,7 @@
 	case r.resp == nil && fail.Outcome(r.err) == ident.NotRun:
 		x.arrivals.uncount()
 		return
-	case r.resp == nil && silent >= max(a.late, p.usualTime(0)):
+	case r.resp == nil && silent >= max(a.late, p.serviceTime(0)):
 		x.h.cfg.Health.RecordSilence(a.server.Key(), a.start, r.end)
 	}
 	x.recordWrite(a.server)
--- a/proxy/resolve.go
+++ b/proxy/resolve.go
@@ -62,11 +62,6 @@
 		x.service = &route.Service{Name: name}
 	}
 	x.nameParts()
-	x.viewDrain()
-	if x.outlivesProcess() {
-		x.rejectDraining()
-		return false
-	}
 	timeout := x.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -75,7 +70,7 @@
 		timeout = min(timeout, x.info.Timeout)
 	}
 	x.deadline = x.start + timeout
-	return true
+	return x.viewDrain()
 }
 
 // waitForConfig waits for the configuration and the server list if the process has just
@@ -112,6 +107,7 @@
 func (x *exchange) readAndCharge(ctx context.Context) bool {
 	maxBytes := x.maxBodyBytes()
 	body, err := x.memory.ReadAll(http.MaxBytesReader(x.w, x.r.Body, maxBytes), x.r.ContentLength, maxBytes)
+	x.received = x.h.cfg.Clock.Now()
 	x.advance(stateReading, stateWaiting)
 	if x.cutOff() {
 		x.rejectDraining()
--- a/proxy/stop.go
+++ b/proxy/stop.go
@@ -9,68 +9,73 @@
 
 	"wasabidock.dev/dock/drain"
 	"wasabidock.dev/dock/fail"
+	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
+	"wasabidock.dev/dock/usual"
 )
 
 const (
-	// A draining process rejects requests to plain services for which less time is left than earlier ones took, and
-	// than minPlainDrainTime, or than plainDrainTime if there were none. For a model request, this time
-	// is modelDrainTime plus tokenDrainTime, or what earlier requests took if that is longer, for each token
-	// that the request is expected to generate, or may generate once the load balancer sends no new connections.
-	minPlainDrainTime = 300 * time.Millisecond
-	plainDrainTime    = 1500 * time.Millisecond
-	modelDrainTime    = 2 * time.Second
-	tokenDrainTime    = 6 * time.Millisecond
-	// drainDeviations is the number of mean deviations by which a request may exceed the mean
-	// of earlier ones.
-	drainDeviations = 2
+	// minUsualTime is the least time that a request is held to take in a process that drains. It allows for the way of its response.
+	minUsualTime = 300 * time.Millisecond
 	// stopReason is the reason of responses to requests that the end of the process cuts off.
 	stopReason = "this instance ends"
 )
 
-// outlivesProcess reports whether a request that arrives now would be cut off by the end of the process. Once the load balancer sends
-// no new connections, callers of rejected requests reach another instance, so that only those are accepted that are sure to end.
-func (x *exchange) outlivesProcess() bool {
-	left, noticed, draining := x.h.cfg.Drain.Left()
-	return draining && x.drainTime(noticed) > left
+// weighDrain returns whether the process, if it drains, takes the request, which no server may have run yet.
+func (x *exchange) weighDrain() drain.View {
+	return x.h.cfg.Drain.Weigh(drain.Request{
+		Received: x.received, Deadline: x.deadline, Usual: max(minUsualTime, x.usualTime()), Repeatable: x.route.Kind == route.Idempotent,
+	})
 }
 
-// drainView is what a draining process knows of a request when it arrives.
-type drainView struct {
-	left, needs time.Duration // time until the end, and time that the request is held to need
-	noticed     bool          // the load balancer sends no new connections
-}
+// outlivesProcess reports whether the request is left to another instance, since the end of the process might cut it off.
+func (x *exchange) outlivesProcess() bool { return !x.weighDrain().Taken }
 
-// viewDrain records the view of a draining process for the decision log line.
-func (x *exchange) viewDrain() {
-	if left, noticed, draining := x.h.cfg.Drain.Left(); draining {
-		x.drain = &drainView{left: left, needs: x.drainTime(noticed), noticed: noticed}
+// usualTime returns how long such requests usually take. Before one has ended, that is the time that the operator asks for.
+func (x *exchange) usualTime() time.Duration {
+	if d, ok := x.h.usual.Of(x.usualKey(), x.expectedOutputTokens()); ok {
+		return d
 	}
+	return x.route.LatencyTarget
 }
 
-// log adds the view to the decision log line.
-func (v *drainView) log(e *zerolog.Event) {
-	if v != nil {
-		e.Dur("left", v.left).Dur("needs", v.needs).Bool("noticed", v.noticed)
+// usualKey returns the key of the request for estimates.
+func (x *exchange) usualKey() usual.Key {
+	return usual.Key{Route: x.route.Name, Service: x.service.Name, Sized: x.info.HasTokenCounts}
+}
+
+// recordUsual records how long the request has taken. first is the time of its first event, 0 if it has none.
+func (x *exchange) recordUsual(first time.Duration) {
+	total := x.h.cfg.Clock.Now() - x.start
+	if first == 0 {
+		first = total
 	}
+	x.h.usual.Record(x.usualKey(), usual.Sample{Size: x.expectedOutputTokens(), First: first, Total: total})
 }
 
-// drainTime returns how long the request may take. If sure is set, a stream is held to have all tokens that its caller allows,
-// as callers' estimates are often too low.
-func (x *exchange) drainTime(sure bool) time.Duration {
-	if !x.info.HasTokenCounts {
-		took := x.h.responseTimes.UpperBound(x.service.Name, lateDeviations)
-		if took == 0 {
-			return plainDrainTime
-		}
-		return max(minPlainDrainTime, took)
+// viewDrain weighs the request for the first time. It returns false if the process has refused it.
+func (x *exchange) viewDrain() bool {
+	v := x.weighDrain()
+	if v.Draining {
+		x.drain = &drainView{View: v, usual: x.usualTime()}
 	}
-	tokens := x.expectedOutputTokens()
-	if sure {
-		tokens = x.info.MaxOutputTokens
+	if !v.Taken {
+		x.rejectDraining()
+	}
+	return v.Taken
+}
+
+// drainView is how a process that drains has seen a request on its arrival.
+type drainView struct {
+	drain.View
+	usual time.Duration
+}
+
+// log adds the view to the decision log line.
+func (v *drainView) log(e *zerolog.Event) {
+	if v != nil {
+		e.Dur("left", v.Left).Dur("usual", v.usual).Bool("noticed", v.Noticed)
 	}
-	perToken := max(tokenDrainTime, x.h.tokenTimes.UpperBound(x.service.Name, drainDeviations))
-	return modelDrainTime + time.Duration(tokens)*perToken
 }
 
 // rejectDraining answers a request that is left to another instance.
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -37,7 +37,7 @@
 	err := m.relayStream(run)
 	if err == nil {
 		h.cfg.Health.RecordSuccess(p.Decode.Key(), h.cfg.Clock.Now())
-		h.tokenTimes.Add(m.service.Name, (h.cfg.Clock.Now()-m.start)/time.Duration(max(m.expectedOutputTokens(), 1)))
+		m.recordUsual(m.stats.first)
 		m.summary, m.complete = "answered in full", true
 		return true
 	}
