crash, gossip: say why a request is not admitted, and that the process stood still

Hypotheses on the cause can't be told apart. Change: NotAdmittedError has the reason and whether the request was ever admitted; a line for each pause.

--- a/crash/gate.go
+++ b/crash/gate.go
@@ -20,9 +20,33 @@
 // ErrNoHome is returned by a Claimer that knows no instance to decide.
 var ErrNoHome = errors.New("no instance is known that admits requests with suspect parts")
 
-// ErrNotAdmitted reports that a part became suspect, or that the process was paused, after the request was
-// admitted.
-var ErrNotAdmitted = errors.New("the request was admitted before the present evidence on the parts of its prompt")
+// ErrNotAdmitted reports that a request may not be written now, see NotAdmittedError.
+var ErrNotAdmitted = errors.New("the request is not admitted by the present evidence on the parts of its prompt")
+
+// NotAdmittedError is an ErrNotAdmitted with its reason.
+type NotAdmittedError struct {
+	Asked  bool   // the request has been admitted before
+	Reason string // why it is not any more
+}
+
+// The reasons of a NotAdmittedError.
+const (
+	ReasonPaused  = "paused"  // the process was paused since
+	ReasonSuspect = "suspect" // a part became suspect since
+	ReasonExpired = "expired" // the turn of a suspect request is over
+	ReasonCrashed = "crashed" // a server has ended since
+)
+
+// Error implements error.
+func (e *NotAdmittedError) Error() string {
+	if !e.Asked {
+		return ErrNotAdmitted.Error() + ": it has never been admitted (" + e.Reason + ")"
+	}
+	return ErrNotAdmitted.Error() + ": " + e.Reason
+}
+
+// Unwrap returns ErrNotAdmitted.
+func (e *NotAdmittedError) Unwrap() error { return ErrNotAdmitted }
 
 // Claimer has claims decided by the home of their parts, and knows how recent the evidence of the peers is.
 type Claimer interface {
@@ -71,6 +95,7 @@
 
 // Grant is the admission of a request.
 type Grant struct {
+	asked  bool
 	at     tick.Instant // 0 for a request without suspect parts
 	pauses uint64       // pauses of the process before the admission
 }
@@ -113,14 +138,14 @@
 	for end := now + maxWait; ; now = g.sinceBoot() {
 		v, part, due := g.t.Verdict(c.Parts, now)
 		if v == Clear {
-			return Grant{pauses: pauses}, nil
+			return Grant{asked: true, pauses: pauses}, nil
 		}
 		if v == Blocked && now < due {
 			return Grant{}, &RefusedError{Part: part, Verdict: v, Wait: due - now}
 		}
 		a, err := g.decide(ctx, c, now)
 		if a.Granted {
-			return Grant{at: now, pauses: pauses}, nil
+			return Grant{asked: true, at: now, pauses: pauses}, nil
 		}
 		refused := &RefusedError{Part: part, Verdict: v, Wait: a.Wait, Err: err}
 		if a.Blocked || g.sinceBoot()+a.Wait > end {
@@ -164,16 +189,29 @@
 // Check reports whether a request may be written now: the process was not paused since it was admitted, and it has no
 // suspect part, or it was admitted within grantTime and no server has ended since.
 func (g *Gate) Check(grant Grant, parts []Part) error {
+	if reason := g.reason(grant, parts); reason != "" {
+		return &NotAdmittedError{Asked: grant.asked, Reason: reason}
+	}
+	return nil
+}
+
+// reason returns why a request may not be written now, or an empty string if it may.
+func (g *Gate) reason(grant Grant, parts []Part) string {
 	if n, _ := g.peers().Pauses(); n != grant.pauses {
-		return ErrNotAdmitted
+		return ReasonPaused
 	}
 	now := g.sinceBoot()
 	v, _, _ := g.t.Verdict(parts, now)
-	if v == Clear {
-		return nil
-	}
-	if grant.at == 0 || now-grant.at > grantTime || g.t.crashedSince(parts, grant.at) {
-		return ErrNotAdmitted
+	switch {
+	case v == Clear:
+		return ""
+	case grant.at == 0:
+		return ReasonSuspect
+	case now-grant.at > grantTime:
+		return ReasonExpired
+	case g.t.crashedSince(parts, grant.at):
+		return ReasonCrashed
+	default:
+		return ""
 	}
-	return nil
 }
--- a/gossip/service.go
+++ b/gossip/service.go
@@ -253,6 +253,7 @@
 	case <-t.C():
 		return nil
 	case <-s.pauses.woken:
+		s.cfg.Log.Info().Msg("news: the process stood still; fetching the state of peers")
 		return nil
 	}
 }
