proxy, crash: ask for the admission by shared parts before each attempt of any request

Cause: servePlain never asked for the admission that is checked at each write. The zero value of a grant has zero pauses and passed until the first pause.

Change: admitParts is called before each attempt on both paths. Check refuses the zero value of a grant. A write that is refused since the process was paused after the admission leads to another admission, with the same servers; a hedge is not begun again until then.

Why it works: an admission is as old as its attempt, and none can be missing without a failure of the first request.

Measured: TestPauseOfProcessIsNotNoticed fails in 3 of 3 runs before, in 9 of its 15 rows (kind of request x moment of the pause), and passes after.

--- a/crash/gate.go
+++ b/crash/gate.go
@@ -25,12 +25,12 @@
 
 // NotAdmittedError is an ErrNotAdmitted with its reason.
 type NotAdmittedError struct {
-	Asked  bool   // the request has been admitted before
-	Reason string // why it is not any more
+	Reason string // one of the reasons below
 }
 
 // The reasons of a NotAdmittedError.
 const (
+	ReasonMissing = "missing" // the request was never admitted
 	ReasonPaused  = "paused"  // the process was paused since
 	ReasonSuspect = "suspect" // a part became suspect since
 	ReasonExpired = "expired" // the turn of a suspect request is over
@@ -38,12 +38,7 @@
 )
 
 // Error implements error.
-func (e *NotAdmittedError) Error() string {
-	if !e.Asked {
-		return ErrNotAdmitted.Error() + ": it has never been admitted (" + e.Reason + ")"
-	}
-	return ErrNotAdmitted.Error() + ": " + e.Reason
-}
+func (e *NotAdmittedError) Error() string { return ErrNotAdmitted.Error() + ": " + e.Reason }
 
 // Unwrap returns ErrNotAdmitted.
 func (e *NotAdmittedError) Unwrap() error { return ErrNotAdmitted }
@@ -93,9 +88,9 @@
 // Unwrap returns the reason why no home has decided.
 func (e *RefusedError) Unwrap() error { return e.Err }
 
-// Grant is the admission of a request.
+// Grant is the admission of a request. The zero value admits no request that has parts.
 type Grant struct {
-	asked  bool
+	given  bool
 	at     tick.Instant // 0 for a request without suspect parts
 	pauses uint64       // pauses of the process before the admission
 }
@@ -138,14 +133,14 @@
 	for end := now + maxWait; ; now = g.sinceBoot() {
 		v, part, due := g.t.Verdict(c.Parts, now)
 		if v == Clear {
-			return Grant{asked: true, pauses: pauses}, nil
+			return Grant{given: true, pauses: pauses}, nil
 		}
 		if v == Blocked && now < due {
 			return Grant{}, &RefusedError{Part: part, Verdict: v, Wait: due - now}
 		}
 		a, err := g.decide(ctx, c, now)
 		if a.Granted {
-			return Grant{asked: true, at: now, pauses: pauses}, nil
+			return Grant{given: true, at: now, pauses: pauses}, nil
 		}
 		refused := &RefusedError{Part: part, Verdict: v, Wait: a.Wait, Err: err}
 		if a.Blocked || g.sinceBoot()+a.Wait > end {
@@ -186,32 +181,30 @@
 	return a, nil
 }
 
-// Check reports whether a request may be written now: the process was not paused since it was admitted, and it has no
-// suspect part, or it was admitted within grantTime and no server has ended since.
+// Check reports whether a request may be written now: it has no parts, or it was admitted, the process was not paused since then, and it
+// has no suspect part, or it was admitted within grantTime and no server has ended since. The error is a NotAdmittedError.
 func (g *Gate) Check(grant Grant, parts []Part) error {
-	if reason := g.reason(grant, parts); reason != "" {
-		return &NotAdmittedError{Asked: grant.asked, Reason: reason}
+	if len(parts) == 0 {
+		return nil
+	}
+	if !grant.given {
+		return &NotAdmittedError{ReasonMissing}
 	}
-	return nil
-}
-
-// reason returns why a request may not be written now, or an empty string if it may.
-func (g *Gate) reason(grant Grant, parts []Part) string {
 	if n, _ := g.peers().Pauses(); n != grant.pauses {
-		return ReasonPaused
+		return &NotAdmittedError{ReasonPaused}
 	}
 	now := g.sinceBoot()
 	v, _, _ := g.t.Verdict(parts, now)
 	switch {
 	case v == Clear:
-		return ""
+		return nil
 	case grant.at == 0:
-		return ReasonSuspect
+		return &NotAdmittedError{ReasonSuspect}
 	case now-grant.at > grantTime:
-		return ReasonExpired
+		return &NotAdmittedError{ReasonExpired}
 	case g.t.crashedSince(parts, grant.at):
-		return ReasonCrashed
+		return &NotAdmittedError{ReasonCrashed}
 	default:
-		return ""
+		return nil
 	}
 }
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -237,6 +237,8 @@
 	tr := NewTracker(Config{})
 	g := NewGate(tr, clock, clock.Now)
 	p := partsOf("x")
+	is.True(errors.Is(g.Check(Grant{}, p), ErrNotAdmitted)) // an admission that was never asked for
+	is.NoErr(g.Check(Grant{}, nil))                         // none is needed
 	clean, err := g.Admit(t.Context(), Claim{1, p})
 	is.NoErr(err)
 	is.NoErr(g.Check(clean, p))
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -45,7 +45,7 @@
 type promptParts struct {
 	parts []crash.Part
 	claim uint64      // ID of the claims of the request
-	grant crash.Grant // admission of the request, if it has suspect parts
+	grant crash.Grant // admission of the request to its next attempt
 	// The part for which the request was rejected.
 	refused     crash.Part
 	refusedName string
@@ -75,10 +75,11 @@
 func (x *exchange) partName(i int) string { return x.service.Name + "/" + x.info.Parts[i] }
 
 // admitParts waits until the request may be sent to a server as far as the parts of its prompt are
-// concerned. If it may not, admitParts answers it and returns false.
-func (m *modelExchange) admitParts(ctx context.Context) bool {
-	p := &m.prompt
-	grant, err := m.h.cfg.Crashes.Admit(ctx, crash.Claim{ID: p.claim, Parts: p.parts})
+// concerned. If it may not, admitParts answers it and returns false. It must be called before each attempt, and while none is
+// running.
+func (x *exchange) admitParts(ctx context.Context) bool {
+	p := &x.prompt
+	grant, err := x.h.cfg.Crashes.Admit(ctx, crash.Claim{ID: p.claim, Parts: p.parts})
 	if err == nil {
 		p.grant = grant
 		return true
@@ -90,19 +91,16 @@
 	p.verdict, p.refused = refused.Verdict, refused.Part
 	for i, part := range p.parts {
 		if part == refused.Part {
-			p.refusedName = m.partName(i)
+			p.refusedName = x.partName(i)
 		}
 	}
-	m.h.cfg.Meter.Count("prompt_part_rejections_total", "verdict", p.verdict.String(), 1)
-	m.giveUpAs(fail.CodePromptBlocked, max(refused.Wait, overloadRetry), refused.Error())
+	x.h.cfg.Meter.Count("prompt_part_rejections_total", "verdict", p.verdict.String(), 1)
+	x.giveUpAs(fail.CodePromptBlocked, max(refused.Wait, overloadRetry), refused.Error())
 	return false
 }
 
 // checkParts reports whether the request may be written to a server now.
 func (x *exchange) checkParts() error {
-	if len(x.prompt.parts) == 0 {
-		return nil
-	}
 	return x.h.cfg.Crashes.Check(x.prompt.grant, x.prompt.parts)
 }
 
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -6,6 +6,9 @@
 	"slices"
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"wasabidock.dev/dock/crash"
 	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/ident"
@@ -43,6 +46,7 @@
 	running  []*plainAttempt  // those whose results were not received
 	results  chan plainResult // one for each attempt
 	hedged   bool             // attempts have run beside each other
+	refused  bool             // the admission of the request does not hold any more
 }
 
 // plainAttempt is the write of a request to one server.
@@ -72,7 +76,8 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	p := &plainExchange{exchange: x, avoid: make(map[string]bool), results: make(chan plainResult)}
 	defer p.end()
-	for !x.endIfTooLate() {
+	for !x.endIfTooLate() && x.admitParts(ctx) {
+		p.refused = false
 		s := x.pickServer(p.avoid, x.limitReached)
 		if s == nil {
 			x.giveUp(x.retryAfter(x.recordIneligible()), "no server of "+x.service.Name+" is left to try"+x.permits.reason())
@@ -161,7 +166,7 @@
 // hedge begins and returns another attempt beside those that are running, or returns nil. It needs an untried server and a
 // retry of the budget. A server with a limit gets no hedged requests.
 func (p *plainExchange) hedge(ctx context.Context) *plainAttempt {
-	if !p.hedges() || ctx.Err() != nil {
+	if !p.hedges() || p.refused || ctx.Err() != nil {
 		return nil
 	}
 	if n := len(p.running); n == 0 || p.runCount()+n >= p.route.MaxAttempts {
@@ -183,6 +188,10 @@
 	x, s := p.exchange, r.attempt.server
 	p.remove(r.attempt)
 	if r.resp == nil {
+		if errors.Is(r.err, crash.ErrNotAdmitted) {
+			p.refused = true
+			delete(p.avoid, s.Key()) // it may be called once the request is admitted again
+		}
 		x.recordNoResponse(s, r.err)
 		return false
 	}
