proxy, link, fail: blame no server for what this process has decided

Cause: whose fault a call is was told by a list of exceptions; all else that ends before a byte is written counted as a connect timeout of the server. Change: errors of our own are of a type, fail.LocalError, set where they arise (ended contexts, withheld writes, denied and expired permits, admissions that do not hold, no descriptor or port left, kept connections that were closed before the request), and one place, recordErrorAs, asks for it. Writes that are withheld for the parts of a prompt are counted by reason "admission".

--- a/crash/gate.go
+++ b/crash/gate.go
@@ -40,6 +40,9 @@
 // Error implements error.
 func (e *NotAdmittedError) Error() string { return ErrNotAdmitted.Error() + ": " + e.Reason }
 
+// Local implements fail.LocalError.
+func (e *NotAdmittedError) Local() bool { return true }
+
 // Unwrap returns ErrNotAdmitted.
 func (e *NotAdmittedError) Unwrap() error { return ErrNotAdmitted }
 
--- a/link/doc.go
+++ b/link/doc.go
@@ -13,7 +13,7 @@
 // # Invariants
 //
 // A request is written at most once. The package never retries a request. The outcome
-// of an error states whether a byte of the request may have been sent.
+// of an error states whether a byte of the request may have been sent. An error that no server has caused is a fail.LocalError.
 //
 // A response belongs to its request. A server may send the response to an earlier request of a
 // connection once more, at any time. Therefore a connection carries no two requests with the same ID; a
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -148,7 +149,7 @@
 // connect returns an idle connection to the server, or a new one if there is none.
 func (c *Client) connect(ctx context.Context, req *Request) (*conn, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, fail.New("link: connect", req.Addr, ident.NotRun, err)
+		return nil, fail.New("link: connect", req.Addr, ident.NotRun, fail.AsLocal(err))
 	}
 	now := c.cfg.Clock.Now()
 	cn, unread := c.pool(req.Addr).take(now, req.ID)
@@ -170,11 +171,31 @@
 	c.dialCount.Add(1)
 	cn, err := dial(ctx, addr, timeout)
 	if err != nil {
+		if hasEnded(ctx) || lacksResources(err) {
+			err = fail.AsLocal(err)
+		}
 		return nil, fail.New("link: connect", addr, ident.NotRun, err)
 	}
 	return cn, nil
 }
 
+// hasEnded reports whether a context has ended, or ends now.
+func hasEnded(ctx context.Context) bool {
+	at, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && time.Until(at) <= 0
+}
+
+// lacksResources reports whether a connection was not opened because this process, or its machine, has no descriptor, port or memory
+// left.
+func lacksResources(err error) bool {
+	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 // HasIdleConn reports whether the pool of an address has an idle connection that has not
 // expired.
 func (c *Client) HasIdleConn(addr string) bool {
@@ -190,11 +211,11 @@
 // roundTrip writes the request to the connection and reads the response header.
 func (c *Client) roundTrip(ctx context.Context, cn *conn, req *Request) (*Response, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
+		return nil, fail.New("link: write", req.Addr, ident.NotRun, fail.AsLocal(err))
 	}
 	if req.BeforeWrite != nil {
 		if err := req.BeforeWrite(); err != nil {
-			return nil, fail.New("link: write", req.Addr, ident.NotRun, err)
+			return nil, fail.New("link: write", req.Addr, ident.NotRun, fail.AsLocal(err))
 		}
 	}
 	if cn.uses == 0 || req.BeforeWrite != nil {
@@ -202,7 +223,7 @@
 			if unread {
 				c.observe(Finding{Kind: FindingUnread, Addr: req.Addr, Use: cn.uses})
 			}
-			return nil, fail.New("link: write", req.Addr, ident.NotRun, ErrNotIdle)
+			return nil, fail.New("link: write", req.Addr, ident.NotRun, cn.notIdle())
 		}
 	}
 	buf := req.encode()
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -58,16 +58,21 @@
 	}()
 	t.Cleanup(func() {
 		_ = l.Close()
-		s.mu.Lock()
-		for _, c := range s.open {
-			_ = c.Close() // it may be closed before
-		}
-		s.mu.Unlock()
+		s.closeConns()
 		<-done
 	})
 	return s
 }
 
+// closeConns closes all connections.
+func (s *scriptedServer) closeConns() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.open {
+		_ = c.Close() // it may be closed before
+	}
+}
+
 func (s *scriptedServer) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
@@ -196,6 +201,7 @@
 	r.BeforeWrite = func() error { return errLate }
 	_, err := get(t, c, r)
 	is.True(errors.Is(err, errLate))
+	is.True(fail.IsLocal(err)) // no server is at fault
 	is.Equal(fail.Outcome(err), ident.NotRun)
 	is.Equal(c.DialCount(), int64(1)) // after the connection was opened
 	r.BeforeWrite = func() error { return nil }
@@ -212,12 +218,28 @@
 	is.NoErr(l.Close())
 	_, err = get(t, newClient(), &link.Request{Addr: addr, Method: http.MethodPost, Path: "/", Host: "h"})
 	is.Equal(fail.Outcome(err), ident.NotRun) // the connection is refused
+	is.True(!fail.IsLocal(err))
 
 	s := newScriptedServer(t, response("a", "", "1"))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = newClient().Do(ctx, s.request("a"))
 	is.Equal(fail.Outcome(err), ident.NotRun) // the context ended before the request
+	is.True(fail.IsLocal(err))
+
+	s = newScriptedServer(t, response("a", "", "1"), response("b", "", "2"))
+	c := newClient()
+	_, err = get(t, c, s.request("a"))
+	is.NoErr(err)
+	r := s.request("b")
+	r.BeforeWrite = func() error { // the server closes the connection, which was idle
+		s.closeConns()
+		time.Sleep(20 * time.Millisecond)
+		return nil
+	}
+	_, err = get(t, c, r)
+	is.True(errors.Is(err, link.ErrNotIdle))
+	is.True(fail.IsLocal(err))
 }
 
 func TestHeaderTimeout(t *testing.T) {
--- a/link/pool.go
+++ b/link/pool.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 
+	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/memory"
 	"wasabidock.dev/dock/tick"
 )
@@ -147,6 +148,14 @@
 	return err == nil && idle, unread
 }
 
+// notIdle returns the error for a connection that cannot carry a request. A server may close one that was idle.
+func (c *conn) notIdle() error {
+	if c.uses > 0 {
+		return fail.AsLocal(ErrNotIdle)
+	}
+	return ErrNotIdle
+}
+
 // pool holds the idle connections to one address.
 type pool struct {
 	mu       sync.Mutex
--- a/permit/gate.go
+++ b/permit/gate.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"wasabidock.dev/dock/fail"
 	"wasabidock.dev/dock/route"
 	"wasabidock.dev/dock/tick"
 )
@@ -30,7 +31,7 @@
 var ErrNoHome = errors.New("no instance issues permits for the server")
 
 // ErrExpired reports that a permit was not used within its lifetime.
-var ErrExpired = errors.New("the permit for the server has expired")
+var ErrExpired = fail.AsLocal(errors.New("the permit for the server has expired"))
 
 // DeniedError reports that a server with a limit gets no request now.
 type DeniedError struct {
@@ -45,6 +46,9 @@
 	return "no permit under the limit of the server"
 }
 
+// Local implements fail.LocalError.
+func (e *DeniedError) Local() bool { return true }
+
 // Unwrap returns the error of the claim.
 func (e *DeniedError) Unwrap() error { return e.Err }
 
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -99,9 +99,13 @@
 	return false
 }
 
-// checkParts reports whether the request may be written to a server now.
+// checkParts returns an error if the parts of the prompt do not allow to write the request to a server now.
 func (x *exchange) checkParts() error {
-	return x.h.cfg.Crashes.Check(x.prompt.grant, x.prompt.parts)
+	err := x.h.cfg.Crashes.Check(x.prompt.grant, x.prompt.parts)
+	if err != nil {
+		x.countWithheld(notAdmitted)
+	}
+	return err
 }
 
 // isSuspect reports whether a part of the request's prompt is suspect or blocked.
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -206,7 +206,7 @@
 	x.runs.Add(1)
 	if r.err != nil {
 		x.h.cfg.Log.Info().Err(r.err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid or incomplete response; trying another server if the route allows it")
-		x.recordFailure(s, classifyFailure(r.err))
+		x.recordError(s, r.err)
 		return false
 	}
 	if r.resp.status >= http.StatusInternalServerError {
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -104,9 +104,7 @@
 // recordNoResponse records an attempt that ended without a response.
 func (x *exchange) recordNoResponse(s *route.Server, err error) {
 	x.countNoResponse(s, err)
-	if !isDenied(err) && !isWithheld(err) {
-		x.recordFailure(s, classifyFailure(err))
-	}
+	x.recordError(s, err)
 }
 
 // countNoResponse is recordNoResponse without the failure of the server.
@@ -115,7 +113,7 @@
 	if notRun {
 		x.arrivals.uncount()
 	}
-	if isDenied(err) || isWithheld(err) {
+	if notRun && fail.IsLocal(err) {
 		return
 	}
 	x.h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: no answer")
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -53,11 +53,12 @@
 		m.recordBroken(s, err)
 		switch {
 		case errors.Is(ctx.Err(), context.Canceled): // nobody waits for it any more
+		case fail.IsLocal(err):
 		case isTimeout(err):
 			h.cfg.Health.RecordSilence(s.Key(), start, h.cfg.Clock.Now())
 			h.cfg.Placer.PrefillSlow(p, took)
 		default:
-			m.recordFailure(s, classifyFailure(err))
+			m.recordError(s, err)
 		}
 		m.exclude(s)
 		m.placeReq.LocalPrefill = m.prefillAttempts > 1
@@ -184,7 +185,7 @@
 		h.cfg.Log.Info().Err(err).Str("server", s.ID).Str("id", m.info.ID).Msg("relay: no reservation")
 		if ctx.Err() == nil && (!isTimeout(err) || fail.Outcome(err) == ident.NotRun) {
 			// The call costs the server no work, so a server that cannot be called is unreachable.
-			m.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
+			m.recordErrorAs(s, err, health.ConnectTimeout)
 		}
 		return nil, err
 	}
--- a/proxy/serverstate.go
+++ b/proxy/serverstate.go
@@ -20,7 +20,7 @@
 // errWrongServer reports that a different server now uses the address.
 var errWrongServer = errors.New("a different server uses the address")
 
-// classifyFailure returns the kind of server failure for the error of a failed call.
+// classifyFailure returns the kind of server failure for the error of a failed call, which is no fail.LocalError.
 func classifyFailure(err error) health.Failure {
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, errWrongServer):
@@ -34,6 +34,18 @@
 	}
 }
 
+// recordError records that a call to a server has failed, unless no server is at fault.
+func (x *exchange) recordError(s *route.Server, err error) {
+	x.recordErrorAs(s, err, health.BadResponse)
+}
+
+// recordErrorAs is recordError for a call whose failure is at least as severe as least.
+func (x *exchange) recordErrorAs(s *route.Server, err error, least health.Failure) {
+	if !fail.IsLocal(err) {
+		x.recordFailure(s, max(classifyFailure(err), least))
+	}
+}
+
 // recordFailure records a failure of a server, unless the caller has disconnected, or the request was
 // cut off, and may have caused it.
 func (x *exchange) recordFailure(s *route.Server, failure health.Failure) {
--- a/proxy/silence.go
+++ b/proxy/silence.go
@@ -36,7 +36,7 @@
 	switch {
 	case ctx.Err() != nil:
 	case err != nil:
-		x.recordFailure(s, max(classifyFailure(err), health.ConnectTimeout))
+		x.recordErrorAs(s, err, health.ConnectTimeout)
 	default:
 		x.h.cfg.Health.RecordUnanswered(s.Key(), since, x.h.cfg.Clock.Now())
 	}
@@ -62,9 +62,7 @@
 // may return to it.
 func (m *modelExchange) leave(s *route.Server, err error) {
 	if !m.left {
-		if !isDenied(err) {
-			m.recordFailure(s, classifyFailure(err))
-		}
+		m.recordError(s, err)
 		m.exclude(s)
 		return
 	}
--- a/proxy/write.go
+++ b/proxy/write.go
@@ -20,6 +20,9 @@
 // Error implements error.
 func (e *withheldError) Error() string { return e.text }
 
+// Local implements fail.LocalError.
+func (e *withheldError) Local() bool { return true }
+
 // The reasons for which requests are not written.
 var (
 	errClosed       = &withheldError{"closed", "the server has left, has restarted or accepts no requests since it was chosen"}
@@ -30,17 +33,25 @@
 	errProcessEnds  = &withheldError{"ends", "the request may not end before the process"}
 )
 
+// notAdmitted is the reason of requests that are not written because of the parts of their prompts.
+const notAdmitted = "admission"
+
 // WithheldReasons returns the reasons for which requests are not written, for metrics.
 func WithheldReasons() []string {
-	return []string{errClosed.reason, errOutside.reason, errEvacuated.reason, errOutsideKV.reason, errKeyWithdrawn.reason, errProcessEnds.reason}
+	return []string{errClosed.reason, errOutside.reason, errEvacuated.reason, errOutsideKV.reason, errKeyWithdrawn.reason, errProcessEnds.reason, notAdmitted}
 }
 
 // withhold counts a request that is not written, and returns the reason as an error.
 func (x *exchange) withhold(why *withheldError) error {
-	x.h.cfg.Meter.Count("writes_withheld_total", "reason", why.reason, 1)
+	x.countWithheld(why.reason)
 	return why
 }
 
+// countWithheld counts a request that is not written.
+func (x *exchange) countWithheld(reason string) {
+	x.h.cfg.Meter.Count("writes_withheld_total", "reason", reason, 1)
+}
+
 // withheldFor returns the error for a request that is not written because its server may not serve it.
 func withheldFor(v filter.Verdict) *withheldError {
 	switch v.Reason {
