--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -67,6 +68,7 @@
 	attempt     *plainAttempt
 	resp        *response // without a body if it is incomplete, nil if there was none
 	notExecuted bool      // the server states that it did not run the request
+	received    int       // bytes of the body that the server has sent
 	err         error     // why there is no whole response
 	end         tick.Instant
 }
@@ -205,7 +207,7 @@
 	x.mayHaveRun = true
 	x.runs.Add(1)
 	if r.err != nil {
-		x.h.cfg.Log.Info().Err(r.err).Str("server", s.ID).Str("id", x.info.ID).Msg("relay: invalid or incomplete response; trying another server if the route allows it")
+		x.h.cfg.Log.Info().Err(r.err).Str("server", s.ID).Str("id", x.info.ID).Int("received", r.received).Msg("relay: invalid or incomplete response; trying another server if the route allows it")
 		x.recordError(s, r.err)
 		return false
 	}
@@ -315,10 +317,25 @@
 	}
 	second := x.secondConn(ctx, s, resp)
 	defer second.Close()
-	r.resp.body, err = a.memory.ReadAll(resp.Body, resp.Length(), maxResponseBytes)
+	body := &countedReader{r: resp.Body}
+	r.resp.body, err = a.memory.ReadAll(body, resp.Length(), maxResponseBytes)
+	r.received = body.n
 	r.err = x.checkEnd(ctx, s, resp, second, err)
 	if r.err == nil && resp.Status < http.StatusMultipleChoices && !x.h.cfg.Protocol.Sealed(resp.Header) {
 		r.err = errUnsealed
 	}
 	return r
 }
+
+// countedReader counts the bytes that are read.
+type countedReader struct {
+	r io.Reader
+	n int
+}
+
+// Read implements io.Reader.
+func (c *countedReader) Read(b []byte) (int, error) {
+	n, err := c.r.Read(b)
+	c.n += n
+	return n, err
+}
