proxy: pass on the events of any streaming route as they come

Cause: one fact, whether a request is placed by its tokens, decided both how its server is chosen and how its response is passed on.

Change: the route decides how a response is passed on, the service and the token count how a server is chosen. The relay of events asks a Placer; picker is a second one, which chooses as for plain requests, so that resumption, silence, runs beside a silent one, the seal, the end of the process and the admission are those of all streams. A service without engines may answer with a document, as before. The metrics of the first event follow the route too.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -122,7 +122,7 @@
 func (m *modelExchange) runRequest(p *admit.Placement) *link.Request {
 	out := m.forwardInfo(p.Decode)
 	out.LastEventID = m.lastEventID
-	out.HasUrgency, out.Urgency = true, min(max(m.placeReq.Priority, 0), maxUrgency)
+	out.HasUrgency, out.Urgency = m.placed(), min(max(m.placeReq.Priority, 0), maxUrgency)
 	if m.kv != nil {
 		out.KVSource = m.kv.server.Addr + "/" + m.kv.handle
 	}
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -234,11 +234,11 @@
 // confirmWait returns how long a server may take to confirm the end of a response: as long as the caller waits, or a
 // share of that if another attempt may follow and cannot be begun beside it.
 func (x *exchange) confirmWait() time.Duration {
-	wait, hedged := x.remaining(), x.hedges()
-	if x.service.Engine != nil && x.info.HasTokenCounts {
-		wait, hedged = min(wait, patience(x.route)), false
+	wait := x.remaining()
+	if x.placed() || x.streams() {
+		wait = min(wait, patience(x.route))
 	}
-	if hedged || !x.route.Retryable() || x.runCount() >= x.route.MaxAttempts {
+	if x.hedges() || !x.route.Retryable() || x.runCount() >= x.route.MaxAttempts {
 		return wait
 	}
 	return time.Duration(confirmShare * float64(wait))
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -35,7 +35,14 @@
 // Events are passed on only in the order of their IDs and without a gap. A response that continues a
 // stream has a seal and the content type of the first response, and begins with the next event.
 //
-// # Stages of a model request
+// # Two independent facts
+//
+// The kind of the route decides how a response is passed on: that of a streaming route event by event, as the events come, that of
+// any other route whole. How a server is chosen depends on the service: if it has engines and the request names its tokens, a Placer
+// places the request by them, otherwise the server with the fewest requests in flight is chosen, near ones first. Streams of both
+// go the same way; whole responses of requests that are not placed may be hedged.
+//
+// # Stages of a placed request
 //
 // First, a slot and memory are reserved at a decode server. Then a prefill server prefills
 // the prompt, and the decode server fetches the KV cache when it receives the request.
--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -191,13 +191,21 @@
 	x.setWriteDeadline()
 	h.cfg.RetryBudget.RecordRequest(x.service.Name)
 	switch {
-	case x.service.Engine != nil && x.info.HasTokenCounts:
-		x.serveModel(ctx)
+	case x.placed():
+		x.serveModel(ctx, h.cfg.Placer)
+	case x.streams():
+		x.serveModel(ctx, picker{x})
 	default:
 		x.servePlain(ctx)
 	}
 }
 
+// placed reports whether the request is placed by its tokens: it names them, and its service has engines.
+func (x *exchange) placed() bool { return x.service.Engine != nil && x.info.HasTokenCounts }
+
+// streams reports whether the response is passed on event by event.
+func (x *exchange) streams() bool { return x.route.Kind == route.Stream }
+
 // setWriteDeadline sets the write deadline to 1 s after the deadline of the response. It bounds
 // writes to a caller that does not read.
 func (x *exchange) setWriteDeadline() {
@@ -241,13 +249,15 @@
 	x.permits.log(e)
 	x.ineligible.log(e)
 	x.prompt.log(e, x.h.cfg.Crashes)
+	if x.route != nil && x.streams() {
+		e = e.Int64("last", x.lastEventID).Int("runs", x.runCount()).Dur("first", x.stats.first).Dur("gap", x.stats.maxGap)
+	}
 	if x.info.HasTokenCounts {
 		e = e.Int("prompt", x.info.PromptTokens).Int("output", x.info.MaxOutputTokens).Int("hint", x.info.EstimatedOutputTokens).
-			Strs("parts", x.info.Parts).Int64("last", x.lastEventID).Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).
+			Strs("parts", x.info.Parts).Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).
 			Str("kv", x.stats.handle).Str("hold", x.stats.reservation).
-			Int("reads", x.stats.prefills).Int("fetched", x.stats.transfers).Int("runs", x.runCount()).
-			Dur("placed", x.stats.placed).Dur("read", x.stats.prefilled).Dur("first", x.stats.first).
-			Dur("gap", x.stats.maxGap)
+			Int("reads", x.stats.prefills).Int("fetched", x.stats.transfers).
+			Dur("placed", x.stats.placed).Dur("read", x.stats.prefilled)
 	}
 	e.Msg("relay: " + x.summary)
 }
--- a/proxy/handover.go
+++ b/proxy/handover.go
@@ -61,7 +61,7 @@
 
 // beside returns the state of a run beside the current one.
 func (m *modelExchange) beside() *modelExchange {
-	return &modelExchange{exchange: m.exchange, placeReq: m.successorRequest(), prefillAttempts: m.prefillAttempts, others: m.uncounted()}
+	return &modelExchange{exchange: m.exchange, placer: m.placer, placeReq: m.successorRequest(), prefillAttempts: m.prefillAttempts, others: m.uncounted()}
 }
 
 // stopHandover ends the search for another place, and a run that was begun there. After it, m.next is set if that run has
@@ -101,7 +101,7 @@
 	if n.run != nil {
 		n.run.close()
 	}
-	m.h.cfg.Placer.Release(n.placement)
+	m.placer.Release(n.placement)
 	m.cancelReservation(n.reservation)
 	m.next = nil
 }
@@ -146,7 +146,7 @@
 	for d.goesOn(searchCtx) {
 		req := m.placeReq
 		req.Avoid = slices.Concat(req.Avoid, m.h.silent.keys(), tried)
-		p, err := m.h.cfg.Placer.Place(searchCtx, req)
+		p, err := m.placer.Place(searchCtx, req)
 		if err != nil {
 			tried = nil
 			_ = tick.Sleep(searchCtx, m.h.cfg.Clock, handoverRetry) // fails only if searchCtx ends, and with it the loop
@@ -158,7 +158,7 @@
 			end()
 			return
 		}
-		m.h.cfg.Placer.Release(p)
+		m.placer.Release(p)
 		switch {
 		case errors.Is(err, errNoPrefillRetry):
 			m.placeReq.LocalPrefill = true
@@ -199,7 +199,7 @@
 	case err == nil:
 		return &successor{placement: p, run: run}, nil
 	case m.next.isRun():
-		m.h.cfg.Placer.Release(p)
+		m.placer.Release(p)
 		return m.next, nil
 	default:
 		return nil, err
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -82,7 +82,7 @@
 		p.refused = false
 		s := x.pickServer(p.avoid, x.limitReached)
 		if s == nil {
-			x.giveUp(x.retryAfter(x.recordIneligible()), "no server of "+x.service.Name+" is left to try"+x.permits.reason())
+			x.giveUp(x.retryAfter(x.recordIneligible()), x.noServerLeft()+x.permits.reason())
 			return
 		}
 		if !x.allowAttempt() {
@@ -160,9 +160,9 @@
 	return p.h.responseTimes.UpperBound(p.service.Name, deviations)
 }
 
-// hedges reports whether attempts of the request to a plain service may run beside each other.
+// hedges reports whether attempts of the request may run beside each other.
 func (x *exchange) hedges() bool {
-	return x.route.Kind == route.Idempotent && x.route.LatencyTarget > 0
+	return !x.placed() && x.route.Kind == route.Idempotent && x.route.LatencyTarget > 0
 }
 
 // hedge begins and returns another attempt beside those that are running, or returns nil. It needs an untried server and a
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -58,7 +58,7 @@
 	}
 	s := x.sample(name)
 	first, resumes := x.stats.first, max(x.runCount()-1, 0)
-	if x.service.Engine == nil {
+	if !x.streams() {
 		first, resumes = x.h.cfg.Clock.Now()-x.start, 0
 	}
 	s.Good = x.complete && x.status == http.StatusOK && (first <= x.route.LatencyTarget || x.route.LatencyTarget <= 0)
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -46,10 +46,10 @@
 	echoed string // ID of the request in the response
 }
 
-// serveModel serves a model request with up to maxPlacements placements.
-func (x *exchange) serveModel(ctx context.Context) {
+// serveModel serves a model request, or a stream, with up to maxPlacements placements.
+func (x *exchange) serveModel(ctx context.Context, placer Placer) {
 	x.lastEventID = x.info.LastEventID
-	m := &modelExchange{exchange: x, placeReq: x.placementRequest()}
+	m := &modelExchange{exchange: x, placer: placer, placeReq: x.placementRequest()}
 	defer m.freeKV()
 	defer m.endSilence()
 	defer m.dropNext()
@@ -89,7 +89,7 @@
 		return n.placement, nil
 	}
 	m.setPlacementDeadline()
-	return m.h.cfg.Placer.Place(ctx, m.placeReq)
+	return m.placer.Place(ctx, m.placeReq)
 }
 
 // waitForServer waits until a stream that has begun may find a place after the Placer has rejected it. It returns false if its
@@ -113,6 +113,7 @@
 // modelExchange is an exchange with a model service. It adds the state of the placements.
 type modelExchange struct {
 	*exchange
+	placer          Placer
 	placeReq        admit.Request
 	kv              *kvCache
 	reservation     *reservation
@@ -173,8 +174,11 @@
 // rejectUnplaced answers a request for which the Placer returned an error.
 func (m *modelExchange) rejectUnplaced(err error) {
 	if r, ok := fail.AsRefusal(err); ok {
-		_, _ = m.recordIneligible()
+		pause, excluded := m.recordIneligible()
 		retry := r.RetryAfter()
+		if retry == 0 {
+			retry = m.retryAfter(pause, excluded)
+		}
 		if limits, ok := m.retryAfterLimits(); ok {
 			retry = max(retry, limits)
 		}
@@ -187,7 +191,7 @@
 // runPlacement runs the request on a placement and releases it. It returns true if the request
 // has ended.
 func (m *modelExchange) runPlacement(ctx context.Context, p *admit.Placement) bool {
-	defer m.h.cfg.Placer.Release(p)
+	defer m.placer.Release(p)
 	defer m.release()
 	if m.current == nil && m.endIfTooLate() { // it has waited for the placement
 		return true
--- a/proxy/moments_test.go
+++ b/proxy/moments_test.go
@@ -10,7 +10,6 @@
 	"github.com/matryer/is"
 
 	"wasabidock.dev/dock/platform/fake"
-	"wasabidock.dev/dock/route"
 )
 
 // moment is a moment at which a server falls silent in the response to a request.
@@ -101,11 +100,12 @@
 	silent moment
 	length time.Duration
 	other  otherServer
+	way    way
 }
 
 // String implements fmt.Stringer.
 func (c silenceCase) String() string {
-	return fmt.Sprint(c.path, " silent ", c.silent, " for ", c.length, ", other server ", c.other.name)
+	return fmt.Sprint(c.path, " silent ", c.silent, " for ", c.length, ", other server ", c.other.name, ", ", c.way)
 }
 
 // silenceCases returns the table of all routes, moments, lengths and other servers.
@@ -115,7 +115,23 @@
 		for _, m := range moments() {
 			for _, d := range []time.Duration{1200 * time.Millisecond, 1900 * time.Millisecond} {
 				for _, o := range otherServers() {
-					all = append(all, silenceCase{path, m, d, o})
+					all = append(all, silenceCase{path, m, d, o, way{true, true}})
+				}
+			}
+		}
+	}
+	return append(all, unplacedSilenceCases()...)
+}
+
+// unplacedSilenceCases returns the table for streams of a service without engines, of which no reservations are made.
+func unplacedSilenceCases() []silenceCase {
+	var all []silenceCase
+	for _, path := range []string{"/once/1", "/again/1"} {
+		for _, m := range moments() {
+			for _, o := range otherServers() {
+				switch o.name {
+				case "none", "free", "mute", "resetting", "breaking off", "gone":
+					all = append(all, silenceCase{path, m, 1200 * time.Millisecond, o, way{false, true}})
 				}
 			}
 		}
@@ -139,7 +155,7 @@
 			return all[i].run(t, h)
 		},
 	}.check(t)
-	is.Equal(len(all), 3*10*2*len(otherServers()))
+	is.Equal(len(all), 3*10*2*len(otherServers())+2*10*6)
 }
 
 // red reports whether the case is in KNOWN-RED.txt.
@@ -165,7 +181,7 @@
 
 // run sends the request and returns an error unless its caller got the whole response, or one that is cut after lastEvent.
 func (c silenceCase) run(t *testing.T, h *harness) error {
-	h.live.SetTable(route.NewTable(changeSpec()))
+	c.way.set(h, changeSpec())
 	silence := fake.Silence{Call: fake.RunCall, Event: c.silent.event, Moment: c.silent.at, For: c.length, Times: 1}
 	h.addServer(t, "sound", fake.Decode)
 	h.servers["sound"].SetSilence(silence)
@@ -179,7 +195,7 @@
 		h.addServer(t, "other", fake.Decode)
 		c.other.set(h.servers["other"], silence)
 	}()
-	got := h.send(t, http.MethodPost, c.path, "prompt", withTokenCounts, withHeader("Wasabidock-Deadline-Ms", "4900"))
+	got := h.send(t, http.MethodPost, c.path, "prompt", withHeader("Wasabidock-Deadline-Ms", "4900"), c.way.apply)
 	<-added
 	last := c.lastEvent()
 	whole := got.err == nil && got.body == eventText(1, 4)
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strconv"
@@ -16,7 +15,6 @@
 	"wasabidock.dev/dock/ident"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/route"
-	"wasabidock.dev/dock/spill"
 )
 
 const (
@@ -66,40 +64,8 @@
 	return l.n[key]
 }
 
-// pickServer returns the server with the lowest cost, or nil if all were tried, accept no requests or are skipped. Ejected
-// servers are chosen last.
-func (x *exchange) pickServer(avoid map[string]bool, skip func(*route.Server) bool) *route.Server {
-	now := x.h.cfg.Clock.Now()
-	usual := x.h.responseTimes.UpperBound(x.service.Name, 0)
-	var best *route.Server
-	var cost float64
-	for _, s := range x.h.cfg.Live.Fleet().ServersOf(x.service.Name) {
-		if avoid[s.Key()] || !x.mayServe(s) || skip(s) {
-			continue
-		}
-		candidate := spill.Candidate{
-			InFlight: x.h.loads.of(s.Key()), Distance: x.h.distance(s), Cold: x.h.cfg.Permits.Warming(s),
-			Slowdown: x.h.speeds.Slowdown(s.Key(), usual, now), Ejected: !x.h.cfg.Health.Usable(s.Key(), now),
-		}
-		c := candidate.Cost(rand.Float64())
-		if best == nil || c < cost {
-			best, cost = s, c
-		}
-	}
-	return best
-}
-
-// distance returns how far a server is from this instance.
-func (h *Handler) distance(s *route.Server) spill.Distance {
-	switch {
-	case s.Centre == h.cfg.Centre:
-		return spill.Near
-	case s.Region == h.cfg.Region:
-		return spill.Region
-	default:
-		return spill.Remote
-	}
-}
+// noServerLeft is the reason of requests for which there is no server, or no other one.
+func (x *exchange) noServerLeft() string { return "no server of " + x.service.Name + " is left to try" }
 
 // recordNoResponse records an attempt that ended without a response.
 func (x *exchange) recordNoResponse(s *route.Server, err error) {
--- a/proxy/plainmoments_test.go
+++ b/proxy/plainmoments_test.go
@@ -45,7 +45,7 @@
 		for _, m := range plainMoments() {
 			for _, d := range []time.Duration{1200 * time.Millisecond, 1900 * time.Millisecond} {
 				for _, o := range otherPlainServers() {
-					all = append(all, silenceCase{path, m, d, o})
+					all = append(all, silenceCase{path, m, d, o, way{}})
 				}
 			}
 		}
--- a/proxy/prefill.go
+++ b/proxy/prefill.go
@@ -56,7 +56,7 @@
 		case fail.IsLocal(err):
 		case isTimeout(err):
 			h.cfg.Health.RecordSilence(s.Key(), start, h.cfg.Clock.Now())
-			h.cfg.Placer.PrefillSlow(p, took)
+			m.placer.PrefillSlow(p, took)
 		default:
 			m.recordError(s, err)
 		}
@@ -65,7 +65,7 @@
 		return false
 	}
 	h.cfg.Health.RecordSuccess(s.Key(), h.cfg.Clock.Now())
-	h.cfg.Placer.PrefillDone(p, took)
+	m.placer.PrefillDone(p, took)
 	m.stats.prefilled = h.cfg.Clock.Now() - m.start
 	m.stats.prefills++
 	m.kv = &kvCache{server: s, handle: handle, createdAt: h.cfg.Clock.Now()}
@@ -158,14 +158,13 @@
 	if h.cfg.Permits.Limited(s) {
 		return nil, m.holdPermit(ctx, s)
 	}
-	engine := m.service.Engine
-	if engine.ReservationTTL <= 0 {
+	if !m.placed() || m.service.Engine.ReservationTTL <= 0 {
 		return nil, nil
 	}
 	start, timeout := h.cfg.Clock.Now(), 2*m.dialTimeout(s)
 	ctx, cancel := context.WithTimeout(ctx, max(timeout, m.placeReq.Deadline-start))
 	defer cancel()
-	path, body, err := h.cfg.Protocol.ReservationRequest(m.placeReq.KVTokens(), engine.ReservationTTL)
+	path, body, err := h.cfg.Protocol.ReservationRequest(m.placeReq.KVTokens(), m.service.Engine.ReservationTTL)
 	if err != nil {
 		h.cfg.Log.Error().Err(err).Msg("relay: cannot encode the reservation; continuing without one")
 		return nil, nil
@@ -192,7 +191,7 @@
 	defer resp.Close()
 	b, err := m.readControl(resp)
 	if err == nil && resp.Status == http.StatusServiceUnavailable {
-		h.cfg.Placer.ServerFull(s)
+		m.placer.ServerFull(s)
 		return nil, errNoRoom
 	}
 	if err == nil && resp.Status != http.StatusOK {
--- a/proxy/stream.go
+++ b/proxy/stream.go
@@ -9,7 +9,6 @@
 
 	"wasabidock.dev/dock/admit"
 	"wasabidock.dev/dock/event"
-	"wasabidock.dev/dock/health"
 	"wasabidock.dev/dock/link"
 	"wasabidock.dev/dock/tick"
 )
@@ -24,21 +23,22 @@
 	errNoEvents     = errors.New("response that continues the stream has no events")
 )
 
-// relayResponse passes the response of a decode server on to the caller. It returns true if the
-// request has ended.
+// relayResponse passes the response of a run on to the caller. It returns true if the request has ended.
 func (m *modelExchange) relayResponse(run *modelRun) bool {
-	p := run.placement
-	if run.resp.Status != http.StatusOK {
-		return m.relayFailure(run.resp, p)
+	if m.isFailure(run.resp) {
+		return m.relayFailure(run)
 	}
-	h := m.h
+	h, p := m.h, run.placement
 	resumed := m.headerWritten
 	m.begun = false
-	err := m.relayStream(run)
+	relay := m.relayWhole
+	if m.expectsEvents(run.resp) {
+		relay = m.relayStream
+	}
+	err := relay(run)
 	if err == nil {
 		h.cfg.Health.RecordSuccess(p.Decode.Key(), h.cfg.Clock.Now())
 		m.recordUsual(m.stats.first)
-		m.summary, m.complete = "answered in full", true
 		return true
 	}
 	h.cfg.Log.Info().Err(err).Str("server", p.Decode.ID).Str("id", m.info.ID).Int64("event", m.lastEventID).
@@ -54,40 +54,6 @@
 	return !m.retryOrGiveUp()
 }
 
-// relayFailure handles a response with another status than 200. The response is passed on only if
-// nothing was passed on before and no other server is tried. It returns true if the request has
-// ended.
-func (m *modelExchange) relayFailure(resp *link.Response, p *admit.Placement) bool {
-	h := m.h
-	second := m.secondConn(m.r.Context(), p.Decode, resp)
-	defer second.Close()
-	b, err := m.bufferResponse(resp)
-	m.finishHandover()
-	err = m.checkEnd(m.r.Context(), p.Decode, resp, second, err)
-	if err == nil && resp.Status < http.StatusMultipleChoices && !h.cfg.Protocol.Sealed(resp.Header) {
-		err = errUnsealed
-	}
-	h.cfg.Log.Info().Err(err).Int("status", resp.Status).Str("server", p.Decode.ID).Str("id", m.info.ID).
-		Int64("event", m.lastEventID).Bool("resumed", m.headerWritten).Msg("relay: server did not send a stream")
-	h.cfg.Health.RecordFailure(p.Decode.Key(), health.BadResponse, h.cfg.Clock.Now())
-	m.exclude(p.Decode)
-	if m.next.isRun() {
-		return false
-	}
-	if m.runCount() < m.route.MaxAttempts && m.route.Retryable() {
-		if err == nil {
-			m.savedFailure = &response{status: resp.Status, header: resp.Header, body: b}
-		}
-		return false
-	}
-	if err != nil || m.headerWritten {
-		m.giveUp(overloadRetry, "the server failed")
-		return true
-	}
-	m.writeResponse(&response{status: resp.Status, header: resp.Header, body: b})
-	return true
-}
-
 // streamRelay passes on the events of one response.
 type streamRelay struct {
 	*modelExchange
@@ -188,7 +154,7 @@
 		return errSuperseded
 	}
 	if r.lastEventID == r.info.LastEventID {
-		r.h.cfg.Placer.FirstEvent(r.placement)
+		r.placer.FirstEvent(r.placement)
 		r.stats.first = r.h.cfg.Clock.Now() - r.start
 	}
 	if r.passed && !r.begun {
@@ -271,18 +237,22 @@
 		r.recordBegun()
 	}
 	if r.gaps > 0 {
-		r.h.cfg.Placer.ObserveGap(r.placement, (r.last-r.first)/time.Duration(r.gaps))
+		r.placer.ObserveGap(r.placement, (r.last-r.first)/time.Duration(r.gaps))
 	}
 	if !r.headerWritten {
 		r.writeHeader(r.resp)
 	}
-	return r.flusher.Flush()
+	if err := r.flusher.Flush(); err != nil {
+		return err
+	}
+	r.summary, r.complete = "answered in full", true
+	return nil
 }
 
 // outputExhausted reports whether the events so far contain all output tokens that the request
-// allows. Each event contains at least one token.
+// allows. Each event of an engine contains at least one token.
 func (m *modelExchange) outputExhausted() bool {
-	return m.info.MaxOutputTokens > 0 && m.lastEventID >= int64(m.info.MaxOutputTokens)
+	return m.placed() && m.info.MaxOutputTokens > 0 && m.lastEventID >= int64(m.info.MaxOutputTokens)
 }
 
 // writeHeader writes the header of a streamed response.
--- a/proxy/stream_test.go
+++ b/proxy/stream_test.go
@@ -99,12 +99,14 @@
 // TestResumedStreamPassesOnlyEventsOfTheRequest breaks a stream and lets the next server send something
 // else than the rest of it. The caller must get a prefix that is visibly cut, or the whole from a third server.
 func TestResumedStreamPassesOnlyEventsOfTheRequest(t *testing.T) {
-	for _, tt := range oddReplies {
-		t.Run(tt.name, func(t *testing.T) {
+	for i, tt := range append(oddReplies, oddReplies...) {
+		v := way{engines: i < len(oddReplies), counted: true}
+		t.Run(fmt.Sprint(tt.name, ", ", v), func(t *testing.T) {
 			t.Run("no attempt is left", func(t *testing.T) {
 				is := is.New(t)
 				h := scriptedHarness(t, 2, brokenReply(eventText(1, 2)), tt.reply)
-				got := h.send(t, http.MethodPost, "/again/1", "prompt", withTokenCounts)
+				v.set(h, testSpec())
+				got := h.send(t, http.MethodPost, "/again/1", "prompt", v.apply)
 				is.Equal(got.status, 200)
 				is.Equal(got.body, eventText(1, tt.last)) // a prefix
 				is.True(got.err != nil)                   // visibly cut
@@ -113,7 +115,8 @@
 			t.Run("one attempt is left", func(t *testing.T) {
 				is := is.New(t)
 				h := scriptedHarness(t, 3, brokenReply(eventText(1, 2)), tt.reply, streamReply(eventText(tt.last+1, 4)))
-				got := h.send(t, http.MethodPost, "/thrice/1", "prompt", withTokenCounts)
+				v.set(h, testSpec())
+				got := h.send(t, http.MethodPost, "/thrice/1", "prompt", v.apply)
 				is.NoErr(got.err)
 				is.Equal(got.status, 200)
 				is.Equal(got.body, eventText(1, 4)) // the whole
@@ -207,21 +210,24 @@
 		{name: "resumed, from the beginning", after: "2", reply: streamReply(eventText(1, 4)), status: 502},
 		{name: "resumed, from a later event", after: "2", reply: streamReply(eventText(4, 4)), status: 502},
 	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			is := is.New(t)
-			h := scriptedHarness(t, 1, tt.reply)
-			changes := []func(*http.Request){withTokenCounts}
-			if tt.after != "" {
-				changes = append(changes, withHeader("Last-Event-Id", tt.after))
-			}
-			got := h.send(t, http.MethodPost, "/once/1", "prompt", changes...)
-			is.Equal(got.status, tt.status)
-			is.Equal(got.err != nil, tt.broken) // visibly cut
-			if tt.status == 200 || tt.body != "" {
-				is.Equal(got.body, tt.body)
-			}
-		})
+	for _, v := range ways() {
+		for _, tt := range tests {
+			t.Run(fmt.Sprint(tt.name, ", ", v), func(t *testing.T) {
+				is := is.New(t)
+				h := scriptedHarness(t, 1, tt.reply)
+				v.set(h, testSpec())
+				changes := []func(*http.Request){v.apply}
+				if tt.after != "" {
+					changes = append(changes, withHeader("Last-Event-Id", tt.after))
+				}
+				got := h.send(t, http.MethodPost, "/once/1", "prompt", changes...)
+				is.Equal(got.status, tt.status)
+				is.Equal(got.err != nil, tt.broken) // visibly cut
+				if tt.status == 200 || tt.body != "" {
+					is.Equal(got.body, tt.body)
+				}
+			})
+		}
 	}
 }
 
