proxy: pass on whole the responses to placed requests of routes that do not stream

What callers saw: a mutating or idempotent request that names its tokens, at a service with engines, ran and was answered with 502, the mutating one with an unknown outcome.

Change: isFailure, expectsEvents and the wait for a place ask for the route. A silent server of such a request is waited for, since a run beside it has no event by which the two could be told apart.

--- a/proxy/attempt.go
+++ b/proxy/attempt.go
@@ -145,7 +145,7 @@
 	if m.headerWritten && (m.counted || m.unrecorded != nil) && m.outputExhausted() {
 		return true
 	}
-	if !m.route.Resumable || m.runCount()+m.uncounted() >= m.route.MaxAttempts {
+	if !m.streams() || !m.route.Resumable || m.runCount()+m.uncounted() >= m.route.MaxAttempts {
 		return false
 	}
 	if m.kv != nil {
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -235,7 +235,7 @@
 // share of that if another attempt may follow and cannot be begun beside it.
 func (x *exchange) confirmWait() time.Duration {
 	wait := x.remaining()
-	if x.placed() || x.streams() {
+	if x.streams() {
 		wait = min(wait, patience(x.route))
 	}
 	if x.hedges() || !x.route.Retryable() || x.runCount() >= x.route.MaxAttempts {
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -150,10 +150,18 @@
 
 		LatencyTarget: x.route.LatencyTarget,
 		GapTarget:     x.route.GapTarget,
-		Deadline:      min(x.deadline, x.start+patience(x.route)),
+		Deadline:      x.firstEventBy(),
 	}
 }
 
+// firstEventBy returns the instant from which a response that begins is of no use to the caller.
+func (x *exchange) firstEventBy() tick.Instant {
+	if x.streams() {
+		return min(x.deadline, x.start+patience(x.route))
+	}
+	return x.deadline
+}
+
 // expectedOutputTokens returns the number of tokens that the request is likely to generate.
 func (x *exchange) expectedOutputTokens() int {
 	if x.info.EstimatedOutputTokens > 0 {
--- a/proxy/ways_test.go
+++ b/proxy/ways_test.go
@@ -8,11 +8,13 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"wasabidock.dev/dock/event"
 	"wasabidock.dev/dock/memory"
+	"wasabidock.dev/dock/platform/fake"
 	"wasabidock.dev/dock/route"
 )
 
@@ -47,6 +49,32 @@
 	h.live.SetTable(route.NewTable(spec))
 }
 
+// kindsSpec is a configuration with a route of each kind to the service model.
+func kindsSpec() route.Spec {
+	spec := testSpec()
+	for prefix, k := range map[string]route.Kind{"/change/": route.Mutating, "/look/": route.Idempotent} {
+		spec.Routes = append(spec.Routes, &route.Route{
+			Name: prefix, Host: "host.example", Prefix: prefix, Kind: k, MaxAttempts: 2, Timeout: 2 * time.Second, LatencyTarget: 400 * time.Millisecond,
+			Targets: []route.Target{{Service: "model", Weight: 1}},
+		})
+	}
+	return spec
+}
+
+// listInOrder lists servers of the service model of which the first one is near and the others are far, so that they are chosen in this
+// order.
+func (h *harness) listInOrder(names ...string) {
+	var all []*route.Server
+	for i, name := range names {
+		s := &route.Server{ID: name, Service: "model", Addr: h.servers[name].Addr(), Centre: "a", Region: "r", Stage: route.StageBoth, Slots: 8}
+		if i > 0 {
+			s.Centre, s.Region = "far", "far"
+		}
+		all = append(all, s)
+	}
+	h.live.SetFleet(route.NewFleet(h.live.Fleet().Revision()+1, all))
+}
+
 // gatedServer answers each request with two pieces, the second one once read is closed. It returns its address.
 func gatedServer(t *testing.T, pieces [2]string, read chan struct{}) string {
 	t.Helper()
@@ -128,3 +156,43 @@
 		})
 	}
 }
+
+// TestWholeResponsesArePassedOnWhole guards against responses of other routes than streaming ones that are passed on, or taken for events,
+// before they are whole.
+func TestWholeResponsesArePassedOnWhole(t *testing.T) {
+	tests := []struct {
+		path   string
+		fault  fake.Fault // of the first server
+		status int
+		server string // the one whose response the caller gets, empty for none
+	}{
+		{path: "/change/1", status: 200, server: "s1"},
+		{path: "/change/1", fault: fake.TruncatedBody, status: 502},
+		{path: "/change/1", fault: fake.InternalError, status: 500},
+		{path: "/change/1", fault: fake.Shed, status: 200, server: "s2"},
+		{path: "/look/1", status: 200, server: "s1"},
+		{path: "/look/1", fault: fake.TruncatedBody, status: 200, server: "s2"},
+		{path: "/look/1", fault: fake.InternalError, status: 200, server: "s2"},
+		{path: "/look/1", fault: fake.Shed, status: 200, server: "s2"},
+	}
+	for _, v := range ways() {
+		for _, tt := range tests {
+			t.Run(fmt.Sprint(tt.path, " ", tt.fault, " ", v), func(t *testing.T) {
+				is := is.New(t)
+				h := newHarness(t, nil)
+				h.addServer(t, "s1", fake.Plain)
+				h.addServer(t, "s2", fake.Plain)
+				h.listInOrder("s1", "s2")
+				v.set(h, kindsSpec())
+				h.servers["s1"].SetFault(tt.fault)
+				got := h.send(t, http.MethodPost, tt.path, "b", v.apply)
+				is.NoErr(got.err)
+				is.Equal(got.status, tt.status)
+				if tt.server != "" {
+					is.Equal(got.body, fake.Answer(tt.server, "a1"))
+					is.True(got.header.Get("Content-Length") != "")
+				}
+			})
+		}
+	}
+}
--- a/proxy/whole.go
+++ b/proxy/whole.go
@@ -13,7 +13,7 @@
 // isFailure reports whether a response is that of a server which has failed the request. An engine answers a stream with 200 only, and a
 // stream goes on with 200 only.
 func (m *modelExchange) isFailure(resp *link.Response) bool {
-	if m.placed() || m.headerWritten {
+	if m.streams() && (m.placed() || m.headerWritten) {
 		return resp.Status != http.StatusOK
 	}
 	return resp.Status >= http.StatusInternalServerError
@@ -22,7 +22,7 @@
 // expectsEvents reports whether a response is passed on event by event. A service without engines may answer a stream with a document: a
 // response that has a length and another type.
 func (m *modelExchange) expectsEvents(resp *link.Response) bool {
-	if resp.Status != http.StatusOK {
+	if !m.streams() || resp.Status != http.StatusOK {
 		return false
 	}
 	return m.placed() || m.headerWritten || resp.Length() < 0 || mediaType(resp.Header) == eventStream
