proxy: choose no prefill server for a request that is not placed

What operators saw: each request without a token count at a service with engines may reach prefill servers, which run none and answer 421. That stands for another server at the address, so sound prefill servers were ejected as absent, and peers were told.

Cause: pickServer chose among all servers of a service, whatever their stage. Change: prefill servers are left out.

--- a/proxy/pick.go
+++ b/proxy/pick.go
@@ -12,14 +12,14 @@
 )
 
 // pickServer returns the server with the lowest cost, or nil if all were tried, accept no requests or are skipped. Ejected
-// servers are chosen last.
+// servers are chosen last. Prefill servers run no requests.
 func (x *exchange) pickServer(avoid map[string]bool, skip func(*route.Server) bool) *route.Server {
 	now := x.h.cfg.Clock.Now()
 	usual := x.h.responseTimes.UpperBound(x.service.Name, 0)
 	var best *route.Server
 	var cost float64
 	for _, s := range x.h.cfg.Live.Fleet().ServersOf(x.service.Name) {
-		if avoid[s.Key()] || !x.mayServe(s) || skip(s) {
+		if s.Stage == route.StagePrefill || avoid[s.Key()] || !x.mayServe(s) || skip(s) {
 			continue
 		}
 		candidate := spill.Candidate{
--- a/proxy/ways_test.go
+++ b/proxy/ways_test.go
@@ -196,3 +196,24 @@
 		}
 	}
 }
+
+// TestUncountedRequestsSkipPrefillServers guards against requests that are not placed and reach prefill servers, which reject them and are
+// ejected for that.
+func TestUncountedRequestsSkipPrefillServers(t *testing.T) {
+	for _, path := range []string{"/once/1", "/again/1", "/change/1", "/look/1"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, map[string]fake.Role{"p1": fake.Prefill, "d1": fake.Decode})
+			v := way{engines: true}
+			v.set(h, kindsSpec())
+			for n := range 6 { // the order of servers is drawn
+				got := h.send(t, http.MethodPost, path, "b", v.apply, withHeader("Wasabidock-Attempt-Id", fmt.Sprint("a", n)))
+				is.Equal(got.status, 200)
+			}
+			is.Equal(len(h.servers["p1"].Calls()), 0)
+			for _, s := range h.live.Fleet().All() {
+				is.True(h.health.Usable(s.Key(), h.clock.Now()))
+			}
+		})
+	}
+}
