proxy: record what parts of prompts do to the servers of plain services

What operators would see: a part of a prompt that ends the servers of a plain service goes on to end them, as no crash there counts against it; an idempotent request with it ends two or more.

Change: broken connections and whole responses of plain requests with parts are recorded as those of streams are. A request with a suspect part is not hedged, and not repeated once it may have run.

TestCrashLooksLikeEnd says that the part was answered on at both services, since a first crash now also ends the repeats of plain requests, as it does those of streams.

--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -59,6 +59,7 @@
 				}
 				if tt.second { // the part has been answered on before
 					h.crashes.Tracker().Begun(crash.NewParts("model", "m", []string{"bad"}), h.crashes.Now())
+					h.crashes.Tracker().Begun(crash.NewParts("app", "", []string{"bad"}), h.crashes.Now())
 				}
 				got := h.send(t, http.MethodPost, tt.path, "b", change...)
 				switch {
@@ -101,22 +102,48 @@
 
 // TestFatalPartIsRejected checks what callers get whose prompts have a part that ends servers, and what those beside them get.
 func TestFatalPartIsRejected(t *testing.T) {
-	is := is.New(t)
-	roles := map[string]fake.Role{"p1": fake.Prefill}
-	for n := range 6 {
-		roles[fmt.Sprint("d", n)] = fake.Decode
+	tests := []struct {
+		name       string
+		role       fake.Role
+		once, many string // paths of requests that run once, and that may be repeated
+		way        way
+		part       string // name of the fatal part in logs
+	}{
+		{"placed streams", fake.Decode, "/once/1", "/again/1", way{true, true}, "model/bad"},
+		{"streams of a service without engines", fake.Decode, "/once/1", "/again/1", way{false, true}, "model/bad"},
+		{"streams that name no tokens", fake.Decode, "/once/1", "/again/1", way{true, false}, "model/bad"},
+		{"plain requests", fake.Plain, "/file/1", "/read/1", way{true, false}, "app/bad"},
 	}
-	h := newHarness(t, roles)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, map[string]fake.Role{"p1": fake.Prefill})
+			for n := range 6 {
+				h.addServer(t, fmt.Sprint("d", n), tt.role)
+			}
+			tt.way.set(h, testSpec())
+			serial := 0
+			send := func(path, parts string) result {
+				serial++
+				return h.send(t, http.MethodPost, path, "b", withHeader("Wasabidock-Attempt-Id", fmt.Sprint("a", serial)), withParts(parts), func(r *http.Request) {
+					if !tt.way.counted {
+						r.Header.Del("Wasabidock-Token-Count")
+					}
+				})
+			}
+			checkFatalPart(t, h, send, tt.once, tt.many, tt.part)
+		})
+	}
+}
+
+// checkFatalPart lets a part end the servers that begin to answer on it. Requests on the path once run once, those on many may be repeated.
+func checkFatalPart(t *testing.T, h *harness, send func(path, parts string) result, once, many, part string) {
+	is := is.New(t)
 	h.budget.left = 1000
 	for _, s := range h.servers {
 		s.AddFatalPart(fake.FatalPart{ID: "bad", At: fake.AfterHead, Down: 30 * time.Second})
 	}
-	serial := 0
-	send := func(path, parts string) result {
-		serial++
-		return h.send(t, http.MethodPost, path, "b", withHeader("Wasabidock-Attempt-Id", fmt.Sprint("a", serial)), withParts(parts))
-	}
-	is.Equal(send("/once/1", "first:1,sound").status, 200)
+	is.Equal(send(once, "first:1,sound").status, 200)
 	ended := func() int {
 		n := 0
 		for _, s := range h.servers {
@@ -125,19 +152,19 @@
 		return n
 	}
 	for n := range 3 {
-		is.Equal(send("/again/1", "first:1,bad").status, 502) // not sent to a second server
+		is.Equal(send(many, "first:1,bad").status, 502) // not sent to a second server
 		is.Equal(ended(), n+1)
-		is.Equal(send("/once/1", "first:1,sound").status, 200)
+		is.Equal(send(once, "first:1,sound").status, 200)
 		time.Sleep(600 * time.Millisecond) // another episode
 	}
 	for range 20 {
-		got := send("/again/1", "first:1,bad")
+		got := send(many, "first:1,bad")
 		is.Equal(got.status, 503)
 		is.True(got.header.Get("Retry-After") > "1") // seconds until the trial
-		is.True(send("/once/1", "first:1,other").status == 200)
+		is.True(send(once, "first:1,other").status == 200)
 	}
 	is.Equal(ended(), 3)
-	is.True(h.log.contains(`"refused_part":"model/bad","verdict":"blocked","part_crashes":3`))
+	is.True(h.log.contains(`"refused_part":"` + part + `","verdict":"blocked","part_crashes":3`))
 	is.True(!h.log.contains("a1bad"))
 }
 
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -78,7 +78,14 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	p := &plainExchange{exchange: x, avoid: make(map[string]bool), results: make(chan plainResult)}
 	defer p.end()
-	for !x.endIfTooLate() && x.admitParts(ctx) {
+	for !x.endIfTooLate() {
+		if x.mayHaveRun && x.isSuspect() {
+			x.giveUp(overloadRetry, suspectReason)
+			return
+		}
+		if !x.admitParts(ctx) {
+			return
+		}
 		p.refused = false
 		s := x.pickServer(p.avoid, x.limitReached)
 		if s == nil {
@@ -168,7 +175,7 @@
 // hedge begins and returns another attempt beside those that are running, or returns nil. It needs an untried server and a
 // retry of the budget. A server with a limit gets no hedged requests.
 func (p *plainExchange) hedge(ctx context.Context) *plainAttempt {
-	if !p.hedges() || p.refused || ctx.Err() != nil {
+	if !p.hedges() || p.refused || p.isSuspect() || ctx.Err() != nil {
 		return nil
 	}
 	if n := len(p.running); n == 0 || p.runCount()+n >= p.route.MaxAttempts {
@@ -194,6 +201,9 @@
 			p.refused = true
 			delete(p.avoid, s.Key()) // it may be called once the request is admitted again
 		}
+		if fail.Outcome(r.err) != ident.NotRun {
+			x.recordBroken(s, r.err)
+		}
 		x.recordNoResponse(s, r.err)
 		return false
 	}
@@ -208,6 +218,7 @@
 	x.runs.Add(1)
 	if r.err != nil {
 		x.h.cfg.Log.Info().Err(r.err).Str("server", s.ID).Str("id", x.info.ID).Int("received", r.received).Msg("relay: invalid or incomplete response; trying another server if the route allows it")
+		x.recordBroken(s, r.err)
 		x.recordError(s, r.err)
 		return false
 	}
@@ -219,6 +230,7 @@
 		}
 	} else {
 		x.h.cfg.Health.RecordSuccess(s.Key(), r.end)
+		x.recordBegun()
 		x.h.responseTimes.Add(x.service.Name, r.end-r.attempt.start)
 		x.recordUsual(0)
 		x.h.speeds.Record(s.Key(), r.end-r.attempt.start, r.end)
--- a/proxy/model.go
+++ b/proxy/model.go
@@ -223,6 +223,9 @@
 	return false
 }
 
+// suspectReason is the reason of requests that are not repeated because of the parts of their prompts.
+const suspectReason = "the server gave no whole answer, and a part of the prompt may end servers"
+
 // noRetryReason returns why the request may not be written to another server, or an empty string if it may.
 func (m *modelExchange) noRetryReason() string {
 	switch {
@@ -237,7 +240,7 @@
 	case m.runCount() >= m.route.MaxAttempts:
 		return "the server gave no whole answer, and no attempt is left"
 	case m.isSuspect():
-		return "the server gave no whole answer, and a part of the prompt may end servers"
+		return suspectReason
 	default:
 		return ""
 	}
