proxy: log the fields of streams for all streams, and those of placements for placed requests

Cause: the decision line told streams by their token counts, so that those without one lacked their events, and plain ones with one had empty fields of a placement. Change: the fields follow the route and the placement; requests that are not placed list their servers.

--- a/proxy/handler.go
+++ b/proxy/handler.go
@@ -135,7 +135,7 @@
 	savedFailure  *response // error response of a server, passed on if no other attempt succeeds
 	lastEventID   int64     // ID of the last event passed on to the caller, initially RequestInfo.LastEventID
 	stats         requestStats
-	servers       []string // IDs of the plain servers to which the request was written
+	servers       []string // IDs of the servers to which the request was written, if it is not placed
 	permits       permits
 	tableScope    atomic.Pointer[tableScope] // see scope
 	ineligible    ineligible                 // servers that may not serve the request, if none was found
@@ -253,11 +253,14 @@
 		e = e.Int64("last", x.lastEventID).Int("runs", x.runCount()).Dur("first", x.stats.first).Dur("gap", x.stats.maxGap)
 	}
 	if x.info.HasTokenCounts {
-		e = e.Int("prompt", x.info.PromptTokens).Int("output", x.info.MaxOutputTokens).Int("hint", x.info.EstimatedOutputTokens).
-			Strs("parts", x.info.Parts).Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).
-			Str("kv", x.stats.handle).Str("hold", x.stats.reservation).
-			Int("reads", x.stats.prefills).Int("fetched", x.stats.transfers).
-			Dur("placed", x.stats.placed).Dur("read", x.stats.prefilled)
+		e = e.Int("prompt", x.info.PromptTokens).Int("output", x.info.MaxOutputTokens).Int("hint", x.info.EstimatedOutputTokens)
+	}
+	if len(x.info.Parts) > 0 {
+		e = e.Strs("parts", x.info.Parts)
+	}
+	if x.service != nil && x.placed() {
+		e = e.Str("prefill", x.stats.prefill).Str("decode", x.stats.decode).Str("kv", x.stats.handle).Str("hold", x.stats.reservation).
+			Int("reads", x.stats.prefills).Int("fetched", x.stats.transfers).Dur("placed", x.stats.placed).Dur("read", x.stats.prefilled)
 	}
 	e.Msg("relay: " + x.summary)
 }
--- a/proxy/plain.go
+++ b/proxy/plain.go
@@ -94,7 +94,7 @@
 func (x *exchange) recordWrite(s *route.Server) {
 	x.writes++
 	x.h.cfg.Meter.Count("writes_by_distance_total", "distance", x.h.distance(s).String(), 1)
-	if x.service.Engine == nil {
+	if !x.placed() {
 		x.servers = append(x.servers, s.ID)
 	}
 }
