soak: sorts of calls that were never sent, and a freeze of each daemon

Change: streams of the plain service and without token counts, and plain calls with shared parts, drawn beside the draws of each seed, so that plans and calls stay as they were; each daemon stands still once at the end of the trouble. Judges: sorts (no sort of calls is served less than a quarter as often as all, after the trouble), withheld (most streams of a sort come as they are made).

TestJudge has a row for each judge both ways.

--- a/soak/fatal.go
+++ b/soak/fatal.go
@@ -145,7 +145,7 @@
 // isSoundStream reports whether a call begins with the part with which the calls of fatal begin, and has no
 // fatal part.
 func (r *record) isSoundStream(o *outcome) bool {
-	if len(o.call.Parts) == 0 || !o.left.IsZero() || o.status == 401 {
+	if o.call.Service() != fake.ModelService || len(o.call.Parts) == 0 || !o.left.IsZero() || o.status == 401 {
 		return false
 	}
 	return !r.isFatal(o)
--- a/soak/judge.go
+++ b/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -56,7 +57,7 @@
 func judge(r *record) []string {
 	var broken []string
 	for _, check := range []func(*record) string{
-		whole, mixed, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, unanswered, leavers, fatalParts, besideFatalParts, abandoned, regions, coldServers, evacuations, recovery,
+		whole, mixed, refusals, askedFor, repeats, limits, departures, leaving, rests, serverLimitsKept, withdrawals, lostAnswers, unanswered, leavers, fatalParts, besideFatalParts, abandoned, regions, coldServers, evacuations, recovery, sorts, withheld,
 	} {
 		if b := check(r); b != "" {
 			broken = append(broken, b)
@@ -82,7 +83,7 @@
 			return fmt.Sprintf("whole: %s: a success with the ID %q", o.call.ID, o.echo)
 		}
 		if o.call.Kind.Stream() {
-			if why := stream(o); why != "" {
+			if why := stream(o); why != "" && !(o.call.Plain && r.answered(o)) { // a faulty plain server may answer with a document
 				return fmt.Sprintf("whole: stream %s: %s: %q", o.call.ID, why, o.body)
 			}
 			continue
@@ -194,7 +195,7 @@
 	for _, plain := range []bool{true, false} {
 		var sent, extra []time.Time
 		for _, o := range r.calls {
-			if o.call.Kind.Stream() != plain {
+			if (o.call.Service() == fake.PlainService) == plain {
 				sent = append(sent, o.sent)
 			}
 		}
@@ -358,14 +359,22 @@
 	return ""
 }
 
-// recovery checks that calls are served once all trouble is over, but for what
-// lies beyond a customer's limit or has no key.
-func recovery(r *record) string {
-	asked, served := 0, 0
+// after returns the calls that must be served once all trouble is over: those that are neither beyond a customer's limit nor without a key.
+func (r *record) after() []*outcome {
+	var all []*outcome
 	for _, o := range r.calls {
 		if o.sent.Before(r.calm.Add(settleTime)) || !o.left.IsZero() || o.status == 401 || o.customer == floodName || r.isFatal(o) {
 			continue
 		}
+		all = append(all, o)
+	}
+	return all
+}
+
+// recovery checks that calls are served once all trouble is over.
+func recovery(r *record) string {
+	asked, served := 0, 0
+	for _, o := range r.after() {
 		asked++
 		if o.served() {
 			served++
@@ -379,3 +388,65 @@
 	}
 	return ""
 }
+
+const (
+	// sortCalls is the number of calls of a sort from which they are compared with the others, and sortShare the part of the share of
+	// all calls that must be served of each sort.
+	sortCalls = 10
+	sortShare = 0.25
+)
+
+// sort names what decides how a call is served.
+func (o *outcome) sort() string {
+	s := kindNames[o.call.Kind]
+	if o.call.Plain {
+		s += " of the plain service"
+	}
+	if o.call.Uncounted {
+		s += " without a token count"
+	}
+	if len(o.call.Parts) > 0 {
+		s += " with shared parts"
+	}
+	return s
+}
+
+// sorts checks that no sort of calls stays unserved once all trouble is over, while others are served.
+func sorts(r *record) string {
+	var all share
+	by := make(map[string]*share)
+	for _, o := range r.after() {
+		if by[o.sort()] == nil {
+			by[o.sort()] = &share{}
+		}
+		by[o.sort()].add(o.served())
+		all.add(o.served())
+	}
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		if s := by[name]; s.n >= sortCalls && s.of() < sortShare*all.of() {
+			return fmt.Sprintf("sorts: %s: %d of %d were served after the trouble, %d of %d of all calls", name, s.hits, s.n, all.hits, all.n)
+		}
+	}
+	return ""
+}
+
+// withheld checks that the events of streams are passed on as they come: at servers that make them one after the other, most streams
+// take half of that time at least from their first byte on.
+func withheld(r *record) string {
+	by := make(map[string]*share)
+	for _, o := range r.after() {
+		if !o.call.Kind.Stream() || !o.served() || o.first.IsZero() {
+			continue
+		}
+		if by[o.sort()] == nil {
+			by[o.sort()] = &share{}
+		}
+		by[o.sort()].add(o.ended.Sub(o.first) < streamEvents*streamPause/2)
+	}
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		if s := by[name]; s.n >= sortCalls && s.of() > 0.5 {
+			return fmt.Sprintf("withheld: %s: %d of %d came at once at their end", name, s.hits, s.n)
+		}
+	}
+	return ""
+}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -384,6 +384,34 @@
 				o.status, o.sealed = 502, false
 			}
 		}, "abandoned recovery"},
+		{"calls of one sort are not served for good", func(r *record) {
+			for _, o := range r.calls[len(r.calls)-36:] {
+				if o.call.Kind == fake.Idempotent {
+					o.call.Parts = []string{"a0"}
+					r.reject(o)
+				}
+			}
+		}, "recovery sorts"},
+		{"calls of one sort are served seldom", func(r *record) {
+			for i, o := range r.calls[len(r.calls)-36:] {
+				if o.call.Kind == fake.Idempotent {
+					o.call.Parts = []string{"a0"}
+					if i > 15 {
+						r.reject(o)
+					}
+				}
+			}
+		}, "recovery"},
+		{"streams come at their end", func(r *record) {
+			for _, o := range r.calls {
+				o.first, o.last = o.ended, o.ended
+			}
+		}, "withheld"},
+		{"streams come as they are made", func(r *record) {
+			for _, o := range r.calls {
+				o.first, o.ended = o.sent, o.sent.Add(streamEvents*streamPause)
+			}
+		}, ""},
 		{"request outside its regions", func(r *record) { r.restrictLook(3, "s", 10) }, "regions"},
 		{"request outside the regions of a configuration that is new", func(r *record) { r.restrictLook(3, "s", 7) }, ""},
 		{"request outside the regions of its customer", func(r *record) {
--- a/soak/load.go
+++ b/soak/load.go
@@ -39,9 +39,16 @@
 	// spareKeys is the number of keys that may be withdrawn.
 	spareKeys = 6
 	floodName = "flood"
-	// firstPart begins the prompts of all streams. Of each subject there are several streams.
+	// firstPart begins all prompts. Of each subject there are several calls.
 	firstPart = "a0"
 	subjects  = 40
+	// plainChance and uncountedChance are how often a stream is one of the plain service, and how often it does not name its
+	// tokens, and partsChance how often another call has a prompt with shared parts, in percent.
+	plainChance     = 25
+	uncountedChance = 15
+	partsChance     = 25
+	// sortsSeed separates the draws of these from those of the calls.
+	sortsSeed = 1000
 )
 
 func spareKey(i int) string { return fmt.Sprintf("spare%d", i) }
@@ -60,6 +67,7 @@
 type client struct {
 	n      int
 	rnd    *rand.Rand
+	sorts  *rand.Rand // draws the sorts of calls
 	fleet  *fleet
 	rec    *record
 	http   http.RoundTripper
@@ -69,7 +77,7 @@
 
 // newClient returns a client that keeps its connections. Plant may be nil.
 func newClient(n int, seed uint64, f *fleet, rec *record, plant func(*fleet, http.RoundTripper) http.RoundTripper) *client {
-	c := &client{n: n, rnd: rand.New(rand.NewPCG(seed, uint64(n)+2)), fleet: f, rec: rec}
+	c := &client{n: n, rnd: rand.New(rand.NewPCG(seed, uint64(n)+2)), sorts: rand.New(rand.NewPCG(seed, uint64(n)+sortsSeed)), fleet: f, rec: rec}
 	c.http = &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1, IdleConnTimeout: shortestIdle * 4 / 5}
 	if plant != nil {
 		c.http = plant(f, c.http)
@@ -107,6 +115,10 @@
 	}}
 	if o.call.Kind.Stream() {
 		o.call.Parts = []string{firstPart, fmt.Sprintf("b%d", c.rnd.IntN(subjects))}
+		o.call.Plain = c.sorts.IntN(100) < plainChance
+		o.call.Uncounted = c.sorts.IntN(100) < uncountedChance
+	} else if c.sorts.IntN(100) < partsChance {
+		o.call.Parts = []string{firstPart, fmt.Sprintf("b%d", c.sorts.IntN(subjects))}
 	}
 	if c.rnd.IntN(100) < largeChance {
 		o.call.Large = c.rnd.IntN(maxLarge)
@@ -187,6 +199,9 @@
 	n, err := b.Reader.Read(p)
 	if n > 0 {
 		b.o.last = time.Now()
+		if b.o.first.IsZero() {
+			b.o.first = b.o.last
+		}
 	}
 	return n, err
 }
--- a/soak/main.go
+++ b/soak/main.go
@@ -9,8 +9,8 @@
 // Each seed starts a fleet of daemons, a store and backend servers on the
 // loopback, puts load on it, and carries a plan out: processes are stopped,
 // paused, killed and started again by signals; connections are cut, delayed and
-// reset by proxies; the store and the backend servers fail; keys are withdrawn.
-// Then all is mended, and the fleet must serve again. The same seed gives the
+// reset by proxies; the store and the backend servers fail; keys are withdrawn; at
+// last each daemon stands still once. Then all is mended, and the fleet must serve all sorts of calls again. The same seed gives the
 // same plan. A broken promise is printed with a case of it, and the exit code
 // is 1. At the end the silences of sound servers that requests met are printed,
 // by the moment of the response and what other servers did. With -plant a fault
@@ -121,7 +121,7 @@
 
 // soak plays one seed and returns the promises that it broke.
 func soak(ctx context.Context, f flags, seed uint64, met cells, out io.Writer) ([]string, error) {
-	plan := newPlan(seed, shape{daemons: f.daemons, servers: len(roles), trouble: f.trouble, gap: f.gap})
+	plan := append(newPlan(seed, shape{daemons: f.daemons, servers: len(roles), trouble: f.trouble, gap: f.gap}), freezes(f.daemons, f.trouble)...)
 	if f.verbose {
 		for _, s := range plan {
 			_, _ = fmt.Fprintf(out, "  %v %s %d %s %v", s.at, s.act, s.target, s.fault, s.lasts)
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -185,6 +185,23 @@
 	}
 }
 
+const (
+	// freezeTime is how long a daemon stands still at the end of the trouble: it notices pauses of over a second. The daemons do so in
+	// freezeTurns turns, each freezeGap after the one before.
+	freezeTime  = 1200 * time.Millisecond
+	freezeGap   = 1300 * time.Millisecond
+	freezeTurns = 3
+)
+
+// freezes returns the steps that let each daemon stand still once.
+func freezes(daemons int, at time.Duration) []step {
+	var all []step
+	for n := range daemons {
+		all = append(all, step{at: at + time.Duration(n%freezeTurns)*freezeGap, act: pauseOne, target: n, lasts: freezeTime})
+	}
+	return all
+}
+
 // newSecond draws how a server of a role answers a second time.
 func newSecond(rnd *rand.Rand, role fake.Role) fake.Second {
 	calls := secondCalls[role]
--- a/soak/record.go
+++ b/soak/record.go
@@ -17,6 +17,7 @@
 	sent     time.Time
 	left     time.Time // when the client closed its connection, zero if it did not
 	ended    time.Time
+	first    time.Time     // when the first bytes of the body came, zero for none
 	last     time.Time     // when the last bytes of the body came, zero for none
 	slow     time.Duration // time over which the body was sent, 0 for at once
 	status   int           // 0 if no response header was received
--- a/soak/silence.go
+++ b/soak/silence.go
@@ -279,7 +279,7 @@
 		if !x.left && slices.ContainsFunc(all, func(e exchange) bool { return r.harmed(e.server, e.from, o.ended) }) {
 			continue // one of its servers may have broken off
 		}
-		if r.harmed(x.server, x.from, o.ended) || o.ended.Sub(x.to) > handoverTime && r.anyHarmed(x.to, o.ended) {
+		if r.harmed(x.server, x.from, o.ended) || o.ended.Sub(x.to) > handoverTime && r.anyHarmed(o.call.Service(), x.to, o.ended) {
 			continue
 		}
 		what := "went on"
@@ -328,9 +328,10 @@
 	return o.last
 }
 
-func (r *record) anyHarmed(from, to time.Time) bool {
+// anyHarmed reports whether a server of a service may have broken off what it did in [from, to].
+func (r *record) anyHarmed(service string, from, to time.Time) bool {
 	for id := range r.servers {
-		if strings.HasPrefix(id, fake.ModelService) && r.harmed(id, from, to) {
+		if strings.HasPrefix(id, service) && r.harmed(id, from, to) {
 			return true
 		}
 	}
