gossip: change the fake store of tests under its mutex

Cause: TestEvacuationInCalls and TestLateEvacuationDatagrams wrote fields of the fake store while the instance's exchanges read them, a data race in 2 of 300 processes of the first. A fault of the tests alone.

Change: fakeStore.set changes the store under its mutex; all tests use it. The checks are as they were.

--- a/gossip/evacuation_test.go
+++ b/gossip/evacuation_test.go
@@ -30,9 +30,7 @@
 	b := startIn(t, "b", "b", a.cfg.Self.Address)
 	c := startIn(t, "b", "c", a.cfg.Self.Address)
 	for _, n := range []*testInstance{b, c} {
-		n.store.mu.Lock()
-		n.store.unreachable = true
-		n.store.mu.Unlock()
+		n.store.set(func(s *fakeStore) { s.unreachable = true })
 	}
 	all := []*testInstance{a, b, c}
 	for _, n := range all {
@@ -59,7 +57,9 @@
 	is.NoErr(err)
 	is.True(resp.GetEvacuation() == nil)
 	is.True(a.ownState().GetEvacuation() == nil)
-	a.store.config, a.store.table = string(make([]byte, 4*smallResponseBytes)), route.Stamp{Version: 1, Position: 5}
+	a.store.set(func(s *fakeStore) {
+		s.config, s.table = string(make([]byte, 4*smallResponseBytes)), route.Stamp{Version: 1, Position: 5}
+	})
 	for i, want := range []bool{false, true, true} {
 		at := int64(10 * (i + 1))
 		resp, err := a.Exchange(t.Context(), &peerpb.ExchangeRequest{
@@ -95,9 +95,11 @@
 		a.receiveLoad(&peerpb.Load{Instance: "p", Incarnation: 1, Serial: tt.serial, Evacuation: &peerpb.Evacuation{Position: tt.at, Centres: tt.centres}})
 		is.Equal(a.store.Evacuation().Centres, tt.want)
 	}
-	a.store.evacuation = Evacuation{Position: 9, Kept: []string{"a"}, KeptFor: 3900 * time.Millisecond}
+	a.store.set(func(s *fakeStore) {
+		s.evacuation = Evacuation{Position: 9, Kept: []string{"a"}, KeptFor: 3900 * time.Millisecond}
+	})
 	first := a.evacuation()
-	a.store.evacuation.KeptFor = 3100 * time.Millisecond
+	a.store.set(func(s *fakeStore) { s.evacuation.KeptFor = 3100 * time.Millisecond })
 	is.True(proto.Equal(first, a.evacuation()))
 	is.Equal(first.GetKeptMs(), int64(4000)) // rounded up, so that it does not end early
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -87,9 +87,7 @@
 	a := start(t, "a")
 	b := start(t, "b", a.cfg.Self.Address)
 	eventually(t, "the second instance relies on the first", func() bool { return !b.WatchesStore() })
-	a.store.mu.Lock()
-	a.store.unreachable = true
-	a.store.mu.Unlock()
+	a.store.set(func(s *fakeStore) { s.unreachable = true })
 	eventually(t, "the second instance watches the store itself", b.WatchesStore)
 }
 
--- a/gossip/harness_test.go
+++ b/gossip/harness_test.go
@@ -31,6 +31,13 @@
 	clock       tick.Clock // of its instance
 }
 
+// set changes the store while its instance uses it.
+func (b *fakeStore) set(change func(*fakeStore)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change(b)
+}
+
 func (b *fakeStore) Era() int64 { return 0 }
 
 func (b *fakeStore) Evacuation() Evacuation {
